--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,33 @@
+//! A load balancer's decisions for services that call services.
+//!
+//! [`Balancer`] performs no I/O and reads no clock. Feed it [`Event`]s stamped with the caller's
+//! own clock and carry out the [`Action`]s it appends:
+//!
+//! ```
+//! use weirwharf::{Action, Balancer, EndpointInfo, Event, Membership, RequestId, Settings};
+//! use std::time::Duration;
+//!
+//! let mut balancer = Balancer::new(Settings::default(), 7, Duration::ZERO)?;
+//! let mut actions = Vec::new();
+//! let list = vec![EndpointInfo::ready(1), EndpointInfo::ready(2), EndpointInfo::ready(3)];
+//! balancer.handle(Duration::ZERO, Event::Membership(Membership::Full(list)), &mut actions);
+//!
+//! let left = Duration::from_millis(800);
+//! balancer.handle(Duration::from_millis(5), Event::request(RequestId(42), left), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(42), .. })));
+//! # Ok::<(), weirwharf::SettingsError>(())
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
+
+mod balance;
+mod stats;
+mod types;
+pub mod wire;
+
+pub use balance::Balancer;
+pub use types::*;
--- /dev/null
+++ b/tests/contract.rs
@@ -0,0 +1,130 @@
+//! What an embedder may rely on when its events are odd: each case has a stated behaviour.
+
+mod support;
+use std::time::Duration;
+use support::*;
+use weirwharf::*;
+
+#[test]
+fn a_clock_that_goes_backwards_is_taken_as_standing_still() {
+    let mut d = Driver::new(Settings::default(), endpoints(3));
+    let (id, _) = d.request(ms(500));
+    d.now -= ms(50);
+    let (second, actions) = d.request(ms(500));
+    assert_eq!(sends(&actions).len(), 1);
+    d.end(second, Outcome::Ok, ms(1));
+    d.now += ms(50);
+    d.end(id, Outcome::Ok, ms(10));
+    assert_eq!(d.balancer.remembered(), 3 + 2, "the list, and the deadline timers still to come");
+}
+
+#[test]
+fn an_outcome_told_twice_counts_once() {
+    let mut d = Driver::new(Settings::default(), endpoints(2));
+    let (id, _) = d.request(ms(500));
+    let (_, attempt, endpoint, _) = d.out[0];
+    let ended = AttemptEnded {
+        request: id,
+        attempt,
+        endpoint,
+        outcome: Outcome::Error,
+        elapsed: ms(5),
+        finished: false,
+        report: None,
+    };
+    assert_eq!(sends(&d.feed(Event::AttemptEnded(ended.clone()))).len(), 1, "sent again");
+    assert!(d.feed(Event::AttemptEnded(ended)).is_empty(), "the repeat of the outcome says nothing");
+}
+
+#[test]
+fn events_about_unknown_things_are_ignored() {
+    let mut d = Driver::new(Settings::default(), endpoints(2));
+    let ended = AttemptEnded {
+        request: RequestId(999),
+        attempt: AttemptNo(4),
+        endpoint: EndpointId(77),
+        outcome: Outcome::Ok,
+        elapsed: ms(5),
+        finished: true,
+        report: Some(vec![f64::MAX, -1.0]),
+    };
+    for event in [
+        Event::AttemptEnded(ended),
+        Event::RequestGone(RequestId(999)),
+        Event::Timer(TimerToken(u64::MAX)),
+        Event::StreamStarted { request: RequestId(999), attempt: AttemptNo(0) },
+        Event::ProbeEnded {
+            endpoint: EndpointId(77),
+            outcome: Outcome::TimedOut,
+            elapsed: ms(5),
+            report: None,
+        },
+        Event::PeerMessage { from: 3, payload: vec![0; 256] },
+    ] {
+        assert!(d.feed(event).is_empty());
+    }
+}
+
+#[test]
+fn an_event_for_a_finished_request_sends_nothing() {
+    let mut d = Driver::new(Settings::default(), endpoints(2));
+    let (id, _) = d.request(ms(500));
+    d.end(id, Outcome::Ok, ms(5));
+    assert!(d.feed(Event::RequestGone(id)).is_empty());
+    assert!(d.feed(Event::StreamStarted { request: id, attempt: AttemptNo(0) }).is_empty());
+    assert!(d.advance(ms(600)).is_empty(), "its deadline passes in silence");
+}
+
+#[test]
+fn a_request_reported_twice_is_one_request() {
+    let mut d = Driver::new(Settings::default(), endpoints(2));
+    let (id, _) = d.request(ms(500));
+    assert!(d.feed(Event::request(id, ms(500))).is_empty());
+}
+
+#[test]
+fn no_time_left_is_answered_at_once() {
+    let mut d = Driver::new(Settings::default(), endpoints(2));
+    let (id, actions) = d.request(Duration::ZERO);
+    assert!(refused(&actions, id) && sends(&actions).is_empty());
+}
+
+#[test]
+fn a_started_stream_is_left_to_the_client() {
+    let classes = vec![Class { streamed: true, ..Class::default() }];
+    let mut d = Driver::new(Settings { classes, ..Settings::default() }, endpoints(2));
+    let (id, _) = d.request(ms(300));
+    d.feed(Event::StreamStarted { request: id, attempt: AttemptNo(0) });
+    let actions = {
+        let mut actions = Vec::new();
+        for (_, token) in std::mem::take(&mut d.timers) {
+            d.now += ms(301);
+            actions.extend(d.feed(Event::Timer(token)));
+        }
+        actions
+    };
+    assert!(actions.is_empty(), "neither cancelled nor answered: {actions:?}");
+}
+
+#[test]
+fn settings_that_make_no_sense_come_back_as_errors() {
+    let new = |settings| Balancer::new(settings, 1, Duration::ZERO).err();
+    assert_eq!(new(Settings { classes: vec![], ..Settings::default() }), Some(SettingsError::NoClasses));
+    let mut settings = Settings::default();
+    settings.rules.cold_share = f64::NAN;
+    assert!(matches!(new(settings), Some(SettingsError::OutOfRange { field: "rules.cold_share", .. })));
+    let settings = Settings { balancers: 0, ..Settings::default() };
+    assert!(matches!(new(settings), Some(SettingsError::OutOfRange { field: "balancers", .. })));
+    let classes = vec![Class { worth: -1.0, ..Class::default() }];
+    assert!(new(Settings { classes, ..Settings::default() }).is_some());
+}
+
+#[test]
+fn equal_seeds_and_events_give_equal_actions() {
+    let run = |seed| {
+        let mut d = Driver::seeded(Settings::default(), endpoints(9), seed);
+        (0..200).map(|_| sends(&d.request(ms(900)).1)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(5), run(5));
+    assert_ne!(run(5), run(6));
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,185 @@
+//! The four rules, each by itself, driving the module alone.
+
+mod support;
+use std::time::Duration;
+use support::*;
+use weirwharf::*;
+
+const KEYED_CELL: Semantics = Semantics::Keyed { group: Group::Cell, window: Duration::from_millis(400) };
+
+#[test]
+fn rule_1_a_request_nobody_can_take_is_answered_in_time() {
+    let mut d = Driver::new(Settings::default(), vec![]);
+    let (id, actions) = d.request(ms(300));
+    assert!(sends(&actions).is_empty());
+    let later = d.advance(ms(305));
+    assert!(refused(&later, id));
+}
+
+#[test]
+fn rule_1_the_deadline_answers_a_request_whose_attempt_is_still_out() {
+    let mut d = Driver::new(with_class(Semantics::Unsafe), endpoints(2));
+    let (id, actions) = d.request(ms(300));
+    assert_eq!(sends(&actions).len(), 1);
+    assert!(failed(&d.advance(ms(301)), id), "unsafe and perhaps run: a failure, never a refusal");
+}
+
+#[test]
+fn rule_1_nothing_is_sent_for_a_finished_request() {
+    let mut d = Driver::new(Settings::default(), endpoints(3));
+    let (id, _) = d.request(ms(300));
+    d.feed(Event::RequestGone(id));
+    assert!(sends(&d.end(id, Outcome::Cancelled, ms(1))).is_empty());
+    assert!(sends(&d.advance(ms(400))).is_empty());
+}
+
+#[test]
+fn rule_2_unsafe_is_sent_again_only_if_it_never_ran() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let mut d = Driver::new(with_class(Semantics::Unsafe), endpoints(3));
+        let (id, _) = d.request(ms(900));
+        assert_eq!(sends(&d.end(id, outcome, ms(1))).len(), 1, "{outcome:?} proves that it never ran");
+    }
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
+        let mut d = Driver::new(with_class(Semantics::Unsafe), endpoints(3));
+        let (id, _) = d.request(ms(900));
+        let actions = d.end(id, outcome, ms(1));
+        assert!(sends(&actions).is_empty() && failed(&actions, id), "{outcome:?} may have run");
+    }
+}
+
+#[test]
+fn rule_2_keyed_stays_in_its_cell_and_its_window() {
+    let list: Vec<EndpointInfo> =
+        (1..=6).map(|id| EndpointInfo { cell: CellId(id % 2), ..endpoint(id) }).collect();
+    for seed in 0..20 {
+        let mut d = Driver::seeded(with_class(KEYED_CELL), list.clone(), seed);
+        let (id, first) = d.request(ms(1500));
+        let again = d.end(id, Outcome::Error, ms(5));
+        assert_eq!(sends(&first)[0].0 % 2, sends(&again)[0].0 % 2, "the same cell");
+        d.advance(ms(450));
+        let last = d.end(id, Outcome::Error, ms(445));
+        assert!(sends(&last).is_empty() && failed(&last, id), "the window is over");
+    }
+}
+
+#[test]
+fn rule_2_keyed_by_zone_stays_in_its_zone() {
+    let list: Vec<EndpointInfo> =
+        (1..=6).map(|id| EndpointInfo { zone: ZoneId((id % 2) as u32), ..endpoint(id) }).collect();
+    for seed in 0..20 {
+        let keyed = Semantics::Keyed { group: Group::Zone, window: ms(5000) };
+        let mut d = Driver::seeded(with_class(keyed), list.clone(), seed);
+        let (id, first) = d.request(ms(900));
+        let again = d.end(id, Outcome::Reset, ms(5));
+        assert_eq!(sends(&first)[0].0 % 2, sends(&again)[0].0 % 2, "the same zone");
+    }
+}
+
+#[test]
+fn rule_3_nothing_new_goes_to_a_draining_endpoint() {
+    let mut d = Driver::new(Settings::default(), endpoints(3));
+    let draining = EndpointInfo { state: EndpointState::Draining, ..endpoint(2) };
+    d.list(Membership::Delta(vec![draining]));
+    for _ in 0..30 {
+        let (id, actions) = d.request(ms(900));
+        assert!(!sends(&actions).contains(&EndpointId(2)));
+        d.end(id, Outcome::Ok, ms(10));
+    }
+}
+
+#[test]
+fn rule_3_what_a_complete_list_leaves_out_is_gone() {
+    let mut d = Driver::new(Settings::default(), endpoints(4));
+    d.list(Membership::Full(endpoints(2)));
+    for _ in 0..30 {
+        let (id, actions) = d.request(ms(900));
+        assert!(sends(&actions)[0].0 <= 2);
+        d.end(id, Outcome::Ok, ms(10));
+    }
+}
+
+#[test]
+fn rule_3_a_fleet_that_drains_whole_gets_nothing() {
+    let mut d = Driver::new(Settings::default(), endpoints(3));
+    let draining = |id| EndpointInfo { state: EndpointState::Draining, ..endpoint(id) };
+    d.list(Membership::Full((1..=3).map(draining).collect()));
+    let (id, actions) = d.request(ms(200));
+    assert!(sends(&actions).is_empty());
+    assert!(refused(&d.advance(ms(210)), id));
+}
+
+/// Serves 60 requests a second for a while and gives the sends to the cold endpoint in its first second.
+fn cold_sends_in_first_second(balancers: u32) -> usize {
+    let settings = Settings { balancers, ..Settings::default() };
+    let window = settings.rules.fall_after;
+    let mut d = Driver::new(settings, endpoints(3));
+    let pace = |d: &mut Driver, rounds: usize| {
+        for _ in 0..rounds {
+            let (id, _) = d.request(ms(900));
+            d.advance(ms(15));
+            if d.out.iter().any(|o| o.0 == id) {
+                d.end(id, Outcome::Ok, ms(15));
+            }
+        }
+    };
+    pace(&mut d, 600);
+    let started = d.now;
+    d.list(Membership::Delta(vec![EndpointInfo { started: Some(started), ..endpoint(4) }]));
+    pace(&mut d, 80);
+    let sent = d.checker.cold_sends.remove(&EndpointId(4)).unwrap_or_default();
+    sent.iter().filter(|at| **at < started + window).count()
+}
+
+#[test]
+fn rule_4_a_cold_endpoint_gets_less_than_would_fell_it() {
+    // Three warm endpoints serve about 22 a second each; a quarter of that, doubled, fells the cold one.
+    let sent = cold_sends_in_first_second(1);
+    assert!(sent >= 1, "a cold endpoint must get something, or it never counts");
+    assert!(sent < 11, "{sent} sends in the first second");
+}
+
+#[test]
+fn rule_4_holds_when_the_whole_fleet_is_cold() {
+    let mut d = Driver::new(Settings::default(), vec![]);
+    let now = d.now;
+    let cold = |id| EndpointInfo { started: Some(now), ..endpoint(id) };
+    d.list(Membership::Full((1..=4).map(cold).collect()));
+    let mut served = 0;
+    for _ in 0..100 {
+        d.request(ms(900));
+        d.advance(ms(10));
+        for out in std::mem::take(&mut d.out) {
+            d.out.push(out);
+            d.end(out.0, Outcome::Ok, ms(10));
+            served += 1;
+        }
+    }
+    assert!(served > 10, "the fleet is never left without work: {served}");
+    for sends in d.checker.cold_sends.values() {
+        assert!(sends.len() < 50, "no endpoint takes half of what came");
+    }
+}
+
+#[test]
+fn discovery_is_asked_with_jitter_and_again_after_failures() {
+    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    let ask_within = settings.rules.ask_within;
+    let mut waits = Vec::new();
+    for seed in 0..5 {
+        let mut d = Driver::seeded(settings.clone(), endpoints(2), seed);
+        let first = d.timers[0].0 - d.now;
+        assert!(first < ask_within);
+        waits.push(first);
+        assert!(d.advance(ask_within).contains(&Action::Watch(true)));
+        d.list(Membership::Failed);
+        assert!(d.advance(ask_within).contains(&Action::Watch(true)), "a failed call is made again");
+        d.list(Membership::Delta(vec![]));
+        assert!(
+            !d.advance(ask_within * 3).contains(&Action::Watch(true)),
+            "a standing watch is not renewed"
+        );
+    }
+    waits.dedup();
+    assert!(waits.len() > 1, "instances that start together do not ask together");
+}
