--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,70 @@
+//! `runtrack`: the sidecar. Start-up, signals and exit codes; the rest is in `net/` and, for all
+//! decisions, in the library.
+#![forbid(unsafe_code)]
+
+mod net {
+    pub mod budget;
+    pub mod config;
+    pub mod discovery;
+    pub mod driver;
+    pub mod inbound;
+    pub mod outbound;
+}
+
+use net::budget::Budget;
+use net::config::Config;
+use net::discovery::Discovery;
+use net::driver::{Clock, Driver, Input};
+use net::inbound::Inbound;
+use net::outbound::Outbound;
+use std::process::ExitCode;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+use weirwharf::Balancer;
+
+fn main() -> ExitCode {
+    let config = match Config::from_env() {
+        Ok(config) => config,
+        Err(problem) => {
+            eprintln!("runtrack: {problem}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.map_err(|e| e.to_string()).and_then(|rt| LocalSet::new().block_on(&rt, run(config))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("runtrack: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let Config { name, listen, discovery, seed, sockets, memory_mb, known, settings, names } = config;
+    let term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let clock = Clock::start();
+    let balancer =
+        Balancer::new(settings.clone(), seed, clock.now()).map_err(|e| format!("settings: {e}"))?;
+    let budget = Budget::new(sockets, memory_mb);
+    let (inbox, inputs) = mpsc::unbounded_channel();
+    let (calls, asked) = mpsc::unbounded_channel();
+    let outbound = Outbound::new(&settings, budget.clone());
+    let inbound = Inbound::new(settings.clone(), &names, budget, outbound.clone(), inbox.clone());
+    let discovery = Discovery::new(discovery, settings.discovery, names, seed, inbox.clone());
+    // The list as last held is there before the first client.
+    let _ = inbox.send(Input::List(discovery.cached(known)));
+    let attempts = settings.limits.max_attempts;
+    let driver = Driver::new(balancer, clock, attempts, outbound.clone(), discovery.clone(), calls, inbox);
+    let mut driver = spawn_local(driver.run(inputs));
+    spawn_local(discovery.run(asked));
+    spawn_local(outbound.sweep());
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
+    eprintln!("{name}: serving on {listen}");
+    tokio::select! {
+        () = inbound.serve(listener, term) => Ok(()),
+        ended = &mut driver => Err(format!("the driver ended: {ended:?}")),
+    }
+}
--- /dev/null
+++ b/src/net/budget.rs
@@ -0,0 +1,105 @@
+//! The budget of sockets: every client and endpoint connection holds a permit, so that the limits
+//! on descriptors and memory are kept by count.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Descriptors kept free for the listener, the runtime, standard streams, discovery and shed clients.
+const RESERVE: usize = 48;
+/// Clients over the cap that may still be told so, out of the reserve.
+const SHED_MOST: usize = 24;
+/// Fewer descriptors than this leave nothing to serve with.
+pub const LEAST_SOCKETS: usize = RESERVE + 16;
+/// The most memory that a client's request may take with its buffers, bodies and attempt, in KiB.
+const CLIENT_KIB: usize = 160;
+
+/// Who holds a socket.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Holder {
+    /// A client.
+    Client,
+    /// A client over the cap, only to be refused.
+    Shed,
+    /// A connection to an endpoint.
+    Endpoint,
+}
+
+/// Counts of the sockets in use, and how many may be.
+pub struct Budget {
+    total: usize,
+    clients_most: usize,
+    clients: Cell<usize>,
+    shed: Cell<usize>,
+    endpoints: Cell<usize>,
+    freed: Notify,
+}
+
+/// One socket in use; gives it back when dropped.
+pub struct Permit {
+    budget: Rc<Budget>,
+    holder: Holder,
+}
+
+impl Budget {
+    /// A budget within so many descriptors and MiB of memory.
+    pub fn new(sockets: usize, memory_mb: usize) -> Rc<Self> {
+        let total = sockets.saturating_sub(RESERVE);
+        // An attempt needs a socket too: clients must not take what their own requests go out on.
+        let by_memory = memory_mb * 1024 / 2 / CLIENT_KIB;
+        let clients_most = (total * 5 / 8).min(by_memory).max(1);
+        let (clients, shed, endpoints) = Default::default();
+        Rc::new(Budget { total, clients_most, clients, shed, endpoints, freed: Notify::new() })
+    }
+
+    /// A permit, if there is room for one.
+    pub fn take(self: &Rc<Self>, holder: Holder) -> Option<Permit> {
+        let room = match holder {
+            Holder::Client => self.clients.get() < self.clients_most && self.in_use() < self.total,
+            Holder::Shed => self.shed.get() < SHED_MOST,
+            Holder::Endpoint => self.in_use() < self.total,
+        };
+        room.then(|| {
+            let count = self.count(holder);
+            count.set(count.get() + 1);
+            Permit { budget: self.clone(), holder }
+        })
+    }
+
+    /// Whether only the connections to endpoints stand in the way of one more client.
+    pub fn endpoints_crowd(&self) -> bool {
+        self.clients.get() < self.clients_most && self.in_use() >= self.total
+    }
+
+    /// Connected clients.
+    pub fn clients(&self) -> usize {
+        self.clients.get() + self.shed.get()
+    }
+
+    /// Waits until a client's socket comes free.
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+
+    fn in_use(&self) -> usize {
+        self.clients.get() + self.endpoints.get()
+    }
+
+    fn count(&self, holder: Holder) -> &Cell<usize> {
+        match holder {
+            Holder::Client => &self.clients,
+            Holder::Shed => &self.shed,
+            Holder::Endpoint => &self.endpoints,
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let count = self.budget.count(self.holder);
+        count.set(count.get() - 1);
+        if self.holder != Holder::Endpoint {
+            self.budget.freed.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,308 @@
+//! The endpoint list: asks discovery for it, and follows its changes.
+
+use super::config::Names;
+use super::driver::{Inbox, Input};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::Deserialize;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::timeout;
+use weirwharf::{
+    CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointState, KindId, Membership, ZoneId, wire,
+};
+
+/// A connection to discovery that is not up after this long has failed.
+const CONNECT: Duration = Duration::from_secs(1);
+/// A call not answered after this long has failed: discovery itself gives up well before.
+const ANSWER: Duration = Duration::from_secs(5);
+/// A watch brings at least an empty line every 2 s: one silent for this long is dead, as that of a
+/// machine cut off is, which nothing else would ever tell.
+const SILENCE: Duration = Duration::from_secs(5);
+/// No list, and no line of a watch, is longer than this.
+const LIST_MOST: usize = 4 << 20;
+/// First wait before a watch that the node keeps up itself is tried again; doubles with each failure.
+const BACKOFF: Duration = Duration::from_millis(250);
+/// Doublings of that wait.
+const BACKOFF_DOUBLES: u32 = 4;
+
+/// A list as discovery words it.
+#[derive(Debug, Default, Deserialize)]
+pub struct List {
+    rev: u64,
+    all: bool,
+    targets: Vec<Target>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u64,
+    state: State,
+    #[serde(default = "one")]
+    capacity_hint: f64,
+    #[serde(default)]
+    boot_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Up,
+    Draining,
+    Removed,
+}
+
+/// News of the list in the module's terms, and where the endpoints are.
+pub struct News {
+    /// For the module.
+    pub membership: Membership,
+    /// Addresses of those named.
+    pub addresses: Vec<(EndpointId, SocketAddr)>,
+}
+
+/// What the driver may ask of discovery.
+pub enum Call {
+    /// Follow changes, or stop.
+    Watch(bool),
+    /// Ask for the whole list once.
+    Fetch,
+}
+
+/// What the node knows of discovery.
+pub struct Discovery {
+    address: SocketAddr,
+    mode: Mode,
+    names: Names,
+    ids: RefCell<wire::Names>,
+    rev: Cell<u64>,
+    draws: RefCell<Pcg32>,
+    inbox: Inbox,
+}
+
+/// A task that ends with its holder.
+pub struct Guard(AbortHandle);
+
+impl Guard {
+    /// Ends this task when dropped.
+    pub fn new(task: AbortHandle) -> Self {
+        Guard(task)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Discovery {
+    /// Discovery at this address.
+    pub fn new(address: SocketAddr, mode: Mode, names: Names, seed: u64, inbox: Inbox) -> Rc<Self> {
+        let draws = RefCell::new(Pcg32::seed_from_u64(seed));
+        let (ids, rev) = Default::default();
+        Rc::new(Discovery { address, mode, names, ids, rev, draws, inbox })
+    }
+
+    /// The list as last held, to start from.
+    pub fn cached(&self, list: List) -> News {
+        self.rev.set(list.rev);
+        let mut news = self.news(list);
+        if let Membership::Full(entries) | Membership::Delta(entries) = news.membership {
+            news.membership = Membership::Cached(entries);
+        }
+        news
+    }
+
+    /// The uid of an endpoint.
+    pub fn uid(&self, id: EndpointId) -> String {
+        self.ids.borrow().name(id).to_owned()
+    }
+
+    /// Carries out the driver's calls. Each is answered by exactly one event; a watch then goes on.
+    pub async fn run(self: Rc<Self>, mut calls: UnboundedReceiver<Call>) {
+        let mut watch: Option<Guard> = None;
+        if self.mode == Mode::Push {
+            let kept = self.clone();
+            watch = Some(Guard(spawn_local(async move { kept.keep_watch().await }).abort_handle()));
+        }
+        while let Some(call) = calls.recv().await {
+            let this = self.clone();
+            match call {
+                Call::Watch(true) if self.mode == Mode::Push => this.tell(unchanged()), // it is up already
+                Call::Watch(true) => {
+                    drop(watch.take());
+                    let task = spawn_local(async move {
+                        let reason = this.follow().await;
+                        this.failed(&reason);
+                    });
+                    watch = Some(Guard(task.abort_handle()));
+                }
+                Call::Watch(false) => {
+                    drop(watch.take());
+                    this.tell(unchanged());
+                }
+                Call::Fetch => {
+                    spawn_local(async move {
+                        match this.fetch().await {
+                            // It may be older than what the watch has brought since.
+                            Ok(list) if list.rev < this.rev.get() => this.tell(unchanged()),
+                            Ok(list) => this.take(list),
+                            Err(reason) => this.failed(&reason),
+                        }
+                    });
+                }
+            }
+        }
+    }
+
+    /// Where lists are pushed, a watch must always be up: the module never asks for one.
+    async fn keep_watch(&self) {
+        let mut failures = 0;
+        loop {
+            let before = self.rev.get();
+            let reason = self.follow().await;
+            self.failed(&reason);
+            failures = if self.rev.get() == before { failures + 1 } else { 0 };
+            let jitter = 0.5 + f64::from(self.draws.borrow_mut().next_u32()) / f64::from(u32::MAX);
+            let doubled = BACKOFF * (1 << failures.min(BACKOFF_DOUBLES));
+            tokio::time::sleep(doubled.mul_f64(jitter)).await;
+        }
+    }
+
+    /// Follows changes until the watch ends; gives the reason.
+    async fn follow(&self) -> String {
+        let path = format!("/api/targets?watch=1&after={}", self.rev.get());
+        let (response, _connection) = match self.call(&path).await {
+            Ok(answered) => answered,
+            Err(reason) => return reason,
+        };
+        let mut body = response.into_body();
+        let mut text = Vec::new();
+        loop {
+            match timeout(SILENCE, body.frame()).await {
+                Err(_) => return "the watch fell silent".to_owned(),
+                Ok(None) => return "the watch ended".to_owned(),
+                Ok(Some(Err(e))) => return format!("the watch broke: {e}"),
+                Ok(Some(Ok(frame))) => text.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d)),
+            }
+            while let Some(end) = text.iter().position(|&b| b == b'\n') {
+                let line: Vec<u8> = text.drain(..=end).collect();
+                let line = line.trim_ascii();
+                if line.is_empty() {
+                    continue;
+                }
+                // To skip a change would leave the list wrong for good: the watch begins again instead.
+                match serde_json::from_slice(line) {
+                    Ok(list) => self.take(list),
+                    Err(e) => return format!("the watch brought what is no list: {e}"),
+                }
+            }
+            if text.len() > LIST_MOST {
+                return "the watch brought too long a line".to_owned();
+            }
+        }
+    }
+
+    async fn fetch(&self) -> Result<List, String> {
+        let (response, _connection) = self.call("/api/targets").await?;
+        let body = timeout(ANSWER, Limited::new(response.into_body(), LIST_MOST).collect()).await;
+        let body = body.map_err(|_| "the list never came".to_owned())?.map_err(|e| e.to_string())?;
+        serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("no list: {e}"))
+    }
+
+    async fn call(&self, path: &str) -> Result<(Response<Incoming>, Guard), String> {
+        let connect = timeout(CONNECT, TcpStream::connect(self.address)).await;
+        let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
+        let task = spawn_local(connection);
+        let guard = Guard(task.abort_handle());
+        let request = Request::get(path)
+            .header(header::HOST, self.address.to_string())
+            .body(Empty::<Bytes>::new())
+            .map_err(|e| e.to_string())?;
+        let answer = timeout(ANSWER, sender.send_request(request)).await;
+        let response = answer.map_err(|_| "no answer in time".to_owned())?.map_err(|e| e.to_string())?;
+        match response.status() {
+            StatusCode::OK => Ok((response, guard)),
+            status => Err(format!("answered {status}")),
+        }
+    }
+
+    fn take(&self, list: List) {
+        self.rev.set(list.rev);
+        if !list.targets.is_empty() {
+            let sort = if list.all { "whole list" } else { "changes" };
+            eprintln!("list: {sort}, rev {}, {} entries", list.rev, list.targets.len());
+        }
+        let news = self.news(list);
+        self.tell(news);
+    }
+
+    fn failed(&self, reason: &str) {
+        eprintln!("discovery: {reason}");
+        self.tell(News { membership: Membership::Failed, addresses: Vec::new() });
+    }
+
+    fn tell(&self, news: News) {
+        let _ = self.inbox.send(Input::List(news)); // fails only while the process ends
+    }
+
+    fn news(&self, list: List) -> News {
+        let mut ids = self.ids.borrow_mut();
+        let place = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
+        };
+        let (mut entries, mut addresses, mut seen) = (Vec::new(), Vec::new(), HashSet::new());
+        // Of an endpoint named twice the last word counts.
+        for target in list.targets.into_iter().rev() {
+            let id = ids.id(&target.uid);
+            if !seen.insert(id) {
+                continue;
+            }
+            addresses.push((id, target.endpoint));
+            entries.push(EndpointInfo {
+                id,
+                zone: ZoneId(place(&self.names.areas, &target.az)),
+                kind: KindId(place(&self.names.kinds, &target.model)),
+                cell: CellId(target.pod_group),
+                state: match target.state {
+                    State::Up => EndpointState::Ready,
+                    State::Draining => EndpointState::Draining,
+                    State::Removed => EndpointState::Gone,
+                },
+                weight: target.capacity_hint,
+                started: (target.boot_ms > 0.0)
+                    .then(|| Duration::from_micros((target.boot_ms * 1e3) as u64)),
+            });
+        }
+        entries.reverse();
+        let membership = if list.all { Membership::Full(entries) } else { Membership::Delta(entries) };
+        News { membership, addresses }
+    }
+}
+
+fn unchanged() -> News {
+    News { membership: Membership::Delta(Vec::new()), addresses: Vec::new() }
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,449 @@
+//! Drives the module: turns what happens on the sockets into its events, and carries out its
+//! actions. It decides nothing, but keeps what must hold whatever is decided: one final answer a
+//! request, no attempt beyond the limit or the deadline, nothing sent for what is finished.
+
+use super::discovery::{Call, Discovery, News};
+use super::outbound::{Ended, Outbound, Progress};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Uri};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until, timeout_at};
+use weirwharf::{
+    Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
+    RequestId, TimerToken,
+};
+
+/// Unusual outcomes are summed up in the log this often.
+const SUMMARY: Duration = Duration::from_secs(10);
+
+/// Where the rest of the sidecar reports to the driver.
+pub type Inbox = UnboundedSender<Input>;
+
+/// Something that happened on a socket.
+pub enum Input {
+    /// A request has come whole.
+    Arrived(Box<Arrival>),
+    /// Its client has gone.
+    ClientGone(RequestId),
+    /// An attempt ended.
+    AttemptEnded(RequestId, AttemptNo, Ended),
+    /// A probe ended; it took so long.
+    ProbeEnded(EndpointId, Ended, Duration),
+    /// News from discovery.
+    List(News),
+    /// The process must end: fail what is still open.
+    GiveUp,
+}
+
+/// A request as it came in.
+pub struct Arrival {
+    /// For the module; its time left is set here.
+    pub request: weirwharf::Request,
+    /// When the answer must be on its way.
+    pub deadline: Instant,
+    /// What goes on to an endpoint.
+    pub forward: Forward,
+    /// Where the final answer goes.
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// A request as it goes on to an endpoint.
+pub struct Forward {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A final answer.
+pub enum Answer {
+    /// Served, with the body of an endpoint's answer.
+    Served(Bytes),
+    /// Refused: trying again is harmless, after this long if it is stated.
+    Refused(Option<Duration>),
+    /// Failed.
+    Failed,
+}
+
+struct Try {
+    endpoint: EndpointId,
+    sent: Instant,
+    /// Dropped to cancel; gone once the attempt has ended.
+    cancel: Option<oneshot::Sender<()>>,
+}
+
+/// A request until it has its final answer and all its attempts have ended.
+struct Open {
+    forward: Forward,
+    deadline: Instant,
+    /// Gone once the request is finished: so there is never a second final answer.
+    answer: Option<oneshot::Sender<Answer>>,
+    tries: Vec<Try>,
+    out: usize,
+}
+
+/// One monotonic clock, anchored once to Unix time so that endpoints' start times compare with it.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Duration {
+        self.unix + self.start.elapsed()
+    }
+}
+
+/// Owns the module, its timers, and the requests and attempts in flight.
+pub struct Driver {
+    balancer: Balancer,
+    clock: Clock,
+    max_attempts: usize,
+    requests: HashMap<RequestId, Open>,
+    addresses: HashMap<EndpointId, SocketAddr>,
+    timers: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// Events that the driver's own doings brought about.
+    due: VecDeque<Event>,
+    unusual: HashMap<&'static str, u64>,
+    summary_at: Instant,
+    outbound: Rc<Outbound>,
+    discovery: Rc<Discovery>,
+    calls: UnboundedSender<Call>,
+    inbox: Inbox,
+}
+
+impl Driver {
+    /// A driver of this module.
+    pub fn new(
+        balancer: Balancer,
+        clock: Clock,
+        max_attempts: u32,
+        outbound: Rc<Outbound>,
+        discovery: Rc<Discovery>,
+        calls: UnboundedSender<Call>,
+        inbox: Inbox,
+    ) -> Self {
+        Driver {
+            balancer,
+            clock,
+            max_attempts: max_attempts as usize,
+            requests: HashMap::new(),
+            addresses: HashMap::new(),
+            timers: BinaryHeap::new(),
+            due: VecDeque::new(),
+            unusual: HashMap::new(),
+            summary_at: Instant::now() + SUMMARY,
+            outbound,
+            discovery,
+            calls,
+            inbox,
+        }
+    }
+
+    /// Runs until nothing can report any more.
+    pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>) {
+        loop {
+            let next = self.timers.peek().map_or(self.summary_at, |Reverse((at, _))| *at);
+            tokio::select! {
+                biased;
+                input = inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                () = sleep_until(next.min(self.summary_at)) => {}
+            }
+            self.fire();
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = Instant::now();
+        while let Some(&Reverse((at, token))) = self.timers.peek()
+            && at <= now
+        {
+            self.timers.pop();
+            self.handle(Event::Timer(TimerToken(token)));
+        }
+        if now >= self.summary_at {
+            self.summary_at = now + SUMMARY;
+            let mut counts: Vec<_> = self.unusual.drain().collect();
+            counts.sort();
+            if !counts.is_empty() {
+                eprintln!("outcomes in {} s: {counts:?}; open {}", SUMMARY.as_secs(), self.requests.len());
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Arrived(arrival) => self.arrived(*arrival),
+            Input::ClientGone(id) => self.gone(id),
+            Input::AttemptEnded(id, attempt, ended) => self.attempt_ended(id, attempt, ended),
+            Input::ProbeEnded(endpoint, Ended { outcome, report, .. }, elapsed) => {
+                self.handle(Event::ProbeEnded { endpoint, outcome, elapsed, report });
+            }
+            Input::List(news) => self.list(news),
+            Input::GiveUp => {
+                let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
+                let open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
+                eprintln!("giving up {} requests", open.len());
+                for id in open {
+                    self.finish(id, Answer::Failed);
+                    self.handle(Event::RequestGone(id));
+                    self.tidy(id);
+                }
+            }
+        }
+    }
+
+    fn arrived(&mut self, arrival: Arrival) {
+        let Arrival { mut request, deadline, forward, answer } = arrival;
+        request.time_left = deadline.saturating_duration_since(Instant::now());
+        let open = Open { forward, deadline, answer: Some(answer), tries: Vec::new(), out: 0 };
+        self.requests.insert(request.id, open);
+        self.handle(Event::Request(request));
+    }
+
+    fn gone(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if open.answer.take().is_some() {
+            self.count("client gone");
+            self.handle(Event::RequestGone(id));
+        }
+        self.tidy(id);
+    }
+
+    fn attempt_ended(&mut self, id: RequestId, attempt: AttemptNo, ended: Ended) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(tried) = open.tries.get_mut(attempt.0 as usize) else { return };
+        if tried.cancel.take().is_none() {
+            return; // its outcome has been told
+        }
+        open.out -= 1;
+        let (endpoint, elapsed) = (tried.endpoint, tried.sent.elapsed());
+        let Ended { outcome, body, report } = ended;
+        if outcome == Outcome::Ok {
+            self.finish(id, Answer::Served(body));
+        } else {
+            self.count(outcome_name(outcome));
+        }
+        let finished = self.requests.get(&id).is_none_or(|open| open.answer.is_none());
+        self.handle(Event::AttemptEnded(AttemptEnded {
+            request: id,
+            attempt,
+            endpoint,
+            outcome,
+            elapsed,
+            finished,
+            report,
+        }));
+        self.tidy(id);
+    }
+
+    fn list(&mut self, news: News) {
+        for (id, address) in &news.addresses {
+            let before = self.addresses.insert(*id, *address);
+            if before.is_some_and(|before| before != *address) {
+                self.outbound.close_idle(*id);
+            }
+        }
+        let (whole, entries) = match &news.membership {
+            Membership::Full(entries) | Membership::Cached(entries) => (true, entries),
+            Membership::Delta(entries) => (false, entries),
+            Membership::Failed => return self.handle(Event::Membership(news.membership)),
+        };
+        for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
+            // Nothing new goes there.
+            self.outbound.close_idle(entry.id);
+            let state = if entry.state == EndpointState::Gone { "gone" } else { "draining" };
+            eprintln!("list: {} is {state}", self.discovery.uid(entry.id));
+            if entry.state == EndpointState::Gone {
+                self.addresses.remove(&entry.id);
+            }
+        }
+        if whole {
+            let outbound = &self.outbound;
+            self.addresses.retain(|id, _| {
+                let listed = entries.iter().any(|entry| entry.id == *id);
+                if !listed {
+                    outbound.close_idle(*id);
+                }
+                listed
+            });
+        }
+        self.handle(Event::Membership(news.membership));
+    }
+
+    /// Gives the module an event and carries out what it wants done, and what comes of that.
+    fn handle(&mut self, event: Event) {
+        self.due.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.due.pop_front() {
+            let about = match &event {
+                Event::AttemptEnded(ended) => Some(ended.request),
+                _ => None,
+            };
+            self.balancer.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+            if let Some(id) = about {
+                self.tidy(id);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { request, endpoint, timeout } => self.send(request, endpoint, timeout),
+            Action::Refuse { request, retry_after } => {
+                self.finish(request, Answer::Refused(retry_after));
+                self.tidy(request);
+            }
+            Action::Fail { request } => {
+                self.finish(request, Answer::Failed);
+                self.tidy(request);
+            }
+            Action::Cancel { request, attempt } => {
+                // The attempt itself tells its end, unless another outcome is already on its way.
+                if let Some(open) = self.requests.get_mut(&request)
+                    && let Some(tried) = open.tries.get_mut(attempt.0 as usize)
+                    && let Some(cancel) = &mut tried.cancel
+                {
+                    let (kept, _) = oneshot::channel();
+                    drop(std::mem::replace(cancel, kept));
+                }
+            }
+            Action::SetTimer { token, after } => {
+                self.timers.push(Reverse((Instant::now() + after, token.0)));
+            }
+            // These fail only while the process ends.
+            Action::Watch(on) => drop(self.calls.send(Call::Watch(on))),
+            Action::FetchList => drop(self.calls.send(Call::Fetch)),
+            Action::Probe { endpoint } => self.probe(endpoint),
+            Action::CloseIdle { endpoint } => self.outbound.close_idle(endpoint),
+            Action::Log(text) => eprintln!("module: {}", text.replace(['\n', '\r'], " ")),
+        }
+    }
+
+    /// Starts an attempt. What must not be sent is numbered all the same, and ends as moot.
+    fn send(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let (now, attempt) = (Instant::now(), AttemptNo(open.tries.len() as u32));
+        let address = self.addresses.get(&endpoint).copied();
+        let until = open.deadline.min(now + timeout);
+        let moot = open.answer.is_none() || open.tries.len() >= self.max_attempts || until <= now;
+        let Some(address) = address.filter(|_| !moot) else {
+            open.tries.push(Try { endpoint, sent: now, cancel: None });
+            self.due.push_back(Event::AttemptEnded(AttemptEnded {
+                request: id,
+                attempt,
+                endpoint,
+                outcome: Outcome::Moot,
+                elapsed: Duration::ZERO,
+                finished: open.answer.is_none(),
+                report: None,
+            }));
+            return self.count(outcome_name(Outcome::Moot));
+        };
+        let (cancel, mut cancelled) = oneshot::channel();
+        open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
+        open.out += 1;
+        let request = open.forward.request(address, until - now);
+        let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
+        spawn_local(async move {
+            let progress = Progress::default();
+            let exchange = timeout_at(until, outbound.attempt(endpoint, address, request, &progress));
+            let ended = tokio::select! {
+                biased;
+                _ = &mut cancelled => Ended::bare(Outcome::Cancelled),
+                ended = exchange => ended.unwrap_or_else(|_| Ended::bare(progress.given_up())),
+            };
+            let _ = inbox.send(Input::AttemptEnded(id, attempt, ended));
+        });
+    }
+
+    fn probe(&mut self, endpoint: EndpointId) {
+        let Some(&address) = self.addresses.get(&endpoint) else {
+            let (outcome, elapsed, report) = (Outcome::ConnectFailed, Duration::ZERO, None);
+            return self.due.push_back(Event::ProbeEnded { endpoint, outcome, elapsed, report });
+        };
+        let (outbound, inbox, sent) = (self.outbound.clone(), self.inbox.clone(), Instant::now());
+        spawn_local(async move {
+            let ended = outbound.probe(endpoint, address).await;
+            let _ = inbox.send(Input::ProbeEnded(endpoint, ended, sent.elapsed()));
+        });
+    }
+
+    /// Gives a request its final answer, unless it has had one.
+    fn finish(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(to) = open.answer.take() else { return };
+        match &answer {
+            Answer::Served(_) => {}
+            Answer::Refused(_) => self.count("refused"),
+            Answer::Failed => self.count("failed"),
+        }
+        let _ = to.send(answer); // fails where the client has just gone
+    }
+
+    /// Forgets a request that nothing more can be heard of.
+    fn tidy(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|open| open.answer.is_none() && open.out == 0) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.unusual.entry(what).or_default() += 1;
+    }
+}
+
+impl Forward {
+    fn request(&self, address: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let text = |text: String| HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static(""));
+        headers.insert(header::HOST, text(address.to_string()));
+        let timeout = text(format!("{}u", left.as_micros()));
+        headers.insert(HeaderName::from_static("x-timeout"), timeout);
+        request
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "ok",
+        Outcome::Error => "error",
+        Outcome::Full => "turned away",
+        Outcome::TimedOut => "timed out",
+        Outcome::ConnectFailed => "not connected",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Moot => "moot",
+    }
+}
--- /dev/null
+++ b/src/net/outbound.rs
@@ -0,0 +1,269 @@
+//! Connections to endpoints: attempts and probes, and how they end.
+
+use super::budget::{Budget, Holder, Permit};
+use super::discovery::Guard;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout};
+use weirwharf::{EndpointId, LoadField, Outcome, Settings};
+
+/// No body on the wire is longer.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Buffer of a connection, either way; also bounds a message's head.
+pub const BUFFER_MOST: usize = 64 * 1024;
+/// Part of the endpoints' idle time after which we close a connection ourselves: what is written to
+/// one that the endpoint is just closing ends as a reset, and an unsafe request is then lost for good.
+const IDLE_PART: f64 = 0.7;
+/// Idle connections kept where the settings say nothing of idle time.
+const IDLE_UNSTATED: Duration = Duration::from_secs(5);
+/// How often idle connections are looked over.
+const SWEEP: Duration = Duration::from_millis(500);
+/// A probe that takes longer has failed.
+const PROBE: Duration = Duration::from_secs(1);
+/// Limit of an attempt's connection where the settings say nothing.
+const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
+
+/// How an attempt or a probe ended.
+pub struct Ended {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The body of a 200.
+    pub body: Bytes,
+    /// The load report, if one came.
+    pub report: Option<Vec<f64>>,
+}
+
+impl Ended {
+    /// An end that brought nothing but itself.
+    pub fn bare(outcome: Outcome) -> Self {
+        Ended { outcome, body: Bytes::new(), report: None }
+    }
+}
+
+/// How far an attempt has come: what is stopped before anything was written never ran.
+#[derive(Default)]
+pub struct Progress(Cell<bool>);
+
+impl Progress {
+    /// The outcome of no longer waiting: nothing written proves that it never ran.
+    pub fn given_up(&self) -> Outcome {
+        if self.0.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
+    }
+}
+
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+    idle_since: Instant,
+    /// Dropping a link closes its connection, also with an answer still to come.
+    _connection: Guard,
+    _permit: Permit,
+}
+
+/// The connections to all endpoints.
+pub struct Outbound {
+    budget: Rc<Budget>,
+    /// Idle ones, the most recently used last.
+    idle: RefCell<HashMap<EndpointId, Vec<Link>>>,
+    connect_timeout: Duration,
+    idle_most: Duration,
+    fields: Vec<LoadField>,
+}
+
+impl Outbound {
+    /// No connections yet.
+    pub fn new(settings: &Settings, budget: Rc<Budget>) -> Rc<Self> {
+        let (connect, idle) = (settings.limits.connect_timeout, settings.limits.idle_close);
+        let or = |time: Duration, unstated| if time.is_zero() { unstated } else { time };
+        Rc::new(Outbound {
+            budget,
+            idle: RefCell::default(),
+            connect_timeout: or(connect, CONNECT_UNSTATED),
+            idle_most: or(idle.mul_f64(IDLE_PART), IDLE_UNSTATED),
+            fields: settings.load_reports.fields.clone(),
+        })
+    }
+
+    /// Sends one attempt and waits for its end. It is written at most once: only what provably was
+    /// never written goes to another connection.
+    pub async fn attempt(
+        &self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        progress: &Progress,
+    ) -> Ended {
+        let (mut link, response) = loop {
+            let (mut link, fresh) = match self.take_idle(endpoint, address) {
+                Some(link) => (link, false),
+                None => match self.connect(address).await {
+                    Some(link) => (link, true),
+                    None => return Ended::bare(Outcome::ConnectFailed),
+                },
+            };
+            // An idle connection may be found closed only now.
+            if !matches!(timeout(self.connect_timeout, link.sender.ready()).await, Ok(Ok(()))) {
+                if fresh {
+                    return Ended::bare(Outcome::ConnectFailed);
+                }
+                continue;
+            }
+            progress.0.set(true);
+            match link.sender.try_send_request(request).await {
+                Ok(response) => break (link, response),
+                Err(mut error) => match error.take_message() {
+                    // Handed back unsent.
+                    Some(unsent) => {
+                        progress.0.set(false);
+                        request = unsent;
+                        if fresh {
+                            return Ended::bare(Outcome::ConnectFailed);
+                        }
+                    }
+                    // Some of it may have been written, so all of it may have come.
+                    None => return Ended::bare(Outcome::Reset),
+                },
+            }
+        };
+        let ended = self.read(response).await;
+        if ended.outcome != Outcome::Reset && !link.sender.is_closed() {
+            link.idle_since = Instant::now();
+            self.idle.borrow_mut().entry(endpoint).or_default().push(link);
+        }
+        ended
+    }
+
+    /// The outcome that an answer stands for. It is read whole first, so that a break half-way is an
+    /// outcome and never a torn answer.
+    async fn read(&self, response: Response<Incoming>) -> Ended {
+        let (head, body) = response.into_parts();
+        let never_ran = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
+        let outcome = match head.status {
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        let report = self.inline_report(&head.headers);
+        match Limited::new(body, BODY_MOST).collect().await {
+            Ok(body) => Ended { outcome, body: body.to_bytes(), report },
+            // The head of a refusal says it all, whatever became of its body.
+            Err(_) if outcome == Outcome::Full => Ended::bare(Outcome::Full),
+            Err(_) => Ended::bare(Outcome::Reset),
+        }
+    }
+
+    /// Asks an endpoint for its load.
+    pub async fn probe(&self, endpoint: EndpointId, address: SocketAddr) -> Ended {
+        let request = Request::get("/-/load").header(header::HOST, address.to_string());
+        let Ok(request) = request.body(Full::default()) else { return Ended::bare(Outcome::Error) };
+        let progress = Progress::default();
+        match timeout(PROBE, self.attempt(endpoint, address, request, &progress)).await {
+            Ok(mut ended) => {
+                let body = std::mem::take(&mut ended.body);
+                let in_body = std::str::from_utf8(&body).ok().and_then(|text| self.report(text));
+                ended.report = in_body.or(ended.report);
+                ended
+            }
+            Err(_) => Ended::bare(progress.given_up()),
+        }
+    }
+
+    /// Closes idle connections to an endpoint.
+    pub fn close_idle(&self, endpoint: EndpointId) {
+        self.idle.borrow_mut().remove(&endpoint);
+    }
+
+    /// Closes the connection that has been idle longest; false if there is none.
+    pub fn close_oldest_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(id, links)| Some((links.first()?.idle_since, *id))).min();
+        let Some((_, id)) = oldest else { return false };
+        idle.get_mut(&id).map(|links| links.remove(0)).is_some()
+    }
+
+    /// Closes, from time to time, what has been idle for too long or was closed by the endpoint.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            self.idle.borrow_mut().retain(|_, links| {
+                links.retain(|link| self.usable(link));
+                !links.is_empty()
+            });
+        }
+    }
+
+    fn usable(&self, link: &Link) -> bool {
+        !link.sender.is_closed() && link.idle_since.elapsed() < self.idle_most
+    }
+
+    /// The most recently used idle connection: the others may then age and be closed.
+    fn take_idle(&self, endpoint: EndpointId, address: SocketAddr) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&endpoint)?;
+        // At another address another machine may listen by now.
+        std::iter::from_fn(|| links.pop()).find(|link| link.address == address && self.usable(link))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Option<Link> {
+        let permit = loop {
+            match self.budget.take(Holder::Endpoint) {
+                Some(permit) => break permit,
+                None if self.close_oldest_idle() => {}
+                None => return None,
+            }
+        };
+        // A machine that is cut off never answers: without a limit of ours the attempt would hang.
+        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.ok()?;
+        let task = spawn_local(connection);
+        Some(Link {
+            sender,
+            address,
+            idle_since: Instant::now(),
+            _connection: Guard::new(task.abort_handle()),
+            _permit: permit,
+        })
+    }
+
+    fn inline_report(&self, headers: &HeaderMap) -> Option<Vec<f64>> {
+        self.report(headers.get("x-server-load")?.to_str().ok()?)
+    }
+
+    /// The values of the settings' fields, in their order; none unless all are there.
+    fn report(&self, text: &str) -> Option<Vec<f64>> {
+        let value = |field: &LoadField| {
+            let pairs = text.trim().split(',').filter_map(|pair| pair.split_once('='));
+            let (_, value) = pairs.into_iter().find(|(name, _)| *name == wire_name(*field))?;
+            value.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+        };
+        if self.fields.is_empty() {
+            return None;
+        }
+        self.fields.iter().map(value).collect()
+    }
+}
+
+/// A load report's field as endpoints name it.
+fn wire_name(field: LoadField) -> &'static str {
+    match field {
+        LoadField::Outstanding => "inflight",
+        LoadField::Backlog => "queue",
+        LoadField::Utilization => "util",
+        LoadField::RecentMs => "latency_ms",
+        LoadField::Throughput => "qps",
+        LoadField::ErrorsPerS => "eps",
+        LoadField::Other => "",
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -618,7 +618,8 @@
     1.0
 }
 
-fn settings(line: u64, text: &str) -> Result<Settings, WireError> {
+/// Reads the settings object of line number `line`; the sidecar's configuration carries the same one.
+pub fn settings(line: u64, text: &str) -> Result<Settings, WireError> {
     let error = |field: String, problem: String| WireError { line, field, problem };
     let mut json = serde_json::Deserializer::from_str(text);
     let conf: Conf = serde_path_to_error::deserialize(&mut json).map_err(|e| {
