Test the sidecar over loopback sockets; shorten discovery's time limits

Seen: the sidecar had no tests of its own. Added tests/node.rs, node_list.rs and node_limits.rs: the built program against scripted peers. They wait for conditions and keep their own time limits.

Also: a drain counts as told 6 s after discovery has it, and sends must stop 2 s later; a watch found dead after 5 s, a backoff and a call that may take 5 s could overrun that. Silence is now 4 s (two empty lines) and a call 3 s (discovery fails a waiting one at 2 s).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -25,10 +25,10 @@
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
 /// A call not answered after this long has failed: discovery itself gives up well before.
-const ANSWER: Duration = Duration::from_secs(5);
+const ANSWER: Duration = Duration::from_secs(3);
 /// A watch brings at least an empty line every 2 s: one silent for this long is dead, as that of a
 /// machine cut off is, which nothing else would ever tell.
-const SILENCE: Duration = Duration::from_secs(5);
+const SILENCE: Duration = Duration::from_secs(4);
 /// No list, and no line of a watch, is longer than this.
 const LIST_MOST: usize = 4 << 20;
 /// First wait before a watch that the node keeps up itself is tried again; doubles with each failure.
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,238 @@
+//! The built sidecar against scripted peers: what is served, how attempts end, bad input.
+
+#[path = "support/node.rs"]
+mod support;
+
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use support::*;
+
+/// Two peers of which whichever is asked first does this, and everything later is served.
+fn first_does(act: Do) -> [Peer; 2] {
+    let asked = Arc::new(AtomicUsize::new(0));
+    [0, 1].map(|_| {
+        let (asked, act) = (asked.clone(), act.clone());
+        Peer::new(
+            move |_| {
+                if asked.fetch_add(1, Ordering::SeqCst) == 0 { act.clone() } else { Do::Serve("second") }
+            },
+        )
+    })
+}
+
+/// The status of the answer to one request, and how many attempts came, where the first does this.
+fn outcome_of(class: &str, act: Do) -> (u16, usize) {
+    let peers = first_does(act);
+    let sidecar = Sidecar::start(&config(&[&peers[0], &peers[1]]));
+    let answer = sidecar.ask(class, "r1");
+    if answer.status() == 200 {
+        assert_eq!(answer.body, b"second", "only an endpoint's whole answer is passed on");
+    }
+    (answer.status(), peers[0].count() + peers[1].count())
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
+    let peer = Peer::serving("the answer");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut client = sidecar.client();
+    for (class, method) in [("quote", "GET"), ("book", "POST"), ("pay", "POST")] {
+        let answer = client.ask(class, &format!("id-{class}"));
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"the answer"[..]));
+        let seen = peer.seen.lock().unwrap().last().cloned().unwrap();
+        assert_eq!(seen.first_line, format!("{method} /{class}/x?user=7f3a9c21e0b4d655&n=1 HTTP/1.1"));
+        assert_eq!(seen.header("x-request-id"), format!("id-{class}"));
+        assert_eq!(seen.header("idempotency-key"), if class == "pay" { "k1" } else { "" });
+        assert_eq!(seen.body, if method == "POST" { &b"body"[..] } else { &b""[..] });
+        let time = seen.header("x-timeout").strip_suffix('u').unwrap().parse::<u64>().unwrap();
+        assert!((1..10_000_000).contains(&time), "{time}: no more than the client has left");
+    }
+    assert_eq!(peer.connections.load(Ordering::SeqCst), 1, "the connection is kept and used again");
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_never_sent_again() {
+    let torn = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".to_owned();
+    let long = format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70000));
+    for act in [
+        Do::WriteAndClose(String::new()),
+        Do::WriteAndClose(torn),
+        Do::WriteAndClose("nonsense\r\n\r\n".to_owned()),
+        Do::Write(long),
+        Do::Write(answer("500 Oh", "", "")),
+        Do::Write(answer("503 Busy", "", "")),
+        Do::Write(answer("504 Late", "X-Not-Processed: 0\r\n", "")),
+    ] {
+        let what = format!("{act:?}").chars().take(60).collect::<String>();
+        let (status, attempts) = outcome_of("book", act);
+        assert!(status != 200 && status != 503 && status != 429, "{what}: {status} is no failure");
+        assert_eq!(attempts, 1, "{what}");
+    }
+}
+
+#[test]
+fn an_unsafe_request_proved_not_to_have_run_is_sent_again() {
+    for status in ["503 Busy", "504 Late"] {
+        let act = Do::Write(answer(status, "X-Not-Processed: 1\r\n", ""));
+        assert_eq!(outcome_of("book", act), (200, 2));
+    }
+    // Turned away with an answer that breaks off: its head has said it all.
+    let torn = "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 9\r\n\r\nha".to_owned();
+    assert_eq!(outcome_of("book", Do::WriteAndClose(torn)), (200, 2));
+}
+
+#[test]
+fn an_unsafe_request_whose_connection_is_refused_is_served_elsewhere() {
+    let peer = Peer::serving("here");
+    let sidecar = Sidecar::start(&config_at(&[nowhere(), peer.address]));
+    for n in 0..8 {
+        assert_eq!(sidecar.ask("book", &format!("r{n}")).status(), 200);
+    }
+    assert_eq!(peer.count(), 8);
+}
+
+#[test]
+fn a_request_refused_everywhere_is_refused_and_not_failed() {
+    let sidecar = Sidecar::start(&config_at(&[nowhere()]));
+    assert_eq!(sidecar.ask("book", "r1").status(), 503);
+}
+
+#[test]
+fn a_safe_or_keyed_request_is_sent_again_after_any_failure() {
+    for class in ["quote", "pay"] {
+        assert_eq!(outcome_of(class, Do::WriteAndClose(String::new())), (200, 2), "{class}");
+        assert_eq!(outcome_of(class, Do::Write(answer("500 Oh", "", ""))), (200, 2), "{class}");
+    }
+}
+
+#[test]
+fn a_connection_that_the_endpoint_has_closed_is_not_used_again() {
+    let peer = Peer::new(|_| Do::ServeAndEnd("ok"));
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    for n in 1..=10 {
+        assert_eq!(sidecar.ask("book", &format!("r{n}")).status(), 200, "an unsafe request is not risked");
+        wait_for("the sidecar's closing", || peer.closed() == n);
+    }
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_endpoint_would() {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["settings"]["limits"]["idleCloseMs"] = json!(1000.0);
+    let sidecar = Sidecar::start(&config);
+    assert_eq!(sidecar.ask("book", "r1").status(), 200);
+    wait_for("the sidecar's closing", || peer.closed() == 1);
+    assert_eq!(sidecar.ask("book", "r2").status(), 200);
+}
+
+#[test]
+fn a_silent_endpoint_costs_a_request_no_more_than_its_time() {
+    let peer = Peer::new(|_| Do::Silence);
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    for class in ["quote", "book"] {
+        let mut client = sidecar.client();
+        client.send(&request(class, class, "700m"));
+        let answer = client.receive().expect("an answer all the same");
+        assert!((500..600).contains(&answer.status()), "{}", answer.first_line);
+        assert_eq!(answer.status() == 503, class == "quote", "an unsafe one that may run is not refused");
+    }
+    wait_for("both attempts being given up", || peer.closed() == 2);
+    assert_eq!(peer.count(), 2);
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let peer = Peer::new(|_| Do::Silence);
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut client = sidecar.client();
+    client.send(&request("quote", "r1", "600000m"));
+    wait_for("the attempt", || peer.count() == 1);
+    assert_eq!(peer.closed(), 0);
+    drop(client);
+    wait_for("the attempt's end", || peer.closed() == 1);
+}
+
+#[test]
+fn bad_input_is_a_failure_and_never_sent_on() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let good = request("quote", "r1", "5000m");
+    let post = request("book", "r1", "5000m");
+    let long = format!("{}{}", post.replace("Length: 4", "Length: 70000"), "x".repeat(69996));
+    let chunk = format!("{:x}\r\n{}\r\n", 70000, "x".repeat(70000));
+    let chunked =
+        post.replace("Content-Length: 4", "Transfer-Encoding: chunked").replace("\r\n\r\nbody", "\r\n\r\n");
+    for bad in [
+        good.replace("/quote/", "/unheard-of/"),
+        good.replace("GET", "POST"),
+        good.replace("X-Request-ID: r1\r\n", ""),
+        good.replace("X-Timeout: 5000m\r\n", ""),
+        good.replace("5000m", "5000"),
+        good.replace("5000m", "NaNm"),
+        good.replace("5000m", "-5m"),
+        good.replace("X-Tenant-Id: acme\r\n", ""),
+        good.replace("acme", "nobody"),
+        good.replace("X-Timeout", "X-Cost: much\r\nX-Timeout"),
+        request("pay", "r1", "5000m").replace("Idempotency-Key: k1\r\n", ""),
+        post.replace("X-Timeout", "Idempotency-Key: k1\r\nX-Timeout"),
+        long,
+        format!("{chunked}{chunk}0\r\n\r\n"),
+        "nonsense\r\n\r\n".to_owned(),
+        format!("GET /quote HTTP/1.1\r\nX-Long: {}\r\n\r\n", "x".repeat(100_000)),
+    ] {
+        let what = bad.chars().take(200).collect::<String>();
+        let mut client = sidecar.client();
+        client.send(&bad);
+        // What is cut off while a body is still being sent may reach the client as a reset.
+        let status = client.receive().map_or(413, |answer| answer.status());
+        assert!((400..500).contains(&status) && status != 429, "{status} for {what}");
+    }
+    assert_eq!(peer.count(), 0);
+    assert_eq!(sidecar.ask("quote", "r2").status(), 200, "it lives on");
+}
+
+#[test]
+fn a_missing_or_malformed_configuration_is_named_on_one_line() {
+    let peer = Peer::serving("ok");
+    let whole = config(&[&peer]);
+    let without = |path: &[&str]| {
+        let mut config = whole.clone();
+        let (last, parents) = path.split_last().unwrap();
+        let parent = parents.iter().fold(&mut config, |at, name| &mut at[*name]);
+        parent.as_object_mut().unwrap().remove(*last);
+        config.to_string()
+    };
+    let mut bad_address = whole.clone();
+    bad_address["listen"] = json!("somewhere");
+    let mut bad_class = whole.clone();
+    bad_class["settings"]["classes"][1]["semantics"] = json!("odd");
+    for (text, field) in [
+        (without(&["listen"]), "listen"),
+        (without(&["seed"]), "seed"),
+        (without(&["limits", "sockets"]), "limits"),
+        (without(&["settings", "myZone"]), "settings"),
+        (bad_address.to_string(), "listen"),
+        (bad_class.to_string(), "settings.classes[1].semantics"),
+        ("{".to_owned(), ""),
+    ] {
+        let (status, said) = refuses(&text);
+        assert!(!status.success(), "{field}");
+        assert_eq!(said.trim_end().lines().count(), 1, "{said}");
+        assert!(said.contains(field) && !said.contains("panicked"), "{said}");
+    }
+}
+
+#[test]
+fn an_answer_late_for_one_client_holds_up_no_other() {
+    let peer = Peer::new(|m| if m.target().starts_with("/book") { Do::Silence } else { Do::Serve("ok") });
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut waiting = sidecar.client();
+    waiting.send(&request("book", "r1", "600000m"));
+    wait_for("the attempt", || peer.count() == 1);
+    let start = Instant::now();
+    assert_eq!(sidecar.ask("quote", "r2").status(), 200);
+    assert!(start.elapsed() < Duration::from_secs(9), "answered beside it");
+}
--- /dev/null
+++ b/tests/node_limits.rs
@@ -0,0 +1,119 @@
+//! The built sidecar at its limits and at its end: descriptors, SIGTERM, the backlog.
+
+#[path = "support/node.rs"]
+mod support;
+
+use serde_json::json;
+use std::thread;
+use std::time::Duration;
+use support::*;
+
+#[test]
+fn more_clients_than_sockets_are_all_answered_within_the_limit() {
+    let peer = Peer::new(|_| Do::Late(Duration::from_millis(300)));
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(128);
+    // The kernel holds it to the same figure: going over would show as errors.
+    let sidecar = Sidecar::start_with(&config, "ulimit -n 128;");
+    let mut clients: Vec<Client> = (0..200).map(|_| sidecar.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request("quote", &format!("r{n}"), "20000m"));
+    }
+    let mut most = 0;
+    let mut served = 0;
+    for client in &mut clients {
+        most = most.max(sidecar.descriptors());
+        let answer = client.receive().expect("a whole answer for everyone");
+        assert!(matches!(answer.status(), 200 | 503), "{}", answer.first_line);
+        served += usize::from(answer.status() == 200);
+    }
+    assert!(most <= 128, "{most} descriptors");
+    assert!(served >= 40, "{served} served");
+    drop(clients);
+    assert_eq!(sidecar.ask("quote", "after").status(), 200);
+}
+
+#[test]
+fn running_out_of_descriptors_neither_spins_nor_exits() {
+    let peer = Peer::serving("ok");
+    // Its budget says 1,024, but the kernel gives it far fewer.
+    let mut sidecar = Sidecar::start_with(&config(&[&peer]), "ulimit -n 40;");
+    assert_eq!(sidecar.ask("quote", "before").status(), 200);
+    let clients: Vec<Client> = (0..60).map(|_| sidecar.client()).collect();
+    wait_for("its descriptors to be used up", || sidecar.descriptors() >= 40);
+    let before = sidecar.ticks();
+    thread::sleep(Duration::from_secs(1));
+    let used = sidecar.ticks() - before;
+    assert!(used < 50, "{used} ticks of a second spent on failing to accept");
+    drop(clients);
+    assert_eq!(sidecar.ask("quote", "after").status(), 200);
+    assert!(sidecar.child.try_wait().unwrap().is_none());
+}
+
+#[test]
+fn idle_clients_make_room_for_new_ones() {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(96);
+    let sidecar = Sidecar::start(&config);
+    let mut idle = Vec::new();
+    for n in 0..80 {
+        let mut client = sidecar.client();
+        assert!(matches!(client.ask("quote", &format!("r{n}")).status(), 200 | 503));
+        idle.push(client);
+    }
+    wait_for("room", || sidecar.ask("quote", "new").status() == 200);
+}
+
+#[test]
+fn sigterm_finishes_what_is_in_flight_and_what_still_comes() {
+    let peer = Peer::new(|_| Do::Late(Duration::from_millis(1000)));
+    let mut sidecar = Sidecar::start(&config(&[&peer]));
+    let mut idle = sidecar.client();
+    assert_eq!(idle.ask("quote", "r0").status(), 200);
+    let mut early = sidecar.client();
+    early.send(&request("book", "r1", "20000m"));
+    wait_for("the attempt", || peer.count() == 2);
+    sidecar.signal("-TERM");
+    wait_for("the drain to begin", || sidecar.ready() != Some(200));
+    let mut late = sidecar.client();
+    late.send(&request("book", "r2", "20000m"));
+    for client in [&mut early, &mut late] {
+        let answer = client.receive().expect("an answer in spite of the drain");
+        assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    }
+    assert!(idle.receive().is_none(), "idle connections are closed");
+    assert!(sidecar.ended().success());
+}
+
+#[test]
+fn what_waits_in_the_backlog_at_sigterm_is_answered() {
+    let peer = Peer::serving("ok");
+    let mut sidecar = Sidecar::start(&config(&[&peer]));
+    // Stopped, it can accept nothing: the kernel does.
+    sidecar.signal("-STOP");
+    let mut clients: Vec<Client> = (0..50).map(|_| sidecar.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request("book", &format!("r{n}"), "20000m"));
+    }
+    sidecar.signal("-TERM");
+    thread::sleep(Duration::from_millis(50));
+    sidecar.signal("-CONT");
+    for client in &mut clients {
+        assert_eq!(client.receive().expect("taken, so answered").status(), 200);
+    }
+    assert!(sidecar.ended().success());
+}
+
+#[test]
+fn what_can_not_be_finished_before_sigkill_is_failed() {
+    let peer = Peer::new(|_| Do::Silence);
+    let mut sidecar = Sidecar::start(&config(&[&peer]));
+    let mut client = sidecar.client();
+    client.send(&request("book", "r1", "20000m"));
+    wait_for("the attempt", || peer.count() == 1);
+    sidecar.signal("-TERM");
+    let answer = client.receive().expect("a whole answer before the end");
+    assert!(!matches!(answer.status(), 200 | 429 | 503), "{}", answer.first_line);
+    assert!(sidecar.ended().success());
+}
--- /dev/null
+++ b/tests/node_list.rs
@@ -0,0 +1,105 @@
+//! The built sidecar and its list of endpoints: known at start, watched, drained.
+
+#[path = "support/node.rs"]
+mod support;
+
+use serde_json::json;
+use std::thread;
+use support::*;
+
+/// A sidecar that starts with the first peer and follows this discovery.
+fn following(peer: &Peer, discovery: &Discovery, mode: &str) -> Sidecar {
+    let mut config = config(&[peer]);
+    config["discovery"] = json!(discovery.address.to_string());
+    config["settings"]["discovery"] = json!(mode);
+    Sidecar::start(&config)
+}
+
+#[test]
+fn the_known_list_serves_while_discovery_is_down() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer])); // its discovery refuses connections
+    assert_eq!(sidecar.ask("book", "r1").status(), 200);
+}
+
+#[test]
+fn a_drain_told_stops_sends_and_closes_idle_connections() {
+    for (mode, state) in [("subscribe", "draining"), ("automatic", "removed")] {
+        let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+        let discovery = Discovery::new(list(8, false, &[]));
+        let sidecar = following(&old, &discovery, mode);
+        assert_eq!(sidecar.ask("book", "r1").body, b"old");
+        discovery.say(&list(9, false, &[target("s-new", new.address, "up")]).to_string());
+        discovery.say(&list(10, false, &[target("s-0", old.address, state)]).to_string());
+        wait_for("the idle connection's end", || old.closed() == 1);
+        let before = old.count();
+        for n in 0..20 {
+            assert_eq!(sidecar.ask("book", &format!("s{n}")).body, b"new");
+        }
+        assert_eq!(old.count(), before, "nothing new went there");
+    }
+}
+
+#[test]
+fn an_endpoint_at_a_new_address_is_found_there() {
+    let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+    let discovery = Discovery::new(list(8, false, &[]));
+    let sidecar = following(&old, &discovery, "subscribe");
+    assert_eq!(sidecar.ask("book", "r1").body, b"old");
+    discovery.say(&list(9, false, &[target("s-0", new.address, "up")]).to_string());
+    wait_for("the old address's connection to end", || old.closed() == 1);
+    assert_eq!(sidecar.ask("book", "r2").body, b"new");
+}
+
+#[test]
+fn a_whole_list_without_an_endpoint_says_that_it_is_gone() {
+    let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+    let discovery = Discovery::new(list(8, true, &[target("s-new", new.address, "up")]));
+    let sidecar = following(&old, &discovery, "subscribe");
+    wait_for("the new list", || sidecar.ask("quote", "r").body == b"new");
+    for n in 0..10 {
+        assert_eq!(sidecar.ask("book", &format!("r{n}")).body, b"new");
+    }
+}
+
+#[test]
+fn a_silent_watch_is_dropped_and_followed_from_the_last_version() {
+    for mode in ["subscribe", "automatic"] {
+        let peer = Peer::serving("ok");
+        let discovery = Discovery::new(list(8, false, &[])); // no empty line ever comes
+        let sidecar = following(&peer, &discovery, mode);
+        wait_for("the first watch", || discovery.calls().len() == 1);
+        assert_eq!(discovery.calls()[0], "/api/targets?watch=1&after=7", "from the known version");
+        discovery.say(&list(12, false, &[]).to_string());
+        wait_for("a second watch", || discovery.calls().len() == 2);
+        assert_eq!(discovery.calls()[1], "/api/targets?watch=1&after=12");
+        assert_eq!(sidecar.ask("quote", "r").status(), 200);
+    }
+}
+
+#[test]
+fn a_watch_with_an_undecodable_line_begins_again() {
+    for mode in ["subscribe", "automatic"] {
+        let peer = Peer::serving("ok");
+        let discovery = Discovery::new(list(8, false, &[]));
+        let sidecar = following(&peer, &discovery, mode);
+        wait_for("the first watch", || discovery.calls().len() == 1);
+        discovery.say("{\"rev\":9,\"all\":false,\"targets\":[{\"uid\":7}]}");
+        wait_for("a second watch", || discovery.calls().len() == 2);
+        assert_eq!(discovery.calls()[1], "/api/targets?watch=1&after=8", "the change was not skipped");
+        assert_eq!(sidecar.ask("quote", "r").status(), 200);
+    }
+}
+
+#[test]
+fn a_watch_kept_alive_by_empty_lines_is_not_dropped() {
+    let peer = Peer::serving("ok");
+    let discovery = Discovery::new(list(8, false, &[]));
+    let _sidecar = following(&peer, &discovery, "subscribe");
+    wait_for("the first watch", || discovery.calls().len() == 1);
+    for _ in 0..14 {
+        thread::sleep(std::time::Duration::from_millis(500));
+        discovery.say("");
+    }
+    assert_eq!(discovery.calls().len(), 1);
+}
