Drop connections to an endpoint that fell silent; bound a client's time

Seen: a probe (the two tests added here, run before the change) showed that after an attempt timed out, a second idle connection to the silent endpoint stayed in the pool for the next request (never closed within 30 s), and that a client stating 600 s was kept for 600 s.

Cause: Outbound kept every idle connection until its age was up, whatever an attempt beside it had learned; on a machine that is cut off each of them costs one more request its whole time, an unsafe one for good. Inbound took X-Timeout as it came, and the module keeps a timer for each request as long.

Mend: on a time-out, Outbound::close_unheard closes what was not heard from since the attempt was sent; inbound cuts X-Timeout to the class's deadline.

Ruled out: resets (the peer's closing is noticed by the connection itself, tested) and slow endpoints that still answer (their connections are younger than the attempt and stay).

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -241,8 +241,11 @@
             return; // its outcome has been told
         }
         open.out -= 1;
-        let (endpoint, elapsed) = (tried.endpoint, tried.sent.elapsed());
+        let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
         let Ended { outcome, body, report } = ended;
+        if outcome == Outcome::TimedOut {
+            self.outbound.close_unheard(endpoint, sent);
+        }
         if outcome == Outcome::Ok {
             self.finish(id, Answer::Served(body));
         } else {
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -29,8 +29,6 @@
 const HEAD_MOST: Duration = Duration::from_secs(30);
 /// A request's body must have come within this.
 const BODY_TIME: Duration = Duration::from_secs(10);
-/// No client waits longer than this.
-const WAIT_MOST: Duration = Duration::from_secs(600);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
@@ -276,6 +274,8 @@
             return Err(bad("Idempotency-Key does not go with the class"));
         }
         let time = text("x-timeout").and_then(parse_timeout).ok_or(bad("X-Timeout is missing or bad"))?;
+        // However long a client says that it waits: what is kept for a request must not pile up.
+        let time = time.min(self.settings.classes[class].deadline);
         let tenant = match text("x-tenant-id") {
             _ if self.tenants.is_empty() => 0,
             Some(name) => {
@@ -285,13 +285,8 @@
         };
         let query = uri.query().unwrap_or_default().split('&');
         let user = query.filter_map(|pair| pair.strip_prefix("user=")).next();
-        let work_hint = match text("x-cost") {
-            None => None,
-            Some(cost) => Some(Duration::from_micros(
-                cost.parse::<f64>().ok().filter(|c| (0.0..1e12).contains(c)).ok_or(bad("X-Cost is bad"))?
-                    as u64,
-            )),
-        };
+        let work_hint =
+            text("x-cost").map(|cost| micros(cost, 1.0).ok_or(bad("X-Cost is bad"))).transpose()?;
         let request = weirwharf::Request {
             id: RequestId(0),
             class: ClassId(class),
@@ -315,13 +310,17 @@
 
 /// A number and its unit: `m` for milliseconds or `u` for microseconds.
 fn parse_timeout(text: &str) -> Option<Duration> {
-    let (number, micros) = match text.strip_suffix('m') {
-        Some(number) => (number, 1000.0),
-        None => (text.strip_suffix('u')?, 1.0),
+    let time = match text.strip_suffix('m') {
+        Some(number) => micros(number, 1000.0),
+        None => micros(text.strip_suffix('u')?, 1.0),
     };
-    let micros = number.parse::<f64>().ok()? * micros;
-    let most = WAIT_MOST.as_micros() as f64;
-    (micros > 0.0 && micros.is_finite()).then(|| Duration::from_micros(micros.min(most) as u64))
+    time.filter(|time| !time.is_zero())
+}
+
+/// A number of units of so many microseconds.
+fn micros(number: &str, unit: f64) -> Option<Duration> {
+    let micros = number.parse::<f64>().ok()? * unit;
+    (micros >= 0.0 && micros.is_finite()).then(|| Duration::from_micros(micros as u64))
 }
 
 /// Removes what concerns the client's connection alone, and what is set anew for each attempt.
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -183,6 +183,15 @@
         self.idle.borrow_mut().remove(&endpoint);
     }
 
+    /// Closes idle connections to an endpoint on which nothing was heard since then: a machine that is
+    /// cut off leaves them open and silent, and each would cost one more request all its time, where a
+    /// new connection fails at once and proves that nothing ran.
+    pub fn close_unheard(&self, endpoint: EndpointId, since: Instant) {
+        if let Some(links) = self.idle.borrow_mut().get_mut(&endpoint) {
+            links.retain(|link| link.idle_since > since);
+        }
+    }
+
     /// Closes the connection that has been idle longest; false if there is none.
     pub fn close_oldest_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -143,6 +143,50 @@
     assert_eq!(peer.count(), 2);
 }
 
+#[test]
+fn connections_not_heard_from_since_an_attempt_timed_out_are_dropped() {
+    let (asked, cut_off) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    let peer = {
+        let (asked, cut_off) = (asked.clone(), cut_off.clone());
+        Peer::new(move |_| {
+            asked.fetch_add(1, Ordering::SeqCst);
+            if cut_off.load(Ordering::SeqCst) {
+                return Do::Silence;
+            }
+            // The first two wait for each other, so that each has a connection of its own.
+            wait_for("both requests", || asked.load(Ordering::SeqCst) >= 2);
+            Do::Serve("ok")
+        })
+    };
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut clients = [sidecar.client(), sidecar.client()];
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request("book", &format!("r{n}"), "20000m"));
+    }
+    for client in &mut clients {
+        assert_eq!(client.receive().expect("an answer").status(), 200);
+    }
+    cut_off.store(true, Ordering::SeqCst);
+    clients[0].send(&request("book", "r2", "500m"));
+    assert_ne!(clients[0].receive().expect("an answer").status(), 200);
+    wait_for("the end of both connections", || peer.closed() == 2);
+    assert_eq!(peer.count(), 3);
+}
+
+#[test]
+fn a_client_that_would_wait_longer_than_its_class_does_is_answered_in_the_class_s_time() {
+    let peer = Peer::new(|_| Do::Silence);
+    let mut config = config(&[&peer]);
+    for class in [0, 1] {
+        config["settings"]["classes"][class]["objectiveMs"] = json!(500.0);
+        config["settings"]["classes"][class]["deadlineMs"] = json!(1000.0);
+    }
+    let sidecar = Sidecar::start(&config);
+    let mut client = sidecar.client();
+    client.send(&request("book", "r1", "600000m"));
+    assert!(client.receive().expect("an answer").status() >= 500);
+}
+
 #[test]
 fn a_client_that_leaves_ends_its_attempt() {
     let peer = Peer::new(|_| Do::Silence);
