Never close a new connection before its first request

Cause: Inbound::connection called graceful_shutdown on every connection when room was wanted (and at the end of a drain); hyper closes one that has not read anything yet like one between requests, also with a request in flight to it. The first request on a connection counts as taken, so it was lost.

Mend: the signal closes only connections that have carried a request; while draining, new ones get 200 ms for theirs.

Ruled out: the descriptor limit itself (the kernel's limit was never hit) and shedding (an answer 503 came whole).

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -19,7 +19,7 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use weirwharf::{ClassId, RequestId, Semantics, Settings, TenantId};
 
 /// Kept back from a client's time, for the answer to reach it.
@@ -35,6 +35,8 @@
 const DRAIN_ACCEPT: Duration = Duration::from_millis(500);
 /// The backlog is empty once nothing has come out of it for this long.
 const BACKLOG_EMPTY: Duration = Duration::from_millis(30);
+/// While draining, a connection on which nothing has come yet is closed after this.
+const FRESH_WAIT: Duration = Duration::from_millis(200);
 /// SIGKILL comes no sooner than the longest deadline, but at most `DEADLINE_MOST`, and 0.7 s more:
 /// what is open this long after it is failed, which leaves the answers time to go out.
 const DRAIN_SLACK: Duration = Duration::from_millis(450);
@@ -52,7 +54,7 @@
     inbox: Inbox,
     next: Cell<u64>,
     draining: Cell<bool>,
-    /// Each change has connections close once their request is answered, idle ones at once.
+    /// Each change has connections close once their request is answered, those between requests at once.
     close: watch::Sender<()>,
 }
 
@@ -166,7 +168,11 @@
     async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
         let _ = stream.set_nodelay(true);
         let mut close = self.close.subscribe();
-        let service = service_fn(|request| self.answer(request, shed));
+        let begun = Cell::new(false);
+        let service = service_fn(|request| {
+            begun.set(true);
+            self.answer(request, shed)
+        });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_MOST)
@@ -174,11 +180,24 @@
             .max_buf_size(BUFFER_MOST)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
+        let mut fresh_until = None;
         loop {
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return, // an error here is the client's leaving
-                _ = close.changed() => connection.as_mut().graceful_shutdown(),
+                _ = close.changed() => {
+                    // On a new connection the first request is as good as taken: to close it now
+                    // would lose what the client is just writing. Between requests it is sent again.
+                    if begun.get() {
+                        connection.as_mut().graceful_shutdown();
+                    } else if self.draining.get() {
+                        fresh_until = Some(Instant::now() + FRESH_WAIT);
+                    }
+                }
+                () = reached(fresh_until) => {
+                    fresh_until = None;
+                    connection.as_mut().graceful_shutdown();
+                }
             }
         }
     }
@@ -302,6 +321,14 @@
     }
 }
 
+/// Waits for a time; for ever if there is none.
+async fn reached(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Reply {
     let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *reply.status_mut() = status;
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -65,6 +65,22 @@
     wait_for("room", || sidecar.ask("quote", "new").status() == 200);
 }
 
+#[test]
+fn a_new_connection_is_not_closed_before_its_first_request() {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(96);
+    let sidecar = Sidecar::start(&config);
+    // One after another they take all there is, and more.
+    let mut clients: Vec<Client> = (0..45).map(|_| sidecar.client()).collect();
+    wait_for("the connections to be taken", || sidecar.descriptors() >= 45);
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request("book", &format!("r{n}"), "20000m"));
+        let status = client.receive().expect("whoever connected gets an answer").status();
+        assert!(matches!(status, 200 | 503), "{status}");
+    }
+}
+
 #[test]
 fn sigterm_finishes_what_is_in_flight_and_what_still_comes() {
     let peer = Peer::new(|_| Do::Late(Duration::from_millis(1000)));
