Make room for clients by the answer's header, not by closing under them

Cause: at the client cap Inbound::room signals some 200 times a second, and Inbound::connection closed every connection that was between requests at that moment, also one used a millisecond before. A request that crosses the closing is reset. The test added here shows it: a connection just used is closed without an answer.

Mend: a connection in use or just used gets 'Connection: close' on its next answer; only one between requests for 1 s or more is closed to make room. A failing accept is logged once, not 100 times a second.

Ruled out: descriptors (126 of 160 at the most), memory (3 of 32 MB), a crash.

The test fails without and passes with the change.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -35,6 +35,8 @@
 const DRAIN_ACCEPT: Duration = Duration::from_millis(500);
 /// The backlog is empty once nothing has come out of it for this long.
 const BACKLOG_EMPTY: Duration = Duration::from_millis(30);
+/// Where room is wanted, only connections that have been between requests for this long are closed.
+const IDLE_LEAST: Duration = Duration::from_secs(1);
 /// While draining, a connection on which nothing has come yet is closed after this.
 const FRESH_WAIT: Duration = Duration::from_millis(200);
 /// SIGKILL comes no sooner than the longest deadline, but at most `DEADLINE_MOST`, and 0.7 s more:
@@ -54,7 +56,9 @@
     inbox: Inbox,
     next: Cell<u64>,
     draining: Cell<bool>,
-    /// Each change has connections close once their request is answered, those between requests at once.
+    /// Accepting fails; said once in the log until it works again.
+    failing: Cell<bool>,
+    /// Each change says that connections are to make room, or while draining, to end.
     close: watch::Sender<()>,
 }
 
@@ -73,6 +77,24 @@
     }
 }
 
+/// Where a client's connection stands.
+#[derive(Default)]
+struct Turn {
+    /// A request is being answered.
+    busy: Cell<bool>,
+    /// When the last answer was given; none on a new connection.
+    answered: Cell<Option<Instant>>,
+    /// The next answer is the connection's last, and says so.
+    last: Cell<bool>,
+}
+
+impl Turn {
+    /// How long it has been between requests; none before the first.
+    fn idle(&self) -> Option<Duration> {
+        self.answered.get().map(|at| at.elapsed())
+    }
+}
+
 type Reply = Response<Full<Bytes>>;
 
 impl Inbound {
@@ -94,6 +116,7 @@
             inbox,
             next: Cell::new(0),
             draining: Cell::new(false),
+            failing: Cell::new(false),
             close: watch::Sender::new(()),
         })
     }
@@ -134,6 +157,7 @@
         let permit = self.room().await;
         match listener.accept().await {
             Ok((stream, _)) => {
+                self.failing.set(false);
                 let permit = permit.or_else(|| self.budget.take(Holder::Client));
                 let shed = permit.is_none();
                 let permit = permit.or_else(|| self.budget.take(Holder::Shed));
@@ -141,7 +165,9 @@
                 spawn_local(async move { this.connection(stream, shed, permit).await });
             }
             Err(e) => {
-                eprintln!("accept: {e}");
+                if !self.failing.replace(true) {
+                    eprintln!("accept: {e}");
+                }
                 self.outbound.close_oldest_idle();
                 sleep(ACCEPT_PAUSE).await;
             }
@@ -168,11 +194,8 @@
     async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
         let _ = stream.set_nodelay(true);
         let mut close = self.close.subscribe();
-        let begun = Cell::new(false);
-        let service = service_fn(|request| {
-            begun.set(true);
-            self.answer(request, shed)
-        });
+        let turn = Turn::default();
+        let service = service_fn(|request| self.answer(request, shed, &turn));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_MOST)
@@ -185,24 +208,35 @@
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return, // an error here is the client's leaving
-                _ = close.changed() => {
+                _ = close.changed() => match turn.idle() {
+                    _ if turn.busy.get() => turn.last.set(true),
                     // On a new connection the first request is as good as taken: to close it now
-                    // would lose what the client is just writing. Between requests it is sent again.
-                    if begun.get() {
+                    // would lose what the client is just writing.
+                    None if self.draining.get() => fresh_until = Some(Instant::now() + FRESH_WAIT),
+                    // One just used is likely to be used again at once, and a request that crosses
+                    // our closing is lost, or sent twice: the next answer says that it is the last.
+                    Some(idle) if self.draining.get() || idle >= IDLE_LEAST => {
                         connection.as_mut().graceful_shutdown();
-                    } else if self.draining.get() {
-                        fresh_until = Some(Instant::now() + FRESH_WAIT);
                     }
-                }
+                    _ => turn.last.set(true),
+                },
                 () = reached(fresh_until) => {
                     fresh_until = None;
-                    connection.as_mut().graceful_shutdown();
+                    if !turn.busy.get() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             }
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>, shed: bool) -> Result<Reply, Infallible> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        shed: bool,
+        turn: &Turn,
+    ) -> Result<Reply, Infallible> {
+        turn.busy.set(true);
         let mut reply = if request.uri().path() == "/-/ready" {
             let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
@@ -214,7 +248,9 @@
                 Err((status, problem)) => plain(status, problem),
             }
         };
-        if self.draining.get() || shed {
+        turn.busy.set(false);
+        turn.answered.set(Some(Instant::now()));
+        if self.draining.get() || shed || turn.last.get() {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(reply)
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::*;
 
 #[test]
@@ -81,6 +81,29 @@
     }
 }
 
+#[test]
+fn a_connection_just_used_is_not_closed_under_its_client_to_make_room() {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(96);
+    for _ in 0..20 {
+        let sidecar = Sidecar::start(&config);
+        let mut client = sidecar.client();
+        assert_eq!(client.ask("book", "r1").status(), 200);
+        let answered = Instant::now();
+        let _others: Vec<Client> = (0..40).map(|_| sidecar.client()).collect();
+        wait_for("the connections to be taken", || sidecar.descriptors() >= 41);
+        client.send(&request("book", "r2", "20000m"));
+        if answered.elapsed() > Duration::from_millis(500) {
+            continue; // too slow a machine to say that it was just used
+        }
+        let answer = client.receive().expect("an answer on the same connection");
+        assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+        return;
+    }
+    panic!("the machine never was quick enough");
+}
+
 #[test]
 fn sigterm_finishes_what_is_in_flight_and_what_still_comes() {
     let peer = Peer::new(|_| Do::Late(Duration::from_millis(1000)));
