Reload on SIGHUP: discovery moves at once, everything open stays

Cause: main.rs had no handler for SIGHUP, and its default ends the process; nothing else was at fault (the logs hold one line each). Now the file is read and checked again; a bad one is logged and the old goes on. Where it has come to name another discovery, watch and calls to the old one are dropped, so that no late answer of it comes in, and the new one is asked for a whole list first: versions of two servers don't compare, and Call::Fetch would have ignored a lower one (fetch_once). Changed fields that need a restart are logged.

Ruled out: that the list is lost meanwhile (the old one serves on, tested), that SIGHUP breaks a drain.

--- a/src/main.rs
+++ b/src/main.rs
@@ -13,10 +13,11 @@
 
 use net::budget::Budget;
 use net::config::Config;
-use net::discovery::Discovery;
+use net::discovery::{Call, Discovery};
 use net::driver::{Clock, Driver, Input};
 use net::inbound::Inbound;
 use net::outbound::Outbound;
+use std::pin::pin;
 use std::process::ExitCode;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -43,7 +44,10 @@
 }
 
 async fn run(config: Config) -> Result<(), String> {
-    let Config { name, listen, discovery, seed, sockets, memory_mb, known, settings, names } = config;
+    let Config { name, listen, discovery, seed, sockets, memory_mb, known, settings, names, mut file } =
+        config;
+    // Without a handler SIGHUP would end the process.
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let clock = Clock::start();
     let balancer =
@@ -57,14 +61,30 @@
     // The list as last held is there before the first client.
     let _ = inbox.send(Input::List(discovery.cached(known)));
     let attempts = settings.limits.max_attempts;
-    let driver = Driver::new(balancer, clock, attempts, outbound.clone(), discovery.clone(), calls, inbox);
+    let driver =
+        Driver::new(balancer, clock, attempts, outbound.clone(), discovery.clone(), calls.clone(), inbox);
     let mut driver = spawn_local(driver.run(inputs));
     spawn_local(discovery.run(asked));
     spawn_local(outbound.sweep());
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     eprintln!("{name}: serving on {listen}");
-    tokio::select! {
-        () = inbound.serve(listener, term) => Ok(()),
-        ended = &mut driver => Err(format!("the driver ended: {ended:?}")),
+    let mut serving = pin!(inbound.serve(listener, term));
+    loop {
+        tokio::select! {
+            () = &mut serving => return Ok(()),
+            ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
+            _ = hup.recv() => match Config::reload(&mut file) {
+                Ok((moved, restart)) => {
+                    eprintln!("reloaded: discovery {}", moved.map_or("as it was".to_owned(), |at| at.to_string()));
+                    if !restart.is_empty() {
+                        eprintln!("reloaded: changes that need a restart: {}", restart.join(", "));
+                    }
+                    if let Some(address) = moved {
+                        let _ = calls.send(Call::Move(address)); // fails only while the process ends
+                    }
+                }
+                Err(problem) => eprintln!("reload: {problem}; going on as before"),
+            },
+        }
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -40,6 +40,8 @@
     pub settings: Settings,
     /// Names on the wire of what the module knows by number.
     pub names: Names,
+    /// The file itself, to tell what another one changes.
+    pub file: Value,
 }
 
 /// The names behind the module's indices.
@@ -93,16 +95,30 @@
         Config::parse(&text, var("ROUTER_NAME"), var("ROUTER_LISTEN"), var("ROUTER_DISCOVERY"))
     }
 
+    /// Reads the file again: discovery's address, if the file has come to name another one, and the
+    /// changed fields that need a restart. The file's address wins over a variable that can't have changed.
+    pub fn reload(file: &mut Value) -> Result<(Option<SocketAddr>, Vec<&'static str>), ConfigError> {
+        let config = Config::from_env()?;
+        config.settings.validate().map_err(|e| error("settings", e))?;
+        let new = config.file;
+        let changed = |field: &&str| file[*field] != new[*field];
+        let moved = new["discovery"].as_str().filter(|_| changed(&"discovery"));
+        let moved = moved.map(|text| address("discovery", Some(text.to_owned()))).transpose()?;
+        // The seed is new with each start and the known list as old as the file: both are for a start.
+        let restart = ["name", "listen", "limits", "settings"].into_iter().filter(changed).collect();
+        *file = new;
+        Ok((moved, restart))
+    }
+
     fn parse(
         text: &str,
         name: Option<String>,
         listen: Option<String>,
         discovery: Option<String>,
     ) -> Result<Self, ConfigError> {
-        let mut json = serde_json::Deserializer::from_str(text);
-        let file: File = serde_path_to_error::deserialize(&mut json)
-            .map_err(|e| error(&e.path().to_string(), e.inner()))?;
-        json.end().map_err(|e| error("ROUTER_CONFIG", e))?;
+        let raw: Value = serde_json::from_str(text).map_err(|e| error("ROUTER_CONFIG", e))?;
+        let file: File =
+            serde_path_to_error::deserialize(&raw).map_err(|e| error(&e.path().to_string(), e.inner()))?;
         let settings = wire::settings(1, &file.settings.to_string())
             .map_err(|e| error(&e.field.replacen("conf", "settings", 1), e.problem))?;
         let names: Names = serde_path_to_error::deserialize(&file.settings)
@@ -122,6 +138,7 @@
             known: file.known,
             settings,
             names,
+            file: raw,
         })
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::{AbortHandle, JoinSet, spawn_local};
 use tokio::time::timeout;
 use weirwharf::{
     CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointState, KindId, Membership, ZoneId, wire,
@@ -87,15 +87,20 @@
     Watch(bool),
     /// Ask for the whole list once.
     Fetch,
+    /// Discovery is at another address from now on.
+    Move(SocketAddr),
 }
 
 /// What the node knows of discovery.
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     mode: Mode,
     names: Names,
     ids: RefCell<wire::Names>,
     rev: Cell<u64>,
+    /// The server is new: its versions don't compare with those of the list held, so that a whole list
+    /// must come first, whatever its number.
+    moved: Cell<bool>,
     draws: RefCell<Pcg32>,
     inbox: Inbox,
 }
@@ -120,8 +125,9 @@
     /// Discovery at this address.
     pub fn new(address: SocketAddr, mode: Mode, names: Names, seed: u64, inbox: Inbox) -> Rc<Self> {
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
-        let (ids, rev) = Default::default();
-        Rc::new(Discovery { address, mode, names, ids, rev, draws, inbox })
+        let (ids, rev, moved) = Default::default();
+        let address = Cell::new(address);
+        Rc::new(Discovery { address, mode, names, ids, rev, moved, draws, inbox })
     }
 
     /// The list as last held, to start from.
@@ -141,38 +147,59 @@
 
     /// Carries out the driver's calls. Each is answered by exactly one event; a watch then goes on.
     pub async fn run(self: Rc<Self>, mut calls: UnboundedReceiver<Call>) {
-        let mut watch: Option<Guard> = None;
-        if self.mode == Mode::Push {
-            let kept = self.clone();
-            watch = Some(Guard(spawn_local(async move { kept.keep_watch().await }).abort_handle()));
-        }
-        while let Some(call) = calls.recv().await {
-            let this = self.clone();
+        let mut watch = (self.mode == Mode::Push).then(|| self.watch());
+        let mut fetches = JoinSet::new();
+        loop {
+            let call = tokio::select! {
+                call = calls.recv() => call,
+                Some(_) = fetches.join_next() => continue,
+            };
             match call {
-                Call::Watch(true) if self.mode == Mode::Push => this.tell(unchanged()), // it is up already
-                Call::Watch(true) => {
+                None => return,
+                Some(Call::Watch(true)) if self.mode == Mode::Push => self.tell(unchanged()), // it is up already
+                Some(Call::Watch(true)) => drop(watch.replace(self.watch())),
+                Some(Call::Watch(false)) => {
                     drop(watch.take());
-                    let task = spawn_local(async move {
-                        let reason = this.follow().await;
-                        this.failed(&reason);
-                    });
-                    watch = Some(Guard(task.abort_handle()));
+                    self.tell(unchanged());
                 }
-                Call::Watch(false) => {
-                    drop(watch.take());
-                    this.tell(unchanged());
+                Some(Call::Fetch) => drop(fetches.spawn_local(self.clone().fetch_once())),
+                Some(Call::Move(address)) => {
+                    self.address.set(address);
+                    self.moved.set(true);
+                    // Nothing of the old server may come in any more; what was asked of it is asked anew.
+                    let open = fetches.len();
+                    fetches = JoinSet::new();
+                    for _ in 0..open {
+                        fetches.spawn_local(self.clone().fetch_once());
+                    }
+                    // The old list goes on until the new server's whole list is there. Where the
+                    // module has to ask, a failure here is told, and it asks again.
+                    drop(watch.replace(self.watch()));
                 }
-                Call::Fetch => {
-                    spawn_local(async move {
-                        match this.fetch().await {
-                            // It may be older than what the watch has brought since.
-                            Ok(list) if list.rev < this.rev.get() => this.tell(unchanged()),
-                            Ok(list) => this.take(list),
-                            Err(reason) => this.failed(&reason),
-                        }
-                    });
+            }
+        }
+    }
+
+    fn watch(self: &Rc<Self>) -> Guard {
+        let this = self.clone();
+        let task = spawn_local(async move {
+            match this.mode {
+                Mode::Push => this.keep_watch().await,
+                Mode::Ask => {
+                    let reason = this.follow().await;
+                    this.failed(&reason);
                 }
             }
+        });
+        Guard(task.abort_handle())
+    }
+
+    async fn fetch_once(self: Rc<Self>) {
+        match self.fetch().await {
+            // It may be older than what the watch has brought since.
+            Ok(list) if list.rev < self.rev.get() && !self.moved.get() => self.tell(unchanged()),
+            Ok(list) => self.take(list),
+            Err(reason) => self.failed(&reason),
         }
     }
 
@@ -192,6 +219,13 @@
 
     /// Follows changes until the watch ends; gives the reason.
     async fn follow(&self) -> String {
+        if self.moved.get() {
+            match self.fetch().await {
+                Ok(list) if list.all => self.take(list),
+                Ok(_) => return "the list is not whole".to_owned(),
+                Err(reason) => return reason,
+            }
+        }
         let path = format!("/api/targets?watch=1&after={}", self.rev.get());
         let (response, _connection) = match self.call(&path).await {
             Ok(answered) => answered,
@@ -232,14 +266,14 @@
     }
 
     async fn call(&self, path: &str) -> Result<(Response<Incoming>, Guard), String> {
-        let connect = timeout(CONNECT, TcpStream::connect(self.address)).await;
+        let connect = timeout(CONNECT, TcpStream::connect(self.address.get())).await;
         let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
         let task = spawn_local(connection);
         let guard = Guard(task.abort_handle());
         let request = Request::get(path)
-            .header(header::HOST, self.address.to_string())
+            .header(header::HOST, self.address.get().to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|e| e.to_string())?;
         let answer = timeout(ANSWER, sender.send_request(request)).await;
@@ -252,6 +286,9 @@
 
     fn take(&self, list: List) {
         self.rev.set(list.rev);
+        if list.all {
+            self.moved.set(false);
+        }
         if !list.targets.is_empty() {
             let sort = if list.all { "whole list" } else { "changes" };
             eprintln!("list: {sort}, rev {}, {} entries", list.rev, list.targets.len());
--- /dev/null
+++ b/tests/node_reload.rs
@@ -0,0 +1,103 @@
+//! The built sidecar and SIGHUP: a new discovery, bad files, drains.
+
+#[path = "support/node.rs"]
+mod support;
+
+use serde_json::{Value, json};
+use std::time::Duration;
+use support::*;
+
+/// A sidecar that knows the first peer and follows this discovery, and its configuration.
+fn following(peer: &Peer, discovery: &Discovery, mode: &str) -> (Sidecar, Value) {
+    let mut config = config(&[peer]);
+    config["discovery"] = json!(discovery.address.to_string());
+    config["settings"]["discovery"] = json!(mode);
+    (Sidecar::start(&config), config)
+}
+
+#[test]
+fn a_new_discovery_is_followed_at_once_whatever_its_version_and_the_old_one_no_longer_heard() {
+    for mode in ["subscribe", "automatic"] {
+        let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+        let first = Discovery::new(list(900, false, &[]));
+        let (sidecar, mut config) = following(&old, &first, mode);
+        wait_for("the first watch", || first.calls().len() == 1);
+        assert_eq!(sidecar.ask("book", "r1").body, b"old");
+        // Its versions are its own: a lower one is no older list.
+        let second = Discovery::new(list(3, true, &[target("s-new", new.address, "up")]));
+        config["discovery"] = json!(second.address.to_string());
+        sidecar.reload(&config.to_string());
+        wait_for("the new server's list", || sidecar.ask("quote", "r2").body == b"new");
+        wait_for("the new watch", || second.calls().len() == 2);
+        assert_eq!(second.calls(), ["/api/targets", "/api/targets?watch=1&after=3"], "{mode}");
+        first.say(&list(901, true, &[target("s-0", old.address, "up")]).to_string());
+        second.say(&list(4, false, &[target("s-new", new.address, "up")]).to_string());
+        for n in 0..20 {
+            assert_eq!(sidecar.ask("book", &format!("s{n}")).body, b"new", "the old server's late word");
+        }
+        assert_eq!(first.calls().len(), 1, "it is not asked again");
+    }
+}
+
+#[test]
+fn a_discovery_that_is_not_up_yet_is_found_once_it_is() {
+    for mode in ["subscribe", "automatic"] {
+        let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+        let first = Discovery::new(list(8, false, &[]));
+        let (sidecar, mut config) = following(&old, &first, mode);
+        wait_for("the first watch", || first.calls().len() == 1);
+        let address = nowhere();
+        config["discovery"] = json!(address.to_string());
+        sidecar.reload(&config.to_string());
+        std::thread::sleep(Duration::from_millis(300));
+        assert_eq!(sidecar.ask("book", "r1").body, b"old", "the list held serves until then");
+        let _second = Discovery::at(address, list(2, true, &[target("s-new", new.address, "up")]));
+        wait_for("the new server's list", || sidecar.ask("quote", "r2").body == b"new");
+    }
+}
+
+#[test]
+fn sighups_in_a_row_and_bad_files_leave_what_is_open_alone() {
+    let peer = Peer::new(|_| Do::Late(Duration::from_millis(700)));
+    let discovery = Discovery::new(list(8, false, &[]));
+    let (mut sidecar, config) = following(&peer, &discovery, "subscribe");
+    wait_for("the first watch", || discovery.calls().len() == 1);
+    let mut client = sidecar.client();
+    client.send(&request("book", "r1", "20000m"));
+    wait_for("the attempt", || peer.count() == 1);
+    let (mut bad_address, mut bad_class, mut restart) = (config.clone(), config.clone(), config.clone());
+    bad_address["discovery"] = json!("somewhere");
+    bad_class["settings"]["classes"][1]["worth"] = json!(-1.0);
+    restart["limits"]["sockets"] = json!(512);
+    for text in [
+        "{".to_owned(),
+        String::new(),
+        bad_address.to_string(),
+        bad_class.to_string(),
+        restart.to_string(),
+        config.to_string(),
+    ] {
+        sidecar.reload(&text);
+    }
+    for _ in 0..20 {
+        sidecar.signal("-HUP");
+    }
+    assert_eq!(client.receive().expect("an answer all the same").status(), 200);
+    assert_eq!((sidecar.ask("book", "r2").status(), peer.count()), (200, 2));
+    assert!(sidecar.child.try_wait().unwrap().is_none());
+    assert_eq!(discovery.calls().len(), 1, "where nothing has moved the watch goes on");
+}
+
+#[test]
+fn sighup_in_a_drain_ends_nothing() {
+    let peer = Peer::new(|_| Do::Late(Duration::from_millis(1000)));
+    let mut sidecar = Sidecar::start(&config(&[&peer]));
+    let mut client = sidecar.client();
+    client.send(&request("book", "r1", "20000m"));
+    wait_for("the attempt", || peer.count() == 1);
+    sidecar.signal("-TERM");
+    wait_for("the drain to begin", || sidecar.ready() != Some(200));
+    sidecar.signal("-HUP");
+    assert_eq!(client.receive().expect("an answer in spite of both").status(), 200);
+    assert!(sidecar.ended().success());
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -177,9 +177,13 @@
 }
 
 impl Discovery {
-    /// Answers each watch with this line first.
+    /// Answers each watch with this line first, and each other call with it alone.
     pub fn new(first: Value) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Discovery::at(nowhere(), first)
+    }
+
+    pub fn at(address: SocketAddr, first: Value) -> Discovery {
+        let listener = TcpListener::bind(address).unwrap();
         let (calls, newest) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<Mutex<_>>::default());
         let discovery = Discovery {
             address: listener.local_addr().unwrap(),
@@ -190,6 +194,11 @@
             let mut open = Vec::new();
             for mut stream in listener.incoming().flatten() {
                 let Some(message) = Message::read(&mut BufReader::new(&mut stream)) else { continue };
+                if !message.target().contains("watch") {
+                    let _ = stream.write_all(answer("200 OK", "", &first.to_string()).as_bytes());
+                    calls.lock().unwrap().push(message.target().to_owned());
+                    continue;
+                }
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 let _ = stream.write_all(head.as_bytes());
                 write_line(&mut stream, &first.to_string());
@@ -325,6 +334,14 @@
         self.client().ask(class, id)
     }
 
+    /// Replaces the file of its configuration, and tells it so.
+    pub fn reload(&self, config: &str) {
+        let new = self.file.with_extension("new");
+        std::fs::write(&new, config).unwrap();
+        std::fs::rename(new, &self.file).unwrap();
+        self.signal("-HUP");
+    }
+
     pub fn signal(&self, signal: &str) {
         let kill = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(kill.unwrap().success());
