Turn bad clients away within their time, and keep their hands off the sockets of others

Causes, in inbound.rs: HEAD_MOST 30 s and BODY_TIME 10 s; hyper lets chunked win over Content-Length and parses what the body hid; pipelined requests were served; an open id was taken again; micros() took signs and exponents, and of repeated headers the first; 576 connections a sidecar that asked /-/ready once and stayed took all 153 client permits, and silent ones were never closed to make room. Now: a request must come whole within 2 s; Transfer-Encoding, more than one request at once, open ids, repeated headers and bad numbers get a 4xx and a close; ready answers end their connection; who is silent goes first when room is wanted, then who is idle for 2 s. socket.rs shows what hyper keeps to itself: whether more has come than one request. Ruled out: CPU (0.09 of a core at most), descriptors (200 of 384).

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
     pub mod driver;
     pub mod inbound;
     pub mod outbound;
+    pub mod socket;
 }
 
 use net::budget::Budget;
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -4,39 +4,50 @@
 use super::config::Names;
 use super::driver::{Answer, Arrival, Forward, Inbox, Input};
 use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound};
+use super::socket::{Heard, Socket};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::Signal;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use weirwharf::{ClassId, RequestId, Semantics, Settings, TenantId};
 
 /// Kept back from a client's time, for the answer to reach it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
-/// A request's head must have come within this, counted from when it could first be sent: a silent
-/// client does not keep its socket for good.
-const HEAD_MOST: Duration = Duration::from_secs(30);
-/// A request's body must have come within this.
-const BODY_TIME: Duration = Duration::from_secs(10);
+/// A request must have come whole within this, counted from the connection's start or, later, from its
+/// first byte: bad clients are owed an error or a close within 3 s.
+const REQUEST_TIME: Duration = Duration::from_secs(2);
+/// A connection is closed once it has been between requests for this long.
+const IDLE_MOST: Duration = Duration::from_secs(20);
+/// How often a connection looks whether its time is up.
+const TICK: Duration = Duration::from_millis(500);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
 const DRAIN_ACCEPT: Duration = Duration::from_millis(500);
 /// The backlog is empty once nothing has come out of it for this long.
 const BACKLOG_EMPTY: Duration = Duration::from_millis(30);
-/// Where room is wanted, only connections that have been between requests for this long are closed.
-const IDLE_LEAST: Duration = Duration::from_secs(1);
+/// Where room is wanted, connections are closed that have been between requests for this long ...
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+/// ... or are this old and have brought no request: who has one sends it at once.
+const SILENT_LEAST: Duration = Duration::from_millis(50);
+/// Where nobody can be closed, that is looked at again after this.
+const ROOM_RECHECK: Duration = Duration::from_millis(10);
 /// While draining, a connection on which nothing has come yet is closed after this.
 const FRESH_WAIT: Duration = Duration::from_millis(200);
 /// SIGKILL comes no sooner than the longest deadline, but at most `DEADLINE_MOST`, and 0.7 s more:
@@ -58,8 +69,22 @@
     draining: Cell<bool>,
     /// Accepting fails; said once in the log until it works again.
     failing: Cell<bool>,
-    /// Each change says that connections are to make room, or while draining, to end.
-    close: watch::Sender<()>,
+    /// The connections in the order of their coming.
+    connections: RefCell<BTreeMap<u64, Rc<Turn>>>,
+    /// The clients' own ids of the requests that are open.
+    open: RefCell<HashSet<HeaderValue>>,
+}
+
+/// A request's own id while it is open: a second one by the same id would be taken for it.
+struct OpenId<'a> {
+    open: &'a RefCell<HashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.open.borrow_mut().remove(&self.id);
+    }
 }
 
 /// Tells the driver when a client leaves before its answer.
@@ -78,25 +103,59 @@
 }
 
 /// Where a client's connection stands.
-#[derive(Default)]
 struct Turn {
-    /// A request is being answered.
+    heard: Rc<Heard>,
+    accepted: Instant,
+    /// A request is being read or answered.
     busy: Cell<bool>,
     /// When the last answer was given; none on a new connection.
     answered: Cell<Option<Instant>>,
     /// The next answer is the connection's last, and says so.
     last: Cell<bool>,
+    /// It was told to close to make room.
+    closing: Cell<bool>,
+    /// Wakes the connection to close itself.
+    close: Notify,
 }
 
 impl Turn {
     /// How long it has been between requests; none before the first.
     fn idle(&self) -> Option<Duration> {
-        self.answered.get().map(|at| at.elapsed())
+        self.answered
+            .get()
+            .filter(|_| !self.busy.get() && self.heard.began().is_none())
+            .map(|at| at.elapsed())
+    }
+
+    /// How long it has been silent or in the middle of a request's head.
+    fn silent(&self) -> Option<Duration> {
+        let since = if self.answered.get().is_none() { Some(self.accepted) } else { self.heard.began() };
+        since.filter(|_| !self.busy.get()).map(|at| at.elapsed())
+    }
+
+    /// When a request that has begun to come, or the first one, must have come whole.
+    fn request_until(&self) -> Instant {
+        match (self.answered.get(), self.heard.began()) {
+            (None, _) | (_, None) => self.accepted + REQUEST_TIME,
+            (Some(_), Some(began)) => began + REQUEST_TIME,
+        }
+    }
+
+    /// When it is closed unless something comes; none while a request is open.
+    fn until(&self) -> Option<Instant> {
+        match self.answered.get() {
+            _ if self.busy.get() => None,
+            Some(at) if self.heard.began().is_none() => Some(at + IDLE_MOST),
+            _ => Some(self.request_until()),
+        }
     }
 }
 
 type Reply = Response<Full<Bytes>>;
 
+/// What is wrong with a request.
+type Bad = (StatusCode, &'static str);
+
 impl Inbound {
     /// No clients yet.
     pub fn new(
@@ -117,7 +176,8 @@
             next: Cell::new(0),
             draining: Cell::new(false),
             failing: Cell::new(false),
-            close: watch::Sender::new(()),
+            connections: RefCell::default(),
+            open: RefCell::default(),
         })
     }
 
@@ -138,7 +198,7 @@
         // What still waits in the backlog counts as taken: closing the listener would reset it.
         while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&listener)).await.is_ok() {}
         drop(listener);
-        self.close.send_replace(());
+        self.connections.borrow().values().for_each(|turn| turn.close.notify_one());
         if timeout_at(until, self.all_gone()).await.is_err() {
             let _ = self.inbox.send(Input::GiveUp);
             let _ = timeout(LAST_ANSWERS, self.all_gone()).await;
@@ -181,49 +241,95 @@
             if let Some(permit) = self.budget.take(Holder::Client) {
                 return Some(permit);
             }
-            // Idle clients make room for new ones.
-            self.close.send_replace(());
-            if let Some(permit) = self.budget.take(Holder::Shed) {
+            if !self.make_room()
+                && let Some(permit) = self.budget.take(Holder::Shed)
+            {
                 drop(permit);
                 return None;
             }
-            self.budget.freed().await;
+            let _ = timeout(ROOM_RECHECK, self.budget.freed()).await;
+        }
+    }
+
+    /// Closes the connection that is missed least: who has been silent longest, else who has been idle
+    /// longest. Where there is none, somebody's next answer will be the connection's last. Whether one
+    /// goes, or will as soon as its silence has lasted.
+    fn make_room(&self) -> bool {
+        let connections = self.connections.borrow();
+        let open = || connections.values().filter(|turn| !turn.closing.get());
+        let silent = open().find(|turn| turn.silent().is_some());
+        if silent.is_some_and(|turn| turn.silent().is_some_and(|time| time < SILENT_LEAST)) {
+            return true;
+        }
+        let idle = || {
+            let idle = open().filter_map(|turn| Some((turn.idle()?, turn)));
+            idle.filter(|(time, _)| *time >= IDLE_LEAST).max_by_key(|(time, _)| *time).map(|(_, turn)| turn)
+        };
+        match silent.or_else(idle) {
+            Some(turn) => {
+                turn.closing.set(true);
+                turn.close.notify_one();
+                true
+            }
+            None => {
+                // One just used is likely to be used again at once, and a request that crosses our
+                // closing is lost, or sent twice: the next answer says that it is the last.
+                if let Some(turn) = open().find(|turn| !turn.last.get()) {
+                    turn.last.set(true);
+                }
+                false
+            }
         }
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
         let _ = stream.set_nodelay(true);
-        let mut close = self.close.subscribe();
-        let turn = Turn::default();
-        let service = service_fn(|request| self.answer(request, shed, &turn));
+        let (socket, heard) = Socket::new(stream);
+        let (busy, answered, last, closing, close) = Default::default();
+        let turn = Rc::new(Turn { heard, accepted: Instant::now(), busy, answered, last, closing, close });
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.connections.borrow_mut().insert(number, turn.clone());
+        self.follow(socket, shed, &turn).await;
+        self.connections.borrow_mut().remove(&number);
+    }
+
+    /// Serves a connection until its end.
+    async fn follow(&self, socket: Socket, shed: bool, turn: &Turn) {
+        let service = service_fn(|request| self.answer(request, shed, turn));
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_MOST)
             .keep_alive(!shed)
             .max_buf_size(BUFFER_MOST)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
+            .serve_connection(TokioIo::new(socket), service);
+        let mut connection = pin!(connection);
         let mut fresh_until = None;
         loop {
+            let until =
+                fresh_until.into_iter().chain(turn.until()).fold(Instant::now() + TICK, Instant::min);
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return, // an error here is the client's leaving
-                _ = close.changed() => match turn.idle() {
-                    _ if turn.busy.get() => turn.last.set(true),
-                    // On a new connection the first request is as good as taken: to close it now
-                    // would lose what the client is just writing.
-                    None if self.draining.get() => fresh_until = Some(Instant::now() + FRESH_WAIT),
-                    // One just used is likely to be used again at once, and a request that crosses
-                    // our closing is lost, or sent twice: the next answer says that it is the last.
-                    Some(idle) if self.draining.get() || idle >= IDLE_LEAST => {
+                () = turn.close.notified() => {
+                    if turn.busy.get() {
+                        turn.last.set(true);
+                    } else if self.draining.get() && turn.answered.get().is_none() {
+                        // The first request is as good as taken: to close now would lose what the
+                        // client is just writing.
+                        fresh_until = Some(Instant::now() + FRESH_WAIT);
+                    } else if turn.silent().is_some() {
+                        return;
+                    } else {
                         connection.as_mut().graceful_shutdown();
                     }
-                    _ => turn.last.set(true),
-                },
-                () = reached(fresh_until) => {
-                    fresh_until = None;
-                    if !turn.busy.get() {
-                        connection.as_mut().graceful_shutdown();
+                }
+                () = sleep_until(until) => {
+                    let now = Instant::now();
+                    let unused = fresh_until.take_if(|at| *at <= now).is_some() && turn.heard.began().is_none();
+                    if turn.until().is_some_and(|at| at <= now || unused) {
+                        match turn.silent() {
+                            Some(_) => return,
+                            None => connection.as_mut().graceful_shutdown(),
+                        }
                     }
                 }
             }
@@ -237,41 +343,76 @@
         turn: &Turn,
     ) -> Result<Reply, Infallible> {
         turn.busy.set(true);
-        let mut reply = if request.uri().path() == "/-/ready" {
+        let mut last = self.draining.get() || shed;
+        let mut reply = if request.uri().path() == "/-/ready" && request.body().is_end_stream() {
+            // Who only asks this is no client yet: hundreds that then stayed would take the clients' room.
+            last = true;
             let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
         } else if shed {
             plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
         } else {
-            match self.serve_request(request).await {
+            match self.serve_request(request, turn).await {
                 Ok(reply) => reply,
-                Err((status, problem)) => plain(status, problem),
+                Err((status, problem)) => {
+                    // Whatever else such a client has sent is not to be read.
+                    last = true;
+                    plain(status, problem)
+                }
             }
         };
         turn.busy.set(false);
         turn.answered.set(Some(Instant::now()));
-        if self.draining.get() || shed || turn.last.get() {
+        turn.heard.forget();
+        if last || turn.last.get() {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(reply)
     }
 
-    async fn serve_request(&self, request: Request<Incoming>) -> Result<Reply, (StatusCode, &'static str)> {
+    /// Waits for something that comes to the client's connection, or is refused because the client
+    /// goes on sending: one request at a time is the rule, and what is behind it is no request of ours.
+    async fn undisturbed<F: Future>(turn: &Turn, future: F) -> Result<F::Output, Bad> {
+        let mut future = pin!(future);
+        poll_fn(|cx| {
+            if turn.heard.more() {
+                return Poll::Ready(Err((StatusCode::BAD_REQUEST, "more than one request at once")));
+            }
+            future.as_mut().poll(cx).map(Ok)
+        })
+        .await
+    }
+
+    async fn serve_request(&self, request: Request<Incoming>, turn: &Turn) -> Result<Reply, Bad> {
         let (mut head, body) = request.into_parts();
+        // Clients state a body's length. hyper would let chunks win over a length beside them, and take
+        // what was hidden in that body for the next request.
+        if head.headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err((StatusCode::LENGTH_REQUIRED, "no Transfer-Encoding"));
+        }
+        let (mut request, time) = self.read(&head.method, &head.uri, &head.headers)?;
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
         }
-        let body = match timeout(BODY_TIME, Limited::new(body, BODY_MOST).collect()).await {
+        if head.method == Method::GET && !body.is_end_stream() {
+            return Err(bad("a body where none goes"));
+        }
+        let id = head.headers.get("x-request-id").cloned().ok_or(bad("X-Request-ID is missing"))?;
+        if !self.open.borrow_mut().insert(id.clone()) {
+            return Err((StatusCode::CONFLICT, "a request of that id is open"));
+        }
+        let _open = OpenId { open: &self.open, id };
+        let body = match timeout_at(turn.request_until(), Limited::new(body, BODY_MOST).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
             }
-            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "body broken")),
+            Ok(Err(_)) => return Err(bad("body broken")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body never came")),
         };
+        Self::undisturbed(turn, std::future::ready(())).await?;
         // The client counts from its last byte.
         let came = Instant::now();
-        let (mut request, time) = self.read(&head.method, &head.uri, &head.headers)?;
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         request.id = id;
@@ -283,7 +424,7 @@
         let mut waiting = Waiting { inbox: &self.inbox, id, answered: false };
         let _ = self.inbox.send(Input::Arrived(Box::new(arrival)));
         // Where the module were to forget a request, its client would still be told in time.
-        let answer = timeout_at(came + time, answered).await;
+        let answer = Self::undisturbed(turn, timeout_at(came + time, answered)).await?;
         waiting.answered = answer.is_ok();
         Ok(match answer {
             Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
@@ -307,16 +448,29 @@
         method: &Method,
         uri: &hyper::Uri,
         headers: &HeaderMap,
-    ) -> Result<(weirwharf::Request, Duration), (StatusCode, &'static str)> {
-        let bad = |problem| (StatusCode::BAD_REQUEST, problem);
-        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    ) -> Result<(weirwharf::Request, Duration), Bad> {
+        let wanted = uri.path_and_query().map(|target| target.as_str()).unwrap_or_default();
+        if !wanted.bytes().all(|byte| byte.is_ascii_graphic())
+            || headers.values().any(|value| std::str::from_utf8(value.as_bytes()).is_err())
+        {
+            return Err(bad("what is no text"));
+        }
+        let text = |name: &str| {
+            let mut values = headers.get_all(name).iter();
+            match (values.next(), values.next()) {
+                (None, _) => Ok(None),
+                (Some(value), None) => value.to_str().map(Some).map_err(|_| bad("a header is no text")),
+                (Some(_), Some(_)) => Err(bad("a header comes twice")),
+            }
+        };
         let name = uri.path().split('/').nth(1).unwrap_or_default();
         let class = self.classes.iter().position(|class| class == name);
         let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
-        if text("x-request-id").is_none_or(str::is_empty) {
-            return Err(bad("X-Request-ID is missing"));
+        if text("x-request-id")?.is_none_or(|id| id.is_empty() || !id.bytes().all(|b| b.is_ascii_graphic()))
+        {
+            return Err(bad("X-Request-ID is missing or bad"));
         }
-        let keyed = headers.contains_key("idempotency-key");
+        let keyed = text("idempotency-key")?.is_some();
         let (wanted, key_wanted) = match self.settings.classes[class].semantics {
             Semantics::Safe => (Method::GET, keyed),
             Semantics::Keyed { .. } => (Method::POST, true),
@@ -328,10 +482,10 @@
         if keyed != key_wanted {
             return Err(bad("Idempotency-Key does not go with the class"));
         }
-        let time = text("x-timeout").and_then(parse_timeout).ok_or(bad("X-Timeout is missing or bad"))?;
+        let time = text("x-timeout")?.and_then(parse_timeout).ok_or(bad("X-Timeout is missing or bad"))?;
         // However long a client says that it waits: what is kept for a request must not pile up.
         let time = time.min(self.settings.classes[class].deadline);
-        let tenant = match text("x-tenant-id") {
+        let tenant = match text("x-tenant-id")? {
             _ if self.tenants.is_empty() => 0,
             Some(name) => {
                 self.tenants.iter().position(|tenant| tenant == name).ok_or(bad("unknown tenant"))?
@@ -340,29 +494,26 @@
         };
         let query = uri.query().unwrap_or_default().split('&');
         let user = query.filter_map(|pair| pair.strip_prefix("user=")).next();
+        let key = user.map(|user| parse_key(user).ok_or(bad("user is bad"))).transpose()?;
         let work_hint =
-            text("x-cost").map(|cost| micros(cost, 1.0).ok_or(bad("X-Cost is bad"))).transpose()?;
+            text("x-cost")?.map(|cost| micros(cost, 1.0).ok_or(bad("X-Cost is bad"))).transpose()?;
         let request = weirwharf::Request {
             id: RequestId(0),
             class: ClassId(class),
             tenant: TenantId(tenant),
             time_left: Duration::ZERO,
             work_hint,
-            key: user.and_then(|user| u64::from_str_radix(user, 16).ok()),
-            client_retry: text("x-retried") == Some("1"),
-            write: text("x-attrs")
+            key,
+            client_retry: text("x-retried")? == Some("1"),
+            write: text("x-attrs")?
                 .is_some_and(|attrs| attrs.split(',').any(|attr| attr.trim() == "write=1")),
         };
         Ok((request, time))
     }
 }
 
-/// Waits for a time; for ever if there is none.
-async fn reached(time: Option<Instant>) {
-    match time {
-        Some(time) => sleep_until(time).await,
-        None => std::future::pending().await,
-    }
+fn bad(problem: &'static str) -> Bad {
+    (StatusCode::BAD_REQUEST, problem)
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Reply {
@@ -380,10 +531,18 @@
     time.filter(|time| !time.is_zero())
 }
 
-/// A number of units of so many microseconds.
+/// A decimal number of units of so many microseconds: digits and at most one point, which leaves out
+/// signs, exponents and what is no number.
 fn micros(number: &str, unit: f64) -> Option<Duration> {
-    let micros = number.parse::<f64>().ok()? * unit;
-    (micros >= 0.0 && micros.is_finite()).then(|| Duration::from_micros(micros as u64))
+    let digits = number.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let micros = number.parse::<f64>().ok().filter(|_| digits)? * unit;
+    micros.is_finite().then(|| Duration::from_micros(micros as u64))
+}
+
+/// A key of up to 16 hex digits.
+fn parse_key(text: &str) -> Option<u64> {
+    let hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    u64::from_str_radix(text, 16).ok().filter(|_| hex)
 }
 
 /// Removes what concerns the client's connection alone, and what is set anew for each attempt.
--- /dev/null
+++ b/tests/node_rude.rs
@@ -0,0 +1,127 @@
+//! The built sidecar and clients that keep to no rules.
+
+#[path = "support/node.rs"]
+mod support;
+
+use serde_json::json;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// Bad clients are owed an error or a close within this.
+const OWED: Duration = Duration::from_secs(3);
+
+/// A smuggled request behind an empty chunked body, with these headers before both lengths.
+fn two_framings(first: &str, second: &str) -> String {
+    let hidden = request("quote", "hidden", "5000m");
+    let head = request("book", "r1", "5000m").replace("Content-Length: 4\r\n", &format!("{first}{second}"));
+    let length = format!("{}", hidden.len() + 5);
+    head.replace("\r\n\r\nbody", "\r\n\r\n").replace("LENGTH", &length) + "0\r\n\r\n" + &hidden
+}
+
+#[test]
+fn a_request_framed_in_two_ways_is_refused_and_nothing_behind_it_is_read() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let (length, chunked) = ("Content-Length: LENGTH\r\n", "Transfer-Encoding: chunked\r\n");
+    for bad in [
+        two_framings(length, chunked),
+        two_framings(chunked, length),
+        two_framings(chunked, ""),
+        two_framings("Transfer-Encoding: gzip, chunked\r\n", length),
+        two_framings("Content-Length: 4\r\n", "Content-Length: 9\r\n"),
+        two_framings("Content-Length: -4\r\n", ""),
+        two_framings("Content-Length: +4\r\n", ""),
+        two_framings("Content-Length: 99999999999999999999999\r\n", ""),
+        two_framings("Content-Length: 60000000\r\n", ""),
+    ] {
+        let mut client = sidecar.client();
+        client.send(&bad);
+        if let Some(answer) = client.receive() {
+            assert!((400..500).contains(&answer.status()), "{} for {bad}", answer.first_line);
+            assert!(client.receive().is_none(), "nothing more is read there: {bad}");
+        }
+    }
+    assert_eq!(peer.count(), 0, "nothing of it went on");
+}
+
+#[test]
+fn requests_sent_ahead_of_the_answer_are_never_served() {
+    let peer = Peer::new(|_| Do::Silence);
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut client = sidecar.client();
+    let all: String = (0..300).map(|n| request("quote", &format!("r{n}"), "5000m")).collect();
+    client.send(&all);
+    assert!(client.receive().is_none_or(|answer| (400..500).contains(&answer.status())));
+    assert!(client.receive().is_none(), "and closed");
+    assert_eq!(peer.count(), 0, "nothing of it went on");
+    // The same one by one, the first already on its way.
+    let mut client = sidecar.client();
+    client.send(&request("quote", "s1", "20000m"));
+    wait_for("the attempt", || peer.count() == 1);
+    client.send(&request("quote", "s2", "20000m"));
+    assert!(client.receive().is_none_or(|answer| (400..500).contains(&answer.status())));
+    assert!(client.receive().is_none(), "and closed");
+    wait_for("the attempt's end", || peer.closed() == 1);
+    assert_eq!(peer.count(), 1);
+}
+
+#[test]
+fn the_id_of_an_open_request_is_refused_and_the_first_stays_whole() {
+    let peer = Peer::new(|_| Do::Late(Duration::from_millis(800)));
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut first = sidecar.client();
+    first.send(&request("book", "twice", "20000m"));
+    wait_for("the attempt", || peer.count() == 1);
+    let refused = sidecar.ask("quote", "twice").status();
+    assert!((400..500).contains(&refused) && refused != 429, "{refused}");
+    assert_eq!(first.receive().expect("its own answer").status(), 200);
+    assert_eq!(peer.count(), 1);
+    assert_eq!(sidecar.ask("book", "twice").status(), 200, "it is free again");
+}
+
+#[test]
+fn what_does_not_come_whole_in_time_is_closed() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let whole = request("book", "r1", "20000m");
+    for kept in [false, true] {
+        for sent in [0, 1, 30, whole.len() - 6, whole.len() - 2] {
+            let mut client = sidecar.client();
+            if kept {
+                // On a connection that was good before.
+                assert_eq!(client.ask("book", "r0").status(), 200);
+            }
+            if kept && sent == 0 {
+                continue; // a good client's idle connection
+            }
+            let start = Instant::now();
+            client.send(&whole[..sent]);
+            assert!(client.receive().is_none_or(|answer| (400..500).contains(&answer.status())));
+            assert!(client.receive().is_none());
+            let took = start.elapsed();
+            assert!(took < OWED, "{sent} bytes: closed after {took:?}");
+        }
+    }
+}
+
+#[test]
+fn clients_that_say_nothing_or_only_ask_for_readiness_take_no_room_from_others() {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(128);
+    let sidecar = Sidecar::start_with(&config, "ulimit -n 128;");
+    let mut others = Vec::new();
+    for n in 0..300 {
+        let mut other = sidecar.client();
+        match n % 3 {
+            0 => other.send("GET /-/ready HTTP/1.1\r\nHost: t\r\n\r\n"),
+            1 => other.send("GET /quo"),
+            _ => {}
+        }
+        others.push(other);
+    }
+    for n in 0..20 {
+        assert_eq!(sidecar.ask("book", &format!("r{n}")).status(), 200, "in spite of all others");
+    }
+    assert!(sidecar.descriptors() <= 128);
+}
