Keep spoilt answers to their own request, and rest connections after an answer

What comes behind an answer is met by hyper only as far as the runtime has been told of it, so bytes that come as a link is taken answer the next request; `read` took the head of a torn 503 for proof, and kept that link with its body unread; an answer whose length doesn't fit cost a request all its time. Now a link rests 5 ms after an answer, and the kernel itself is asked whether anything lies there before it is used; an answer that has begun must be whole within 0.5 s (1xx ahead don't count); a torn one proves nothing and closes its link; negative load figures are none. Ruled out: reading such answers more leniently; they may not be the answer made for the request.

--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -2,8 +2,9 @@
 
 use super::budget::{Budget, Holder, Permit};
 use super::discovery::Guard;
+use super::socket::{Heard, Socket};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -11,10 +12,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 use weirwharf::{EndpointId, LoadField, Outcome, Settings};
 
 /// No body on the wire is longer.
@@ -30,6 +33,12 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// A probe that takes longer has failed.
 const PROBE: Duration = Duration::from_secs(1);
+/// An answer that has begun must be whole within this: with a length that doesn't fit, or a head without
+/// end, it never would be, and cost a request all its time that could be sent again.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+/// A connection rests for this long after an answer: what comes behind one, a second copy or noise,
+/// would otherwise answer the next request, and nothing could tell it from that one's answer.
+const REST: Duration = Duration::from_millis(5);
 /// Limit of an attempt's connection where the settings say nothing.
 const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
 
@@ -63,6 +72,7 @@
 
 struct Link {
     sender: SendRequest<Full<Bytes>>,
+    heard: Rc<Heard>,
     address: SocketAddr,
     idle_since: Instant,
     /// Dropping a link closes its connection, also with an answer still to come.
@@ -103,8 +113,12 @@
         mut request: Request<Full<Bytes>>,
         progress: &Progress,
     ) -> Ended {
-        let (mut link, response) = loop {
-            let (mut link, fresh) = match self.take_idle(endpoint, address) {
+        // What comes ahead of an answer says nothing of when that will come.
+        let ahead = Arc::new(AtomicBool::new(false));
+        let seen = ahead.clone();
+        hyper::ext::on_informational(&mut request, move |_| seen.store(true, Ordering::Relaxed));
+        loop {
+            let (mut link, fresh) = match self.take_idle(endpoint, address).await {
                 Some(link) => (link, false),
                 None => match self.connect(address).await {
                     Some(link) => (link, true),
@@ -119,32 +133,41 @@
                 continue;
             }
             progress.0.set(true);
-            match link.sender.try_send_request(request).await {
-                Ok(response) => break (link, response),
-                Err(mut error) => match error.take_message() {
-                    // Handed back unsent.
-                    Some(unsent) => {
-                        progress.0.set(false);
-                        request = unsent;
-                        if fresh {
-                            return Ended::bare(Outcome::ConnectFailed);
-                        }
+            link.heard.forget();
+            let exchange = async {
+                let response = link.sender.try_send_request(request).await;
+                match response {
+                    Ok(response) => Ok(self.read(response).await),
+                    Err(mut error) => error.take_message().map_or(Ok(Ended::bare(Outcome::Reset)), Err),
+                }
+            };
+            let ended = tokio::select! {
+                biased;
+                ended = exchange => ended,
+                () = stalled(&link.heard, &ahead) => Ok(Ended::bare(Outcome::Reset)),
+            };
+            match ended {
+                Ok(ended) => {
+                    if ended.outcome != Outcome::Reset && !link.sender.is_closed() {
+                        link.idle_since = Instant::now();
+                        self.idle.borrow_mut().entry(endpoint).or_default().push(link);
                     }
-                    // Some of it may have been written, so all of it may have come.
-                    None => return Ended::bare(Outcome::Reset),
-                },
+                    return ended;
+                }
+                // Handed back unsent.
+                Err(unsent) => {
+                    progress.0.set(false);
+                    request = unsent;
+                    if fresh {
+                        return Ended::bare(Outcome::ConnectFailed);
+                    }
+                }
             }
-        };
-        let ended = self.read(response).await;
-        if ended.outcome != Outcome::Reset && !link.sender.is_closed() {
-            link.idle_since = Instant::now();
-            self.idle.borrow_mut().entry(endpoint).or_default().push(link);
         }
-        ended
     }
 
-    /// The outcome that an answer stands for. It is read whole first, so that a break half-way is an
-    /// outcome and never a torn answer.
+    /// The outcome that an answer stands for. It is read whole first: a break half-way is an outcome and
+    /// never a torn answer, and one that is spoilt proves nothing, not even that it never ran.
     async fn read(&self, response: Response<Incoming>) -> Ended {
         let (head, body) = response.into_parts();
         let never_ran = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
@@ -154,10 +177,11 @@
             _ => Outcome::Error,
         };
         let report = self.inline_report(&head.headers);
+        if body.size_hint().lower() > BODY_MOST as u64 {
+            return Ended::bare(Outcome::Reset);
+        }
         match Limited::new(body, BODY_MOST).collect().await {
             Ok(body) => Ended { outcome, body: body.to_bytes(), report },
-            // The head of a refusal says it all, whatever became of its body.
-            Err(_) if outcome == Outcome::Full => Ended::bare(Outcome::Full),
             Err(_) => Ended::bare(Outcome::Reset),
         }
     }
@@ -215,12 +239,24 @@
         !link.sender.is_closed() && link.idle_since.elapsed() < self.idle_most
     }
 
-    /// The most recently used idle connection: the others may then age and be closed.
-    fn take_idle(&self, endpoint: EndpointId, address: SocketAddr) -> Option<Link> {
-        let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&endpoint)?;
-        // At another address another machine may listen by now.
-        std::iter::from_fn(|| links.pop()).find(|link| link.address == address && self.usable(link))
+    /// The most recently used idle connection that has rested, or else one once it has: the others may
+    /// then age and be closed.
+    async fn take_idle(&self, endpoint: EndpointId, address: SocketAddr) -> Option<Link> {
+        loop {
+            let link = {
+                let mut idle = self.idle.borrow_mut();
+                let links = idle.get_mut(&endpoint)?;
+                let rested = links.iter().rposition(|link| link.idle_since.elapsed() >= REST);
+                (!links.is_empty()).then(|| links.remove(rested.unwrap_or(0)))?
+            };
+            sleep_until(link.idle_since + REST).await;
+            // At another address another machine may listen by now. What has come unasked, or the end, makes a
+            // connection useless; hyper sees only what the runtime has seen, which may be long ago where the
+            // processor is short.
+            if link.address == address && self.usable(&link) && !link.heard.pending() {
+                return Some(link);
+            }
+        }
     }
 
     async fn connect(&self, address: SocketAddr) -> Option<Link> {
@@ -234,11 +270,13 @@
         // A machine that is cut off never answers: without a limit of ours the attempt would hang.
         let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(stream));
+        let (socket, heard) = Socket::new(stream);
+        let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(socket));
         let (sender, connection) = handshake.await.ok()?;
         let task = spawn_local(connection);
         Some(Link {
             sender,
+            heard,
             address,
             idle_since: Instant::now(),
             _connection: Guard::new(task.abort_handle()),
@@ -255,7 +293,7 @@
         let value = |field: &LoadField| {
             let pairs = text.trim().split(',').filter_map(|pair| pair.split_once('='));
             let (_, value) = pairs.into_iter().find(|(name, _)| *name == wire_name(*field))?;
-            value.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+            value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)
         };
         if self.fields.is_empty() {
             return None;
@@ -264,6 +302,18 @@
     }
 }
 
+/// Ends once an answer has begun and has not become whole in its time.
+async fn stalled(heard: &Heard, ahead: &AtomicBool) {
+    loop {
+        let at = match heard.began() {
+            Some(at) if at.elapsed() >= ANSWER_TIME && !ahead.load(Ordering::Relaxed) => return,
+            Some(at) if !ahead.load(Ordering::Relaxed) => at + ANSWER_TIME,
+            _ => Instant::now() + ANSWER_TIME / 4,
+        };
+        sleep_until(at).await;
+    }
+}
+
 /// A load report's field as endpoints name it.
 fn wire_name(field: LoadField) -> &'static str {
     match field {
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -3,6 +3,7 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -46,6 +47,13 @@
     pub fn forget(&self) {
         self.began.set(None);
     }
+
+    /// Whether the kernel holds anything unread, or the end. Asked of it directly: the runtime only
+    /// knows what its last look at all sockets has shown.
+    pub fn pending(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1]);
+        !peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
 }
 
 impl AsyncRead for Socket {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -78,9 +78,9 @@
         let act = Do::Write(answer(status, "X-Not-Processed: 1\r\n", ""));
         assert_eq!(outcome_of("book", act), (200, 2));
     }
-    // Turned away with an answer that breaks off: its head has said it all.
+    // With an answer that breaks off nothing is proved: it is spoilt, and such a request has run.
     let torn = "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 9\r\n\r\nha".to_owned();
-    assert_eq!(outcome_of("book", Do::WriteAndClose(torn)), (200, 2));
+    assert_eq!(outcome_of("book", Do::WriteAndClose(torn)), (502, 1));
 }
 
 #[test]
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -79,6 +79,12 @@
     Silence,
     /// Serves after so long.
     Late(Duration),
+    /// Serves, and so much later writes these bytes too.
+    ServeAndWrite(&'static str, Duration, String),
+    /// Writes these bytes, and serves so much later.
+    WriteThenServe(String, Duration),
+    /// Writes this over and over until the sidecar closes.
+    Flood(String, String),
 }
 
 pub fn answer(status: &str, headers: &str, body: &str) -> String {
@@ -92,6 +98,8 @@
     pub connections: Arc<AtomicUsize>,
     /// Connections that the sidecar has closed.
     pub closed: Arc<AtomicUsize>,
+    /// Answers behind which more was written.
+    pub written: Arc<AtomicUsize>,
 }
 
 impl Peer {
@@ -103,17 +111,18 @@
     pub fn new(script: impl Fn(&Message) -> Do + Send + Sync + 'static) -> Peer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let peer =
-            Peer { address, seen: Arc::default(), connections: Arc::default(), closed: Arc::default() };
-        let (seen, connections, closed) =
-            (peer.seen.clone(), peer.connections.clone(), peer.closed.clone());
+        let (seen, connections, closed, written) = Default::default();
+        let peer = Peer { address, seen, connections, closed, written };
+        let (seen, connections, closed, written) =
+            (peer.seen.clone(), peer.connections.clone(), peer.closed.clone(), peer.written.clone());
         let script = Arc::new(script);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 connections.fetch_add(1, Ordering::SeqCst);
-                let (seen, closed, script) = (seen.clone(), closed.clone(), script.clone());
+                let (seen, closed, written, script) =
+                    (seen.clone(), closed.clone(), written.clone(), script.clone());
                 thread::spawn(move || {
-                    if let Some(by_sidecar) = follow(stream, &seen, &*script) {
+                    if let Some(by_sidecar) = follow(stream, &seen, &written, &*script) {
                         closed.fetch_add(usize::from(by_sidecar), Ordering::SeqCst);
                     }
                 });
@@ -133,7 +142,12 @@
 }
 
 /// Serves one connection; whether it was the sidecar that closed it.
-fn follow(stream: TcpStream, seen: &Mutex<Vec<Message>>, script: &dyn Fn(&Message) -> Do) -> Option<bool> {
+fn follow(
+    stream: TcpStream,
+    seen: &Mutex<Vec<Message>>,
+    written: &AtomicUsize,
+    script: &dyn Fn(&Message) -> Do,
+) -> Option<bool> {
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     let mut writer = stream;
     let rest = |reader: &mut BufReader<TcpStream>| {
@@ -159,6 +173,27 @@
                 rest(&mut reader);
                 return Some(true);
             }
+            Do::ServeAndWrite(body, wait, more) => {
+                let whole = answer("200 OK", "", body);
+                if wait.is_zero() {
+                    writer.write_all((whole + &more).as_bytes()).ok()?;
+                } else {
+                    writer.write_all(whole.as_bytes()).ok()?;
+                    thread::sleep(wait);
+                    writer.write_all(more.as_bytes()).ok()?;
+                }
+                written.fetch_add(1, Ordering::SeqCst);
+            }
+            Do::WriteThenServe(text, wait) => {
+                writer.write_all(text.as_bytes()).ok()?;
+                thread::sleep(wait);
+                writer.write_all(answer("200 OK", "", "late").as_bytes()).ok()?;
+            }
+            Do::Flood(first, more) => {
+                writer.write_all(first.as_bytes()).ok()?;
+                while writer.write_all(more.as_bytes()).is_ok() {}
+                return Some(true);
+            }
             Do::Late(wait) => {
                 thread::sleep(wait);
                 writer.write_all(answer("200 OK", "", "late").as_bytes()).ok()?;
