Give up aged connections where they are reset, make room before clients crowd, forget old names

Probe (logged idle time, age and end of each attempt): resets end 14% of the attempts on links idle for 100 ms or more, 3% of those on younger and on new ones, all within 5 ms. Something drops idle connections long before the stated 10 s; outbound.rs trusted the statement (IDLE_PART). Ruled out: the endpoints' load (resets come at once), one bad endpoint (all alike).

Clients keep a connection for 2 s at least before it may be closed, and 153 fill up with 66 new ones a second. Shed clients get Retry-After.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -641,7 +641,14 @@
             Semantics::Unsafe => !may_have_run,
         };
         out.push(if harmless {
-            Action::Refuse { request: id, retry_after: None }
+            let limits = &self.settings.limits;
+            // The time in which a place comes free.
+            let usual = Duration::from_secs_f64(self.latency[pending.class].mean);
+            let wait = usual.min(limits.max_retry_after);
+            Action::Refuse {
+                request: id,
+                retry_after: (limits.retry_after && !wait.is_zero()).then_some(wait),
+            }
         } else {
             Action::Fail { request: id }
         });
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -46,7 +46,7 @@
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Self> {
         let total = sockets.saturating_sub(RESERVE);
         // An attempt needs a socket too: clients must not take what their own requests go out on.
-        let by_memory = memory_mb * 1024 / 2 / CLIENT_KIB;
+        let by_memory = memory_mb.saturating_mul(1024) / 2 / CLIENT_KIB;
         let clients_most = (total * 5 / 8).min(by_memory).max(1);
         let (clients, shed, endpoints) = Default::default();
         Rc::new(Budget { total, clients_most, clients, shed, endpoints, freed: Notify::new() })
@@ -71,6 +71,11 @@
         self.clients.get() < self.clients_most && self.in_use() >= self.total
     }
 
+    /// Whether clients hold three quarters of what they may.
+    pub fn clients_crowd(&self) -> bool {
+        self.clients.get() * 4 > self.clients_most * 3
+    }
+
     /// Connected clients.
     pub fn clients(&self) -> usize {
         self.clients.get() + self.shed.get()
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -145,6 +145,16 @@
         self.ids.borrow().name(id).to_owned()
     }
 
+    /// Forgets the names of all endpoints but these.
+    pub fn keep(&self, listed: impl Fn(EndpointId) -> bool) {
+        self.ids.borrow_mut().retain(listed);
+    }
+
+    /// How many names are kept.
+    pub fn names(&self) -> usize {
+        self.ids.borrow().len()
+    }
+
     /// Carries out the driver's calls. Each is answered by exactly one event; a watch then goes on.
     pub async fn run(self: Rc<Self>, mut calls: UnboundedReceiver<Call>) {
         let mut watch = (self.mode == Mode::Push).then(|| self.watch());
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -189,9 +189,16 @@
             self.summary_at = now + SUMMARY;
             let mut counts: Vec<_> = self.unusual.drain().collect();
             counts.sort();
-            if !counts.is_empty() {
-                eprintln!("outcomes in {} s: {counts:?}; open {}", SUMMARY.as_secs(), self.requests.len());
-            }
+            // What is kept must stay in proportion to what is open and listed.
+            let (open, timers, module) =
+                (self.requests.len(), self.timers.len(), self.balancer.remembered());
+            let (listed, names, links) =
+                (self.addresses.len(), self.discovery.names(), self.outbound.idle());
+            eprintln!(
+                "outcomes in {} s: {counts:?}; open {open}, timers {timers}, module {module}, \
+                 listed {listed}, names {names}, idle connections {links}",
+                SUMMARY.as_secs()
+            );
         }
     }
 
@@ -295,6 +302,7 @@
                 listed
             });
         }
+        self.discovery.keep(|id| self.addresses.contains_key(&id));
         self.handle(Event::Membership(news.membership));
     }
 
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -34,6 +34,8 @@
 const REQUEST_TIME: Duration = Duration::from_secs(2);
 /// A connection is closed once it has been between requests for this long.
 const IDLE_MOST: Duration = Duration::from_secs(20);
+/// When a client that found no room is to come back, in seconds.
+const SHED_RETRY: &str = "0.5";
 /// How often a connection looks whether its time is up.
 const TICK: Duration = Duration::from_millis(500);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
@@ -343,14 +345,18 @@
         turn: &Turn,
     ) -> Result<Reply, Infallible> {
         turn.busy.set(true);
-        let mut last = self.draining.get() || shed;
+        // Who keeps a connection after the answer keeps it for 2 s at least: where those fill up, new
+        // clients would find no room, while hardly anybody is being answered.
+        let mut last = self.draining.get() || shed || self.budget.clients_crowd();
         let mut reply = if request.uri().path() == "/-/ready" && request.body().is_end_stream() {
             // Who only asks this is no client yet: hundreds that then stayed would take the clients' room.
             last = true;
             let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
         } else if shed {
-            plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
+            let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
+            reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(SHED_RETRY));
+            reply
         } else {
             match self.serve_request(request, turn).await {
                 Ok(reply) => reply,
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -39,6 +39,14 @@
 /// A connection rests for this long after an answer: what comes behind one, a second copy or noise,
 /// would otherwise answer the next request, and nothing could tell it from that one's answer.
 const REST: Duration = Duration::from_millis(5);
+/// A connection idle for this long is aged: something on the way, or the endpoint, may have dropped it
+/// well before the stated time, and resets the next request on it.
+const AGED: Duration = Duration::from_millis(100);
+/// So many resets of aged connections, less a part of one for each answer on one, and they are given up ...
+const AGED_RESETS: f64 = 2.0;
+const AGED_ANSWER: f64 = 0.05;
+/// ... for this long: a reset loses an unsafe request for good, a new connection only costs a handshake.
+const AGED_PAUSE: Duration = Duration::from_secs(30);
 /// Limit of an attempt's connection where the settings say nothing.
 const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
 
@@ -87,6 +95,9 @@
     idle: RefCell<HashMap<EndpointId, Vec<Link>>>,
     connect_timeout: Duration,
     idle_most: Duration,
+    /// What speaks against aged connections, and until when they are not used.
+    aged_resets: Cell<f64>,
+    aged_until: Cell<Option<Instant>>,
     fields: Vec<LoadField>,
 }
 
@@ -98,6 +109,8 @@
         Rc::new(Outbound {
             budget,
             idle: RefCell::default(),
+            aged_resets: Cell::default(),
+            aged_until: Cell::default(),
             connect_timeout: or(connect, CONNECT_UNSTATED),
             idle_most: or(idle.mul_f64(IDLE_PART), IDLE_UNSTATED),
             fields: settings.load_reports.fields.clone(),
@@ -133,6 +146,7 @@
                 continue;
             }
             progress.0.set(true);
+            let idle = link.idle_since.elapsed();
             link.heard.forget();
             let exchange = async {
                 let response = link.sender.try_send_request(request).await;
@@ -148,6 +162,9 @@
             };
             match ended {
                 Ok(ended) => {
+                    if !fresh && idle >= AGED {
+                        self.learn_aged(ended.outcome == Outcome::Reset && link.heard.began().is_none());
+                    }
                     if ended.outcome != Outcome::Reset && !link.sender.is_closed() {
                         link.idle_since = Instant::now();
                         self.idle.borrow_mut().entry(endpoint).or_default().push(link);
@@ -202,6 +219,11 @@
         }
     }
 
+    /// How many connections are idle.
+    pub fn idle(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Closes idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
         self.idle.borrow_mut().remove(&endpoint);
@@ -236,7 +258,25 @@
     }
 
     fn usable(&self, link: &Link) -> bool {
-        !link.sender.is_closed() && link.idle_since.elapsed() < self.idle_most
+        let paused = self.aged_until.get().is_some_and(|until| Instant::now() < until);
+        let most = if paused { AGED.min(self.idle_most) } else { self.idle_most };
+        !link.sender.is_closed() && link.idle_since.elapsed() < most
+    }
+
+    /// Lets the end of an attempt on an aged connection speak for or against them all.
+    fn learn_aged(&self, reset: bool) {
+        let change = if reset { 1.0 } else { -AGED_ANSWER };
+        let resets = (self.aged_resets.get() + change).max(0.0);
+        self.aged_resets.set(resets);
+        if resets >= AGED_RESETS {
+            // One more is enough to give them up again after the pause.
+            self.aged_resets.set(AGED_RESETS - 1.0);
+            self.aged_until.set(Some(Instant::now() + AGED_PAUSE));
+            eprintln!(
+                "aged connections are reset at the next request: not used for {} s",
+                AGED_PAUSE.as_secs()
+            );
+        }
     }
 
     /// The most recently used idle connection that has rested, or else one once it has: the others may
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -105,6 +105,21 @@
         id
     }
 
+    /// Keeps only the names of these: endpoints come under new names for ever.
+    pub fn retain(&mut self, keep: impl Fn(EndpointId) -> bool) {
+        self.names.retain(|&id, _| keep(id));
+    }
+
+    /// How many names are kept.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
     /// The name of an id given out before.
     pub fn name(&self, id: EndpointId) -> &str {
         self.names.get(&id).map_or("-", String::as_str)
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -103,3 +103,37 @@
     }
     assert_eq!(discovery.calls().len(), 1);
 }
+
+#[test]
+fn endpoints_under_ever_new_ids_leave_nothing_behind() {
+    let peer = Peer::serving("ok");
+    let discovery = Discovery::new(list(8, false, &[]));
+    let sidecar = following(&peer, &discovery, "subscribe");
+    wait_for("the first watch", || discovery.calls().len() == 1);
+    let mut old = "s-0".to_owned();
+    for n in 0..200 {
+        // Each new one stands at the address of the one that has gone.
+        let new = format!("n-{n}");
+        let change = [target(&new, peer.address, "up"), target(&old, peer.address, "removed")];
+        discovery.say(&list(9 + n, false, &change).to_string());
+        assert_eq!(sidecar.ask("book", &format!("r{n}")).status(), 200);
+        old = new;
+    }
+    wait_for("all of them to be replaced", || sidecar.log().contains("n-198 is gone"));
+    let sizes = "listed 1, names 1, idle connections ";
+    wait_for("a summary", || sidecar.log().lines().last().is_some_and(|line| line.contains(sizes)));
+}
+
+#[test]
+fn a_new_endpoint_at_an_old_address_gets_connections_of_its_own() {
+    let peer = Peer::serving("ok");
+    let discovery = Discovery::new(list(8, false, &[]));
+    let sidecar = following(&peer, &discovery, "subscribe");
+    wait_for("the first watch", || discovery.calls().len() == 1);
+    assert_eq!(sidecar.ask("book", "r1").status(), 200);
+    let change = [target("s-new", peer.address, "up"), target("s-0", peer.address, "removed")];
+    discovery.say(&list(9, false, &change).to_string());
+    wait_for("the old one's connection to end", || peer.closed() == 1);
+    assert_eq!(sidecar.ask("book", "r2").status(), 200);
+    assert_eq!(peer.connections.load(std::sync::atomic::Ordering::SeqCst), 2);
+}
--- a/tests/node_spoilt.rs
+++ b/tests/node_spoilt.rs
@@ -130,3 +130,17 @@
         assert_eq!(sidecar.ask("book", "r1").status(), 200, "{report}");
     }
 }
+
+#[test]
+fn connections_that_are_reset_after_lying_idle_are_given_up_while_they_are_young() {
+    // Resets the connection at any request but its first.
+    let peer = Peer::new(|_| Do::ServeOnce("ok"));
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut lost = 0;
+    for n in 0..12 {
+        lost += usize::from(sidecar.ask("book", &format!("r{n}")).status() != 200);
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    assert!((1..=3).contains(&lost), "{lost} unsafe requests were lost");
+    assert!(sidecar.log().contains("aged connections"));
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -81,6 +81,8 @@
     Late(Duration),
     /// Serves, and so much later writes these bytes too.
     ServeAndWrite(&'static str, Duration, String),
+    /// Serves a connection's first request and breaks off at its second.
+    ServeOnce(&'static str),
     /// Writes these bytes, and serves so much later.
     WriteThenServe(String, Duration),
     /// Writes this over and over until the sidecar closes.
@@ -184,6 +186,11 @@
                 }
                 written.fetch_add(1, Ordering::SeqCst);
             }
+            Do::ServeOnce(body) => {
+                writer.write_all(answer("200 OK", "", body).as_bytes()).ok()?;
+                Message::read(&mut reader)?;
+                return Some(false);
+            }
             Do::WriteThenServe(text, wait) => {
                 writer.write_all(text.as_bytes()).ok()?;
                 thread::sleep(wait);
@@ -346,7 +353,8 @@
 
     pub fn start_with(config: &Value, prefix: &str) -> Sidecar {
         let (mut command, file) = command(&config.to_string(), prefix);
-        let child = command.stderr(Stdio::null()).spawn().unwrap();
+        let log = std::fs::File::create(file.with_extension("log")).unwrap();
+        let child = command.stderr(log).spawn().unwrap();
         let address = config["listen"].as_str().unwrap().parse().unwrap();
         let sidecar = Sidecar { child, address, file };
         wait_for("readiness", || sidecar.ready() == Some(200));
@@ -369,6 +377,11 @@
         self.client().ask(class, id)
     }
 
+    /// What it has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.file.with_extension("log")).unwrap_or_default()
+    }
+
     /// Replaces the file of its configuration, and tells it so.
     pub fn reload(&self, config: &str) {
         let new = self.file.with_extension("new");
@@ -408,6 +421,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(self.file.with_extension("log"));
         let _ = std::fs::remove_file(&self.file);
     }
 }
