--- a/src/balance.rs
+++ b/src/balance.rs
@@ -640,15 +640,12 @@
             Semantics::Keyed { group, .. } => group == Group::All || !may_have_run,
             Semantics::Unsafe => !may_have_run,
         };
+        // The time in which a place comes free.
+        let usual = Duration::from_secs_f64(self.latency[pending.class].mean).max(HOLD_RECHECK);
+        let limits = &self.settings.limits;
+        let retry_after = limits.retry_after.then(|| usual.min(limits.max_retry_after));
         out.push(if harmless {
-            let limits = &self.settings.limits;
-            // The time in which a place comes free.
-            let usual = Duration::from_secs_f64(self.latency[pending.class].mean);
-            let wait = usual.min(limits.max_retry_after);
-            Action::Refuse {
-                request: id,
-                retry_after: (limits.retry_after && !wait.is_zero()).then_some(wait),
-            }
+            Action::Refuse { request: id, retry_after }
         } else {
             Action::Fail { request: id }
         });
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -661,3 +661,17 @@
         .collect();
     assert_eq!(sent.first(), Some(&RequestId(1_000_001)), "the repeat came last, and of equals goes first");
 }
+
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    let mut d = Driver::new(Settings::default(), endpoints(2));
+    rounds(&mut d, 50, |_| (Outcome::Ok, 40));
+    d.list(Membership::Full(Vec::new()));
+    let (id, _) = d.request(ms(500));
+    let actions = d.advance(ms(500));
+    let advice = actions.iter().find_map(|action| match action {
+        Action::Refuse { request, retry_after } if *request == id => *retry_after,
+        _ => None,
+    });
+    assert!(advice.is_some_and(|wait| (ms(20)..=ms(1000)).contains(&wait)), "{advice:?}");
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
