--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,8 +57,9 @@
 /// Own calls in flight at an endpoint that is not known yet: the paper's C before any measurement.
 const LIMIT_START: f64 = 3.0;
 /// Until its first late answer each timely one adds a call, up to so many: or few endpoints would hold a
-/// first surge up for seconds, as would whatever comes new into a small fleet. Of many balancers each adds
-/// less, or they add up to a jam. It could hurt where answers stay timely until a queue overflows.
+/// first surge up for seconds. Not where they are newly started: through a release those would be crowded.
+/// Of many balancers each adds less, or they add up to a jam. It could hurt where answers stay timely until
+/// a queue overflows.
 const LIMIT_OPEN: f64 = 8.0;
 /// One late answer takes this share of the limit; each round of timely ones adds one call.
 const LIMIT_CUT: f64 = 0.07;
@@ -334,14 +335,14 @@
                 }
                 None => {
                     self.index.insert(info.id, self.endpoints.len());
-                    let cold_tokens = self.draws.uniform();
+                    let (cold_tokens, opening) = (self.draws.uniform(), info.started.is_none());
                     self.endpoints.push(Endpoint {
                         info,
                         in_flight: 0,
                         heat: Fading::default(),
                         drag: Fading::default(),
                         limit: LIMIT_START,
-                        opening: true,
+                        opening,
                         limit_cut_at: now,
                         heard: None,
                         cold_tokens,
