Windows that are not used fall to one and a half times what was out

Change: the most that was out fades in 10 s; a window grows only beyond two thirds full, and falls to 1.5 times that most, never under what it starts with. The field does so where a sender has less to send (RFC 7661).

--- a/crates/weirwharf/src/balance.rs
+++ b/crates/weirwharf/src/balance.rs
@@ -78,6 +78,11 @@
 const WINDOW_GAIN: f64 = 0.75;
 /// Less than a call: where a balancer has one or two out, single slow answers are mostly chance.
 const WINDOW_CUT: f64 = 0.5;
+/// A window that is not used falls to so many times the most that was out of late (RFC 7661): room that was
+/// never tried out says nothing of what endpoints can hold, and would let a slowdown fill them up.
+const WINDOW_SPARE: f64 = 1.5;
+/// Seconds in which the most that was out is forgotten to a third.
+const USED_SECONDS: f64 = 10.0;
 /// Calls of all balancers at each endpoint beyond which floors of one call are too many.
 const FLOOR_CALLS: f64 = 8.0;
 /// An answer is also late beyond this multiple of its class's unhurried mean: work times spread.
@@ -164,6 +169,8 @@
     size: f64,
     out: u32,
     opening: bool,
+    /// The most that was out of late.
+    used: Fading,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -271,7 +278,7 @@
             requests: HashMap::new(),
             held: BTreeMap::new(),
             common_heat: 0.0,
-            windows: [Window { size: 1.0, out: 0, opening: true }; 2],
+            windows: [Window { size: 1.0, out: 0, opening: true, used: Fading::default() }; 2],
             recheck_set: false,
             missed: Fading::default(),
             timers: BTreeMap::new(),
@@ -580,7 +587,7 @@
             idle = Duration::ZERO;
         }
         endpoint.in_flight += 1;
-        self.windows[side].out += 1;
+        self.windows[side].sent(now);
         (endpoint.cold_tokens, endpoint.cold_at) = (cold_tokens - 1.0, now);
         pending.attempts.push(Attempt {
             endpoint: endpoint.info.id,
@@ -720,9 +727,11 @@
         if late {
             window.size = (window.size - WINDOW_CUT).max(part.max(1.0));
             window.opening = false;
-        } else if ended.outcome == Outcome::Ok && f64::from(window.out) * 2.0 > window.size {
+        } else if ended.outcome == Outcome::Ok && f64::from(window.out) * WINDOW_SPARE > window.size {
             window.size += if window.opening { part.min(1.0) } else { WINDOW_GAIN * part / window.size };
         }
+        let spare = (window.used.read(now, USED_SECONDS) * WINDOW_SPARE).max(WINDOW_START * part).max(1.0);
+        window.size = window.size.min(spare);
         window.out = window.out.saturating_sub(1);
         let usual = Duration::from_secs_f64(self.latency[class].mean());
         let endpoint = &mut self.endpoints[i];
@@ -1100,6 +1109,13 @@
     }
 }
 
+impl Window {
+    fn sent(&mut self, now: Duration) {
+        self.out += 1;
+        self.used.set(now, f64::from(self.out).max(self.used.read(now, USED_SECONDS)));
+    }
+}
+
 impl Endpoint {
     fn is_ready(&self) -> bool {
         self.info.state == EndpointState::Ready
--- a/crates/weirwharf/tests/failures.rs
+++ b/crates/weirwharf/tests/failures.rs
@@ -733,3 +733,31 @@
 fn refusals(actions: &[Action]) -> usize {
     actions.iter().filter(|action| matches!(action, Action::Refuse { .. })).count()
 }
+
+#[test]
+fn room_that_is_not_used_is_not_kept() {
+    // Windows stood at twice what was out when everything slowed down: all endpoints filled up within a second
+    // and stayed slow for half a minute (the second deployment's days of shared slowdowns).
+    let out_after_a_quiet_time = |quiet: u64| {
+        let mut d = Driver::new(Settings::default(), endpoints(12));
+        let busy = out_after(&mut d, 400, 10);
+        d.out.iter().map(|o| o.0).collect::<Vec<_>>().into_iter().for_each(|id| {
+            d.end(id, Outcome::Ok, ms(10));
+        });
+        for _ in 0..quiet {
+            d.advance(ms(1000));
+            while let Some(id) = d.out.first().map(|o| o.0) {
+                d.end(id, Outcome::Ok, ms(10));
+            }
+            let (id, _) = d.request(ms(2000));
+            d.end(id, Outcome::Ok, ms(10));
+        }
+        d.fill();
+        (busy, d.out.len())
+    };
+    let (busy, at_once) = out_after_a_quiet_time(0);
+    assert!(at_once * 10 >= busy * 9, "{at_once} calls out again at once, {busy} before");
+    let (busy, later) = out_after_a_quiet_time(40);
+    assert!(later * 2 <= busy, "{later} calls out at once after a quiet time, {busy} before it");
+    assert!(later >= 40, "{later} calls out: never less than a window starts with");
+}
