Plan before apply: differences by meaning, risks, plan files, runtrackctl, store in service

Need: routes and pools are changed in a hurry, and one careless edit can reach every kiosk at once.

Change: crates/plan takes two fleets apart into named things and gives the steps between them (create, change field by field, replace, move, delete; a route put in front of 10,000 is one step), twelve kinds of risk with their figures and severities that the fleet's file can raise and not lower, and a sealed plan file with lineage, serial, both hashes and a life. Apply replays the steps on the very state that they were made for, checks that they lead to the hash that the plan names, and makes one commit of the store; a state that has moved is refused with who moved it and what changed, a plan applied before says so. runtrackctl (crates/cli) is what a person types, with an exit code for each refusal. The control service takes its desired state from a store where the settings say so, and follows its head without a signal.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,194 @@
+//! `runtrackctl`: what a person types to change a fleet: plan, look, apply, and back.
+
+mod failure;
+mod run;
+mod service;
+mod show;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Plan changes of a fleet, see what they risk, apply exactly that, and go back.
+#[derive(Parser)]
+#[command(name = "runtrackctl", version, about, after_help = CODES)]
+struct Cli {
+    /// The state's folder.
+    #[arg(long, global = true, env = "RUNTRACK_STATE", default_value = "state", value_name = "FOLDER")]
+    state: PathBuf,
+    /// Who is acting, for the history.
+    #[arg(long, global = true, env = "USER", default_value = "unknown", value_name = "NAME")]
+    author: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+const CODES: &str = "\
+Exit codes: 0 done; 1 a file or the command line is wrong; 2 `plan --detailed-exitcode` found changes;
+3 the control service does not answer; 10 the plan is damaged or does not fit; 11 the state has moved;
+12 the plan is another state's; 13 the plan is too old, or a clock is wrong; 14 a high risk is not accepted;
+15 somebody else is writing; 16 the state is damaged or its disk fails.";
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check a fleet's file; print every problem with its place, or the fleet's hash.
+    Validate {
+        /// The fleet's file (TOML).
+        file: PathBuf,
+    },
+    /// Make an empty state.
+    Init,
+    /// Say exactly what a fleet's file would change, and what that risks.
+    Plan {
+        /// The wanted fleet (TOML).
+        file: PathBuf,
+        #[command(flatten)]
+        made: Made,
+        /// Exit with 2 where there is something to change.
+        #[arg(long)]
+        detailed_exitcode: bool,
+    },
+    /// Show a plan file.
+    Show {
+        /// The plan.
+        plan: PathBuf,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Do what a plan says, and nothing else.
+    Apply {
+        /// The plan.
+        plan: PathBuf,
+        /// A high risk that is taken, by its id; once for each.
+        #[arg(long, value_name = "ID")]
+        accept_risk: Vec<String>,
+        /// The control service's admin address: wait until every proxy has acknowledged.
+        #[arg(long, value_name = "ADDRESS")]
+        wait: Option<String>,
+        /// For how long to wait for that.
+        #[arg(long, value_name = "TIME", default_value = "30s", value_parser = humantime::parse_duration)]
+        wait_most: Duration,
+    },
+    /// List the versions that are kept, the newest first.
+    History {
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Plan the way back to an earlier version; apply it like any other plan.
+    Rollback {
+        /// The version.
+        serial: u64,
+        #[command(flatten)]
+        made: Made,
+    },
+    /// Look at the state itself.
+    #[command(subcommand)]
+    State(State),
+    /// Ask a running control service how it stands.
+    Status {
+        /// Its admin address.
+        #[arg(long, value_name = "ADDRESS")]
+        admin: String,
+        /// All that it says, as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Follow a control service until every proxy has what it serves.
+    Watch {
+        /// Its admin address.
+        #[arg(long, value_name = "ADDRESS")]
+        admin: String,
+        /// For how long.
+        #[arg(long, value_name = "TIME", default_value = "30s", value_parser = humantime::parse_duration)]
+        most: Duration,
+    },
+    /// Print completions for a shell.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+    /// Print the manual page.
+    Man,
+}
+
+/// How a plan is made and where it goes.
+#[derive(clap::Args)]
+struct Made {
+    /// Where the plan is written; without it nothing can be applied.
+    #[arg(short, long, value_name = "FILE")]
+    out: Option<PathBuf>,
+    /// What the fleet carries now (TOML), for the risks' figures.
+    #[arg(long, value_name = "FILE")]
+    load: Option<PathBuf>,
+    /// Why, for the history.
+    #[arg(long, default_value = "", value_name = "TEXT")]
+    reason: String,
+    /// For how long the plan may be applied.
+    #[arg(long, value_name = "TIME", default_value = "1h", value_parser = humantime::parse_duration)]
+    life: Duration,
+    /// As JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum State {
+    /// The current version, or an earlier one.
+    Show {
+        /// Which.
+        serial: Option<u64>,
+    },
+    /// Write a version's fleet in its canonical form (JSON).
+    Export {
+        /// Which; without it the current one.
+        serial: Option<u64>,
+        /// Where to; without it to standard output.
+        #[arg(short, long, value_name = "FILE")]
+        out: Option<PathBuf>,
+    },
+    /// Make an exported fleet the first version of an empty state.
+    Import {
+        /// The exported fleet (JSON).
+        file: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let place = run::Place { folder: cli.state, author: cli.author };
+    let done = match cli.command {
+        Command::Validate { file } => run::validate(&file),
+        Command::Init => place.init(),
+        Command::Plan { file, made, detailed_exitcode } => place.plan(&file, &made, detailed_exitcode),
+        Command::Show { plan, json } => run::show(&plan, json),
+        Command::Apply { plan, accept_risk, wait, wait_most } => {
+            place.apply(&plan, accept_risk, wait.map(|at| (at, wait_most)))
+        }
+        Command::History { json } => place.history(json),
+        Command::Rollback { serial, made } => place.rollback(serial, &made),
+        Command::State(State::Show { serial }) => place.state(serial),
+        Command::State(State::Export { serial, out }) => place.export(serial, out.as_deref()),
+        Command::State(State::Import { file }) => place.import(&file),
+        Command::Status { admin, json } => service::status(&admin, json),
+        Command::Watch { admin, most } => service::watch(&admin, None, most),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "runtrackctl", &mut std::io::stdout());
+            Ok(0)
+        }
+        Command::Man => {
+            let page = clap_mangen::Man::new(Cli::command()).render(&mut std::io::stdout());
+            page.map(|()| 0).map_err(failure::Failure::file("standard output".as_ref()))
+        }
+    };
+    match done {
+        Ok(code) => ExitCode::from(code),
+        Err(failure) => {
+            anstream::eprintln!("{failure}");
+            ExitCode::from(failure.code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,224 @@
+//! The commands on files and on a state's folder.
+
+use crate::Made;
+use crate::failure::Failure;
+use crate::{service, show};
+use runtrack_model::Fleet;
+use runtrack_plan::{Applied, ApplyError, Load, Plan, Request, apply, current};
+use runtrack_store::{Entry, Folder, Lock, Store};
+use std::collections::BTreeSet;
+use std::hash::{BuildHasher, RandomState};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// The exit code, where there is no failure.
+pub type Done = Result<u8, Failure>;
+
+/// `plan --detailed-exitcode` has found changes.
+const CHANGES: u8 = 2;
+
+/// A state's folder, and who acts on it.
+pub struct Place {
+    /// The folder.
+    pub folder: PathBuf,
+    /// Who.
+    pub author: String,
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn read(file: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(file).map_err(Failure::file(file))
+}
+
+/// A fleet from its file.
+fn fleet(file: &Path) -> Result<Fleet, Failure> {
+    Fleet::read(&read(file)?).map_err(|problems| {
+        let lines: Vec<String> =
+            problems.to_string().lines().map(|line| format!("{}:{line}", file.display())).collect();
+        Failure::Fleet(lines.join("\n"))
+    })
+}
+
+fn load(file: Option<&Path>) -> Result<Load, Failure> {
+    let Some(file) = file else { return Ok(Load::default()) };
+    toml::from_str(&read(file)?).map_err(|e| Failure::Fleet(format!("{}: {e}", file.display())))
+}
+
+fn read_plan(file: &Path) -> Result<Plan, Failure> {
+    let bytes = std::fs::read(file).map_err(Failure::file(file))?;
+    Plan::read(&bytes).map_err(|problem| Failure::Plan { file: file.to_owned(), problem })
+}
+
+fn print_json(value: &impl serde::Serialize) {
+    // Fails only for maps with keys that are no text, which nothing here has.
+    anstream::println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
+}
+
+/// `validate`.
+pub fn validate(file: &Path) -> Done {
+    println!("{}", fleet(file)?.hash());
+    Ok(0)
+}
+
+/// `show`.
+pub fn show(file: &Path, json: bool) -> Done {
+    let plan = read_plan(file)?;
+    match json {
+        true => print_json(&plan),
+        false => anstream::print!("{}", show::plan(&plan)),
+    }
+    Ok(0)
+}
+
+impl Place {
+    fn folder(&self) -> Result<Folder, Failure> {
+        if !self.folder.is_dir() {
+            return Err(Failure::NoState(self.folder.clone()));
+        }
+        Folder::new(&self.folder).map_err(Failure::file(&self.folder))
+    }
+
+    fn open(&self) -> Result<Store<Folder>, Failure> {
+        Store::open(self.folder()?)?.ok_or_else(|| Failure::NoState(self.folder.clone()))
+    }
+
+    /// The right to write, and the state as it is once nobody else writes.
+    fn open_locked(&self) -> Result<(Lock, Store<Folder>), Failure> {
+        let _ = self.folder()?; // says better than the lock that there is none
+        let lock = Lock::take(&self.folder, &format!("{}, process {}", self.author, std::process::id()))?;
+        Ok((lock, self.open()?))
+    }
+
+    /// `init`.
+    pub fn init(&self) -> Done {
+        let folder = Folder::new(&self.folder).map_err(Failure::file(&self.folder))?;
+        let _lock = Lock::take(&self.folder, &self.author)?;
+        let random = || RandomState::new().hash_one(now_ms());
+        let lineage = format!("{:016x}{:016x}", random(), random());
+        let store = Store::open_or_make(folder, &lineage)?;
+        println!("{}: lineage {}, serial {}", self.folder.display(), store.lineage(), store.serial());
+        Ok(0)
+    }
+
+    fn make(&self, store: &Store<Folder>, to: &Fleet, reason: &str, made: &Made) -> Result<Plan, Failure> {
+        let from = current(store, store.serial())?;
+        let load = load(made.load.as_deref())?;
+        let request = Request {
+            author: &self.author,
+            reason,
+            now_ms: now_ms(),
+            life_ms: u64::try_from(made.life.as_millis()).unwrap_or(u64::MAX),
+            lineage: store.lineage(),
+            base: store.current(),
+            load: &load,
+        };
+        let plan = Plan::make(request, &from, to);
+        if let Some(out) = &made.out {
+            std::fs::write(out, plan.write()).map_err(Failure::file(out))?;
+        }
+        match made.json {
+            true => print_json(&plan),
+            false => anstream::print!("{}", show::plan(&plan)),
+        }
+        Ok(plan)
+    }
+
+    /// `plan`.
+    pub fn plan(&self, file: &Path, made: &Made, detailed: bool) -> Done {
+        let to = fleet(file)?;
+        let plan = self.make(&self.open()?, &to, &made.reason, made)?;
+        Ok(if detailed && !plan.steps.is_empty() { CHANGES } else { 0 })
+    }
+
+    /// `rollback`.
+    pub fn rollback(&self, serial: u64, made: &Made) -> Done {
+        let store = self.open()?;
+        let to = current(&store, serial)?;
+        let reason = match made.reason.is_empty() {
+            true => format!("back to serial {serial}"),
+            false => made.reason.clone(),
+        };
+        self.make(&store, &to, &reason, made)?;
+        Ok(0)
+    }
+
+    /// `apply`.
+    pub fn apply(&self, file: &Path, accepted: Vec<String>, wait: Option<(String, Duration)>) -> Done {
+        let plan = read_plan(file)?;
+        let accepted: BTreeSet<String> = accepted.into_iter().collect();
+        let done = {
+            let (_lock, mut store) = self.open_locked()?;
+            apply(&mut store, &plan, &accepted, &self.author, now_ms())?
+        };
+        match done {
+            Applied::Now(serial) => println!("applied as serial {serial}: {}", plan.summary()),
+            Applied::Before(serial) => {
+                println!("this plan was applied before, as serial {serial}: nothing done")
+            }
+        }
+        match wait {
+            Some((at, most)) => service::watch(&at, Some(&plan.desired_hash), most),
+            None => Ok(0),
+        }
+    }
+
+    /// `history`.
+    pub fn history(&self, json: bool) -> Done {
+        let store = self.open()?;
+        match json {
+            true => print_json(&store.history()),
+            false => anstream::print!("{}", show::history(store.history())),
+        }
+        Ok(0)
+    }
+
+    /// `state show`.
+    pub fn state(&self, serial: Option<u64>) -> Done {
+        let store = self.open()?;
+        let serial = serial.unwrap_or(store.serial());
+        let fleet = current(&store, serial)?;
+        println!("lineage {}", store.lineage());
+        let version = store.history().iter().filter(|version| version.serial == serial);
+        anstream::print!("{}", show::history(&version.cloned().collect::<Vec<_>>()));
+        let routes: usize = fleet.listeners.values().map(|listener| listener.routes.len()).sum();
+        println!(
+            "{} classes, {} pools, {} listeners, {routes} routes",
+            fleet.classes.len(),
+            fleet.pools.len(),
+            fleet.listeners.len()
+        );
+        Ok(0)
+    }
+
+    /// `state export`.
+    pub fn export(&self, serial: Option<u64>, out: Option<&Path>) -> Done {
+        let store = self.open()?;
+        let text = current(&store, serial.unwrap_or(store.serial()))?.canonical();
+        match out {
+            Some(out) => std::fs::write(out, text).map_err(Failure::file(out))?,
+            None => println!("{text}"),
+        }
+        Ok(0)
+    }
+
+    /// `state import`.
+    pub fn import(&self, file: &Path) -> Done {
+        let fleet = Fleet::from_canonical(&read(file)?)
+            .map_err(|problem| Failure::Fleet(format!("{}: {problem}", file.display())))?;
+        let (_lock, mut store) = self.open_locked()?;
+        if store.serial() > 0 {
+            let what =
+                format!("the state has serial {} already: changes go by plan and apply", store.serial());
+            return Err(Failure::Usage(what));
+        }
+        let reason = format!("imported from {}", file.display());
+        let entry = Entry { author: &self.author, reason: &reason, at_ms: now_ms(), plan: "" };
+        let version = store.commit(0, &fleet.canonical(), entry).map_err(ApplyError::Store)?;
+        println!("serial {}: {}", version.serial, version.hash);
+        Ok(0)
+    }
+}
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -37,6 +37,7 @@
         pools.insert(name.clone(), pool);
     }
     let fleet = shared.core.lock().unwrap_or_else(PoisonError::into_inner).fleet().hash();
+    let version = shared.version.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let proxies: Vec<Value> = shared.hub.streams().iter().map(|stream| {
         let types: Vec<Value> = stream.standings.iter().map(|s| {
             json!({
@@ -68,6 +69,7 @@
     let troubles = shared.troubles.lock().unwrap_or_else(PoisonError::into_inner).clone();
     json!({
         "epoch": cache.epoch(), "seq": cache.seq(), "encodings": cache.encodings(), "fleet": fleet,
+        "serial": version.as_ref().map(|version| version.serial), "version": version,
         "resources": resources, "pools": pools, "proxies": proxies, "ended": ended, "troubles": troubles,
     })
 }
--- /dev/null
+++ b/crates/control/src/desired.rs
@@ -0,0 +1,97 @@
+//! Where the desired state comes from: a file that a person writes, or the store that plans are applied to.
+
+use crate::settings::{Settings, SettingsError};
+use runtrack_model::Fleet;
+use runtrack_store::{Folder, Store, StoreError, Version};
+use std::path::{Path, PathBuf};
+
+/// Why there is no desired state.
+#[derive(Debug, thiserror::Error)]
+pub enum DesiredError {
+    /// The file is wrong.
+    #[error(transparent)]
+    File(#[from] SettingsError),
+    /// The folder can't be used.
+    #[error("{}: {}", .0.display(), .1)]
+    Folder(PathBuf, std::io::Error),
+    /// There is no state in the folder.
+    #[error("{path}: there is no state here: make one with `runtrackctl --state {path} init`", path = .0.display())]
+    NoState(PathBuf),
+    /// The state is damaged or newer than this version.
+    #[error("{}: {}", .0.display(), .1)]
+    Store(PathBuf, StoreError),
+    /// The state's current version is no fleet.
+    #[error("{}: serial {} is no fleet: {}", .0.display(), .1, .2)]
+    NoFleet(PathBuf, u64, String),
+}
+
+/// The desired state, and which version of the store it is; none for a file or an empty store.
+pub struct Desired {
+    /// What is to be served.
+    pub fleet: Fleet,
+    /// Its version.
+    pub version: Option<Version>,
+}
+
+/// Where it comes from.
+#[derive(Clone, Debug)]
+pub enum Origin {
+    /// A file, read at the start and by SIGHUP.
+    File(PathBuf),
+    /// A store, read whenever its head has moved.
+    Store(PathBuf),
+}
+
+impl Origin {
+    /// As the settings say, which name one of the two.
+    pub fn settings(settings: &Settings) -> Origin {
+        match (&settings.store, &settings.fleet) {
+            (Some(store), _) => Origin::Store(store.clone()),
+            (None, fleet) => Origin::File(fleet.clone().unwrap_or_default()),
+        }
+    }
+
+    /// Reads it.
+    pub fn read(&self) -> Result<Desired, DesiredError> {
+        match self {
+            Origin::File(path) => Ok(Desired { fleet: read_file(path)?, version: None }),
+            Origin::Store(path) => read_store(path),
+        }
+    }
+
+    /// The serial that is there now, if it comes from a store: cheap enough to be asked twice a second.
+    pub fn serial(&self) -> Option<Result<u64, DesiredError>> {
+        match self {
+            Origin::File(_) => None,
+            Origin::Store(path) => Some(open(path).map(|store| store.serial())),
+        }
+    }
+}
+
+fn read_file(path: &Path) -> Result<Fleet, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Unreadable(path.to_owned(), e))?;
+    Fleet::read(&text).map_err(|problems| {
+        let lines: Vec<String> = problems.to_string().lines().map(str::to_owned).collect();
+        SettingsError::Wrong(path.to_owned(), lines.join(&format!("\n{}:", path.display())))
+    })
+}
+
+fn open(path: &Path) -> Result<Store<Folder>, DesiredError> {
+    if !path.is_dir() {
+        return Err(DesiredError::NoState(path.to_owned()));
+    }
+    let folder = Folder::new(path).map_err(|e| DesiredError::Folder(path.to_owned(), e))?;
+    let store = Store::open(folder).map_err(|e| DesiredError::Store(path.to_owned(), e))?;
+    store.ok_or_else(|| DesiredError::NoState(path.to_owned()))
+}
+
+fn read_store(path: &Path) -> Result<Desired, DesiredError> {
+    let store = open(path)?;
+    let Some(version) = store.current().cloned() else {
+        return Ok(Desired { fleet: Fleet::default(), version: None });
+    };
+    let text = store.text(version.serial).map_err(|e| DesiredError::Store(path.to_owned(), e))?;
+    let fleet = Fleet::from_canonical(&text)
+        .map_err(|problem| DesiredError::NoFleet(path.to_owned(), version.serial, problem))?;
+    Ok(Desired { fleet, version: Some(version) })
+}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod core;
+mod desired;
 mod memory;
 mod pool;
 mod serve;
@@ -23,7 +24,8 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve until SIGTERM. SIGHUP reads the fleet's file again; a bad file leaves the old state serving.
+    /// Serve until SIGTERM. SIGHUP reads the fleet's file again, a store is followed; what is bad leaves the old
+    /// state serving.
     Serve {
         /// The service's settings.
         #[arg(long, value_name = "FILE")]
@@ -49,8 +51,9 @@
             Err(problem) => Err(problem.to_string()),
         },
         Command::Check { config } => settings::Settings::read(&config)
-            .and_then(|settings| settings::read_fleet(&settings.fleet))
-            .map(|fleet| println!("{}", fleet.hash()))
+            .map_err(desired::DesiredError::from)
+            .and_then(|settings| desired::Origin::settings(&settings).read())
+            .map(|desired| println!("{}", desired.fleet.hash()))
             .map_err(|problem| problem.to_string()),
     };
     match done {
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -2,8 +2,9 @@
 
 use crate::admin;
 use crate::core::{Core, Due};
+use crate::desired::{self, Desired, DesiredError};
 use crate::memory::{self, Memory};
-use crate::settings::{self, Settings, SettingsError};
+use crate::settings::{Settings, SettingsError};
 use crate::shared::Shared;
 use crate::source::{self, News};
 use runtrack_discovery::Clock;
@@ -36,6 +37,9 @@
     /// A file is wrong.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// There is no desired state to begin with.
+    #[error(transparent)]
+    Desired(#[from] DesiredError),
     /// The system refuses something.
     #[error("{what}: {why}")]
     System {
@@ -56,7 +60,8 @@
 /// Serves until SIGTERM or SIGINT.
 pub async fn serve(path: &Path) -> Result<(), ServeError> {
     let settings = Settings::read(path)?;
-    let fleet = settings::read_fleet(&settings.fleet)?;
+    let from = desired::Origin::settings(&settings);
+    let Desired { fleet, version } = from.read()?;
     let mut hup = signal(SignalKind::hangup()).map_err(system("SIGHUP"))?;
     let mut term = signal(SignalKind::terminate()).map_err(system("SIGTERM"))?;
     let clock = Clock::start();
@@ -71,10 +76,9 @@
     let hub = Hub::new(epoch, settings.xds());
     let core = Core::new(fleet, held, epoch, clock.now());
     let core = Mutex::new(core);
-    let shared =
-        Shared { hub: hub.clone(), core, pools: Mutex::default(), clock, troubles: Mutex::default() };
-    let shared = Arc::new(shared);
-    let mut keeper = Keeper { shared: shared.clone(), memory };
+    let (pools, version, troubles) = (Mutex::default(), Mutex::new(version), Mutex::default());
+    let shared = Arc::new(Shared { hub: hub.clone(), core, pools, version, clock, troubles });
+    let mut keeper = Keeper { shared: shared.clone(), memory, from };
     keeper.publish(true);
 
     let listener = TcpListener::bind(settings.listen).await;
@@ -123,10 +127,13 @@
             _ = ticks.tick() => {
                 let now = clock.now();
                 keeper.core(|core| core.tick(now));
+                if keeper.follow() {
+                    let _ = wanted.send(keeper.core(|core| core.sources()));
+                }
                 keeper.show();
             }
             _ = hup.recv() => {
-                keeper.reload(&settings.fleet);
+                keeper.reload();
                 let _ = wanted.send(keeper.core(|core| core.sources()));
             }
             _ = term.recv() => {
@@ -171,6 +178,7 @@
 struct Keeper {
     shared: Arc<Shared>,
     memory: Option<Memory>,
+    from: desired::Origin,
 }
 
 impl Keeper {
@@ -206,18 +214,41 @@
         }
     }
 
-    fn reload(&mut self, path: &Path) {
-        match settings::read_fleet(path) {
-            Ok(fleet) => {
+    /// Reads the desired state again where it comes from a store whose head has moved; says whether it has.
+    fn follow(&mut self) -> bool {
+        let version = |shared: &Shared| {
+            let version = shared.version.lock().unwrap_or_else(PoisonError::into_inner);
+            version.as_ref().map_or(0, |version| version.serial)
+        };
+        let served = version(&self.shared);
+        match self.from.serial() {
+            None => false,
+            Some(Ok(serial)) if serial == served => {
+                self.shared.trouble("reload", None);
+                false
+            }
+            // A bad one is told by the reload, once.
+            Some(_) => self.reload(),
+        }
+    }
+
+    /// Takes the desired state as it is now, or goes on with the old one and says why.
+    fn reload(&mut self) -> bool {
+        match self.from.read() {
+            Ok(Desired { fleet, version }) => {
                 let now = self.shared.clock.now();
                 let hash = fleet.hash();
+                let serial = version.as_ref().map(|version| format!("serial {}, ", version.serial));
                 self.core(|core| core.replace(now, fleet));
+                *self.shared.version.lock().unwrap_or_else(PoisonError::into_inner) = version;
                 self.publish(true);
                 self.shared.trouble("reload", None);
-                eprintln!("reloaded: fleet {}", &hash[..12]);
+                eprintln!("reloaded: {}fleet {}", serial.unwrap_or_default(), &hash[..12]);
+                true
             }
             Err(problem) => {
-                self.shared.trouble("reload", Some(format!("{problem}\nthe old state goes on")))
+                self.shared.trouble("reload", Some(format!("{problem}\nthe old state goes on")));
+                false
             }
         }
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -21,8 +21,10 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
-    /// The fleet's file, from this file's folder.
-    pub fleet: PathBuf,
+    /// The fleet's file, from this file's folder; or ...
+    pub fleet: Option<PathBuf>,
+    /// ... the folder of the state that plans are applied to.
+    pub store: Option<PathBuf>,
     /// Where proxies connect.
     pub listen: SocketAddr,
     /// Where people and their tools ask; none: nowhere.
@@ -115,7 +117,13 @@
             wrong(format!("{line}:{column}: {}", e.message().replace('\n', " ")))
         })?;
         let folder = path.parent().unwrap_or(Path::new(""));
-        settings.fleet = folder.join(&settings.fleet);
+        settings.fleet = settings.fleet.map(|fleet| folder.join(fleet));
+        settings.store = settings.store.map(|store| folder.join(store));
+        if settings.fleet.is_some() == settings.store.is_some() {
+            return Err(wrong(
+                " `fleet` (a file) or `store` (a folder): one of the two, and not both".to_owned(),
+            ));
+        }
         settings.state = settings.state.map(|state| folder.join(state));
         if let Some(tls) = &mut settings.tls {
             tls.certificate = folder.join(&tls.certificate);
@@ -162,12 +170,3 @@
         Duration::from_millis(self.limits.push_every_ms)
     }
 }
-
-/// Reads the fleet's file.
-pub fn read_fleet(path: &Path) -> Result<runtrack_model::Fleet, SettingsError> {
-    let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Unreadable(path.to_owned(), e))?;
-    runtrack_model::Fleet::read(&text).map_err(|problems| {
-        let lines: Vec<String> = problems.to_string().lines().map(str::to_owned).collect();
-        SettingsError::Wrong(path.to_owned(), lines.join(&format!("\n{}:", path.display())))
-    })
-}
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Core, PoolStatus};
 use runtrack_discovery::Clock;
+use runtrack_store::Version;
 use runtrack_xds::Hub;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -14,6 +15,8 @@
     pub core: Mutex<Core>,
     /// How the pools stand, as committed: what is shown here a restart knows.
     pub pools: Mutex<BTreeMap<String, PoolStatus>>,
+    /// Which version of the store is served; none: it comes from a file, or the store is empty.
+    pub version: Mutex<Option<Version>>,
     /// The clock.
     pub clock: Clock,
     /// What went wrong last with the disk or a reload, and has not been put right.
@@ -26,7 +29,10 @@
         let mut troubles = self.troubles.lock().unwrap_or_else(PoisonError::into_inner);
         match what {
             Some(what) => {
-                eprintln!("{of}: {what}");
+                // What goes on being wrong is said once.
+                if troubles.get(of) != Some(&what) {
+                    eprintln!("{of}: {what}");
+                }
                 troubles.insert(of, what);
             }
             None => drop(troubles.remove(of)),
--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -9,6 +9,22 @@
 /// Longer waits than a day are a slip of the unit.
 const TIME_MOST: Duration = Duration::from_secs(24 * 3600);
 
+/// The kinds of risks that a change can have, for `[risks]`.
+pub const RISKS: [&str; 12] = [
+    "capacity-lost",
+    "class-time",
+    "cold-together",
+    "drain-short",
+    "limit-lowered",
+    "listener-gone",
+    "pool-emptied",
+    "pool-replaced",
+    "pool-thin",
+    "protection-lost",
+    "route-shadowed",
+    "traffic-moved",
+];
+
 /// Something that must not be, and where: a path like `pool.exchange.endpoint.x1.weight`.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{path}: {what}")]
@@ -37,6 +53,12 @@
         self.check_classes(&mut faults);
         self.check_pools(&mut faults);
         self.check_listeners(&mut faults);
+        let known = RISKS.map(str::to_owned);
+        for kind in self.risks.keys() {
+            faults.check(known.contains(kind), format!("risks.{kind}"), || {
+                format!("there is no risk `{kind}`{}", nearest(kind, &known))
+            });
+        }
         faults.0
     }
 
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -23,6 +23,32 @@
     pub pools: BTreeMap<String, Pool>,
     /// Listeners, by name.
     pub listeners: BTreeMap<String, Listener>,
+    /// Risks of changes that weigh at least so much here, by the risk's kind.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub risks: BTreeMap<String, Severity>,
+}
+
+/// How much a risk weighs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Severity {
+    /// Worth knowing.
+    Low,
+    /// Worth a second look.
+    Medium,
+    /// Must be accepted by name before it is applied.
+    High,
+}
+
+impl Severity {
+    /// As it is written.
+    pub fn name(self) -> &'static str {
+        match self {
+            Severity::Low => "low",
+            Severity::Medium => "medium",
+            Severity::High => "high",
+        }
+    }
 }
 
 /// Figures of the four rules, the same for all pools.
@@ -193,11 +219,24 @@
 
     /// SHA-256 of the canonical form, in hex.
     pub fn hash(&self) -> String {
-        let digest = Sha256::digest(self.canonical());
-        digest.iter().map(|byte| format!("{byte:02x}")).collect()
+        digest(&self.canonical())
+    }
+
+    /// Reads the canonical form and checks the whole: what is wrong with it, or the fleet.
+    pub fn from_canonical(text: &str) -> Result<Fleet, String> {
+        let fleet: Fleet = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        match fleet.faults().first() {
+            Some(fault) => Err(fault.to_string()),
+            None => Ok(fleet),
+        }
     }
 }
 
+/// SHA-256 of a text, in hex.
+pub fn digest(text: &str) -> String {
+    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 mod micros {
     use serde::{Deserialize, Deserializer, Serializer};
     use std::time::Duration;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,8 +20,9 @@
 mod read;
 mod toml;
 
-pub use check::Fault;
+pub use check::{Fault, RISKS};
 pub use fleet::{
-    Class, Endpoint, Fleet, Listener, Pool, Route, Rules, Semantics, Share, Source, State, Zones,
+    Class, Endpoint, Fleet, Listener, Pool, Route, Rules, Semantics, Severity, Share, Source, State, Zones,
+    digest,
 };
 pub use problem::{Problem, Problems};
--- a/crates/model/src/read.rs
+++ b/crates/model/src/read.rs
@@ -38,8 +38,15 @@
     let classes = root.tables("class").iter().map(|t| (name(t), class(t))).collect();
     let pools = root.tables("pool").iter().map(|t| (name(t), pool(t))).collect();
     let listeners = root.tables("listener").iter().map(|t| (name(t), listener(t))).collect();
+    let risks = root.table("risks").map(|table| risks(&table)).unwrap_or_default();
     root.done();
-    Fleet { rules, zones, classes, pools, listeners }
+    Fleet { rules, zones, classes, pools, listeners, risks }
+}
+
+fn risks(table: &Table) -> BTreeMap<String, Severity> {
+    let words = [Severity::Low, Severity::Medium, Severity::High].map(|s| (s.name(), s));
+    let one = |kind: String| table.word(&kind, &words).map(|severity| (kind, severity));
+    table.keys().into_iter().filter_map(one).collect()
 }
 
 /// The name that a table must have; where it has none, which is a problem, a stand-in that is no other's.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,12 +6,12 @@
 
 mod files;
 mod lock;
+pub mod seal;
 
 pub use files::{Files, Folder};
 pub use lock::Lock;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 use std::io;
 use thiserror::Error;
 
@@ -85,6 +85,9 @@
     pub reason: String,
     /// When, by its author's clock: Unix time in milliseconds.
     pub at_ms: u64,
+    /// The id of the plan that it came from; empty for none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub plan: String,
 }
 
 /// Who commits, why and when.
@@ -96,6 +99,8 @@
     pub reason: &'a str,
     /// Unix time in milliseconds.
     pub at_ms: u64,
+    /// The plan that it carries out; empty for none.
+    pub plan: &'a str,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -157,7 +162,7 @@
         let version = version.ok_or(StoreError::Unknown(serial))?;
         let name = state_name(serial);
         let text = read_sealed(&self.files, &name)?.ok_or_else(|| damaged(&name, "it is missing"))?;
-        if hash(&text) != version.hash {
+        if seal::hash(&text) != version.hash {
             return Err(damaged(&name, "it is not the version that the head names"));
         }
         Ok(text)
@@ -176,14 +181,15 @@
         }
         let version = Version {
             serial: found + 1,
-            hash: hash(text),
+            hash: seal::hash(text),
             parent: self.current().map(|version| version.hash.clone()).unwrap_or_default(),
             author: entry.author.to_owned(),
             reason: entry.reason.to_owned(),
             at_ms: entry.at_ms,
+            plan: entry.plan.to_owned(),
         };
         let name = state_name(version.serial);
-        self.write_durably(&name, &seal(text))?;
+        self.write_durably(&name, &sealed(text))?;
         self.files.sync_folder().map_err(|error| file(".", error))?;
         let mut head = self.head.clone();
         head.versions.push(version);
@@ -208,10 +214,6 @@
     format!("state-{serial:010}")
 }
 
-fn hash(text: &str) -> String {
-    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 fn file(name: &str, error: io::Error) -> StoreError {
     StoreError::File { file: name.to_owned(), error }
 }
@@ -220,11 +222,6 @@
     StoreError::Damaged { file: name.to_owned(), problem: problem.to_string() }
 }
 
-/// The text under a line that says its format and its hash.
-fn seal(text: &str) -> Vec<u8> {
-    format!("{MAGIC} {FORMAT} {}\n{text}", hash(text)).into_bytes()
-}
-
 /// A sealed file's text; none where there is no such file.
 fn read_sealed(files: &impl Files, name: &str) -> Result<Option<String>, StoreError> {
     let bytes = match files.read(name) {
@@ -232,21 +229,15 @@
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(error) => return Err(file(name, error)),
     };
-    let text = String::from_utf8(bytes).map_err(|_| damaged(name, "it is no text"))?;
-    let (first, rest) = text.split_once('\n').ok_or_else(|| damaged(name, "its first line has no end"))?;
-    let parts: Vec<&str> = first.split(' ').collect();
-    let &[MAGIC, format, sum] = &parts[..] else { return Err(damaged(name, "its first line is not ours")) };
-    let format: u32 = format.parse().map_err(|_| damaged(name, "its format is no number"))?;
-    if format > FORMAT {
-        return Err(StoreError::Newer { file: name.to_owned(), found: format });
+    match seal::open(MAGIC, FORMAT, &bytes) {
+        Ok(text) => Ok(Some(text.to_owned())),
+        Err(seal::Broken::Newer { found, .. }) => Err(StoreError::Newer { file: name.to_owned(), found }),
+        Err(broken) => Err(damaged(name, broken)),
     }
-    if format != FORMAT {
-        return Err(damaged(name, format!("there never was a format {format}")));
-    }
-    if hash(rest) != sum {
-        return Err(damaged(name, "its hash does not fit"));
-    }
-    Ok(Some(rest.to_owned()))
+}
+
+fn sealed(text: &str) -> Vec<u8> {
+    seal::seal(MAGIC, FORMAT, text)
 }
 
 fn read_head(files: &impl Files) -> Result<Option<Head>, StoreError> {
@@ -261,7 +252,7 @@
 
 fn write_head(files: &impl Files, head: &Head) -> Result<(), StoreError> {
     let text = serde_json::to_string(head).map_err(|e| damaged(HEAD, e))?;
-    files.write(HEAD_NEW, &seal(&text)).map_err(|error| file(HEAD_NEW, error))?;
+    files.write(HEAD_NEW, &sealed(&text)).map_err(|error| file(HEAD_NEW, error))?;
     files.sync(HEAD_NEW).map_err(|error| file(HEAD_NEW, error))?;
     files.rename(HEAD_NEW, HEAD).map_err(|error| file(HEAD, error))?;
     files.sync_folder().map_err(|error| file(".", error))
--- a/crates/store/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -164,7 +164,7 @@
 }
 
 fn entry(author: &str) -> Entry<'_> {
-    Entry { author, reason: "a test", at_ms: 1_796_000_000_000 }
+    Entry { author, reason: "a test", at_ms: 1_796_000_000_000, plan: "" }
 }
 
 fn text(serial: u64) -> String {
--- a/crates/testkit/src/control.rs
+++ b/crates/testkit/src/control.rs
@@ -68,12 +68,21 @@
     /// Starts one with this fleet, further settings, and a state folder or none.
     pub async fn start(binary: &str, fleet: &str, settings: &str, disk: bool) -> Control {
         let folder = Folder::new();
+        folder.write("fleet.toml", fleet);
+        Self::start_in(binary, folder, "fleet = \"fleet.toml\"\n", settings, disk).await
+    }
+
+    /// Starts one that takes its desired state from the store in this folder.
+    pub async fn start_on_store(binary: &str, store: &Path, settings: &str) -> Control {
+        let from = format!("store = {:?}\n", store.display().to_string());
+        Self::start_in(binary, Folder::new(), &from, settings, true).await
+    }
+
+    async fn start_in(binary: &str, folder: Folder, from: &str, settings: &str, disk: bool) -> Control {
         let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
         let (xds, admin) = (at(free_port()), at(free_port()));
-        folder.write("fleet.toml", fleet);
         let state = if disk { "state = \"state\"\n" } else { "" };
-        let text =
-            format!("fleet = \"fleet.toml\"\nlisten = \"{xds}\"\nadmin = \"{admin}\"\n{state}{settings}");
+        let text = format!("{from}listen = \"{xds}\"\nadmin = \"{admin}\"\n{state}{settings}");
         folder.write("control.toml", &text);
         let mut control = Control { binary: binary.into(), folder, child: None, xds, admin };
         control.launch().await;
