--- a/crates/cli/benches/kills.rs
+++ b/crates/cli/benches/kills.rs
@@ -25,6 +25,10 @@
         "\na commit of 100 KB {commit:.2} ms, a bare write and sync of it {bare:.2} ms, ratio {:.2}",
         commit / bare
     );
+    println!("\nopening a state, checks and the current version's text included:");
+    for versions in [1, 10, 100] {
+        println!("{versions:>8} versions of 100 KB: {:.3} ms", opening(versions));
+    }
     println!("\nkills, at random times over a whole apply:");
     for (pools, rounds) in [(10, 300), (1000, 200)] {
         let folder = Folder::new();
@@ -76,7 +80,12 @@
     let (mut commits, mut bares) = (Vec::new(), Vec::new());
     for n in 0..200 {
         let began = Instant::now();
-        let entry = runtrack_store::Entry { author: "a", reason: "b", at_ms: 0, plan: "" };
+        let entry = runtrack_store::Entry {
+            author: "a",
+            reason: "b",
+            at_ms: 0,
+            ..runtrack_store::Entry::default()
+        };
         store.commit(n, &text, entry).expect("a commit");
         commits.push(began.elapsed().as_secs_f64() * 1000.0);
         let began = Instant::now();
@@ -89,3 +98,23 @@
     bares.sort_by(f64::total_cmp);
     (commits[commits.len() / 2], bares[bares.len() / 2])
 }
+
+/// Median time in which a state with so many versions is open and its current text read, in ms.
+fn opening(versions: u64) -> f64 {
+    let folder = Folder::new();
+    let files = || Files_::new(folder.path()).expect("a folder");
+    let mut store = Store::open_or_make(files(), "l").expect("a store");
+    let text = "x".repeat(100_000);
+    for n in 0..versions {
+        store.commit(n, &text, runtrack_store::Entry::default()).expect("a commit");
+    }
+    let once = || {
+        let began = Instant::now();
+        let store = Store::open(files()).expect("readable").expect("there");
+        assert_eq!(store.text(versions).expect("readable").len(), text.len());
+        began.elapsed().as_secs_f64() * 1000.0
+    };
+    let mut times: Vec<f64> = (0..50).map(|_| once()).collect();
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -65,7 +65,7 @@
         /// A high risk that is taken, by its id; once for each.
         #[arg(long, value_name = "ID")]
         accept_risk: Vec<String>,
-        /// The control service's admin address: wait until every proxy has acknowledged.
+        /// The control service's admin address, or the path of its socket: wait until every proxy has acknowledged.
         #[arg(long, value_name = "ADDRESS")]
         wait: Option<String>,
         /// For how long to wait for that.
@@ -85,13 +85,16 @@
         #[command(flatten)]
         made: Made,
     },
+    /// Finish a roll-out in stages, either way.
+    #[command(subcommand)]
+    Rollout(Rollout),
     /// Look at the state itself.
     #[command(subcommand)]
     State(State),
     /// Ask a running control service how it stands.
     Status {
-        /// Its admin address.
-        #[arg(long, value_name = "ADDRESS")]
+        /// Its admin address, or the path of its socket.
+        #[arg(long, env = "RUNTRACK_ADMIN", default_value = "./control.sock", value_name = "ADDRESS")]
         admin: String,
         /// All that it says, as JSON.
         #[arg(long)]
@@ -99,8 +102,8 @@
     },
     /// Follow a control service until every proxy has what it serves.
     Watch {
-        /// Its admin address.
-        #[arg(long, value_name = "ADDRESS")]
+        /// Its admin address, or the path of its socket.
+        #[arg(long, env = "RUNTRACK_ADMIN", default_value = "./control.sock", value_name = "ADDRESS")]
         admin: String,
         /// For how long.
         #[arg(long, value_name = "TIME", default_value = "30s", value_parser = humantime::parse_duration)]
@@ -127,6 +130,12 @@
     /// Why, for the history.
     #[arg(long, default_value = "", value_name = "TEXT")]
     reason: String,
+    /// Parts of the proxies that get the change one after the other, such as 10%,50%: the rest follows.
+    #[arg(long, value_name = "PARTS", value_delimiter = ',', value_parser = part)]
+    stages: Vec<u32>,
+    /// Least time between two stages.
+    #[arg(long, value_name = "TIME", default_value = "30s", value_parser = humantime::parse_duration)]
+    pause: Duration,
     /// For how long the plan may be applied.
     #[arg(long, value_name = "TIME", default_value = "1h", value_parser = humantime::parse_duration)]
     life: Duration,
@@ -135,6 +144,25 @@
     json: bool,
 }
 
+/// A part of the proxies, in 10,000.
+fn part(text: &str) -> Result<u32, String> {
+    let number = text.strip_suffix('%').and_then(|number| number.parse::<f64>().ok());
+    let part = number.map(|number| (number * 100.0).round()).filter(|part| (1.0..=10_000.0).contains(part));
+    part.map(|part| part as u32).ok_or_else(|| format!("`{text}` is no part: 0.01% to 100%"))
+}
+
+#[derive(Subcommand)]
+enum Rollout {
+    /// Go on with one that has halted.
+    Resume {
+        /// The control service's admin address, or the path of its socket.
+        #[arg(long, env = "RUNTRACK_ADMIN", default_value = "./control.sock", value_name = "ADDRESS")]
+        admin: String,
+    },
+    /// Go back to the version before, for all proxies at once.
+    Abort,
+}
+
 #[derive(Subcommand)]
 enum State {
     /// The current version, or an earlier one.
@@ -158,7 +186,14 @@
 }
 
 fn main() -> ExitCode {
-    let cli = Cli::parse();
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(problem) => {
+            let _ = problem.print();
+            // 2 is taken: `plan --detailed-exitcode` says by it that there are changes.
+            return if problem.use_stderr() { ExitCode::FAILURE } else { ExitCode::SUCCESS };
+        }
+    };
     let place = run::Place { folder: cli.state, author: cli.author };
     let done = match cli.command {
         Command::Validate { file } => run::validate(&file),
@@ -170,6 +205,8 @@
         }
         Command::History { json } => place.history(json),
         Command::Rollback { serial, made } => place.rollback(serial, &made),
+        Command::Rollout(Rollout::Resume { admin }) => service::resume(&admin),
+        Command::Rollout(Rollout::Abort) => place.abort(),
         Command::State(State::Show { serial }) => place.state(serial),
         Command::State(State::Export { serial, out }) => place.export(serial, out.as_deref()),
         Command::State(State::Import { file }) => place.import(&file),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -14,6 +14,8 @@
 /// The exit code, where there is no failure.
 pub type Done = Result<u8, Failure>;
 
+/// All proxies, in 10,000.
+const ALL: u32 = 10_000;
 /// `plan --detailed-exitcode` has found changes.
 const CHANGES: u8 = 2;
 
@@ -107,6 +109,14 @@
     fn make(&self, store: &Store<Folder>, to: &Fleet, reason: &str, made: &Made) -> Result<Plan, Failure> {
         let from = current(store, store.serial())?;
         let load = load(made.load.as_deref())?;
+        // All proxies are the last stage, said or not.
+        let mut stages = made.stages.clone();
+        if !stages.is_empty() && stages.last() != Some(&ALL) {
+            stages.push(ALL);
+        }
+        if stages.windows(2).any(|pair| pair[0] >= pair[1]) {
+            return Err(Failure::Usage("--stages: each must be larger than the one before".to_owned()));
+        }
         let request = Request {
             author: &self.author,
             reason,
@@ -115,6 +125,12 @@
             lineage: store.lineage(),
             base: store.current(),
             load: &load,
+            stages: &stages,
+            pause_ms: if stages.is_empty() {
+                0
+            } else {
+                u64::try_from(made.pause.as_millis()).unwrap_or(u64::MAX)
+            },
         };
         let plan = Plan::make(request, &from, to);
         if let Some(out) = &made.out {
@@ -166,6 +182,22 @@
         }
     }
 
+    /// `rollout abort`.
+    pub fn abort(&self) -> Done {
+        let (_lock, mut store) = self.open_locked()?;
+        let Some(version) = store.current().cloned().filter(|version| !version.stages.is_empty()) else {
+            let what = "the current version is not handed out in stages: plan a rollback instead";
+            return Err(Failure::Usage(what.to_owned()));
+        };
+        let before = current(&store, version.serial - 1)?;
+        let reason = format!("abort of serial {}", version.serial);
+        let entry = Entry { author: &self.author, reason: &reason, at_ms: now_ms(), ..Entry::default() };
+        let serial =
+            store.commit(version.serial, &before.canonical(), entry).map_err(ApplyError::Store)?.serial;
+        println!("serial {serial}: as serial {} was, for all proxies at once", version.serial - 1);
+        Ok(0)
+    }
+
     /// `history`.
     pub fn history(&self, json: bool) -> Done {
         let store = self.open()?;
@@ -216,7 +248,7 @@
             return Err(Failure::Usage(what));
         }
         let reason = format!("imported from {}", file.display());
-        let entry = Entry { author: &self.author, reason: &reason, at_ms: now_ms(), plan: "" };
+        let entry = Entry { author: &self.author, reason: &reason, at_ms: now_ms(), ..Entry::default() };
         let version = store.commit(0, &fleet.canonical(), entry).map_err(ApplyError::Store)?;
         println!("serial {}: {}", version.serial, version.hash);
         Ok(0)
--- a/crates/cli/src/service.rs
+++ b/crates/cli/src/service.rs
@@ -1,25 +1,82 @@
-//! A running control service, asked at its admin address.
+//! A running control service, asked at its admin address or its Unix socket.
 
 use crate::failure::Failure;
 use crate::run::Done;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpStream, UnixStream};
 
 /// No answer takes longer.
 const ANSWER_MOST: Duration = Duration::from_secs(5);
 /// Longest answer: a thousand proxies with all their types are some hundred KB.
-const BYTES_MOST: u64 = 64 << 20;
+const BYTES_MOST: usize = 64 << 20;
 /// How often a service that is followed is asked.
 const EVERY: Duration = Duration::from_millis(100);
 
+/// One request over a connection of its own: the code, and the body.
+async fn exchange(
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    ask: Request<Empty<Bytes>>,
+) -> Answer {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let talk = async {
+        let answer = sender.send_request(ask).await?;
+        let code = answer.status();
+        let body = Limited::new(answer.into_body(), BYTES_MOST).collect().await?.to_bytes();
+        Ok((code, body))
+    };
+    tokio::select! {
+        answer = talk => answer,
+        Err(problem) = connection => Err(problem.into()),
+    }
+}
+
+type Answer = Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>>;
+
+/// Asks a service at its admin address, or at the Unix socket of a path.
+fn request(at: &str, method: Method, path: &str) -> Result<(StatusCode, Bytes), Failure> {
+    let failed = |problem: String| Failure::Service { at: at.to_owned(), problem };
+    let ask =
+        Request::builder().method(method).uri(path).header(HOST, "runtrack-control").body(Empty::new());
+    let ask = ask.map_err(|problem| failed(problem.to_string()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let talk = async {
+        match at.contains('/') {
+            true => exchange(UnixStream::connect(at).await?, ask).await,
+            false => exchange(TcpStream::connect(at).await?, ask).await,
+        }
+    };
+    let answer = runtime
+        .map_err(|problem| failed(problem.to_string()))?
+        .block_on(async { tokio::time::timeout(ANSWER_MOST, talk).await });
+    let answer = answer.map_err(|_| failed(format!("no answer within {ANSWER_MOST:?}")))?;
+    answer.map_err(|problem| failed(problem.to_string()))
+}
+
 fn ask(at: &str) -> Result<Value, Failure> {
     let failed = |problem: String| Failure::Service { at: at.to_owned(), problem };
-    let agent: ureq::Agent = ureq::Agent::config_builder().timeout_global(Some(ANSWER_MOST)).build().into();
-    let mut answer =
-        agent.get(format!("http://{at}/status")).call().map_err(|error| failed(error.to_string()))?;
-    let body = answer.body_mut().with_config().limit(BYTES_MOST).read_to_string();
-    let text = body.map_err(|error| failed(error.to_string()))?;
-    serde_json::from_str(&text).map_err(|error| failed(format!("its status is not understood: {error}")))
+    let (code, body) = request(at, Method::GET, "/status")?;
+    if code != StatusCode::OK {
+        return Err(failed(format!("it answers {code}")));
+    }
+    serde_json::from_slice(&body).map_err(|error| failed(format!("its status is not understood: {error}")))
+}
+
+/// `rollout resume`.
+pub fn resume(at: &str) -> Done {
+    let failed = |problem: String| Failure::Service { at: at.to_owned(), problem };
+    match request(at, Method::POST, "/rollout/resume")?.0 {
+        StatusCode::ACCEPTED => Ok(0),
+        StatusCode::CONFLICT => Err(failed("no roll-out has halted".to_owned())),
+        code => Err(failed(format!("it answers {code}"))),
+    }
 }
 
 /// How a service's proxies stand towards what it serves.
@@ -30,6 +87,8 @@
     behind: Vec<String>,
     rejected: Vec<String>,
     troubles: Vec<String>,
+    /// A roll-out under way, in words, and why it has halted.
+    rollout: Option<(String, Option<String>)>,
 }
 
 impl Standing {
@@ -42,7 +101,13 @@
             proxies.iter().filter(types).map(|proxy| text(&proxy["node"])).collect()
         };
         let troubles = status["troubles"].as_object().into_iter().flatten();
+        let rollout = status["rollout"].as_object().map(|rollout| {
+            let part = rollout["share"].as_f64().unwrap_or_default() / 100.0;
+            let halted = rollout["halted"].as_str().map(str::to_owned);
+            (format!("stage {} of {}, {part}% of the nodes", rollout["stage"], rollout["stages"]), halted)
+        });
         Standing {
+            rollout,
             fleet: text(&status["fleet"]),
             serial: status["serial"].as_u64(),
             proxies: proxies.len(),
@@ -61,11 +126,12 @@
         };
         let fleet = self.fleet.get(..12).unwrap_or("unknown");
         format!(
-            "{serial}fleet {fleet}, {} of {} streams have it{}{}",
+            "{serial}fleet {fleet}, {} of {} streams have what is for them{}{}{}",
             self.proxies - self.behind.len().min(self.proxies),
             self.proxies,
             named("behind", &self.behind),
-            named("rejected", &self.rejected)
+            named("rejected", &self.rejected),
+            self.rollout.as_ref().map(|(stage, _)| format!("; {stage}")).unwrap_or_default()
         )
     }
 }
@@ -105,7 +171,11 @@
             said = line;
         }
         let served = wanted.is_none_or(|wanted| standing.fleet == wanted);
-        if served && standing.behind.is_empty() {
+        if let Some((stage, Some(why))) = &standing.rollout {
+            let problem = format!("the roll-out has halted at {stage}: {why}. See `runtrackctl rollout`");
+            return Err(Failure::Service { at: at.to_owned(), problem });
+        }
+        if served && standing.behind.is_empty() && standing.rollout.is_none() {
             return match standing.rejected.first() {
                 None => Ok(0),
                 Some(node) => Err(Failure::Service {
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -98,11 +98,24 @@
     };
     let _ = match plan.steps.is_empty() {
         true => writeln!(out, "{HEAD}Nothing to change{HEAD:#}: {serial} is what is wanted."),
-        false => writeln!(out, "\n{HEAD}Plan{HEAD:#}: {}.\nMade on {serial}.", plan.summary()),
+        false => {
+            writeln!(out, "\n{HEAD}Plan{HEAD:#}: {}.\nMade on {serial}.{}", plan.summary(), stages(plan))
+        }
     };
     out
 }
 
+/// How it is handed out, where that is in stages.
+fn stages(plan: &Plan) -> String {
+    if plan.stages.is_empty() {
+        return String::new();
+    }
+    let parts: Vec<String> =
+        plan.stages.iter().map(|part| format!("{}%", f64::from(*part) / 100.0)).collect();
+    let pause = humantime::format_duration(Duration::from_millis(plan.pause_ms));
+    format!(" Handed out to {} of the proxies, {pause} apart at least.", parts.join(", "))
+}
+
 /// Versions, the newest first.
 pub fn history(versions: &[Version]) -> String {
     let mut out = String::new();
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -79,6 +79,8 @@
             lineage: store.lineage(),
             base: store.current(),
             load: &Load::default(),
+            stages: &[],
+            pause_ms: 0,
         };
         let plan = Plan::make(request, &current(&store, store.serial()).expect("a fleet"), &fleets[which]);
         std::fs::write(folder.join("plan"), plan.write()).expect("a plan");
--- a/crates/cli/tests/ctl.rs
+++ b/crates/cli/tests/ctl.rs
@@ -193,6 +193,31 @@
     }
 }
 
+#[test]
+fn a_change_in_stages_says_so_and_is_aborted_as_one_commit() {
+    let folder = Folder::new();
+    small(&folder);
+    let at = folder.path();
+    assert_eq!(code(&ctl(at, &["rollout", "abort"])), 1, "nothing is handed out in stages");
+    folder.write("more.toml", &SMALL.replace("deadline = \"3s\"", "deadline = \"4s\""));
+    for bad in ["10", "0%", "101%", "x%", "-5%"] {
+        assert_eq!(code(&ctl(at, &["plan", "more.toml", &format!("--stages={bad}")])), 1, "{bad}");
+    }
+    let falling = ctl(at, &["plan", "more.toml", "--stages", "50%,10%"]);
+    contains(&err(&falling), &["each must be larger"]);
+    let planned = ctl(at, &["plan", "more.toml", "-o", "p", "--stages", "10%,50%", "--pause", "2m"]);
+    contains(&out(&planned), &["Handed out to 10%, 50%, 100% of the proxies, 2m apart at least."]);
+    assert_eq!(code(&ctl(at, &["apply", "p"])), 0);
+    let version = open(at).current().cloned().expect("a version");
+    assert_eq!((version.stages, version.pause_ms), (vec![1000, 5000, 10_000], 120_000));
+    contains(&out(&ctl(at, &["rollout", "abort"])), &["serial 3: as serial 1 was"]);
+    let store = open(at);
+    assert_eq!(
+        (store.history()[2].hash.clone(), store.history()[2].stages.len()),
+        (store.history()[0].hash.clone(), 0)
+    );
+}
+
 /// Hard case 4, as far as the program sees it: a folder that can't be written to.
 #[test]
 fn a_state_that_cannot_be_written_is_left_as_it_is() {
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -2,25 +2,69 @@
 
 use crate::shared::Shared;
 use axum::extract::State;
-use axum::routing::get;
+use axum::http::StatusCode;
+use axum::routing::{get, post};
 use axum::{Json, Router};
 use runtrack_xds::Kind;
 use serde_json::{Value, json};
+use std::fs::{DirBuilder, Permissions};
+use std::io;
+use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
+use std::path::Path;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UnixListener};
 
-/// Serves `GET /status` and `GET /ready`.
+/// Has a roll-out that has halted go on.
+async fn resume(State(shared): State<Arc<Shared>>) -> StatusCode {
+    let rollout = shared.rollout.lock().unwrap_or_else(PoisonError::into_inner);
+    if rollout.as_ref().is_none_or(|rollout| rollout.progress().halted.is_none()) {
+        return StatusCode::CONFLICT;
+    }
+    shared.resume.notify_one();
+    StatusCode::ACCEPTED
+}
+
+/// Serves `GET /status`, `GET /ready` and `POST /rollout/resume`.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    let router = Router::new()
-        .route("/status", get(|State(shared): State<Arc<Shared>>| async move { Json(status(&shared)) }))
-        .route("/ready", get(|| async { "ready\n" }))
-        .with_state(shared);
-    if let Err(problem) = axum::serve(listener, router).await {
+    if let Err(problem) = axum::serve(listener, router(shared)).await {
         eprintln!("admin: {problem}");
     }
 }
 
+/// The same on a Unix socket.
+pub async fn serve_socket(listener: UnixListener, shared: Arc<Shared>) {
+    if let Err(problem) = axum::serve(listener, router(shared)).await {
+        eprintln!("admin_socket: {problem}");
+    }
+}
+
+/// A Unix socket that nobody but this user may ever connect to: it is made in a folder of this user's alone, and
+/// takes its place, that of an earlier one too, when its own permissions are set.
+pub fn bind_socket(at: &Path) -> io::Result<UnixListener> {
+    let folder = at.with_extension(format!("new-{}", std::process::id()));
+    DirBuilder::new().mode(0o700).create(&folder)?;
+    let made = folder.join("s");
+    let bound = UnixListener::bind(&made).and_then(|listener| {
+        std::fs::set_permissions(&made, Permissions::from_mode(0o600))?;
+        std::fs::rename(&made, at)?;
+        Ok(listener)
+    });
+    if bound.is_err() {
+        let _ = std::fs::remove_file(&made);
+    }
+    std::fs::remove_dir(&folder)?;
+    bound
+}
+
+fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/status", get(|State(shared): State<Arc<Shared>>| async move { Json(status(&shared)) }))
+        .route("/ready", get(|| async { "ready\n" }))
+        .route("/rollout/resume", post(resume))
+        .with_state(shared)
+}
+
 /// All that the service knows of itself. Times are seconds ago.
 pub fn status(shared: &Shared) -> Value {
     let (hub_now, now) = (shared.hub.now(), shared.clock.now());
@@ -38,6 +82,19 @@
     }
     let fleet = shared.core.lock().unwrap_or_else(PoisonError::into_inner).fleet().hash();
     let version = shared.version.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let rollout = shared.rollout.lock().unwrap_or_else(PoisonError::into_inner).as_ref().map(|rollout| {
+        let progress = rollout.progress();
+        json!({
+            "serial": progress.serial, "from": progress.from, "stage": progress.stage + 1, "stages": rollout.stages().len(),
+            "share": rollout.share(), "halted": progress.halted,
+        })
+    });
+    let newest = shared.hub.newest_line();
+    let serial = version.as_ref().map(|version| version.serial);
+    // While a version is rolled out, who does not follow it has the one before.
+    let before =
+        shared.rollout.lock().unwrap_or_else(PoisonError::into_inner).as_ref().map(|r| r.progress().from);
+    let serial_of = |line: u64| if line == newest { serial } else { before };
     let proxies: Vec<Value> = shared.hub.streams().iter().map(|stream| {
         let types: Vec<Value> = stream.standings.iter().map(|s| {
             json!({
@@ -53,7 +110,7 @@
         }).collect();
         json!({
             "node": stream.node, "cluster": stream.cluster, "zone": stream.zone,
-            "incremental": stream.incremental, "for_s": ago(stream.since), "requests": stream.requests,
+            "serial": serial_of(stream.line), "incremental": stream.incremental, "for_s": ago(stream.since), "requests": stream.requests,
             "responses": stream.responses, "bytes": stream.bytes, "types": types,
         })
     }).collect();
@@ -63,13 +120,15 @@
         .iter()
         .map(|ended| json!({"node": ended.node, "ago_s": ago(ended.at), "why": ended.why}))
         .collect();
-    let cache = shared.hub.cache();
-    let resources: serde_json::Map<String, Value> =
-        Kind::ALL.iter().map(|&kind| (short(kind).to_owned(), json!(cache.len(kind)))).collect();
+    let (resources, epoch, seq, encodings) = shared.hub.cache(|cache| {
+        let count = |&kind: &Kind| (short(kind).to_owned(), json!(cache.len(kind)));
+        let resources: serde_json::Map<String, Value> = Kind::ALL.iter().map(count).collect();
+        (resources, cache.epoch(), cache.seq(), cache.encodings())
+    });
     let troubles = shared.troubles.lock().unwrap_or_else(PoisonError::into_inner).clone();
     json!({
-        "epoch": cache.epoch(), "seq": cache.seq(), "encodings": cache.encodings(), "fleet": fleet,
-        "serial": version.as_ref().map(|version| version.serial), "version": version,
+        "epoch": epoch, "seq": seq, "encodings": encodings, "fleet": fleet,
+        "serial": serial, "version": version, "rollout": rollout,
         "resources": resources, "pools": pools, "proxies": proxies, "ended": ended, "troubles": troubles,
     })
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -73,13 +73,13 @@
 
     /// The lists of all pools that follow a source, whole, for the journal.
     pub fn lists(&self) -> Vec<(String, List)> {
-        let followed = self.sources();
-        let pools = self.pools.iter().filter(|(name, _)| followed.contains_key(*name));
+        let followed: BTreeSet<String> = self.sources().into_iter().map(|(pool, _)| pool).collect();
+        let pools = self.pools.iter().filter(|(name, _)| followed.contains(*name));
         pools.map(|(name, members)| (name.clone(), members.list())).collect()
     }
 
-    /// The addresses of discovery that are to be followed, by pool.
-    pub fn sources(&self) -> BTreeMap<String, SocketAddr> {
+    /// The pools that follow discovery, and where.
+    pub fn sources(&self) -> BTreeSet<(String, SocketAddr)> {
         let address = |(name, pool): (&String, &Pool)| match pool.source {
             Source::Platform(address) => Some((name.clone(), address)),
             Source::Static(_) => None,
--- a/crates/control/src/desired.rs
+++ b/crates/control/src/desired.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// The fleet of a version; none where it can't be read any more.
+    pub fn fleet_of(&self, serial: u64) -> Option<Fleet> {
+        let Origin::Store(path) = self else { return None };
+        let text = open(path).ok()?.text(serial).ok()?;
+        Fleet::from_canonical(&text).ok()
+    }
+
     /// The serial that is there now, if it comes from a store: cheap enough to be asked twice a second.
     pub fn serial(&self) -> Option<Result<u64, DesiredError>> {
         match self {
--- /dev/null
+++ b/crates/control/src/keeper.rs
@@ -0,0 +1,310 @@
+//! Keeps what is served in step with what is desired and what sources tell: commits first, then publishes; and takes
+//! a version that is handed out in stages through them.
+
+use crate::core::{Core, Due};
+use crate::desired::{Desired, Origin};
+use crate::memory::Memory;
+use crate::progress::ProgressFile;
+use crate::rollout::{Cohort, Next, Progress, Rollout};
+use crate::shared::Shared;
+use crate::source::Sources;
+use runtrack_discovery::{List, Told};
+
+use runtrack_store::Version;
+use runtrack_xds::place;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Commits and publishes what the core makes necessary.
+pub struct Keeper {
+    shared: Arc<Shared>,
+    from: Origin,
+    memory: Option<Memory>,
+    progress: Option<ProgressFile>,
+    seed: u64,
+    /// While a version is rolled out: the one before it, for the proxies that do not have the new one yet. It hears
+    /// of drains like the other.
+    before: Option<Core>,
+    /// A version in stages that waits for another one's roll-out to end.
+    waits: Option<u64>,
+}
+
+fn locked<T, R>(of: &Mutex<T>, with: impl FnOnce(&mut T) -> R) -> R {
+    with(&mut of.lock().unwrap_or_else(PoisonError::into_inner))
+}
+
+impl Keeper {
+    /// Nothing is served yet.
+    pub fn new(
+        shared: Arc<Shared>,
+        from: Origin,
+        memory: Option<Memory>,
+        progress: Option<ProgressFile>,
+        seed: u64,
+    ) -> Keeper {
+        Keeper { shared, from, memory, progress, seed, before: None, waits: None }
+    }
+
+    fn core<T>(&self, with: impl FnOnce(&mut Core) -> T) -> T {
+        locked(&self.shared.core, with)
+    }
+
+    /// Serves what is desired, with the lists that were held before a restart; a roll-out goes on where it was.
+    pub fn start(&mut self, desired: Desired, held: BTreeMap<String, List>) {
+        let now = self.shared.clock.now();
+        let staged = desired.version.as_ref().filter(|version| !version.stages.is_empty()).map(|version| {
+            let was = self.progress.as_ref().and_then(ProgressFile::read);
+            let fresh = Progress::new(version.serial, &version.hash, version.serial - 1);
+            was.filter(|was| was.is_of(version.serial, &version.hash)).unwrap_or(fresh)
+        });
+        let stages = desired.version.as_ref().map_or(0, |version| version.stages.len());
+        let under_way = staged.filter(|progress| progress.stage < stages);
+        let before = under_way.and_then(|progress| Some((self.from.fleet_of(progress.from)?, progress)));
+        match before {
+            Some((before, progress)) => {
+                self.core(|core| *core = Core::new(before, held, self.seed, now));
+                self.publish(true);
+                self.hand_out(desired, progress);
+            }
+            None => {
+                self.core(|core| *core = Core::new(desired.fleet, held, self.seed, now));
+                locked(&self.shared.version, |version| *version = desired.version);
+                self.publish(true);
+            }
+        }
+    }
+
+    /// The sources to follow.
+    pub fn sources(&self) -> Sources {
+        let before = self.before.as_ref().map(Core::sources).unwrap_or_default();
+        self.core(|core| core.sources()).into_iter().chain(before).collect()
+    }
+
+    /// Whether there is anything to publish.
+    pub fn is_dirty(&self) -> bool {
+        self.core(|core| core.is_dirty()) || self.before.as_ref().is_some_and(Core::is_dirty)
+    }
+
+    /// Takes what a source told.
+    pub fn told(&mut self, now: Duration, pool: &str, from: SocketAddr, told: Told) {
+        if let Some(before) = &mut self.before {
+            before.told(now, pool, from, told.clone());
+        }
+        self.core(|core| core.told(now, pool, from, told));
+    }
+
+    /// Looks at the clock, the store and the roll-out; says whether the sources may have changed.
+    pub fn tick(&mut self) -> bool {
+        let now = self.shared.clock.now();
+        if let Some(before) = &mut self.before {
+            before.tick(now);
+        }
+        self.core(|core| core.tick(now));
+        let followed = self.follow();
+        let ended = self.roll();
+        self.show();
+        followed || ended
+    }
+
+    /// First the disk, then the proxies: what a proxy was told, a restart knows. A disk that fails holds no
+    /// drain up.
+    pub fn publish(&mut self, whole: bool) {
+        let (now, hub) = (self.shared.clock.now(), self.shared.hub.clone());
+        let Due { mut lists, changes } = match whole {
+            true => hub.cache(|cache| self.core(|core| core.whole(now, cache))),
+            false => self.core(|core| core.take(now)),
+        };
+        let before = self.before.as_mut().map(|before| match whole {
+            true => hub.cache_before(|cache| before.whole(now, cache)),
+            false => before.take(now),
+        });
+        let before = before.unwrap_or_default();
+        // A pool of both is kept as the newer one has it.
+        let newer = self.core(|core| core.sources());
+        lists.extend(
+            before.lists.into_iter().filter(|(pool, _)| newer.iter().all(|(other, _)| other != pool)),
+        );
+        if let Some(mut memory) = self.memory.take_if(|_| !lists.is_empty()) {
+            let mut done = memory.commit(lists);
+            if memory.wants_rewrite() {
+                done = memory.rewrite(self.core(|core| core.lists()));
+            }
+            self.memory = Some(memory);
+            let what = |e| format!("{e}: a restart now would not know of the last changes");
+            self.shared.trouble("state", done.err().map(what));
+        }
+        self.show();
+        hub.publish(changes);
+        hub.publish_before(before.changes);
+    }
+
+    /// Shows how the pools stand, unless there is something to commit first.
+    fn show(&self) {
+        if let Some(pools) = self.core(|core| (!core.is_dirty()).then(|| core.status())) {
+            locked(&self.shared.pools, |shown| *shown = pools);
+        }
+    }
+
+    /// Reads the desired state again where it comes from a store whose head has moved; says whether it has.
+    fn follow(&mut self) -> bool {
+        let served =
+            locked(&self.shared.version, |version| version.as_ref().map_or(0, |version| version.serial));
+        match self.from.serial() {
+            None => false,
+            Some(Ok(serial)) if serial == served => {
+                self.waits = None;
+                self.shared.trouble("reload", None);
+                false
+            }
+            Some(Ok(serial)) if self.waits == Some(serial) && self.before.is_some() => false,
+            // A bad one is told by the reload, once.
+            Some(_) => self.reload(),
+        }
+    }
+
+    /// Takes the desired state as it is now, or goes on with the old one and says why. Says whether it has changed.
+    pub fn reload(&mut self) -> bool {
+        let desired = match self.from.read() {
+            Ok(desired) => desired,
+            Err(problem) => {
+                self.shared.trouble("reload", Some(format!("{problem}\nthe old state goes on")));
+                return false;
+            }
+        };
+        let serial = desired.version.as_ref().map(|version| version.serial);
+        let served = locked(&self.shared.version, |version| version.as_ref().map(|version| version.serial));
+        let staged = desired.version.as_ref().is_some_and(|version| !version.stages.is_empty());
+        if self.before.is_some() && serial == served {
+            return false; // it is being handed out
+        }
+        if self.before.is_some() && staged {
+            self.waits = serial;
+            let what = "waits for the roll-out under way: resume that, or abort it";
+            self.shared.trouble("reload", Some(format!("serial {}: {what}", serial.unwrap_or_default())));
+            return false;
+        }
+        let (hash, now) = (desired.fleet.hash(), self.shared.clock.now());
+        if let (true, Some(from), Some(version)) = (staged, served, &desired.version) {
+            let progress = Progress::new(version.serial, &version.hash, from);
+            self.hand_out(desired, progress);
+        } else {
+            // What is not staged goes to all at once, and ends a roll-out: so does going back in a hurry.
+            self.core(|core| core.replace(now, desired.fleet));
+            locked(&self.shared.version, |version| *version = desired.version);
+            self.publish(true);
+            self.end_rollout();
+            self.shared.trouble("rollout", None);
+        }
+        self.shared.trouble("reload", None);
+        let serial = serial.map(|serial| format!("serial {serial}, ")).unwrap_or_default();
+        eprintln!("reloaded: {serial}fleet {}", &hash[..12]);
+        true
+    }
+
+    // ---- a version in stages ----
+
+    /// Begins to hand a version out, or goes on with it.
+    fn hand_out(&mut self, desired: Desired, progress: Progress) {
+        let Desired { fleet, version: Some(version) } = desired else { return };
+        let (now, hub) = (self.shared.clock.now(), self.shared.hub.clone());
+        let before = self.core(|core| {
+            let held: BTreeMap<String, List> = core.lists().into_iter().collect();
+            Core::new(core.fleet().clone(), held, self.seed, now)
+        });
+        self.before = Some(before);
+        hub.fork();
+        self.core(|core| core.replace(now, fleet));
+        let pause = Duration::from_millis(version.pause_ms);
+        let rollout = Rollout::new(progress, &version.stages, pause, hub.now());
+        if let Some(why) = &rollout.progress().halted {
+            self.shared.trouble("rollout", Some(halted(&version, why)));
+        }
+        locked(&self.shared.version, |shown| *shown = Some(version));
+        self.publish(true);
+        self.keep(&rollout);
+        hub.set_share(rollout.share());
+        locked(&self.shared.rollout, |shown| *shown = Some(rollout));
+    }
+
+    /// How the proxies that are to have the new version stand.
+    fn cohort(&self, rollout: &Rollout) -> Cohort {
+        let (newest, mut cohort) = (self.shared.hub.newest_line(), Cohort::default());
+        for stream in self.shared.hub.streams() {
+            if place(&stream.node) >= rollout.share() {
+                continue;
+            }
+            if stream.line != newest || stream.standings.iter().any(|standing| standing.behind) {
+                cohort.behind.push(stream.node.clone());
+            }
+            let rejected = stream.standings.iter().filter_map(|standing| standing.rejected.as_ref());
+            let late = rejected.filter(|rejected| rejected.at >= rollout.since());
+            cohort.rejected.extend(late.map(|rejected| (stream.node.clone(), rejected.detail.clone())));
+        }
+        cohort
+    }
+
+    /// Looks at the roll-out, if there is one; says whether it has ended.
+    fn roll(&mut self) -> bool {
+        let Some(mut rollout) = locked(&self.shared.rollout, |rollout| rollout.clone()) else {
+            return false;
+        };
+        let cohort = self.cohort(&rollout);
+        let next = rollout.look(self.shared.hub.now(), &cohort);
+        if next == Next::Wait {
+            return false;
+        }
+        // On disk before any proxy is told: a restart gives no proxy less than it has.
+        self.keep(&rollout);
+        let serial = rollout.progress().serial;
+        match &rollout.progress().halted {
+            Some(why) => {
+                let version = locked(&self.shared.version, |version| version.clone());
+                let what = version.map(|version| halted(&version, why));
+                self.shared.trouble("rollout", what);
+            }
+            None => eprintln!("serial {serial}: {} of 10000 nodes", rollout.share()),
+        }
+        self.shared.hub.set_share(rollout.share());
+        locked(&self.shared.rollout, |shown| *shown = Some(rollout));
+        if next == Next::Done {
+            self.end_rollout();
+        }
+        next == Next::Done
+    }
+
+    /// Goes on with a roll-out that has halted.
+    pub fn resume(&mut self) {
+        let now = self.shared.hub.now();
+        let resumed = locked(&self.shared.rollout, |rollout| {
+            rollout.as_mut().filter(|rollout| rollout.progress().halted.is_some()).map(|rollout| {
+                rollout.resume(now);
+                rollout.clone()
+            })
+        });
+        if let Some(rollout) = resumed {
+            self.keep(&rollout);
+            self.shared.trouble("rollout", None);
+        }
+    }
+
+    fn end_rollout(&mut self) {
+        self.shared.hub.settle();
+        self.before = None;
+        self.waits = None;
+        locked(&self.shared.rollout, |rollout| *rollout = None);
+    }
+
+    fn keep(&self, rollout: &Rollout) {
+        if let Some(file) = &self.progress {
+            let done = file.write(rollout.progress());
+            let what = |e| format!("{e}: a restart now would begin the roll-out anew");
+            self.shared.trouble("rollout state", done.err().map(what));
+        }
+    }
+}
+
+fn halted(version: &Version, why: &str) -> String {
+    format!("serial {} goes no further: {why}. Resume it, or abort it: runtrackctl rollout", version.serial)
+}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -3,8 +3,11 @@
 mod admin;
 mod core;
 mod desired;
+mod keeper;
 mod memory;
 mod pool;
+mod progress;
+mod rollout;
 mod serve;
 mod settings;
 mod shared;
--- /dev/null
+++ b/crates/control/src/rollout.rs
@@ -0,0 +1,202 @@
+//! A version that proxies get in stages: how far it has come, and when it goes on or halts. No I/O.
+//!
+//! Which proxies are in a stage follows from a hash of their node ids ([`runtrack_xds::place`]), so they are the same
+//! ones after a reconnect or a restart, and those of one stage are in all later ones.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// A proxy of the stage that has not acknowledged after so long halts the roll-out.
+const ACKNOWLEDGE_MOST: Duration = Duration::from_secs(60);
+
+/// How far a version has come; kept beside the service's other state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Progress {
+    /// The version.
+    pub serial: u64,
+    /// Its hash: another state may have a version of the same number.
+    pub hash: String,
+    /// The version that proxies have until they get it.
+    pub from: u64,
+    /// The stage that it is in, from 0; as many as there are: it is done.
+    pub stage: usize,
+    /// Why it goes no further, until somebody says so.
+    pub halted: Option<String>,
+}
+
+impl Progress {
+    /// Of a version that nobody has yet.
+    pub fn new(serial: u64, hash: &str, from: u64) -> Progress {
+        Progress { serial, hash: hash.to_owned(), from, stage: 0, halted: None }
+    }
+
+    /// Whether it speaks of this version.
+    pub fn is_of(&self, serial: u64, hash: &str) -> bool {
+        self.serial == serial && self.hash == hash
+    }
+}
+
+/// A roll-out under way.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    progress: Progress,
+    /// Parts of the proxies, in 10,000, rising.
+    stages: Vec<u32>,
+    pause: Duration,
+    /// When the stage began.
+    since: Duration,
+}
+
+/// How the proxies of the stage stand.
+#[derive(Clone, Debug, Default)]
+pub struct Cohort {
+    /// Nodes that have not acknowledged all of it.
+    pub behind: Vec<String>,
+    /// Nodes that have rejected a part of it, and their words.
+    pub rejected: Vec<(String, String)>,
+}
+
+/// What follows from a look.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing.
+    Wait,
+    /// The stage has changed.
+    Stage,
+    /// It halts.
+    Halt,
+    /// All proxies have it.
+    Done,
+}
+
+impl Rollout {
+    /// A roll-out of a version in stages, from where it is.
+    pub fn new(progress: Progress, stages: &[u32], pause: Duration, now: Duration) -> Rollout {
+        Rollout { progress, stages: stages.to_vec(), pause, since: now }
+    }
+
+    /// How far it has come.
+    pub fn progress(&self) -> &Progress {
+        &self.progress
+    }
+
+    /// Its stages, parts in 10,000.
+    pub fn stages(&self) -> &[u32] {
+        &self.stages
+    }
+
+    /// The part of the proxies that get the version now, in 10,000.
+    pub fn share(&self) -> u32 {
+        self.stages.get(self.progress.stage).copied().unwrap_or(10_000)
+    }
+
+    /// Looks at the proxies of the stage: a rejection or a silence halts, and what all have acknowledged for as long
+    /// as the pause goes on.
+    pub fn look(&mut self, now: Duration, cohort: &Cohort) -> Next {
+        if self.progress.halted.is_some() {
+            return Next::Wait;
+        }
+        let stood = now.saturating_sub(self.since);
+        if let Some((node, words)) = cohort.rejected.first() {
+            return self.halt(format!("{node} rejects a part of it: {words}"));
+        }
+        if !cohort.behind.is_empty() {
+            if stood < ACKNOWLEDGE_MOST {
+                return Next::Wait;
+            }
+            let others = cohort.behind.len() - 1;
+            return self.halt(format!("{} and {others} more have not acknowledged it", cohort.behind[0]));
+        }
+        let last = self.progress.stage + 1 >= self.stages.len();
+        if !last && stood < self.pause {
+            return Next::Wait;
+        }
+        self.progress.stage += 1;
+        self.since = now;
+        if last { Next::Done } else { Next::Stage }
+    }
+
+    fn halt(&mut self, why: String) -> Next {
+        self.progress.halted = Some(why);
+        Next::Halt
+    }
+
+    /// Goes on after a halt: rejections from before no longer count, which the caller sees to. Says whether it had
+    /// halted.
+    pub fn resume(&mut self, now: Duration) -> bool {
+        self.since = now;
+        self.progress.halted.take().is_some()
+    }
+
+    /// Since when rejections count: the stage's beginning, or the last resumption.
+    pub fn since(&self) -> Duration {
+        self.since
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(seconds: u64) -> Duration {
+        Duration::from_secs(seconds)
+    }
+
+    fn rollout() -> Rollout {
+        Rollout::new(Progress::new(7, "h", 6), &[1000, 5000, 10_000], at(10), at(100))
+    }
+
+    fn behind() -> Cohort {
+        Cohort { behind: vec!["a".to_owned()], ..Cohort::default() }
+    }
+
+    #[test]
+    fn stages_follow_each_other_once_acknowledged_and_paused() {
+        let mut rollout = rollout();
+        assert_eq!((rollout.share(), rollout.look(at(109), &Cohort::default())), (1000, Next::Wait));
+        assert_eq!(rollout.look(at(111), &behind()), Next::Wait, "the pause is over, the proxies are not");
+        assert_eq!((rollout.look(at(112), &Cohort::default()), rollout.share()), (Next::Stage, 5000));
+        assert_eq!(
+            rollout.look(at(121), &Cohort::default()),
+            Next::Wait,
+            "the pause counts from the stage"
+        );
+        assert_eq!((rollout.look(at(122), &Cohort::default()), rollout.share()), (Next::Stage, 10_000));
+        assert_eq!(rollout.look(at(123), &behind()), Next::Wait);
+        assert_eq!(
+            rollout.look(at(123), &Cohort::default()),
+            Next::Done,
+            "after the last stage nobody waits"
+        );
+        assert_eq!(rollout.progress(), &Progress { stage: 3, ..Progress::new(7, "h", 6) });
+    }
+
+    #[test]
+    fn a_rejection_halts_until_resumed() {
+        let mut rollout = rollout();
+        let rejected =
+            Cohort { rejected: vec![("p7".to_owned(), "no such".to_owned())], ..Cohort::default() };
+        assert_eq!(rollout.look(at(101), &rejected), Next::Halt);
+        assert!(rollout.progress().halted.as_ref().is_some_and(|why| why.contains("p7 rejects")));
+        assert_eq!(rollout.look(at(1000), &Cohort::default()), Next::Wait);
+        assert!(rollout.resume(at(1000)));
+        assert_eq!(rollout.look(at(1009), &Cohort::default()), Next::Wait, "the pause begins anew");
+        assert_eq!(rollout.look(at(1010), &Cohort::default()), Next::Stage);
+    }
+
+    #[test]
+    fn a_proxy_that_never_acknowledges_halts() {
+        let mut rollout = rollout();
+        assert_eq!(rollout.look(at(159), &behind()), Next::Wait);
+        assert_eq!(rollout.look(at(160), &behind()), Next::Halt);
+    }
+
+    #[test]
+    fn it_goes_on_where_it_was() {
+        let was = Progress { stage: 1, halted: Some("why".to_owned()), ..Progress::new(7, "h", 6) };
+        let same = Rollout::new(was.clone(), &[1000, 5000, 10_000], at(10), at(0));
+        assert_eq!((same.share(), same.progress()), (5000, &was));
+        assert!(was.is_of(7, "h") && !was.is_of(7, "g") && !was.is_of(8, "h"));
+    }
+}
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -1,24 +1,27 @@
 //! The service: sockets, signals, the clock and the disk round the core.
 
 use crate::admin;
-use crate::core::{Core, Due};
+use crate::core::Core;
 use crate::desired::{self, Desired, DesiredError};
+use crate::keeper::Keeper;
 use crate::memory::{self, Memory};
+use crate::progress::ProgressFile;
 use crate::settings::{Settings, SettingsError};
 use crate::shared::Shared;
 use crate::source::{self, News};
 use runtrack_discovery::Clock;
+use runtrack_model::Fleet;
 use runtrack_xds::{
     Aggregated, ClientStatus, ClientStatusDiscoveryServiceServer, Clusters, Discovery, Endpoints, Hub,
     Incoming, Listeners, Routes,
 };
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep_until;
 use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
 
@@ -74,12 +77,22 @@
         None => (memory::clock_epoch(), None, BTreeMap::new()),
     };
     let hub = Hub::new(epoch, settings.xds());
-    let core = Core::new(fleet, held, epoch, clock.now());
-    let core = Mutex::new(core);
-    let (pools, version, troubles) = (Mutex::default(), Mutex::new(version), Mutex::default());
-    let shared = Arc::new(Shared { hub: hub.clone(), core, pools, version, clock, troubles });
-    let mut keeper = Keeper { shared: shared.clone(), memory, from };
-    keeper.publish(true);
+    let progress = match &settings.state {
+        Some(folder) => Some(ProgressFile::new(folder).map_err(system(folder.display().to_string()))?),
+        None => None,
+    };
+    let shared = Arc::new(Shared {
+        hub: hub.clone(),
+        core: Mutex::new(Core::new(Fleet::default(), BTreeMap::new(), epoch, clock.now())),
+        pools: Mutex::default(),
+        version: Mutex::default(),
+        rollout: Mutex::default(),
+        resume: Notify::new(),
+        clock,
+        troubles: Mutex::default(),
+    });
+    let mut keeper = Keeper::new(shared.clone(), from, memory, progress, epoch);
+    keeper.start(Desired { fleet, version }, held);
 
     let listener = TcpListener::bind(settings.listen).await;
     let listener = listener.map_err(system(format!("listen: {}", settings.listen)))?;
@@ -87,6 +100,10 @@
         let admin = TcpListener::bind(at).await.map_err(system(format!("admin: {at}")))?;
         tokio::spawn(admin::serve(admin, shared.clone()));
     }
+    if let Some(at) = &settings.admin_socket {
+        let socket = admin::bind_socket(at).map_err(system(format!("admin_socket: {}", at.display())))?;
+        tokio::spawn(admin::serve_socket(socket, shared.clone()));
+    }
     let mut server = server(&settings)?;
     let incoming = Incoming::new(listener, settings.limits.connections);
     let router = server
@@ -100,7 +117,7 @@
 
     let (told, mut news) = mpsc::unbounded_channel();
     let wanted = source::follow(epoch, told).map_err(system("a thread for the sources"))?;
-    let _ = wanted.send(keeper.core(|core| core.sources()));
+    let _ = wanted.send(keeper.sources());
     eprintln!("serving xDS on {}, epoch {epoch}", settings.listen);
 
     let push_every = settings.push_every();
@@ -108,7 +125,7 @@
     let mut next_push = tokio::time::Instant::now();
     let mut batch: Vec<News> = Vec::new();
     loop {
-        let dirty = keeper.core(|core| core.is_dirty());
+        let dirty = keeper.is_dirty();
         tokio::select! {
             taken = news.recv_many(&mut batch, BATCH) => {
                 if taken == 0 {
@@ -117,7 +134,7 @@
                 let now = clock.now();
                 for News { pool, from, told } in batch.drain(..) {
                     log(&pool, &told);
-                    keeper.core(|core| core.told(now, &pool, from, told));
+                    keeper.told(now, &pool, from, told);
                 }
             }
             () = sleep_until(next_push), if dirty => {
@@ -125,16 +142,14 @@
                 next_push = tokio::time::Instant::now() + push_every;
             }
             _ = ticks.tick() => {
-                let now = clock.now();
-                keeper.core(|core| core.tick(now));
-                if keeper.follow() {
-                    let _ = wanted.send(keeper.core(|core| core.sources()));
+                if keeper.tick() {
+                    let _ = wanted.send(keeper.sources());
                 }
-                keeper.show();
             }
+            () = shared.resume.notified() => keeper.resume(),
             _ = hup.recv() => {
                 keeper.reload();
-                let _ = wanted.send(keeper.core(|core| core.sources()));
+                let _ = wanted.send(keeper.sources());
             }
             _ = term.recv() => {
                 eprintln!("SIGTERM: proxies keep what they have");
@@ -173,83 +188,3 @@
         eprintln!("pool {pool}: discovery: {why}; its last list stands");
     }
 }
-
-/// Commits and publishes what the core makes necessary.
-struct Keeper {
-    shared: Arc<Shared>,
-    memory: Option<Memory>,
-    from: desired::Origin,
-}
-
-impl Keeper {
-    fn core<T>(&self, with: impl FnOnce(&mut Core) -> T) -> T {
-        with(&mut self.shared.core.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// First the disk, then the proxies: what a proxy was told, a restart knows. A disk that fails holds no
-    /// drain up.
-    fn publish(&mut self, whole: bool) {
-        let now = self.shared.clock.now();
-        let Due { lists, changes } = match whole {
-            true => self.core(|core| core.whole(now, &self.shared.hub.cache())),
-            false => self.core(|core| core.take(now)),
-        };
-        if let Some(mut memory) = self.memory.take_if(|_| !lists.is_empty()) {
-            let mut done = memory.commit(lists);
-            if memory.wants_rewrite() {
-                done = memory.rewrite(self.core(|core| core.lists()));
-            }
-            self.memory = Some(memory);
-            let what = |e| format!("{e}: a restart now would not know of the last changes");
-            self.shared.trouble("state", done.err().map(what));
-        }
-        self.show();
-        self.shared.hub.publish(changes);
-    }
-
-    /// Shows how the pools stand, unless there is something to commit first.
-    fn show(&self) {
-        if let Some(pools) = self.core(|core| (!core.is_dirty()).then(|| core.status())) {
-            *self.shared.pools.lock().unwrap_or_else(PoisonError::into_inner) = pools;
-        }
-    }
-
-    /// Reads the desired state again where it comes from a store whose head has moved; says whether it has.
-    fn follow(&mut self) -> bool {
-        let version = |shared: &Shared| {
-            let version = shared.version.lock().unwrap_or_else(PoisonError::into_inner);
-            version.as_ref().map_or(0, |version| version.serial)
-        };
-        let served = version(&self.shared);
-        match self.from.serial() {
-            None => false,
-            Some(Ok(serial)) if serial == served => {
-                self.shared.trouble("reload", None);
-                false
-            }
-            // A bad one is told by the reload, once.
-            Some(_) => self.reload(),
-        }
-    }
-
-    /// Takes the desired state as it is now, or goes on with the old one and says why.
-    fn reload(&mut self) -> bool {
-        match self.from.read() {
-            Ok(Desired { fleet, version }) => {
-                let now = self.shared.clock.now();
-                let hash = fleet.hash();
-                let serial = version.as_ref().map(|version| format!("serial {}, ", version.serial));
-                self.core(|core| core.replace(now, fleet));
-                *self.shared.version.lock().unwrap_or_else(PoisonError::into_inner) = version;
-                self.publish(true);
-                self.shared.trouble("reload", None);
-                eprintln!("reloaded: {}fleet {}", serial.unwrap_or_default(), &hash[..12]);
-                true
-            }
-            Err(problem) => {
-                self.shared.trouble("reload", Some(format!("{problem}\nthe old state goes on")));
-                false
-            }
-        }
-    }
-}
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -29,6 +29,8 @@
     pub listen: SocketAddr,
     /// Where people and their tools ask; none: nowhere.
     pub admin: Option<SocketAddr>,
+    /// The same at a Unix socket, from this file's folder, for the user that the service runs as; none: nowhere.
+    pub admin_socket: Option<PathBuf>,
     /// Where the epoch and the last lists are kept, from this file's folder; none: nowhere.
     pub state: Option<PathBuf>,
     /// Serve without TLS on other addresses than loopback.
@@ -124,6 +126,7 @@
                 " `fleet` (a file) or `store` (a folder): one of the two, and not both".to_owned(),
             ));
         }
+        settings.admin_socket = settings.admin_socket.map(|socket| folder.join(socket));
         settings.state = settings.state.map(|state| folder.join(state));
         if let Some(tls) = &mut settings.tls {
             tls.certificate = folder.join(&tls.certificate);
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -1,11 +1,13 @@
 //! What the service knows, for all of its parts.
 
 use crate::core::{Core, PoolStatus};
+use crate::rollout::Rollout;
 use runtrack_discovery::Clock;
 use runtrack_store::Version;
 use runtrack_xds::Hub;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::Notify;
 
 /// What the service knows, for whoever asks.
 pub struct Shared {
@@ -17,6 +19,10 @@
     pub pools: Mutex<BTreeMap<String, PoolStatus>>,
     /// Which version of the store is served; none: it comes from a file, or the store is empty.
     pub version: Mutex<Option<Version>>,
+    /// The roll-out under way.
+    pub rollout: Mutex<Option<Rollout>>,
+    /// Somebody wants a roll-out that has halted to go on.
+    pub resume: Notify,
     /// The clock.
     pub clock: Clock,
     /// What went wrong last with the disk or a reload, and has not been put right.
--- a/crates/control/src/source.rs
+++ b/crates/control/src/source.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's discovery for each pool, on a thread of its own.
 
 use runtrack_discovery::{Call, Client, Told, Watch};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
 use tokio::task::{JoinSet, LocalSet};
@@ -16,21 +16,24 @@
     pub told: Told,
 }
 
+/// Sources: a pool may have two, while a version is rolled out that takes it from elsewhere.
+pub type Sources = BTreeSet<(String, SocketAddr)>;
+
 /// Names the sources to follow; what is no longer named is let go.
-pub type Wanted = mpsc::UnboundedSender<BTreeMap<String, SocketAddr>>;
+pub type Wanted = mpsc::UnboundedSender<Sources>;
 
 /// Starts the thread. It ends with the sender that is returned.
 pub fn follow(seed: u64, news: mpsc::UnboundedSender<News>) -> std::io::Result<Wanted> {
-    let (wanted, mut wants) = mpsc::unbounded_channel::<BTreeMap<String, SocketAddr>>();
+    let (wanted, mut wants) = mpsc::unbounded_channel::<Sources>();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     std::thread::Builder::new().name("sources".to_owned()).spawn(move || {
         LocalSet::new().block_on(&runtime, async move {
-            let mut followed: BTreeMap<String, (SocketAddr, JoinSet<()>)> = BTreeMap::new();
+            let mut followed: BTreeMap<(String, SocketAddr), JoinSet<()>> = BTreeMap::new();
             while let Some(wanted) = wants.recv().await {
-                followed.retain(|pool, (address, _)| wanted.get(pool) == Some(address));
+                followed.retain(|source, _| wanted.contains(source));
                 for (pool, address) in wanted {
-                    let start = || (address, one(pool.clone(), address, seed, news.clone()));
-                    followed.entry(pool.clone()).or_insert_with(start);
+                    let start = || one(pool.clone(), address, seed, news.clone());
+                    followed.entry((pool.clone(), address)).or_insert_with(start);
                 }
             }
         });
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -1,8 +1,14 @@
 //! What the control service's tests share.
 #![allow(dead_code)]
 
+use runtrack_model::Fleet;
+use runtrack_plan::{Applied, Load, Plan, Request, apply, current};
+use runtrack_store::{Folder as Files, Store};
 use runtrack_testkit::{Control, Proxy, ProxyTo};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 pub const BINARY: &str = env!("CARGO_BIN_EXE_runtrack-control");
 
@@ -52,3 +58,37 @@
 pub fn proxy(control: &Control, id: &str, incremental: bool) -> Proxy {
     Proxy::start(ProxyTo { control: control.xds, id: id.to_owned(), zone: String::new(), incremental })
 }
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+/// Applies what is wanted, with all risks accepted; gives the serial.
+pub fn change(folder: &Path, wanted: &str) -> u64 {
+    change_in_stages(folder, wanted, &[], 0)
+}
+
+/// The same, handed out in stages.
+pub fn change_in_stages(folder: &Path, wanted: &str, stages: &[u32], pause_ms: u64) -> u64 {
+    let wanted = Fleet::read(wanted).unwrap_or_else(|problems| panic!("{problems}"));
+    let mut store = Store::open_or_make(Files::new(folder).expect("a folder"), "l").expect("a store");
+    let from = current(&store, store.serial()).expect("a fleet");
+    let request = Request {
+        author: "nok",
+        reason: "a test",
+        now_ms: now_ms(),
+        life_ms: 60_000,
+        lineage: "l",
+        base: store.current(),
+        load: &Load::default(),
+        stages,
+        pause_ms,
+    };
+    let plan = Plan::make(request, &from, &wanted);
+    let high = plan.risks.iter().filter(|risk| risk.severity == runtrack_model::Severity::High);
+    let accepted: BTreeSet<String> = high.map(|risk| risk.id.clone()).collect();
+    match apply(&mut store, &plan, &accepted, "nok", now_ms()).expect("it applies") {
+        Applied::Now(serial) => serial,
+        Applied::Before(serial) => panic!("applied before as {serial}"),
+    }
+}
--- /dev/null
+++ b/crates/control/tests/rollout.rs
@@ -0,0 +1,232 @@
+//! A version handed out in stages: who gets it when, what halts it, and what a kill leaves.
+
+mod common;
+
+use common::*;
+use runtrack_testkit::{
+    Control, Discovery, Folder, Proxy, ScriptedDelta, connect, delta_request, target, until, url,
+};
+use runtrack_xds::place;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// The first stage.
+const FIRST: u32 = 3000;
+const HOUR_MS: u64 = 3_600_000;
+const GRACE: Duration = Duration::from_secs(2);
+
+/// The n-th node id that is in the first stage, or that is not.
+fn id(first: bool, n: usize) -> String {
+    let ids = (0..).map(|n| format!("node-{n}")).filter(|id| (place(id) < FIRST) == first);
+    ids.skip(n).next().expect("there are enough")
+}
+
+/// Two proxies in the first stage and two that are not, of either variant.
+fn proxies(control: &Control) -> (Vec<Proxy>, Vec<Proxy>) {
+    let both = |first| (0..2).map(|n| proxy(control, &id(first, n), n == 1)).collect();
+    (both(true), both(false))
+}
+
+/// A fleet that follows discovery, with as many pools more as are named.
+fn fleet(discovery: SocketAddr, more: &[&str]) -> String {
+    let pool = |name: &&str| {
+        format!(
+            "\n[[pool]]\nname = \"{name}\"\n[[pool.endpoint]]\nname = \"e\"\naddress = \"127.0.0.1:7999\"\n"
+        )
+    };
+    platform_fleet(discovery, &more.iter().map(pool).collect::<String>())
+}
+
+fn has(proxy: &Proxy, pool: &str) -> bool {
+    proxy.with(|state| state.versions.get(url("cds")).is_some_and(|held| held.contains_key(pool)))
+}
+
+fn ready(proxy: &Proxy) -> usize {
+    proxy.with(|state| state.ready("p").len())
+}
+
+async fn discovery() -> Discovery {
+    let at = |port: u16| ([127, 0, 0, 1], port).into();
+    Discovery::start((0..4u16).map(|n| target(&format!("e{n}"), at(7000 + n), "")).collect()).await
+}
+
+/// The status, once this holds of it.
+async fn status(control: &Control, what: &str, holds: impl Fn(&Value) -> bool) -> Value {
+    let end = Instant::now() + Duration::from_secs(20);
+    loop {
+        let status = control.status().await;
+        if holds(&status) {
+            return status;
+        }
+        assert!(Instant::now() < end, "never came: {what}: {status:#}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn serial_of(status: &Value, node: &str) -> Value {
+    let proxies = status["proxies"].as_array().expect("a list");
+    proxies.iter().find(|proxy| proxy["node"] == node).expect("it is connected")["serial"].clone()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_the_stage_has_it_both_hear_of_drains_and_a_kill_changes_neither() {
+    let (folder, discovery) = (Folder::new(), discovery().await);
+    change(folder.path(), &fleet(discovery.address, &[]));
+    let mut control = Control::start_on_store(BINARY, folder.path(), "").await;
+    let (first, others) = proxies(&control);
+    let all = || first.iter().chain(&others);
+    for proxy in all() {
+        until("the list", || ready(proxy) == 4).await;
+    }
+    change_in_stages(folder.path(), &fleet(discovery.address, &["q"]), &[FIRST, 10_000], HOUR_MS);
+    for proxy in &first {
+        until("the first stage has it", || has(proxy, "q")).await;
+    }
+    let shown = status(&control, "all acknowledged", |s| {
+        s["proxies"].as_array().is_some_and(|all| {
+            all.iter()
+                .all(|p| p["types"].as_array().is_some_and(|t| t.iter().all(|t| t["behind"] == false)))
+        })
+    })
+    .await;
+    assert_eq!((&shown["rollout"]["stage"], &shown["rollout"]["share"]), (&1.into(), &FIRST.into()));
+    assert_eq!((serial_of(&shown, &id(true, 0)), serial_of(&shown, &id(false, 0))), (2.into(), 1.into()));
+    assert!(others.iter().all(|proxy| !has(proxy, "q")));
+
+    let told = Instant::now();
+    discovery.drain("e0");
+    for proxy in all() {
+        until("the drain", || ready(proxy) == 3).await;
+    }
+    assert!(told.elapsed() < GRACE, "{:?}", told.elapsed());
+
+    control.kill();
+    control.launch().await;
+    discovery.drain("e1");
+    for proxy in all() {
+        until("the drain after the kill", || ready(proxy) == 2).await;
+    }
+    let shown =
+        status(&control, "all are back", |s| s["proxies"].as_array().is_some_and(|all| all.len() == 4))
+            .await;
+    assert_eq!((&shown["rollout"]["stage"], &shown["rollout"]["share"]), (&1.into(), &FIRST.into()));
+    assert_eq!((serial_of(&shown, &id(true, 1)), serial_of(&shown, &id(false, 1))), (2.into(), 1.into()));
+    assert!(first.iter().all(|proxy| has(proxy, "q")) && others.iter().all(|proxy| !has(proxy, "q")));
+
+    // Back in a hurry: not in stages, so at once, and the roll-out is over.
+    change(folder.path(), &fleet(discovery.address, &[]));
+    for proxy in &first {
+        until("the first stage has lost it", || !has(proxy, "q")).await;
+    }
+    let shown =
+        status(&control, "the roll-out is over", |s| s["rollout"].is_null() && s["serial"] == 3).await;
+    assert_eq!((serial_of(&shown, &id(true, 0)), serial_of(&shown, &id(false, 0))), (3.into(), 3.into()));
+    discovery.drain("e2");
+    for proxy in all() {
+        until("a drain after it all", || ready(proxy) == 1).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_all_acknowledge_goes_through_its_stages_and_is_over_for_a_restart_too() {
+    let (folder, discovery) = (Folder::new(), discovery().await);
+    change(folder.path(), &fleet(discovery.address, &[]));
+    let mut control = Control::start_on_store(BINARY, folder.path(), "").await;
+    let (first, others) = proxies(&control);
+    for proxy in first.iter().chain(&others) {
+        until("the list", || ready(proxy) == 4).await;
+    }
+    change_in_stages(folder.path(), &fleet(discovery.address, &["q"]), &[FIRST, 6000, 10_000], 0);
+    for proxy in first.iter().chain(&others) {
+        until("all have it", || has(proxy, "q")).await;
+    }
+    status(&control, "the roll-out is over", |s| s["rollout"].is_null() && s["serial"] == 2).await;
+    control.kill();
+    control.launch().await;
+    let shown = control.status().await;
+    assert!(shown["rollout"].is_null() && shown["serial"] == 2, "{shown:#}");
+    discovery.drain("e0");
+    for proxy in first.iter().chain(&others) {
+        until("the drain", || ready(proxy) == 3).await;
+        assert!(has(proxy, "q"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rejection_halts_it_another_version_waits_and_resuming_finishes_both() {
+    let (folder, discovery) = (Folder::new(), discovery().await);
+    change(folder.path(), &fleet(discovery.address, &[]));
+    let mut control = Control::start_on_store(BINARY, folder.path(), "").await;
+    let (first, others) = proxies(&control);
+    for proxy in first.iter().chain(&others) {
+        until("the list", || ready(proxy) == 4).await;
+    }
+    // Rejects whatever names q, until it is told to take it.
+    let angry = Arc::new(AtomicBool::new(true));
+    let mut stream = ScriptedDelta::open(connect(control.xds).await).await;
+    stream.send(delta_request(&id(true, 7), "cds", &["*"]));
+    let still = angry.clone();
+    let rejecting = tokio::spawn(async move {
+        while let Ok(response) = stream.next().await {
+            let named = response.resources.iter().any(|resource| resource.name == "q");
+            stream.answer(&response, (named && still.load(Ordering::SeqCst)).then_some("no such pool"));
+        }
+    });
+    status(&control, "the angry one is known", |s| {
+        s["proxies"].as_array().is_some_and(|all| all.len() == 5)
+    })
+    .await;
+    assert_eq!(control.post("/rollout/resume").await, 409, "there is none");
+    change_in_stages(folder.path(), &fleet(discovery.address, &["q"]), &[FIRST, 10_000], 0);
+    let shown = status(&control, "it halts", |s| s["rollout"]["halted"].is_string()).await;
+    let why = shown["rollout"]["halted"].as_str().unwrap_or_default();
+    assert!(why.contains(&id(true, 7)) && why.contains("no such pool"), "{why}");
+    assert!(
+        shown["troubles"]["rollout"].as_str().is_some_and(|t| t.contains("serial 2 goes no further")),
+        "{shown:#}"
+    );
+    assert!(others.iter().all(|proxy| !has(proxy, "q")));
+
+    change_in_stages(folder.path(), &fleet(discovery.address, &["q", "r"]), &[FIRST, 10_000], 0);
+    status(&control, "serial 3 waits", |s| {
+        s["troubles"]["reload"].as_str().is_some_and(|t| t.contains("serial 3: waits"))
+    })
+    .await;
+
+    angry.store(false, Ordering::SeqCst);
+    rejecting.abort();
+    assert_eq!(control.post("/rollout/resume").await, 202);
+    for proxy in first.iter().chain(&others) {
+        until("both versions", || has(proxy, "q") && has(proxy, "r")).await;
+    }
+    let done = status(&control, "all is over", |s| s["rollout"].is_null() && s["serial"] == 3).await;
+    assert_eq!(done["troubles"], serde_json::json!({}), "{done:#}");
+    control.kill();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_halted_one_is_still_halted_after_a_kill() {
+    let (folder, discovery) = (Folder::new(), discovery().await);
+    change(folder.path(), &fleet(discovery.address, &[]));
+    let mut control = Control::start_on_store(BINARY, folder.path(), "").await;
+    let mut stream = ScriptedDelta::open(connect(control.xds).await).await;
+    stream.send(delta_request(&id(true, 0), "cds", &["*"]));
+    let response = stream.next().await.expect("clusters");
+    stream.answer(&response, None);
+    change_in_stages(folder.path(), &fleet(discovery.address, &["q"]), &[FIRST, 10_000], 0);
+    let response = stream.next().await.expect("the new cluster");
+    stream.answer(&response, Some("no such pool"));
+    status(&control, "it halts", |s| s["rollout"]["halted"].is_string()).await;
+    control.kill();
+    control.launch().await;
+    let shown = control.status().await;
+    assert!(
+        shown["rollout"]["halted"].as_str().is_some_and(|why| why.contains("no such pool")),
+        "{shown:#}"
+    );
+    assert_eq!(control.post("/rollout/resume").await, 202);
+    status(&control, "nobody objects", |s| s["rollout"].is_null() && s["serial"] == 2).await;
+}
--- a/crates/control/tests/store.rs
+++ b/crates/control/tests/store.rs
@@ -3,40 +3,8 @@
 mod common;
 
 use common::*;
-use runtrack_model::Fleet;
-use runtrack_plan::{Applied, Load, Plan, Request, apply, current};
-use runtrack_store::{Folder as Files, Store};
 use runtrack_testkit::{Control, Folder, until};
-use std::collections::BTreeSet;
-use std::path::Path;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
-fn now_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
-}
-
-/// Applies what is wanted, with all risks accepted; gives the serial.
-fn change(folder: &Path, wanted: &str) -> u64 {
-    let wanted = Fleet::read(wanted).unwrap_or_else(|problems| panic!("{problems}"));
-    let mut store = Store::open_or_make(Files::new(folder).expect("a folder"), "l").expect("a store");
-    let from = current(&store, store.serial()).expect("a fleet");
-    let request = Request {
-        author: "nok",
-        reason: "a test",
-        now_ms: now_ms(),
-        life_ms: 60_000,
-        lineage: "l",
-        base: store.current(),
-        load: &Load::default(),
-    };
-    let plan = Plan::make(request, &from, &wanted);
-    let high = plan.risks.iter().filter(|risk| risk.severity == runtrack_model::Severity::High);
-    let accepted: BTreeSet<String> = high.map(|risk| risk.id.clone()).collect();
-    match apply(&mut store, &plan, &accepted, "nok", now_ms()).expect("it applies") {
-        Applied::Now(serial) => serial,
-        Applied::Before(serial) => panic!("applied before as {serial}"),
-    }
-}
+use std::time::Duration;
 
 async fn serial(control: &Control) -> u64 {
     control.status().await["serial"].as_u64().unwrap_or(0)
@@ -113,6 +81,30 @@
     }
 }
 
+/// The same status at the Unix socket, which is this user's alone, also where an earlier one was left behind.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_admin_socket_is_the_users_own_and_takes_the_place_of_an_old_one() {
+    use std::os::unix::fs::PermissionsExt;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let (folder, sockets) = (Folder::new(), Folder::new());
+    change(folder.path(), &static_fleet(&[(7001, "ready")]));
+    let at = sockets.path().join("control.sock");
+    let setting = format!("admin_socket = {:?}\n", at.display().to_string());
+    let mut control = Control::start_on_store(BINARY, folder.path(), &setting).await;
+    for _ in 0..2 {
+        assert_eq!(std::fs::metadata(&at).expect("a socket").permissions().mode() & 0o777, 0o600);
+        assert_eq!(std::fs::read_dir(sockets.path()).expect("a folder").count(), 1, "nothing else is left");
+        let mut stream = tokio::net::UnixStream::connect(&at).await.expect("it listens");
+        let ask = "GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(ask.as_bytes()).await.expect("a request is taken");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer comes");
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("\"serial\":1"), "{answer}");
+        control.kill();
+        control.launch().await;
+    }
+}
+
 #[test]
 fn settings_name_a_file_or_a_store_and_not_both() {
     let folder = Folder::new();
--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -41,7 +41,7 @@
 }
 
 /// What the client has to tell.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Told {
     /// A list came, whole or changes.
     List(List),
--- a/crates/plan/src/apply.rs
+++ b/crates/plan/src/apply.rs
@@ -133,7 +133,8 @@
     if fleet.hash() != plan.desired_hash {
         return Err(ApplyError::LeadsElsewhere);
     }
-    let entry = Entry { author, reason: &plan.reason, at_ms: now_ms, plan: &plan.id };
+    let (stages, pause_ms) = (plan.stages.as_slice(), plan.pause_ms);
+    let entry = Entry { author, reason: &plan.reason, at_ms: now_ms, plan: &plan.id, stages, pause_ms };
     Ok(Applied::Now(store.commit(plan.serial, &fleet.canonical(), entry)?.serial))
 }
 
--- a/crates/plan/src/file.rs
+++ b/crates/plan/src/file.rs
@@ -55,6 +55,10 @@
     pub base: Option<&'a Version>,
     /// What the fleet carries.
     pub load: &'a Load,
+    /// Parts of the proxies that get it one after the other, in 10,000, rising to all; empty: all at once.
+    pub stages: &'a [u32],
+    /// Least time between two stages, in milliseconds.
+    pub pause_ms: u64,
 }
 
 /// A plan: what will be done, on which state and no other, and what that risks.
@@ -80,6 +84,10 @@
     pub base_hash: String,
     /// The hash of the state that it leads to.
     pub desired_hash: String,
+    /// Parts of the proxies that get it one after the other, in 10,000, rising to all; empty: all at once.
+    pub stages: Vec<u32>,
+    /// Least time between two stages, in milliseconds.
+    pub pause_ms: u64,
     /// What is done, in this order.
     pub steps: Vec<Step>,
     /// What it risks, the heaviest first.
@@ -106,6 +114,8 @@
             serial: request.base.map_or(0, |version| version.serial),
             base_hash: request.base.map(|version| version.hash.clone()).unwrap_or_default(),
             desired_hash: to.hash(),
+            stages: request.stages.to_vec(),
+            pause_ms: request.pause_ms,
             steps,
             risks,
         };
@@ -138,6 +148,12 @@
         if (plan.serial == 0) != plan.base_hash.is_empty() {
             return Err(PlanError::Senseless("its serial and its base's hash are at odds".to_owned()));
         }
+        let rising = plan.stages.windows(2).all(|pair| pair[0] < pair[1]);
+        let ends = plan.stages.first().is_none_or(|&first| first > 0)
+            && plan.stages.last().is_none_or(|&last| last == 10_000);
+        if !(rising && ends) {
+            return Err(PlanError::Senseless("its stages don't rise to all proxies".to_owned()));
+        }
         Ok(Plan { id: seal::hash(text), ..plan })
     }
 
--- a/crates/plan/tests/common/mod.rs
+++ b/crates/plan/tests/common/mod.rs
@@ -146,6 +146,8 @@
         lineage: store.lineage(),
         base: store.current(),
         load: &Load::default(),
+        stages: &[],
+        pause_ms: 0,
     };
     Plan::make(request, from, to)
 }
@@ -185,7 +187,7 @@
 /// A state with one version of this fleet, applied long before `NOW`.
 pub fn state_of(fleet: &Fleet) -> Store<Memory> {
     let mut store = Store::open_or_make(Memory::default(), "a-lineage").expect("a store in memory");
-    let entry = Entry { author: "nok", reason: "first", at_ms: NOW - HOUR, plan: "" };
+    let entry = Entry { author: "nok", reason: "first", at_ms: NOW - HOUR, ..Entry::default() };
     store.commit(0, &fleet.canonical(), entry).expect("a first version");
     store
 }
--- a/crates/plan/tests/refusals.rs
+++ b/crates/plan/tests/refusals.rs
@@ -86,6 +86,8 @@
         "desired_hash",
         "steps",
         "risks",
+        "stages",
+        "pause_ms",
     ] {
         cases.push((key, forged(&plan, without(key)), "missing field"));
     }
@@ -100,6 +102,9 @@
             forged(&plan, set("expires_ms", json!(1))),
             "before it is made",
         ),
+        ("stages that fall", forged(&plan, set("stages", json!([5000, 100, 10_000]))), "don't rise"),
+        ("stages that end early", forged(&plan, set("stages", json!([100, 5000]))), "don't rise"),
+        ("a stage of nobody", forged(&plan, set("stages", json!([0, 10_000]))), "don't rise"),
         ("steps that are no list", forged(&plan, set("steps", json!({}))), "makes no sense"),
         ("a step of no kind", forged(&plan, step(json!({"what": "rules"}))), "makes no sense"),
         (
@@ -294,7 +299,7 @@
 fn what_is_in_the_store_and_is_no_fleet_is_refused() {
     let (from, to) = pair();
     let mut store = state_of(&from);
-    let entry = Entry { author: "nok", reason: "by hand", at_ms: NOW, plan: "" };
+    let entry = Entry { author: "nok", reason: "by hand", at_ms: NOW, ..Entry::default() };
     store.commit(1, "{\"rules\":{}}", entry).expect("the store takes any text");
     let plan = plan_on(&store, &from, &to, "why");
     let problem = apply(&mut store, &plan, &accept(&plan), "nok", NOW).expect_err("no fleet");
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -88,10 +88,20 @@
     /// The id of the plan that it came from; empty for none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub plan: String,
+    /// Parts of the proxies that get it one after the other, in 10,000; empty: all at once.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stages: Vec<u32>,
+    /// Least time between two stages, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub pause_ms: u64,
 }
 
-/// Who commits, why and when.
-#[derive(Clone, Copy, Debug)]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// Who commits, why and when, and how it is to be handed out.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Entry<'a> {
     /// Who.
     pub author: &'a str,
@@ -101,6 +111,10 @@
     pub at_ms: u64,
     /// The plan that it carries out; empty for none.
     pub plan: &'a str,
+    /// As in [`Version`].
+    pub stages: &'a [u32],
+    /// As in [`Version`].
+    pub pause_ms: u64,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -187,6 +201,8 @@
             reason: entry.reason.to_owned(),
             at_ms: entry.at_ms,
             plan: entry.plan.to_owned(),
+            stages: entry.stages.to_vec(),
+            pause_ms: entry.pause_ms,
         };
         let name = state_name(version.serial);
         self.write_durably(&name, &sealed(text))?;
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -24,7 +24,7 @@
 fn what_is_committed_is_there_for_the_next_who_opens() {
     let place = Place::new("there");
     let mut store = Store::open_or_make(Folder::new(&place.0).unwrap(), "l").unwrap();
-    let entry = Entry { author: "somchai", reason: "songkran", at_ms: 7, plan: "" };
+    let entry = Entry { author: "somchai", reason: "songkran", at_ms: 7, ..Entry::default() };
     let version = store.commit(0, "one", entry).unwrap().clone();
     assert_eq!((version.serial, &version.parent[..]), (1, ""));
     let next = store.commit(1, "two", entry).unwrap().clone();
@@ -66,7 +66,7 @@
                     };
                     let mut store = Store::open(Folder::new(path).unwrap()).unwrap().unwrap();
                     let (on, author) = (store.serial(), format!("writer {writer}"));
-                    let entry = Entry { author: &author, reason: "race", at_ms: 0, plan: "" };
+                    let entry = Entry { author: &author, reason: "race", at_ms: 0, ..Entry::default() };
                     store.commit(on, &format!("{writer} {done}"), entry).unwrap();
                     done += 1;
                 }
--- a/crates/testkit/src/control.rs
+++ b/crates/testkit/src/control.rs
@@ -140,13 +140,26 @@
 
     /// `GET /status`.
     pub async fn status(&self) -> serde_json::Value {
+        serde_json::from_str(&self.ask("GET", "/status").await.1).expect("the status is JSON")
+    }
+
+    /// `POST`s nothing to a path of the admin port; gives the status code.
+    pub async fn post(&self, path: &str) -> u16 {
+        self.ask("POST", path).await.0
+    }
+
+    async fn ask(&self, method: &str, path: &str) -> (u16, String) {
         let mut stream = TcpStream::connect(self.admin).await.expect("the admin port is open");
-        let ask = format!("GET /status HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.admin);
+        let ask = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+            self.admin
+        );
         stream.write_all(ask.as_bytes()).await.expect("a request is taken");
         let mut answer = String::new();
         stream.read_to_string(&mut answer).await.expect("an answer comes");
-        let body = answer.split_once("\r\n\r\n").expect("an answer has a body").1;
-        serde_json::from_str(body).expect("the status is JSON")
+        let (head, body) = answer.split_once("\r\n\r\n").expect("an answer has a body");
+        let code = head.split(' ').nth(1).and_then(|code| code.parse().ok());
+        (code.expect("an answer has a code"), body.to_owned())
     }
 
     /// Resident memory, in KiB.
--- a/crates/xds/src/cache.rs
+++ b/crates/xds/src/cache.rs
@@ -90,13 +90,14 @@
     }
 }
 
+#[derive(Clone)]
 struct Gone {
     seq: u64,
     at: Duration,
     entry: Entry,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Table {
     live: BTreeMap<Arc<str>, Entry>,
     /// Last change of each live resource.
@@ -108,7 +109,8 @@
     unknown: BTreeSet<Arc<str>>,
 }
 
-/// All resources of all types.
+/// All resources of all types. Its clone shares their bytes.
+#[derive(Clone)]
 pub struct Cache {
     epoch: u64,
     seq: u64,
--- a/crates/xds/src/hub.rs
+++ b/crates/xds/src/hub.rs
@@ -1,6 +1,6 @@
 //! What all streams share: the cache, who is connected, and who may be.
 
-use crate::cache::{Cache, Change};
+use crate::cache::{Cache, Change, hash};
 use crate::session::{Limits, Standing};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -91,6 +91,8 @@
     pub responses: u64,
     /// Bytes of resources handed to the connection.
     pub bytes: u64,
+    /// The line that it follows: [`Hub::newest_line`] or the one before.
+    pub line: u64,
     /// How each type stands.
     pub standings: Vec<Standing>,
 }
@@ -116,10 +118,41 @@
     ended: std::collections::VecDeque<Ended>,
 }
 
+/// A state that is served, and where it parted from the one before.
+pub(crate) struct Line {
+    pub(crate) id: u64,
+    pub(crate) cache: Cache,
+    /// The line that it was the same as, up to this change.
+    pub(crate) forked: Option<(u64, u64)>,
+}
+
+/// What is served: one line, or two while a version is rolled out.
+pub(crate) struct Lines {
+    main: Line,
+    /// The newer one, and the part of the nodes that follow it, in 10,000.
+    next: Option<(Line, u32)>,
+}
+
+impl Lines {
+    /// What a node of this place follows.
+    pub(crate) fn of(&self, place: u32) -> &Line {
+        self.next.as_ref().filter(|(_, share)| place < *share).map_or(&self.main, |(line, _)| line)
+    }
+
+    fn newest(&self) -> &Line {
+        self.next.as_ref().map_or(&self.main, |(line, _)| line)
+    }
+}
+
+/// A node's place among all, `0..10_000`: a part of the nodes are those below it. The same in every run.
+pub fn place(node: &str) -> u32 {
+    (hash([node.as_bytes()]) % 10_000) as u32
+}
+
 /// What all streams share.
 pub struct Hub {
     pub(crate) settings: Settings,
-    cache: RwLock<Cache>,
+    lines: RwLock<Lines>,
     head: watch::Sender<u64>,
     streams: Mutex<Streams>,
     next_stream: AtomicU64,
@@ -131,7 +164,10 @@
     pub fn new(epoch: u64, settings: Settings) -> Arc<Hub> {
         Arc::new(Hub {
             settings,
-            cache: RwLock::new(Cache::new(epoch)),
+            lines: RwLock::new(Lines {
+                main: Line { id: 1, cache: Cache::new(epoch), forked: None },
+                next: None,
+            }),
             head: watch::Sender::new(0),
             streams: Mutex::default(),
             next_stream: AtomicU64::new(1),
@@ -144,21 +180,78 @@
         self.started.elapsed()
     }
 
-    /// Takes changes, all at once: no proxy sees some without the others. Tells whether anything differs.
+    /// Takes changes of the newest line, all at once: no proxy sees some without the others. Tells whether anything
+    /// differs.
     pub fn publish(&self, changes: impl IntoIterator<Item = Change>) -> bool {
-        let mut cache = self.cache.write().unwrap_or_else(PoisonError::into_inner);
-        let changed = cache.apply(self.now(), changes);
-        let seq = cache.seq();
-        drop(cache);
+        let now = self.now();
+        self.change(|lines| match &mut lines.next {
+            Some((line, _)) => line.cache.apply(now, changes),
+            None => lines.main.cache.apply(now, changes),
+        })
+    }
+
+    /// Takes changes of the line before the newest, where there are two.
+    pub fn publish_before(&self, changes: impl IntoIterator<Item = Change>) -> bool {
+        let now = self.now();
+        self.change(|lines| lines.next.is_some() && lines.main.cache.apply(now, changes))
+    }
+
+    /// Parts a new line from the one that is served, for nobody yet. Where there are two already, nothing happens.
+    pub fn fork(&self) {
+        self.change(|lines| {
+            if lines.next.is_none() {
+                let (id, cache) = (lines.main.id + 1, lines.main.cache.clone());
+                let forked = Some((lines.main.id, cache.seq()));
+                lines.next = Some((Line { id, cache, forked }, 0));
+            }
+            false
+        });
+    }
+
+    /// Gives the newest line to so many of 10,000 nodes, by their [`place`].
+    pub fn set_share(&self, share: u32) {
+        self.change(|lines| {
+            lines.next.as_mut().is_some_and(|(_, was)| std::mem::replace(was, share) != share)
+        });
+    }
+
+    /// Gives the newest line to all, and forgets the one before.
+    pub fn settle(&self) {
+        self.change(|lines| {
+            let next = lines.next.take();
+            let settled = next.is_some();
+            if let Some((line, _)) = next {
+                lines.main = line;
+            }
+            settled
+        });
+    }
+
+    fn change(&self, with: impl FnOnce(&mut Lines) -> bool) -> bool {
+        let changed = with(&mut self.lines.write().unwrap_or_else(PoisonError::into_inner));
         if changed {
-            self.head.send_replace(seq);
+            self.head.send_modify(|changes| *changes += 1);
         }
         changed
     }
 
-    /// What is served.
-    pub fn cache(&self) -> RwLockReadGuard<'_, Cache> {
-        self.cache.read().unwrap_or_else(PoisonError::into_inner)
+    /// Looks at what the newest line serves.
+    pub fn cache<T>(&self, with: impl FnOnce(&Cache) -> T) -> T {
+        with(&self.lines().newest().cache)
+    }
+
+    /// Looks at what the line before the newest serves, or the only one.
+    pub fn cache_before<T>(&self, with: impl FnOnce(&Cache) -> T) -> T {
+        with(&self.lines().main.cache)
+    }
+
+    /// The newest line, as [`Stream::line`] names it.
+    pub fn newest_line(&self) -> u64 {
+        self.lines().newest().id
+    }
+
+    pub(crate) fn lines(&self) -> RwLockReadGuard<'_, Lines> {
+        self.lines.read().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The streams that are open, by number.
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -19,7 +19,7 @@
 pub use cache::{Body, Cache, Change};
 pub use csds::ClientStatus;
 pub use envoy_types::pb::envoy::service::status::v3::client_status_discovery_service_server::ClientStatusDiscoveryServiceServer;
-pub use hub::{Access, Ended, Hub, Settings, Stream};
+pub use hub::{Access, Ended, Hub, Settings, Stream, place};
 pub use kind::Kind;
 pub use server::{Aggregated, Clusters, Discovery, Endpoints, Listeners, Routes, Served};
 pub use session::{Limits, Refusal, Rejection, Request, Response, Session, Standing};
--- a/crates/xds/src/server.rs
+++ b/crates/xds/src/server.rs
@@ -1,6 +1,6 @@
 //! The thin shell: gRPC streams round sessions.
 
-use crate::hub::{Hub, Stream};
+use crate::hub::{Hub, Line, Stream, place};
 use crate::kind::Kind;
 use crate::message::{ControlPlaneOut, DeltaOut, WholeOut};
 use crate::session::{Refusal, Request, Response, Session};
@@ -243,7 +243,7 @@
     only: Option<Kind>,
     number: u64,
     requests: &mut Streaming<V::In>,
-) -> Result<(Session, V::In), Status> {
+) -> Result<(Follower, V::In), Status> {
     let wait = hub.settings.first_request;
     let first = timeout(wait, requests.message()).await;
     let first = first.map_err(|_| Status::deadline_exceeded(format!("no request within {wait:?}")))??;
@@ -256,9 +256,11 @@
     if [&node.id, &node.cluster, &zone].iter().any(|name| name.len() > NODE_NAME_MOST) {
         return Err(Status::invalid_argument(format!("a name of the node is over {NODE_NAME_MOST} bytes")));
     }
-    let stream = format!("{}.{number}", hub.cache().epoch());
+    let stream = format!("{}.{number}", hub.cache(|cache| cache.epoch()));
     let mut session = Session::new(stream, V::INCREMENTAL, only, hub.settings.limits.clone());
     session.set_zone(&zone);
+    let place = place(&node.id);
+    let line = hub.lines().of(place).id;
     hub.open(Stream {
         number,
         node: node.id,
@@ -269,15 +271,38 @@
         requests: 0,
         responses: 0,
         bytes: 0,
+        line,
         standings: Vec::new(),
     })?;
-    Ok((session, first))
+    Ok((Follower { session, place, line }, first))
+}
+
+/// A session, and the line that it follows.
+struct Follower {
+    session: Session,
+    place: u32,
+    line: u64,
+}
+
+impl Follower {
+    /// Goes over to the line that its node is to follow now; says whether that is another one.
+    fn follow(&mut self, line: &Line) -> Result<bool, Refusal> {
+        if self.line == line.id {
+            return Ok(false);
+        }
+        match line.forked {
+            Some((parent, seq)) if parent == self.line => self.session.rewind(seq),
+            _ => return Err(Refusal::TooFarBehind), // two roll-outs while it was not looked at
+        }
+        self.line = line.id;
+        Ok(true)
+    }
 }
 
 async fn go_on<V: Variant>(
     hub: &Hub,
     number: u64,
-    mut session: Session,
+    mut follower: Follower,
     first: V::In,
     requests: &mut Streaming<V::In>,
     out: &mpsc::Sender<Result<V::Out, Status>>,
@@ -293,11 +318,15 @@
                 return (Some(Status::resource_exhausted(&*what)), what);
             }
             let taken = {
-                let cache = hub.cache();
-                let taken = session.request(&cache, hub.now(), V::request(request));
-                let standings = session.standings(&cache);
+                let lines = hub.lines();
+                let line = lines.of(follower.place);
+                let taken = follower
+                    .follow(line)
+                    .and_then(|_| follower.session.request(&line.cache, hub.now(), V::request(request)));
+                let standings = follower.session.standings(&line.cache);
                 hub.update(number, |stream| {
                     stream.requests += 1;
+                    stream.line = follower.line;
                     stream.standings = standings;
                 });
                 taken
@@ -319,17 +348,26 @@
             permit = out.reserve(), if look => {
                 let Ok(permit) = permit else { return (None, "the proxy closed the stream".to_owned()) };
                 head.mark_unchanged();
-                let cache = hub.cache();
-                match session.poll(&cache, hub.now()) {
+                let lines = hub.lines();
+                let line = lines.of(follower.place);
+                let polled = follower.follow(line).and_then(|moved| {
+                    let response = follower.session.poll(&line.cache, hub.now())?;
+                    let told = response.is_some() || moved;
+                    Ok((response, told.then(|| follower.session.standings(&line.cache))))
+                });
+                drop(lines);
+                if let Ok((response, Some(standings))) = &polled {
+                    let resources = response.iter().flat_map(|response| &response.resources);
+                    let bytes: usize = resources.map(bytes::Bytes::len).sum();
+                    hub.update(number, |stream| {
+                        stream.responses += u64::from(response.is_some());
+                        stream.bytes += bytes as u64;
+                        stream.line = follower.line;
+                        stream.standings.clone_from(standings);
+                    });
+                }
+                match polled.map(|(response, _)| response) {
                     Ok(Some(response)) => {
-                        let bytes: usize = response.resources.iter().map(bytes::Bytes::len).sum();
-                        let standings = session.standings(&cache);
-                        drop(cache);
-                        hub.update(number, |stream| {
-                            stream.responses += 1;
-                            stream.bytes += bytes as u64;
-                            stream.standings = standings;
-                        });
                         let identifier = hub.settings.identifier.clone();
                         permit.send(Ok(V::response(response, ControlPlaneOut { identifier })));
                     }
@@ -338,7 +376,7 @@
                 }
             }
             _ = head.changed(), if !look => look = true,
-            () = sleep(RECHECK), if !look && session.waits() => look = true,
+            () = sleep(RECHECK), if !look && follower.session.waits() => look = true,
             () = out.closed(), if !look => return (None, "the proxy closed the stream".to_owned()),
         }
     }
--- a/crates/xds/src/session.rs
+++ b/crates/xds/src/session.rs
@@ -411,6 +411,18 @@
         }
     }
 
+    /// Goes over to a cache that was the same up to this change: all that is different since is told anew.
+    pub fn rewind(&mut self, to: u64) {
+        for watch in self.watches.iter_mut().flatten() {
+            watch.cursor = watch.cursor.min(to);
+            watch.removed_to = watch.removed_to.min(to);
+            watch.settled = watch.settled.min(to);
+            for sent in &mut watch.unacked {
+                (sent.cursor, sent.removed_to) = (sent.cursor.min(to), sent.removed_to.min(to));
+            }
+        }
+    }
+
     fn settled(&self) -> [Option<u64>; 4] {
         std::array::from_fn(|i| self.watches[i].as_ref().map(|watch| watch.settled))
     }
