--- a/crates/control/tests/rollout.rs
+++ b/crates/control/tests/rollout.rs
@@ -20,8 +20,8 @@
 
 /// The n-th node id that is in the first stage, or that is not.
 fn id(first: bool, n: usize) -> String {
-    let ids = (0..).map(|n| format!("node-{n}")).filter(|id| (place(id) < FIRST) == first);
-    ids.skip(n).next().expect("there are enough")
+    let mut ids = (0..).map(|n| format!("node-{n}")).filter(|id| (place(id) < FIRST) == first);
+    ids.nth(n).expect("there are enough")
 }
 
 /// Two proxies in the first stage and two that are not, of either variant.
