--- a/crates/control/tests/rollout.rs
+++ b/crates/control/tests/rollout.rs
@@ -196,6 +196,13 @@
     })
     .await;
 
+    // Both lines go on while it stands: who goes over later has seen more of the old one than there was at the fork.
+    for (n, id) in ["e0", "e1", "e2"].into_iter().enumerate() {
+        discovery.drain(id);
+        for proxy in first.iter().chain(&others) {
+            until("a drain while it stands", || ready(proxy) == 3 - n).await;
+        }
+    }
     angry.store(false, Ordering::SeqCst);
     rejecting.abort();
     assert_eq!(control.post("/rollout/resume").await, 202);
