--- a/crates/testkit/src/control.rs
+++ b/crates/testkit/src/control.rs
@@ -47,10 +47,17 @@
     }
 }
 
-/// A port on loopback that is free now.
+/// A port on loopback that is free now, and given once. It lies below those that the system gives away, or a connection
+/// or another listener could take it before its owner listens.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port on loopback");
-    listener.local_addr().expect("a bound port").port()
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let given = GIVEN.fetch_add(1, Ordering::Relaxed);
+        let port = 10_000 + std::process::id().wrapping_mul(197).wrapping_add(given) % 22_000;
+        if TcpListener::bind(("127.0.0.1", port as u16)).is_ok() {
+            return port as u16;
+        }
+    }
 }
 
 /// A control service.
