One way to replace a file, one admin server, one look at the state folder

The admin server stood twice, for TCP and for the Unix socket; one function takes either. The status locked the roll-out twice. The service took the desired state apart to put it together again, and looked at the state folder twice. `model::digest` was public and nobody's; it is where it was.

Formatting, clippy of both crates and the control service's tests pass; the whole of the checks was not run through again. Left: the store's hash and the model's are the same line in two crates.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -4,16 +4,18 @@
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::{get, post};
+use axum::serve::Listener;
 use axum::{Json, Router};
 use runtrack_xds::Kind;
 use serde_json::{Value, json};
+use std::fmt::Debug;
 use std::fs::{DirBuilder, Permissions};
 use std::io;
 use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
 use std::path::Path;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
-use tokio::net::{TcpListener, UnixListener};
+use tokio::net::UnixListener;
 
 /// Has a roll-out that has halted go on.
 async fn resume(State(shared): State<Arc<Shared>>) -> StatusCode {
@@ -25,20 +27,18 @@
     StatusCode::ACCEPTED
 }
 
-/// Serves `GET /status`, `GET /ready` and `POST /rollout/resume`.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    if let Err(problem) = axum::serve(listener, router(shared)).await {
+/// Serves `GET /status`, `GET /ready` and `POST /rollout/resume`, at an address or a Unix socket.
+pub async fn serve<L: Listener<Addr: Debug>>(listener: L, shared: Arc<Shared>) {
+    let router = Router::new()
+        .route("/status", get(|State(shared): State<Arc<Shared>>| async move { Json(status(&shared)) }))
+        .route("/ready", get(|| async { "ready\n" }))
+        .route("/rollout/resume", post(resume))
+        .with_state(shared);
+    if let Err(problem) = axum::serve(listener, router).await {
         eprintln!("admin: {problem}");
     }
 }
 
-/// The same on a Unix socket.
-pub async fn serve_socket(listener: UnixListener, shared: Arc<Shared>) {
-    if let Err(problem) = axum::serve(listener, router(shared)).await {
-        eprintln!("admin_socket: {problem}");
-    }
-}
-
 /// A Unix socket that nobody but this user may ever connect to: it is made in a folder of this user's alone, and
 /// takes its place, that of an earlier one too, when its own permissions are set.
 pub fn bind_socket(at: &Path) -> io::Result<UnixListener> {
@@ -57,14 +57,6 @@
     bound
 }
 
-fn router(shared: Arc<Shared>) -> Router {
-    Router::new()
-        .route("/status", get(|State(shared): State<Arc<Shared>>| async move { Json(status(&shared)) }))
-        .route("/ready", get(|| async { "ready\n" }))
-        .route("/rollout/resume", post(resume))
-        .with_state(shared)
-}
-
 /// All that the service knows of itself. Times are seconds ago.
 pub fn status(shared: &Shared) -> Value {
     let (hub_now, now) = (shared.hub.now(), shared.clock.now());
@@ -82,18 +74,18 @@
     }
     let fleet = shared.core.lock().unwrap_or_else(PoisonError::into_inner).fleet().hash();
     let version = shared.version.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let rollout = shared.rollout.lock().unwrap_or_else(PoisonError::into_inner).as_ref().map(|rollout| {
+    let rollout = shared.rollout.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let before = rollout.as_ref().map(|rollout| rollout.progress().from);
+    let rollout = rollout.map(|rollout| {
         let progress = rollout.progress();
         json!({
-            "serial": progress.serial, "from": progress.from, "stage": progress.stage + 1, "stages": rollout.stages().len(),
-            "share": rollout.share(), "halted": progress.halted,
+            "serial": progress.serial, "from": progress.from, "stage": progress.stage + 1,
+            "stages": rollout.stages().len(), "share": rollout.share(), "halted": progress.halted,
         })
     });
     let newest = shared.hub.newest_line();
     let serial = version.as_ref().map(|version| version.serial);
     // While a version is rolled out, who does not follow it has the one before.
-    let before =
-        shared.rollout.lock().unwrap_or_else(PoisonError::into_inner).as_ref().map(|r| r.progress().from);
     let serial_of = |line: u64| if line == newest { serial } else { before };
     let proxies: Vec<Value> = shared.hub.streams().iter().map(|stream| {
         let types: Vec<Value> = stream.standings.iter().map(|s| {
--- a/crates/control/src/memory.rs
+++ b/crates/control/src/memory.rs
@@ -62,7 +62,8 @@
     u64::try_from(now.as_micros()).unwrap_or(u64::MAX)
 }
 
-fn replace(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
+/// Puts a file in place of the one of this name, durably, at once or not at all.
+pub fn replace(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
     let new = folder.join(format!("{name}.new"));
     let mut file = File::create(&new)?;
     file.write_all(bytes)?;
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::admin;
 use crate::core::Core;
-use crate::desired::{self, Desired, DesiredError};
+use crate::desired::{self, DesiredError};
 use crate::keeper::Keeper;
 use crate::memory::{self, Memory};
 use crate::progress::ProgressFile;
@@ -64,7 +64,7 @@
 pub async fn serve(path: &Path) -> Result<(), ServeError> {
     let settings = Settings::read(path)?;
     let from = desired::Origin::settings(&settings);
-    let Desired { fleet, version } = from.read()?;
+    let desired = from.read()?;
     let mut hup = signal(SignalKind::hangup()).map_err(system("SIGHUP"))?;
     let mut term = signal(SignalKind::terminate()).map_err(system("SIGTERM"))?;
     let clock = Clock::start();
@@ -77,10 +77,7 @@
         None => (memory::clock_epoch(), None, BTreeMap::new()),
     };
     let hub = Hub::new(epoch, settings.xds());
-    let progress = match &settings.state {
-        Some(folder) => Some(ProgressFile::new(folder).map_err(system(folder.display().to_string()))?),
-        None => None,
-    };
+    let progress = settings.state.as_deref().map(ProgressFile::new);
     let shared = Arc::new(Shared {
         hub: hub.clone(),
         core: Mutex::new(Core::new(Fleet::default(), BTreeMap::new(), epoch, clock.now())),
@@ -92,7 +89,7 @@
         troubles: Mutex::default(),
     });
     let mut keeper = Keeper::new(shared.clone(), from, memory, progress, epoch);
-    keeper.start(Desired { fleet, version }, held);
+    keeper.start(desired, held);
 
     let listener = TcpListener::bind(settings.listen).await;
     let listener = listener.map_err(system(format!("listen: {}", settings.listen)))?;
@@ -102,7 +99,7 @@
     }
     if let Some(at) = &settings.admin_socket {
         let socket = admin::bind_socket(at).map_err(system(format!("admin_socket: {}", at.display())))?;
-        tokio::spawn(admin::serve_socket(socket, shared.clone()));
+        tokio::spawn(admin::serve(socket, shared.clone()));
     }
     let mut server = server(&settings)?;
     let incoming = Incoming::new(listener, settings.limits.connections);
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -219,7 +219,8 @@
 
     /// SHA-256 of the canonical form, in hex.
     pub fn hash(&self) -> String {
-        digest(&self.canonical())
+        let digest = Sha256::digest(self.canonical());
+        digest.iter().map(|byte| format!("{byte:02x}")).collect()
     }
 
     /// Reads the canonical form and checks the whole: what is wrong with it, or the fleet.
@@ -232,11 +233,6 @@
     }
 }
 
-/// SHA-256 of a text, in hex.
-pub fn digest(text: &str) -> String {
-    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 mod micros {
     use serde::{Deserialize, Deserializer, Serializer};
     use std::time::Duration;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -23,6 +23,5 @@
 pub use check::{Fault, RISKS};
 pub use fleet::{
     Class, Endpoint, Fleet, Listener, Pool, Route, Rules, Semantics, Severity, Share, Source, State, Zones,
-    digest,
 };
 pub use problem::{Problem, Problems};
