Roll-outs halt on rising errors: load reports (LRS), a verdict by pool, head format 2

A version in stages halted on rejections and silence alone, as the control service saw no requests; a head with stages was still called format 1, so a program that knows no stages took it for a damaged one; the time of a stage had never been measured.

Change: the control service serves LRS. Counts are kept by pool and side (with the version, without it, before it), not by proxy; reports that reach back before the stage are left out, impossible ones end their stream, streams are bounded. A pool that fails more often than both others, by more than is tolerated and than chance, halts. The last stage stands for the pause too. The store's head has format 2; the first is read, and its first commit keeps it as head.1.

--- a/crates/cli/src/service.rs
+++ b/crates/cli/src/service.rs
@@ -8,6 +8,7 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use indicatif::{ProgressBar, ProgressStyle};
 use serde_json::Value;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -136,6 +137,12 @@
     }
 }
 
+/// So many of the streams have what is for them, and the stage of a roll-out.
+fn bar_style() -> ProgressStyle {
+    let style = ProgressStyle::with_template("{bar:32} {pos}/{len} streams {elapsed} {msg}");
+    style.unwrap_or_else(|_| ProgressStyle::default_bar())
+}
+
 /// `status`. Exits with 3 where something is wrong with the service itself.
 pub fn status(at: &str, json: bool) -> Done {
     let status = ask(at)?;
@@ -163,13 +170,18 @@
 pub fn watch(at: &str, wanted: Option<&str>, most: Duration) -> Done {
     let end = Instant::now() + most;
     let mut said = String::new();
+    // On standard error, and there only where that is a terminal.
+    let bar = ProgressBar::new(0).with_style(bar_style());
     loop {
         let standing = Standing::of(&ask(at)?);
         let line = standing.line();
         if line != said {
-            println!("{line}");
+            bar.suspend(|| println!("{line}"));
             said = line;
         }
+        bar.set_length(standing.proxies as u64);
+        bar.set_position((standing.proxies - standing.behind.len().min(standing.proxies)) as u64);
+        bar.set_message(standing.rollout.as_ref().map(|(stage, _)| stage.clone()).unwrap_or_default());
         let served = wanted.is_none_or(|wanted| standing.fleet == wanted);
         if let Some((stage, Some(why))) = &standing.rollout {
             let problem = format!("the roll-out has halted at {stage}: {why}. See `runtrackctl rollout`");
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -6,7 +6,7 @@
 use axum::routing::{get, post};
 use axum::serve::Listener;
 use axum::{Json, Router};
-use runtrack_xds::Kind;
+use runtrack_xds::{Kind, Tally};
 use serde_json::{Value, json};
 use std::fmt::Debug;
 use std::fs::{DirBuilder, Permissions};
@@ -83,6 +83,22 @@
             "stages": rollout.stages().len(), "share": rollout.share(), "halted": progress.halted,
         })
     });
+    let loads = shared.hub.loads(|loads| {
+        let tally = |tally: Tally| json!({"ended": tally.ended, "failed": tally.failed});
+        let recent: serde_json::Map<String, Value> =
+            loads.recent(hub_now).map(|(pool, sum)| (pool.to_owned(), tally(sum))).collect();
+        let compared: serde_json::Map<String, Value> = loads
+            .compared()
+            .map(|(pool, sides)| {
+                let sides = json!({
+                    "with": tally(sides.with), "without": tally(sides.without), "before": tally(sides.before),
+                });
+                (pool.to_owned(), sides)
+            })
+            .collect();
+        let (reports, unknown) = loads.taken();
+        json!({"reports": reports, "unknown_pools": unknown, "recent": recent, "rollout": compared})
+    });
     let newest = shared.hub.newest_line();
     let serial = version.as_ref().map(|version| version.serial);
     // While a version is rolled out, who does not follow it has the one before.
@@ -121,7 +137,7 @@
     json!({
         "epoch": epoch, "seq": seq, "encodings": encodings, "fleet": fleet,
         "serial": serial, "version": version, "rollout": rollout,
-        "resources": resources, "pools": pools, "proxies": proxies, "ended": ended, "troubles": troubles,
+        "resources": resources, "pools": pools, "loads": loads, "proxies": proxies, "ended": ended, "troubles": troubles,
     })
 }
 
--- /dev/null
+++ b/crates/control/src/errors.rs
@@ -0,0 +1,135 @@
+//! Whether requests fail more often where a new version is. No I/O.
+//!
+//! The new version is compared with two others, and only what is worse than both counts: the proxies that do not have
+//! it, at the same time (so that an incident that strikes all halts nothing), and all proxies before it (so that a
+//! pool that always failed more on the one side does not, and the last stage, which leaves nobody without it, still has
+//! something to stand against). A pool that neither knows, a new one, stands against all pools together.
+
+use runtrack_xds::{Compared, Tally};
+
+/// Fewer requests than this show nothing.
+const ENDED_LEAST: u64 = 100;
+/// Nor do fewer failures: chance makes two of one.
+const FAILED_LEAST: u64 = 10;
+/// The rise must be so many standard errors of the difference of two shares: chance alone gives as much once in
+/// 30,000 looks, and a look comes with every report, for every pool.
+const STANDARD_ERRORS: f64 = 4.0;
+
+/// What is no reason to halt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// The part of the requests that may fail over the others' part.
+    pub rise: f64,
+}
+
+impl Default for Tolerance {
+    fn default() -> Self {
+        Tolerance { rise: 0.01 }
+    }
+}
+
+/// The pool whose requests fail more often than is tolerated, in words with its figures.
+pub fn failing<'a>(
+    pools: impl Iterator<Item = (&'a str, Compared)>,
+    tolerance: Tolerance,
+) -> Option<String> {
+    let pools: Vec<(&str, Compared)> = pools.collect();
+    let all =
+        pools.iter().fold(Tally::default(), |sum, (_, pool)| sum.plus(pool.without).plus(pool.before));
+    let worse = pools.iter().filter_map(|(name, pool)| {
+        let known = [(pool.without, "without it"), (pool.before, "before it")];
+        let known = known.into_iter().filter(|(tally, _)| tally.ended >= ENDED_LEAST);
+        let (against, whose) = known
+            .max_by(|(a, _), (b, _)| a.share().unwrap_or(0.0).total_cmp(&b.share().unwrap_or(0.0)))
+            .or((all.ended >= ENDED_LEAST).then_some((all, "in all pools without it")))?;
+        let rise = rise(pool.with, against, tolerance)?;
+        Some((rise, name, pool.with, against, whose))
+    });
+    let (_, name, with, against, whose) = worse.max_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(format!(
+        "requests to pool {name} fail more often: {} with it, {} {whose}",
+        words(with),
+        words(against)
+    ))
+}
+
+/// By how much the share is higher, where that is more than is tolerated and than chance.
+fn rise(with: Tally, against: Tally, tolerance: Tolerance) -> Option<f64> {
+    if with.ended < ENDED_LEAST || with.failed < FAILED_LEAST {
+        return None;
+    }
+    let rise = with.share()? - against.share()?;
+    let pooled = with.plus(against).share()?;
+    let parts = 1.0 / with.ended as f64 + 1.0 / against.ended as f64;
+    let error = (pooled * (1.0 - pooled) * parts).sqrt();
+    (rise > tolerance.rise && rise > STANDARD_ERRORS * error).then_some(rise)
+}
+
+fn words(tally: Tally) -> String {
+    format!("{:.1}% of {}", tally.share().unwrap_or_default() * 100.0, tally.ended)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn of(ended: u64, failed: u64) -> Tally {
+        Tally { ended, failed }
+    }
+
+    fn judge(with: Tally, without: Tally, before: Tally) -> Option<String> {
+        failing([("p", Compared { with, without, before })].into_iter(), Tolerance::default())
+    }
+
+    #[test]
+    fn a_rise_over_both_is_told_with_its_figures() {
+        let told = judge(of(500, 60), of(5000, 10), of(9000, 90)).expect("worse");
+        assert_eq!(
+            told,
+            "requests to pool p fail more often: 12.0% of 500 with it, 1.0% of 9000 before it"
+        );
+    }
+
+    #[test]
+    fn what_strikes_all_or_struck_before_halts_nothing() {
+        assert_eq!(judge(of(500, 60), of(5000, 600), of(9000, 0)), None, "an incident everywhere");
+        assert_eq!(judge(of(500, 60), of(5000, 0), of(9000, 1080)), None, "it was like that before");
+    }
+
+    #[test]
+    fn the_last_stage_stands_against_the_time_before() {
+        assert!(judge(of(500, 60), of(0, 0), of(9000, 9)).is_some());
+    }
+
+    #[test]
+    fn few_requests_small_rises_and_chance_halt_nothing() {
+        assert_eq!(judge(of(99, 99), of(5000, 0), of(5000, 0)), None, "too few requests");
+        assert_eq!(judge(of(5000, 9), of(5000, 0), of(5000, 0)), None, "too few failures");
+        assert_eq!(
+            judge(of(100_000, 900), of(100_000, 0), of(100_000, 0)),
+            None,
+            "within what is tolerated"
+        );
+        assert_eq!(judge(of(200, 16), of(200, 8), of(200, 8)), None, "chance");
+        assert!(judge(of(20_000, 1600), of(20_000, 800), of(20_000, 800)).is_some(), "the same, proved");
+    }
+
+    #[test]
+    fn a_new_pool_stands_against_all_others() {
+        let old = Compared { with: of(50, 0), without: of(4000, 20), before: of(9000, 40) };
+        let new = Compared { with: of(300, 200), ..Compared::default() };
+        let told = failing([("old", old), ("new", new)].into_iter(), Tolerance::default()).expect("worse");
+        assert!(told.contains("pool new") && told.contains("in all pools without it"), "{told}");
+        assert_eq!(
+            failing([("new", new)].into_iter(), Tolerance::default()),
+            None,
+            "nothing to compare with"
+        );
+    }
+
+    #[test]
+    fn any_rise_is_tolerated_where_the_operator_says_so() {
+        let pool = Compared { with: of(500, 500), without: of(5000, 0), before: of(0, 0) };
+        assert_eq!(failing([("p", pool)].into_iter(), Tolerance { rise: 1.0 }), None);
+    }
+}
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -3,6 +3,7 @@
 
 use crate::core::{Core, Due};
 use crate::desired::{Desired, Origin};
+use crate::errors::{Tolerance, failing};
 use crate::memory::Memory;
 use crate::progress::ProgressFile;
 use crate::rollout::{Cohort, Next, Progress, Rollout};
@@ -24,6 +25,7 @@
     memory: Option<Memory>,
     progress: Option<ProgressFile>,
     seed: u64,
+    tolerance: Tolerance,
     /// While a version is rolled out: the one before it, for the proxies that do not have the new one yet. It hears
     /// of drains like the other.
     before: Option<Core>,
@@ -43,8 +45,9 @@
         memory: Option<Memory>,
         progress: Option<ProgressFile>,
         seed: u64,
+        tolerance: Tolerance,
     ) -> Keeper {
-        Keeper { shared, from, memory, progress, seed, before: None, waits: None }
+        Keeper { shared, from, memory, progress, seed, tolerance, before: None, waits: None }
     }
 
     fn core<T>(&self, with: impl FnOnce(&mut Core) -> T) -> T {
@@ -242,6 +245,7 @@
             let late = rejected.filter(|rejected| rejected.at >= rollout.since());
             cohort.rejected.extend(late.map(|rejected| (stream.node.clone(), rejected.detail.clone())));
         }
+        cohort.failing = self.shared.hub.loads(|loads| failing(loads.compared(), self.tolerance));
         cohort
     }
 
@@ -284,6 +288,8 @@
             })
         });
         if let Some(rollout) = resumed {
+            // What failed before somebody said to go on no longer counts.
+            self.shared.hub.set_share(rollout.share());
             self.keep(&rollout);
             self.shared.trouble("rollout", None);
         }
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod core;
 mod desired;
+mod errors;
 mod keeper;
 mod memory;
 mod pool;
--- a/crates/control/src/progress.rs
+++ b/crates/control/src/progress.rs
@@ -23,7 +23,7 @@
     /// takes proxies back to the version before and is safe.
     pub fn read(&self) -> Option<Progress> {
         let bytes = std::fs::read(self.0.join(NAME)).ok()?;
-        serde_json::from_str(seal::open(MAGIC, FORMAT, &bytes).ok()?).ok()
+        serde_json::from_str(seal::open(MAGIC, FORMAT, &bytes).ok()?.1).ok()
     }
 
     /// Writes it durably, as a whole.
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -55,6 +55,8 @@
     pub behind: Vec<String>,
     /// Nodes that have rejected a part of it, and their words.
     pub rejected: Vec<(String, String)>,
+    /// What shows that requests fail more often where it is; see [`crate::errors`].
+    pub failing: Option<String>,
 }
 
 /// What follows from a look.
@@ -91,8 +93,8 @@
         self.stages.get(self.progress.stage).copied().unwrap_or(10_000)
     }
 
-    /// Looks at the proxies of the stage: a rejection or a silence halts, and what all have acknowledged for as long
-    /// as the pause goes on.
+    /// Looks at the proxies of the stage: a rejection, a silence or a rise of errors halts, and what all have
+    /// acknowledged for as long as the pause goes on.
     pub fn look(&mut self, now: Duration, cohort: &Cohort) -> Next {
         if self.progress.halted.is_some() {
             return Next::Wait;
@@ -101,6 +103,9 @@
         if let Some((node, words)) = cohort.rejected.first() {
             return self.halt(format!("{node} rejects a part of it: {words}"));
         }
+        if let Some(words) = &cohort.failing {
+            return self.halt(words.clone());
+        }
         if !cohort.behind.is_empty() {
             if stood < ACKNOWLEDGE_MOST {
                 return Next::Wait;
@@ -108,10 +113,11 @@
             let others = cohort.behind.len() - 1;
             return self.halt(format!("{} and {others} more have not acknowledged it", cohort.behind[0]));
         }
-        let last = self.progress.stage + 1 >= self.stages.len();
-        if !last && stood < self.pause {
+        // The last stage stands as long as the others: errors show only once requests have been sent.
+        if stood < self.pause {
             return Next::Wait;
         }
+        let last = self.progress.stage + 1 >= self.stages.len();
         self.progress.stage += 1;
         self.since = now;
         if last { Next::Done } else { Next::Stage }
@@ -164,11 +170,8 @@
         );
         assert_eq!((rollout.look(at(122), &Cohort::default()), rollout.share()), (Next::Stage, 10_000));
         assert_eq!(rollout.look(at(123), &behind()), Next::Wait);
-        assert_eq!(
-            rollout.look(at(123), &Cohort::default()),
-            Next::Done,
-            "after the last stage nobody waits"
-        );
+        assert_eq!(rollout.look(at(131), &Cohort::default()), Next::Wait, "so does the last stage's");
+        assert_eq!(rollout.look(at(132), &Cohort::default()), Next::Done);
         assert_eq!(rollout.progress(), &Progress { stage: 3, ..Progress::new(7, "h", 6) });
     }
 
@@ -185,6 +188,16 @@
         assert_eq!(rollout.look(at(1010), &Cohort::default()), Next::Stage);
     }
 
+    #[test]
+    fn a_rise_of_errors_halts_in_the_last_stage_too() {
+        let mut rollout = rollout();
+        let failing = Cohort { failing: Some("pool p fails".to_owned()), ..Cohort::default() };
+        assert_eq!(rollout.look(at(111), &Cohort::default()), Next::Stage);
+        assert_eq!(rollout.look(at(121), &Cohort::default()), Next::Stage);
+        assert_eq!(rollout.look(at(122), &failing), Next::Halt);
+        assert_eq!(rollout.progress().halted.as_deref(), Some("pool p fails"));
+    }
+
     #[test]
     fn a_proxy_that_never_acknowledges_halts() {
         let mut rollout = rollout();
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -13,7 +13,7 @@
 use runtrack_model::Fleet;
 use runtrack_xds::{
     Aggregated, ClientStatus, ClientStatusDiscoveryServiceServer, Clusters, Discovery, Endpoints, Hub,
-    Incoming, Listeners, Routes,
+    Incoming, Listeners, LoadReporting, LoadReportingServiceServer, Routes,
 };
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -88,7 +88,8 @@
         clock,
         troubles: Mutex::default(),
     });
-    let mut keeper = Keeper::new(shared.clone(), from, memory, progress, epoch);
+    let mut keeper =
+        Keeper::new(shared.clone(), from, memory, progress, epoch, settings.rollouts.tolerance());
     keeper.start(desired, held);
 
     let listener = TcpListener::bind(settings.listen).await;
@@ -109,6 +110,10 @@
         .add_service(Discovery::<Endpoints>::new(hub.clone()))
         .add_service(Discovery::<Listeners>::new(hub.clone()))
         .add_service(Discovery::<Routes>::new(hub.clone()))
+        .add_service(
+            LoadReportingServiceServer::new(LoadReporting::new(hub.clone()))
+                .max_decoding_message_size(settings.xds().request_bytes),
+        )
         .add_service(ClientStatusDiscoveryServiceServer::new(ClientStatus::new(hub.clone())));
     let mut serving = tokio::spawn(router.serve_with_incoming(incoming));
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,5 +1,6 @@
 //! The service's own settings, from a TOML file; what it serves is in the fleet's file, which this one names.
 
+use crate::errors::Tolerance;
 use runtrack_xds as xds;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -44,6 +45,33 @@
     /// Limits.
     #[serde(default)]
     pub limits: Limits,
+    /// When a version that is handed out in stages goes no further.
+    #[serde(default)]
+    pub rollouts: Rollouts,
+}
+
+/// When a version that is handed out in stages goes no further.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rollouts {
+    /// How often proxies are asked to report how their requests ended, in milliseconds.
+    pub reports_every_ms: u64,
+    /// The part of a pool's requests that may fail over what fails elsewhere and did before, `0..=1`; 1: any.
+    pub error_rise: f64,
+}
+
+impl Default for Rollouts {
+    fn default() -> Self {
+        let every = xds::Settings::default().report_every;
+        Rollouts { reports_every_ms: every.as_millis() as u64, error_rise: Tolerance::default().rise }
+    }
+}
+
+impl Rollouts {
+    /// As the comparison takes it.
+    pub fn tolerance(&self) -> Tolerance {
+        Tolerance { rise: self.error_rise }
+    }
 }
 
 /// Certificates, as PEM files from the settings' folder.
@@ -149,6 +177,12 @@
                     .to_owned(),
             ));
         }
+        let Rollouts { reports_every_ms, error_rise } = settings.rollouts;
+        if !(100..=600_000).contains(&reports_every_ms) || !(0.0..=1.0).contains(&error_rise) {
+            return Err(wrong(
+                " rollouts: reports_every_ms must be 100 to 600000, and error_rise 0 to 1".to_owned(),
+            ));
+        }
         Ok(settings)
     }
 
@@ -164,6 +198,7 @@
             requests_per_s: self.limits.requests_per_s,
             connections: self.limits.connections,
             access: access.collect(),
+            report_every: Duration::from_millis(self.rollouts.reports_every_ms),
             ..usual
         }
     }
--- a/crates/plan/src/file.rs
+++ b/crates/plan/src/file.rs
@@ -136,7 +136,7 @@
         if bytes.len() > BYTES_MOST {
             return Err(PlanError::TooLong(bytes.len()));
         }
-        let text = seal::open(MAGIC, FORMAT, bytes).map_err(|broken| match broken {
+        let (_, text) = seal::open(MAGIC, FORMAT, bytes).map_err(|broken| match broken {
             seal::Broken::Newer { found, .. } => PlanError::Newer { found },
             seal::Broken::Changed => PlanError::Changed,
             seal::Broken::Foreign | seal::Broken::Never(_) | seal::Broken::NoText => PlanError::NoPlan,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,6 +3,10 @@
 //! A version is a file of its own, written and synced under its final name before anything refers to it. What
 //! refers to it is the head: lineage, history and the hash of each version, replaced as a whole by a rename. So a
 //! commit has happened exactly if the head of it is there, and what a cut leaves behind is never looked at.
+//!
+//! A head of an older format is read as it is; the first commit writes the newest one, and keeps the old head as
+//! `head.FORMAT`. Given its name back, it makes an older program serve the last version of then, as long as that one
+//! is kept.
 
 mod files;
 mod lock;
@@ -15,8 +19,11 @@
 use std::io;
 use thiserror::Error;
 
-/// The format that this version writes, and the newest that it reads.
-pub const FORMAT: u32 = 1;
+/// The format of the head that this version writes, and the newest that it reads. Format 1 knew of no plans and no
+/// stages: a program that reads no other would take a head with those for a damaged one.
+pub const FORMAT: u32 = 2;
+/// The format of versions' texts.
+const TEXT_FORMAT: u32 = 1;
 /// Versions kept, the current one included.
 pub const HISTORY: usize = 100;
 
@@ -44,12 +51,14 @@
         problem: String,
     },
     /// A file was written by a newer version.
-    #[error("{file}: format {found}, this version reads up to {FORMAT}")]
+    #[error("{file}: format {found}, this version reads up to {known}")]
     Newer {
         /// The file.
         file: String,
         /// Its format.
         found: u32,
+        /// The newest that is read.
+        known: u32,
     },
     /// The state is no longer the one that a commit builds on.
     #[error("the state has moved: expected serial {expected}, found {found}{}", by.as_ref().map(|by| format!(" by {by}")).unwrap_or_default())]
@@ -129,25 +138,27 @@
 pub struct Store<F> {
     files: F,
     head: Head,
+    /// The format that the head was read in.
+    format: u32,
 }
 
 impl<F: Files> Store<F> {
     /// Opens what is there; none where nothing has been made.
     pub fn open(files: F) -> Result<Option<Self>, StoreError> {
-        Ok(read_head(&files)?.map(|head| Store { files, head }))
+        Ok(read_head(&files)?.map(|(format, head)| Store { files, head, format }))
     }
 
     /// Opens what is there, or makes an empty state of this lineage, a random text of the caller's.
     pub fn open_or_make(files: F, lineage: &str) -> Result<Self, StoreError> {
-        let head = match read_head(&files)? {
-            Some(head) => head,
+        let (format, head) = match read_head(&files)? {
+            Some(read) => read,
             None => {
                 let head = Head { lineage: lineage.to_owned(), versions: Vec::new() };
                 write_head(&files, &head)?;
-                head
+                (FORMAT, head)
             }
         };
-        Ok(Store { files, head })
+        Ok(Store { files, head, format })
     }
 
     /// Made once, with the state.
@@ -175,7 +186,8 @@
         let version = self.head.versions.iter().find(|version| version.serial == serial);
         let version = version.ok_or(StoreError::Unknown(serial))?;
         let name = state_name(serial);
-        let text = read_sealed(&self.files, &name)?.ok_or_else(|| damaged(&name, "it is missing"))?;
+        let (_, text) =
+            read_sealed(&self.files, &name, TEXT_FORMAT)?.ok_or_else(|| damaged(&name, "it is missing"))?;
         if seal::hash(&text) != version.hash {
             return Err(damaged(&name, "it is not the version that the head names"));
         }
@@ -187,7 +199,7 @@
     /// which of the two it has left. The caller holds the [`Lock`].
     pub fn commit(&mut self, on: u64, text: &str, entry: Entry) -> Result<&Version, StoreError> {
         // Another process may have written since this one has read.
-        self.head = read_head(&self.files)?.ok_or_else(|| damaged(HEAD, "it is missing"))?;
+        (self.format, self.head) = read_head(&self.files)?.ok_or_else(|| damaged(HEAD, "it is missing"))?;
         let found = self.serial();
         if found != on {
             let by = self.current().map(|version| format!("{} ({})", version.author, version.reason));
@@ -205,14 +217,18 @@
             pause_ms: entry.pause_ms,
         };
         let name = state_name(version.serial);
-        self.write_durably(&name, &sealed(text))?;
+        self.write_durably(&name, &seal::seal(MAGIC, TEXT_FORMAT, text))?;
+        if self.format < FORMAT {
+            let old = self.files.read(HEAD).map_err(|error| file(HEAD, error))?;
+            self.write_durably(&format!("{HEAD}.{}", self.format), &old)?;
+        }
         self.files.sync_folder().map_err(|error| file(".", error))?;
         let mut head = self.head.clone();
         head.versions.push(version);
         let over = head.versions.len().saturating_sub(HISTORY);
         let dropped: Vec<Version> = head.versions.drain(..over).collect();
         write_head(&self.files, &head)?;
-        self.head = head;
+        (self.head, self.format) = (head, FORMAT);
         // What is no longer kept may stay where it can't be removed: nothing refers to it.
         for version in dropped {
             let _ = self.files.remove(&state_name(version.serial));
@@ -238,37 +254,35 @@
     StoreError::Damaged { file: name.to_owned(), problem: problem.to_string() }
 }
 
-/// A sealed file's text; none where there is no such file.
-fn read_sealed(files: &impl Files, name: &str) -> Result<Option<String>, StoreError> {
+/// A sealed file's format and text; none where there is no such file.
+fn read_sealed(files: &impl Files, name: &str, known: u32) -> Result<Option<(u32, String)>, StoreError> {
     let bytes = match files.read(name) {
         Ok(bytes) => bytes,
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(error) => return Err(file(name, error)),
     };
-    match seal::open(MAGIC, FORMAT, &bytes) {
-        Ok(text) => Ok(Some(text.to_owned())),
-        Err(seal::Broken::Newer { found, .. }) => Err(StoreError::Newer { file: name.to_owned(), found }),
+    match seal::open(MAGIC, known, &bytes) {
+        Ok((format, text)) => Ok(Some((format, text.to_owned()))),
+        Err(seal::Broken::Newer { found, known }) => {
+            Err(StoreError::Newer { file: name.to_owned(), found, known })
+        }
         Err(broken) => Err(damaged(name, broken)),
     }
 }
 
-fn sealed(text: &str) -> Vec<u8> {
-    seal::seal(MAGIC, FORMAT, text)
-}
-
-fn read_head(files: &impl Files) -> Result<Option<Head>, StoreError> {
-    let Some(text) = read_sealed(files, HEAD)? else { return Ok(None) };
+fn read_head(files: &impl Files) -> Result<Option<(u32, Head)>, StoreError> {
+    let Some((format, text)) = read_sealed(files, HEAD, FORMAT)? else { return Ok(None) };
     let head: Head = serde_json::from_str(&text).map_err(|e| damaged(HEAD, e))?;
     let follows = |pair: &[Version]| pair[1].serial == pair[0].serial + 1 && pair[1].parent == pair[0].hash;
     if !head.versions.windows(2).all(follows) {
         return Err(damaged(HEAD, "its versions do not follow each other"));
     }
-    Ok(Some(head))
+    Ok(Some((format, head)))
 }
 
 fn write_head(files: &impl Files, head: &Head) -> Result<(), StoreError> {
     let text = serde_json::to_string(head).map_err(|e| damaged(HEAD, e))?;
-    files.write(HEAD_NEW, &sealed(&text)).map_err(|error| file(HEAD_NEW, error))?;
+    files.write(HEAD_NEW, &seal::seal(MAGIC, FORMAT, &text)).map_err(|error| file(HEAD_NEW, error))?;
     files.sync(HEAD_NEW).map_err(|error| file(HEAD_NEW, error))?;
     files.rename(HEAD_NEW, HEAD).map_err(|error| file(HEAD, error))?;
     files.sync_folder().map_err(|error| file(".", error))
--- a/crates/store/src/seal.rs
+++ b/crates/store/src/seal.rs
@@ -38,8 +38,8 @@
     format!("{magic} {format} {}\n{text}", hash(text)).into_bytes()
 }
 
-/// What was sealed.
-pub fn open<'b>(magic: &str, known: u32, bytes: &'b [u8]) -> Result<&'b str, Broken> {
+/// What was sealed, and in which of the formats up to the newest that is known.
+pub fn open<'b>(magic: &str, known: u32, bytes: &'b [u8]) -> Result<(u32, &'b str), Broken> {
     let text = std::str::from_utf8(bytes).map_err(|_| Broken::NoText)?;
     let (first, rest) = text.split_once('\n').ok_or(Broken::Foreign)?;
     let parts: Vec<&str> = first.split(' ').collect();
@@ -48,8 +48,8 @@
     match () {
         () if found != magic => Err(Broken::Foreign),
         () if format > known => Err(Broken::Newer { found: format, known }),
-        () if format != known => Err(Broken::Never(format)),
+        () if format == 0 => Err(Broken::Never(format)),
         () if hash(rest) != sum => Err(Broken::Changed),
-        () => Ok(rest),
+        () => Ok((format, rest)),
     }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,7 +12,7 @@
 pub use discovery::{Discovery, target};
 pub use endpoint::Endpoint;
 pub use proxy::{Proxy, ProxyState, ProxyTo};
-pub use scripted::{Scripted, ScriptedDelta, connect, delta_request, node, request, url};
+pub use scripted::{Scripted, ScriptedDelta, ScriptedLoad, connect, delta_request, node, request, url};
 
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -2,10 +2,14 @@
 
 use crate::PATIENCE;
 use envoy_types::pb::envoy::config::core::v3::{Locality, Node};
+use envoy_types::pb::envoy::config::endpoint::v3::{ClusterStats, UpstreamLocalityStats};
 use envoy_types::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
 use envoy_types::pb::envoy::service::discovery::v3::{
     DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse,
 };
+use envoy_types::pb::envoy::service::load_stats::v3::load_reporting_service_client::LoadReportingServiceClient;
+use envoy_types::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
+use envoy_types::pb::google::protobuf::Duration as ProtoDuration;
 use envoy_types::pb::google::rpc;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -153,3 +157,35 @@
         });
     }
 }
+
+/// A stream that reports loads (LRS).
+pub type ScriptedLoad = Stream<LoadStatsRequest, LoadStatsResponse>;
+
+impl ScriptedLoad {
+    /// Opens a stream as this node.
+    pub async fn open(channel: Channel, id: &str) -> ScriptedLoad {
+        let (requests, sent) = mpsc::unbounded_channel();
+        let first = LoadStatsRequest { node: node(id, ""), ..Default::default() };
+        let _ = requests.send(first);
+        let mut client = LoadReportingServiceClient::new(channel);
+        let opened = client.stream_load_stats(UnboundedReceiverStream::new(sent)).await;
+        Stream { requests, responses: opened.expect("the stream opens").into_inner() }
+    }
+
+    /// Reports how requests to a pool ended in the last so many milliseconds.
+    pub fn report(&self, pool: &str, succeeded: u64, failed: u64, over_ms: i32) {
+        let locality = UpstreamLocalityStats {
+            total_successful_requests: succeeded,
+            total_error_requests: failed,
+            total_issued_requests: succeeded.saturating_add(failed),
+            ..Default::default()
+        };
+        let stats = ClusterStats {
+            cluster_name: pool.to_owned(),
+            upstream_locality_stats: vec![locality],
+            load_report_interval: Some(ProtoDuration { seconds: 0, nanos: over_ms * 1_000_000 }),
+            ..Default::default()
+        };
+        self.send(LoadStatsRequest { node: None, cluster_stats: vec![stats] });
+    }
+}
--- a/crates/xds/src/hub.rs
+++ b/crates/xds/src/hub.rs
@@ -1,6 +1,8 @@
 //! What all streams share: the cache, who is connected, and who may be.
 
 use crate::cache::{Cache, Change, hash};
+use crate::kind::Kind;
+use crate::load::{Impossible, Loads, Report};
 use crate::session::{Limits, Standing};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -32,6 +34,8 @@
     pub first_request: Duration,
     /// Nodes that may connect; empty: all.
     pub access: Vec<Access>,
+    /// How often proxies are asked to report how their requests ended.
+    pub report_every: Duration,
 }
 
 impl Default for Settings {
@@ -47,6 +51,7 @@
             requests_per_s: 500.0,
             first_request: Duration::from_secs(10),
             access: Vec::new(),
+            report_every: Duration::from_secs(10),
         }
     }
 }
@@ -108,6 +113,8 @@
     pub why: String,
 }
 
+/// Longest node id, cluster or zone that is taken.
+pub(crate) const NODE_NAME_MOST: usize = 256;
 /// Ended streams remembered for people.
 const ENDED_MOST: usize = 64;
 
@@ -116,6 +123,26 @@
     open: BTreeMap<u64, Stream>,
     of_node: BTreeMap<String, usize>,
     ended: std::collections::VecDeque<Ended>,
+    /// Streams that report loads, by node.
+    reporters: BTreeMap<String, usize>,
+}
+
+/// A stream that reports loads, while it is open.
+pub(crate) struct Reporter {
+    hub: Arc<Hub>,
+    node: String,
+}
+
+impl Drop for Reporter {
+    fn drop(&mut self) {
+        let mut streams = self.hub.lock();
+        if let Some(count) = streams.reporters.get_mut(&self.node) {
+            *count -= 1;
+            if *count == 0 {
+                streams.reporters.remove(&self.node);
+            }
+        }
+    }
 }
 
 /// A state that is served, and where it parted from the one before.
@@ -155,6 +182,7 @@
     lines: RwLock<Lines>,
     head: watch::Sender<u64>,
     streams: Mutex<Streams>,
+    loads: Mutex<Loads>,
     next_stream: AtomicU64,
     started: Instant,
 }
@@ -163,6 +191,7 @@
     /// A hub whose versions are ordered after those of all earlier epochs.
     pub fn new(epoch: u64, settings: Settings) -> Arc<Hub> {
         Arc::new(Hub {
+            loads: Mutex::new(Loads::new(settings.report_every)),
             settings,
             lines: RwLock::new(Lines {
                 main: Line { id: 1, cache: Cache::new(epoch), forked: None },
@@ -203,6 +232,7 @@
                 let (id, cache) = (lines.main.id + 1, lines.main.cache.clone());
                 let forked = Some((lines.main.id, cache.seq()));
                 lines.next = Some((Line { id, cache, forked }, 0));
+                self.loads(|loads| loads.part(self.now()));
             }
             false
         });
@@ -213,6 +243,7 @@
         self.change(|lines| {
             lines.next.as_mut().is_some_and(|(_, was)| std::mem::replace(was, share) != share)
         });
+        self.loads(|loads| loads.stage(self.now(), share));
     }
 
     /// Gives the newest line to all, and forgets the one before.
@@ -225,6 +256,9 @@
             }
             settled
         });
+        self.cache(|cache| {
+            self.loads(|loads| loads.settle(|pool| cache.get(Kind::Cluster, pool).is_some()));
+        });
     }
 
     fn change(&self, with: impl FnOnce(&mut Lines) -> bool) -> bool {
@@ -245,6 +279,57 @@
         with(&self.lines().main.cache)
     }
 
+    /// Looks at what proxies report of their requests. Where the lines are locked too, they come first.
+    pub fn loads<T>(&self, with: impl FnOnce(&mut Loads) -> T) -> T {
+        with(&mut self.loads.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Takes a report of a node of this [`place`].
+    pub(crate) fn report(&self, place: u32, reports: &[Report]) -> Result<(), Impossible> {
+        let (now, lines) = (self.now(), self.lines());
+        let cache = &lines.of(place).cache;
+        self.loads(|loads| {
+            loads.report(now, place, reports, |pool| cache.get(Kind::Cluster, pool).is_some())
+        })
+    }
+
+    /// Takes a stream in that reports loads, or says why not.
+    pub(crate) fn open_reporter(
+        self: &Arc<Hub>,
+        node: &str,
+        cluster: &str,
+    ) -> Result<Reporter, tonic::Status> {
+        self.admits(node, cluster)?;
+        let mut streams = self.lock();
+        let (all, most) = (streams.reporters.values().sum::<usize>(), self.settings.streams);
+        let of_node = streams.reporters.get(node).copied().unwrap_or_default();
+        if all >= most || of_node >= self.settings.streams_of_node {
+            let what =
+                format!("{all} streams report loads, {of_node} of them of node `{node}`: no more may");
+            return Err(tonic::Status::resource_exhausted(what));
+        }
+        *streams.reporters.entry(node.to_owned()).or_default() += 1;
+        Ok(Reporter { hub: self.clone(), node: node.to_owned() })
+    }
+
+    /// Whether a node may connect: its names are of a length that can be kept, and the settings allow it.
+    pub(crate) fn admits(&self, node: &str, cluster: &str) -> Result<(), tonic::Status> {
+        if node.is_empty() {
+            let what = "the first request must name the node: `node.id` is empty";
+            return Err(tonic::Status::invalid_argument(what));
+        }
+        if [node, cluster].iter().any(|name| name.len() > NODE_NAME_MOST) {
+            let what = format!("a name of the node is over {NODE_NAME_MOST} bytes");
+            return Err(tonic::Status::invalid_argument(what));
+        }
+        let access = &self.settings.access;
+        if !access.is_empty() && !access.iter().any(|a| a.allows(node, cluster)) {
+            let what = format!("node `{node}` of cluster `{cluster}` may not connect here");
+            return Err(tonic::Status::permission_denied(what));
+        }
+        Ok(())
+    }
+
     /// The newest line, as [`Stream::line`] names it.
     pub fn newest_line(&self) -> u64 {
         self.lines().newest().id
@@ -275,11 +360,7 @@
     /// Takes a stream in, or says why not.
     pub(crate) fn open(&self, stream: Stream) -> Result<(), tonic::Status> {
         let (node, settings) = (stream.node.clone(), &self.settings);
-        let access = &settings.access;
-        if !access.is_empty() && !access.iter().any(|a| a.allows(&node, &stream.cluster)) {
-            let what = format!("node `{node}` of cluster `{}` may not connect here", stream.cluster);
-            return Err(tonic::Status::permission_denied(what));
-        }
+        self.admits(&node, &stream.cluster)?;
         let mut streams = self.lock();
         if streams.open.len() >= settings.streams {
             let what = format!("{} streams are open, the most there may be", settings.streams);
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -3,13 +3,16 @@
 //!
 //! [`Cache`] holds what is served; [`Session`] is one stream of one proxy, without I/O: requests go in, and
 //! [`Session::poll`] gives the next response from the newest state whenever the stream can take one. [`translate`]
-//! turns the model into resources.
+//! turns the model into resources. [`Loads`] sums up what proxies report of their requests (LRS).
 
 mod accept;
+mod allowance;
 mod cache;
 mod csds;
 mod hub;
 mod kind;
+mod load;
+mod lrs;
 mod message;
 mod server;
 mod session;
@@ -18,8 +21,11 @@
 pub use accept::{Counted, Incoming};
 pub use cache::{Body, Cache, Change};
 pub use csds::ClientStatus;
+pub use envoy_types::pb::envoy::service::load_stats::v3::load_reporting_service_server::LoadReportingServiceServer;
 pub use envoy_types::pb::envoy::service::status::v3::client_status_discovery_service_server::ClientStatusDiscoveryServiceServer;
 pub use hub::{Access, Ended, Hub, Settings, Stream, place};
 pub use kind::Kind;
+pub use load::{Compared, Impossible, Loads, Report, Tally};
+pub use lrs::LoadReporting;
 pub use server::{Aggregated, Clusters, Discovery, Endpoints, Listeners, Routes, Served};
 pub use session::{Limits, Refusal, Rejection, Request, Response, Session, Standing};
--- /dev/null
+++ b/crates/xds/src/lrs.rs
@@ -0,0 +1,112 @@
+//! LRS: proxies are asked for the error shares of all pools, and their reports go to [`Loads`](crate::Loads).
+
+use crate::allowance::Allowance;
+use crate::hub::{Hub, place};
+use crate::load::Report;
+use crate::server::Responses;
+use envoy_types::pb;
+use lrs::load_reporting_service_server::LoadReportingService;
+use lrs::{LoadStatsRequest, LoadStatsResponse};
+use pb::envoy::config::core::v3::Node;
+use pb::envoy::config::endpoint::v3::ClusterStats;
+use pb::envoy::service::load_stats::v3 as lrs;
+use pb::google::protobuf::Duration as ProtoDuration;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tonic::{Request, Response, Status, Streaming};
+
+/// A report about more than this says nothing of now; it is taken as one of so long.
+const OVER_MOST: Duration = Duration::from_secs(3600);
+
+/// The load reporting service.
+pub struct LoadReporting {
+    hub: Arc<Hub>,
+}
+
+impl LoadReporting {
+    /// Reports go to this hub.
+    pub fn new(hub: Arc<Hub>) -> Self {
+        LoadReporting { hub }
+    }
+}
+
+#[tonic::async_trait]
+impl LoadReportingService for LoadReporting {
+    type StreamLoadStatsStream = Responses<LoadStatsResponse>;
+
+    async fn stream_load_stats(
+        &self,
+        request: Request<Streaming<LoadStatsRequest>>,
+    ) -> Result<Response<Self::StreamLoadStatsStream>, Status> {
+        let (hub, requests) = (self.hub.clone(), request.into_inner());
+        let (out, responses) = mpsc::channel(1);
+        tokio::spawn(async move {
+            if let Err(status) = take(&hub, requests, &out).await {
+                let _ = timeout(hub.settings.first_request, out.send(Err(status))).await;
+            }
+        });
+        Ok(Response::new(Responses(responses)))
+    }
+}
+
+type Out = mpsc::Sender<Result<LoadStatsResponse, Status>>;
+
+/// Takes a stream's reports to its end.
+async fn take(hub: &Arc<Hub>, mut requests: Streaming<LoadStatsRequest>, out: &Out) -> Result<(), Status> {
+    let wait = hub.settings.first_request;
+    let first = timeout(wait, requests.message()).await;
+    let first = first.map_err(|_| Status::deadline_exceeded(format!("no request within {wait:?}")))??;
+    let Some(first) = first else { return Ok(()) };
+    let node: Node = first.node.clone().unwrap_or_default();
+    let _open = hub.open_reporter(&node.id, &node.cluster)?;
+    let every = hub.loads(|loads| loads.every());
+    // Which pools there are changes; the proxy knows those that it uses.
+    let ask = LoadStatsResponse {
+        send_all_clusters: true,
+        load_reporting_interval: Some(ProtoDuration {
+            seconds: every.as_secs() as i64,
+            nanos: every.subsec_nanos() as i32,
+        }),
+        ..Default::default()
+    };
+    if out.send(Ok(ask)).await.is_err() {
+        return Ok(());
+    }
+    let place = place(&node.id);
+    let mut allowance = Allowance::new(hub.settings.requests_per_s);
+    let mut next = Some(first);
+    while let Some(request) = next {
+        if !allowance.take() {
+            let what = format!("more than {} reports a second", hub.settings.requests_per_s);
+            return Err(Status::resource_exhausted(what));
+        }
+        let reports: Vec<Report> = request.cluster_stats.into_iter().map(report).collect();
+        if !reports.is_empty() {
+            hub.report(place, &reports).map_err(|problem| Status::invalid_argument(problem.to_string()))?;
+        }
+        next = tokio::select! {
+            read = requests.message() => read?,
+            () = out.closed() => None,
+        };
+    }
+    Ok(())
+}
+
+fn report(stats: ClusterStats) -> Report {
+    let sum = |of: fn(&pb::envoy::config::endpoint::v3::UpstreamLocalityStats) -> u64| {
+        stats.upstream_locality_stats.iter().fold(0_u64, |sum, stats| sum.saturating_add(of(stats)))
+    };
+    let over = stats.load_report_interval.as_ref().and_then(|over| {
+        let over = Duration::new(u64::try_from(over.seconds).ok()?, u32::try_from(over.nanos).ok()?);
+        Some(over.min(OVER_MOST))
+    });
+    Report {
+        succeeded: sum(|stats| stats.total_successful_requests),
+        failed: sum(|stats| stats.total_error_requests),
+        dropped: stats.total_dropped_requests,
+        over,
+        pool: stats.cluster_name,
+    }
+}
--- a/crates/xds/src/server.rs
+++ b/crates/xds/src/server.rs
@@ -1,6 +1,7 @@
 //! The thin shell: gRPC streams round sessions.
 
-use crate::hub::{Hub, Line, Stream, place};
+use crate::allowance::Allowance;
+use crate::hub::{Hub, Line, NODE_NAME_MOST, Stream, place};
 use crate::kind::Kind;
 use crate::message::{ControlPlaneOut, DeltaOut, WholeOut};
 use crate::session::{Refusal, Request, Response, Session};
@@ -15,7 +16,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use tonic::body::Body;
 use tonic::server::{Grpc, NamedService, StreamingService};
 use tonic::{Status, Streaming};
@@ -24,8 +25,6 @@
 
 /// Removals that wait for acknowledgements are looked at again this often.
 const RECHECK: Duration = Duration::from_millis(250);
-/// Longest node id, cluster or zone that is taken.
-const NODE_NAME_MOST: usize = 256;
 
 type Pinned<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
@@ -250,11 +249,9 @@
     let mut first = first.ok_or_else(|| Status::invalid_argument("the stream ended with no request"))?;
     let node = V::node(&mut first).unwrap_or_default();
     let zone = node.locality.map(|locality| locality.zone).unwrap_or_default();
-    if node.id.is_empty() {
-        return Err(Status::invalid_argument("the first request must name the node: `node.id` is empty"));
-    }
-    if [&node.id, &node.cluster, &zone].iter().any(|name| name.len() > NODE_NAME_MOST) {
-        return Err(Status::invalid_argument(format!("a name of the node is over {NODE_NAME_MOST} bytes")));
+    hub.admits(&node.id, &node.cluster)?;
+    if zone.len() > NODE_NAME_MOST {
+        return Err(Status::invalid_argument(format!("the zone is over {NODE_NAME_MOST} bytes")));
     }
     let stream = format!("{}.{number}", hub.cache(|cache| cache.epoch()));
     let mut session = Session::new(stream, V::INCREMENTAL, only, hub.settings.limits.clone());
@@ -390,24 +387,3 @@
         Refusal::TooFarBehind => Status::aborted(what),
     }
 }
-
-/// Requests that a stream may still send: so many a second, saved up for ten.
-struct Allowance {
-    rate: f64,
-    left: f64,
-    at: Instant,
-}
-
-impl Allowance {
-    fn new(rate: f64) -> Self {
-        Allowance { rate, left: rate * 10.0, at: Instant::now() }
-    }
-
-    fn take(&mut self) -> bool {
-        let now = Instant::now();
-        let earned = now.duration_since(self.at).as_secs_f64() * self.rate;
-        self.at = now;
-        self.left = (self.left + earned).min(self.rate * 10.0) - 1.0;
-        self.left >= 0.0
-    }
-}
--- a/crates/xds/src/translate.rs
+++ b/crates/xds/src/translate.rs
@@ -110,6 +110,8 @@
         lb_config: Some(cds::cluster::LbConfig::LeastRequestLbConfig(least_request)),
         circuit_breakers: Some(cds::CircuitBreakers { thresholds: vec![thresholds], ..Default::default() }),
         outlier_detection: Some(outliers),
+        // How requests end is told to the control service too: a roll-out halts by it.
+        lrs_server: Some(self_source()),
         // A proxy in panic sends to every endpoint, draining ones too: the drain promise forbids it.
         common_lb_config: Some(cds::cluster::CommonLbConfig {
             healthy_panic_threshold: Some(Percent { value: 0.0 }),
@@ -382,6 +384,17 @@
     }
 }
 
+/// Where this resource came from.
+fn self_source() -> core::ConfigSource {
+    core::ConfigSource {
+        resource_api_version: core::ApiVersion::V3 as i32,
+        config_source_specifier: Some(core::config_source::ConfigSourceSpecifier::Self_(
+            core::SelfConfigSource::default(),
+        )),
+        ..Default::default()
+    }
+}
+
 fn address(at: SocketAddr) -> core::Address {
     core::Address {
         address: Some(core::address::Address::SocketAddress(core::SocketAddress {
