The network code as a library behind a narrow seam: sockets, signals, clock, log

Cause: the sidecar's network code could run on real sockets alone, in a process of its own; a virtual world needs to give it connections, orders and a clock.

Change: the crate net has the trait for connections, listeners and who makes them, with TCP behind it; discovery's client and the sidecar take it as a value. The sidecar is a library, its binary gives it sockets, signals and the wall clock. Selects are biased and maps that are walked are ordered, so that a run depends on its inputs alone. Lines of the log go through the log crate, written as before.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -44,6 +44,7 @@
 }
 
 fn main() -> ExitCode {
+    runtrack_net::log_to_stderr();
     let done = match Cli::parse().command {
         Command::Serve { config } => match tokio::runtime::Builder::new_multi_thread().enable_all().build()
         {
--- a/crates/control/src/source.rs
+++ b/crates/control/src/source.rs
@@ -1,8 +1,10 @@
 //! Follows the platform's discovery for each pool, on a thread of its own.
 
 use runtrack_discovery::{Call, Client, Told, Watch};
+use runtrack_net::Tcp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::sync::mpsc;
 use tokio::task::{JoinSet, LocalSet};
 
@@ -43,7 +45,7 @@
 
 /// Follows one source for as long as the set that is returned is held.
 fn one(pool: String, from: SocketAddr, seed: u64, news: mpsc::UnboundedSender<News>) -> JoinSet<()> {
-    let client = Client::new(from, Watch::Kept, seed ^ u64::from(from.port()), move |told| {
+    let client = Client::new(Rc::new(Tcp), from, Watch::Kept, seed ^ u64::from(from.port()), move |told| {
         let _ = news.send(News { pool: pool.clone(), from, told }); // fails only while the process ends
     });
     // Versions of a server that may have been started anew don't compare with those held.
--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -7,11 +7,11 @@
 use hyper_util::rt::TokioIo;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use runtrack_net::Network;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -62,6 +62,7 @@
 
 /// A client of discovery, for a single-threaded runtime with a `LocalSet`.
 pub struct Client {
+    network: Rc<dyn Network>,
     address: Cell<SocketAddr>,
     mode: Watch,
     rev: Cell<u64>,
@@ -74,11 +75,17 @@
 
 impl Client {
     /// A client of discovery at this address. `seed` jitters its waits; `tell` takes all it has to tell.
-    pub fn new(address: SocketAddr, mode: Watch, seed: u64, tell: impl Fn(Told) + 'static) -> Rc<Self> {
+    pub fn new(
+        network: Rc<dyn Network>,
+        address: SocketAddr,
+        mode: Watch,
+        seed: u64,
+        tell: impl Fn(Told) + 'static,
+    ) -> Rc<Self> {
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
         let (rev, moved) = Default::default();
         let address = Cell::new(address);
-        Rc::new(Client { address, mode, rev, moved, draws, tell: Box::new(tell) })
+        Rc::new(Client { network, address, mode, rev, moved, draws, tell: Box::new(tell) })
     }
 
     /// Asks for the whole list before it follows changes, whatever version is held.
@@ -97,6 +104,7 @@
         let mut fetches = JoinSet::new();
         loop {
             let call = tokio::select! {
+                biased;
                 call = calls.recv() => call,
                 Some(_) = fetches.join_next() => continue,
             };
@@ -213,7 +221,7 @@
     }
 
     async fn call(&self, path: &str) -> Result<(Response<Incoming>, JoinSet<hyper::Result<()>>), String> {
-        let connect = timeout(CONNECT, TcpStream::connect(self.address.get())).await;
+        let connect = timeout(CONNECT, self.network.connect(self.address.get())).await;
         let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
@@ -238,13 +246,13 @@
         }
         if !list.targets.is_empty() {
             let sort = if list.all { "whole list" } else { "changes" };
-            eprintln!("list: {sort}, rev {}, {} entries", list.rev, list.targets.len());
+            log::info!("list: {sort}, rev {}, {} entries", list.rev, list.targets.len());
         }
         (self.tell)(Told::List(list));
     }
 
     fn failed(&self, reason: &str) {
-        eprintln!("discovery: {reason}");
+        log::info!("discovery: {reason}");
         (self.tell)(Told::Failed(reason.to_owned()));
     }
 }
--- a/crates/discovery/src/clock.rs
+++ b/crates/discovery/src/clock.rs
@@ -17,6 +17,11 @@
         Clock { start: Instant::now(), unix }
     }
 
+    /// A clock that starts now, at this Unix time: the wall clock is not asked.
+    pub fn at(unix: Duration) -> Self {
+        Clock { start: Instant::now(), unix }
+    }
+
     /// The time now.
     pub fn now(&self) -> Duration {
         self.unix + self.start.elapsed()
--- a/crates/runtrack/src/net/config.rs
+++ b/crates/runtrack/src/net/config.rs
@@ -94,10 +94,13 @@
         Config::parse(&text, var("ROUTER_NAME"), var("ROUTER_LISTEN"), var("ROUTER_DISCOVERY"))
     }
 
-    /// Reads the file again: discovery's address, if the file has come to name another one, and the
-    /// changed fields that need a restart. The file's address wins over a variable that can't have changed.
-    pub fn reload(file: &mut Value) -> Result<(Option<SocketAddr>, Vec<&'static str>), ConfigError> {
-        let config = Config::from_env()?;
+    /// What another configuration changes of the one in this file, which it takes the place of: discovery's address,
+    /// if the file has come to name another one, and the changed fields that need a restart. The file's address wins
+    /// over a variable that can't have changed.
+    pub fn reload(
+        file: &mut Value,
+        config: Config,
+    ) -> Result<(Option<SocketAddr>, Vec<&'static str>), ConfigError> {
         config.settings.validate().map_err(|e| error("settings", e))?;
         let new = config.file;
         let changed = |field: &&str| file[*field] != new[*field];
@@ -109,7 +112,8 @@
         Ok((moved, restart))
     }
 
-    fn parse(
+    /// Reads a configuration; what is given beside it wins over what the text says.
+    pub fn parse(
         text: &str,
         name: Option<String>,
         listen: Option<String>,
--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -6,6 +6,7 @@
 use super::outbound::{Attempt, Ended, Forward, Outbound, Progress};
 use hyper::body::Bytes;
 use runtrack_discovery::{Call, Clock};
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::fmt;
@@ -121,6 +122,17 @@
     out: usize,
 }
 
+/// How much is open, for who looks on.
+#[derive(Debug, Default)]
+pub struct Gauges {
+    /// Requests with no final answer, or with an attempt that has not ended.
+    pub open: Cell<usize>,
+    /// Attempts that have not ended.
+    pub attempts: Cell<usize>,
+    /// What the module remembers of requests.
+    pub remembered: Cell<usize>,
+}
+
 /// Owns the module, its timers, and the requests and attempts in flight.
 pub struct Driver {
     balancer: Balancer,
@@ -138,6 +150,7 @@
     listing: Rc<Listing>,
     calls: UnboundedSender<Call>,
     inbox: Inbox,
+    gauges: Rc<Gauges>,
 }
 
 impl Driver {
@@ -150,6 +163,7 @@
         listing: Rc<Listing>,
         calls: UnboundedSender<Call>,
         inbox: Inbox,
+        gauges: Rc<Gauges>,
     ) -> Self {
         Driver {
             balancer,
@@ -166,6 +180,7 @@
             listing,
             calls,
             inbox,
+            gauges,
         }
     }
 
@@ -189,6 +204,8 @@
                 () = &mut wake => {}
             }
             self.fire();
+            self.gauges.open.set(self.requests.len());
+            self.gauges.remembered.set(self.balancer.remembered());
         }
     }
 
@@ -204,12 +221,12 @@
             self.summary_at = now + SUMMARY;
             let mut counts: Vec<_> = self.unusual.drain().collect();
             counts.sort();
-            eprintln!("{}", std::mem::take(&mut self.spans));
+            log::info!("{}", std::mem::take(&mut self.spans));
             // What is kept must stay in proportion to what is open and listed.
             let (open, timers, module) =
                 (self.requests.len(), self.timers.len(), self.balancer.remembered());
             let (listed, names, links) = (self.addresses.len(), self.listing.names(), self.outbound.idle());
-            eprintln!(
+            log::info!(
                 "outcomes in {} s: {counts:?}; open {open}, timers {timers}, module {module}, \
                  listed {listed}, names {names}, idle connections {links}",
                 SUMMARY.as_secs()
@@ -228,8 +245,9 @@
             Input::List(news) => self.list(news),
             Input::GiveUp => {
                 let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
-                let open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
-                eprintln!("giving up {} requests", open.len());
+                let mut open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
+                open.sort_unstable(); // not in the order of a hash
+                log::info!("giving up {} requests", open.len());
                 for id in open {
                     self.finish(id, Answer::Failed);
                     self.handle(Event::RequestGone(id));
@@ -264,6 +282,7 @@
             return; // its outcome has been told
         }
         open.out -= 1;
+        self.gauges.attempts.update(|out| out - 1);
         let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
         let Ended { outcome, body, report, stages } = ended;
         if let Some((handed, began)) = stages.filter(|_| outcome == Outcome::Ok) {
@@ -318,7 +337,7 @@
                 self.outbound.close_idle(entry.id);
                 "draining"
             };
-            eprintln!("list: {} is {state}", self.listing.uid(entry.id));
+            log::info!("list: {} is {state}", self.listing.uid(entry.id));
         }
         if whole {
             let outbound = &self.outbound;
@@ -382,7 +401,7 @@
             Action::FetchList => drop(self.calls.send(Call::Fetch)),
             Action::Probe { endpoint } => self.probe(endpoint),
             Action::CloseIdle { endpoint } => self.outbound.close_idle(endpoint),
-            Action::Log(text) => eprintln!("module: {}", text.replace(['\n', '\r'], " ")),
+            Action::Log(text) => log::info!("module: {}", text.replace(['\n', '\r'], " ")),
         }
     }
 
@@ -409,6 +428,7 @@
         let (cancel, mut cancelled) = oneshot::channel();
         open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
         open.out += 1;
+        self.gauges.attempts.update(|out| out + 1);
         let attempted = Attempt { forward: open.forward.clone(), until, never_twice: open.never_twice };
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
         spawn_local(async move {
--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use runtrack_net::{Connection, Listener};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
@@ -20,8 +21,6 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::Signal;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -184,28 +183,29 @@
     }
 
     /// Serves until told to end, then drains: all that the kernel has accepted is answered.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal) {
+    pub async fn serve(self: Rc<Self>, listener: Box<dyn Listener>, drain: &Notify) {
         loop {
             tokio::select! {
-                _ = term.recv() => break,
-                () = self.accept(&listener) => {}
+                biased;
+                () = drain.notified() => break,
+                () = self.accept(&*listener) => {}
             }
         }
         let asked = Instant::now();
-        eprintln!("draining: {} clients connected", self.budget.clients());
+        log::info!("draining: {} clients connected", self.budget.clients());
         self.draining.set(true);
-        while timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
+        while timeout_at(asked + DRAIN_ACCEPT, self.accept(&*listener)).await.is_ok() {}
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
         // What still waits in the backlog counts as taken: closing the listener would reset it.
-        while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&listener)).await.is_ok() {}
+        while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&*listener)).await.is_ok() {}
         drop(listener);
         self.connections.borrow().values().for_each(|turn| turn.close.notify_one());
         if timeout_at(until, self.all_gone()).await.is_err() {
             let _ = self.inbox.send(Input::GiveUp);
             let _ = timeout(LAST_ANSWERS, self.all_gone()).await;
         }
-        eprintln!("drained in {} ms", asked.elapsed().as_millis());
+        log::info!("drained in {} ms", asked.elapsed().as_millis());
     }
 
     async fn all_gone(&self) {
@@ -215,10 +215,10 @@
     }
 
     /// Accepts one connection, once there is room for it.
-    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+    async fn accept(self: &Rc<Self>, listener: &dyn Listener) {
         let permit = self.room().await;
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        match poll_fn(|cx| listener.poll_accept(cx)).await {
+            Ok(stream) => {
                 self.failing.set(false);
                 let permit = permit.or_else(|| self.budget.take(Holder::Client));
                 let shed = permit.is_none();
@@ -228,7 +228,7 @@
             }
             Err(e) => {
                 if !self.failing.replace(true) {
-                    eprintln!("accept: {e}");
+                    log::info!("accept: {e}");
                 }
                 self.outbound.close_oldest_idle();
                 sleep(ACCEPT_PAUSE).await;
@@ -284,8 +284,7 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
-        let _ = stream.set_nodelay(true);
+    async fn connection(self: Rc<Self>, stream: Box<dyn Connection>, shed: bool, _permit: Option<Permit>) {
         let (socket, heard) = Socket::new(stream);
         let (busy, answered, last, closing, close) = Default::default();
         let turn = Rc::new(Turn { heard, accepted: Instant::now(), busy, answered, last, closing, close });
--- a/crates/runtrack/src/net/outbound.rs
+++ b/crates/runtrack/src/net/outbound.rs
@@ -2,15 +2,16 @@
 
 use super::budget::{Budget, Holder, Permit};
 use super::rest::Rest;
-use super::socket::{Came, Heard, Socket};
+use super::socket::{Heard, Socket};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use runtrack_net::{Came, Network};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::error::Error as _;
 use std::net::SocketAddr;
@@ -20,7 +21,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout};
 use weirwharf::{EndpointId, LoadField, Outcome, Settings};
@@ -190,8 +190,9 @@
 
 /// The connections to all endpoints.
 pub struct Outbound {
+    network: Rc<dyn Network>,
     budget: Rc<Budget>,
-    links: RefCell<HashMap<EndpointId, Links>>,
+    links: RefCell<BTreeMap<EndpointId, Links>>,
     connect_timeout: Duration,
     idle_most: Duration,
     /// What speaks against aged connections, and until when they are not used.
@@ -202,10 +203,11 @@
 
 impl Outbound {
     /// No connections yet.
-    pub fn new(settings: &Settings, budget: Rc<Budget>) -> Rc<Self> {
+    pub fn new(network: Rc<dyn Network>, settings: &Settings, budget: Rc<Budget>) -> Rc<Self> {
         let (connect, idle) = (settings.limits.connect_timeout, settings.limits.idle_close);
         let or = |time: Duration, unstated| if time.is_zero() { unstated } else { time };
         Rc::new(Outbound {
+            network,
             budget,
             links: RefCell::default(),
             aged_resets: Cell::default(),
@@ -394,7 +396,7 @@
             // One more is enough to give them up again after the pause.
             self.aged_resets.set(AGED_RESETS - 1.0);
             self.aged_until.set(Some(Instant::now() + AGED_PAUSE));
-            eprintln!(
+            log::info!(
                 "aged connections are reset at the next request: not used for {} s",
                 AGED_PAUSE.as_secs()
             );
@@ -507,8 +509,7 @@
             }
         };
         // A machine that is cut off never answers: without a limit of ours the attempt would hang.
-        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let stream = timeout(self.connect_timeout, self.network.connect(address)).await.ok()?.ok()?;
         let (socket, heard) = Socket::new(stream);
         let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(socket));
         let (sender, connection) = handshake.await.ok()?;
--- a/crates/runtrack/src/net/socket.rs
+++ b/crates/runtrack/src/net/socket.rs
@@ -1,42 +1,29 @@
 //! A TCP connection that notes what comes in, under hyper, which keeps that to itself.
 
-use socket2::SockRef;
+use runtrack_net::{Came, Connection};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// What has come in, for who uses the connection.
 pub struct Heard {
-    stream: RefCell<TcpStream>,
+    stream: RefCell<Box<dyn Connection>>,
     /// The last look found bytes: more may lie unread between here and the reader.
     more: Cell<bool>,
     /// When the first byte came since `forget`.
     began: Cell<Option<Instant>>,
 }
 
-/// What has come unread.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Came {
-    /// Nothing.
-    Nothing,
-    /// Bytes.
-    Bytes,
-    /// The connection's end.
-    End,
-}
-
 /// The connection itself, for hyper.
 pub struct Socket(Rc<Heard>);
 
 impl Socket {
     /// This connection, and what it notes.
-    pub fn new(stream: TcpStream) -> (Self, Rc<Heard>) {
+    pub fn new(stream: Box<dyn Connection>) -> (Self, Rc<Heard>) {
         let (more, began) = Default::default();
         let heard = Rc::new(Heard { stream: RefCell::new(stream), more, began });
         (Socket(heard.clone()), heard)
@@ -60,14 +47,9 @@
         self.began.set(None);
     }
 
-    /// What the kernel holds unread. Asked of it directly: the runtime only knows what its last look at all
-    /// sockets has shown.
+    /// What this machine holds unread.
     pub fn came(&self) -> Came {
-        match SockRef::from(&*self.stream.borrow()).peek(&mut [MaybeUninit::uninit(); 1]) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Came::Nothing,
-            Ok(1..) => Came::Bytes,
-            _ => Came::End,
-        }
+        self.stream.borrow().came()
     }
 }
 
--- /dev/null
+++ b/crates/runtrack/src/sidecar.rs
@@ -0,0 +1,96 @@
+//! One sidecar, put together.
+
+use crate::net::budget::Budget;
+use crate::net::config::{Config, ConfigError};
+use crate::net::driver::{Driver, Gauges, Input};
+use crate::net::inbound::Inbound;
+use crate::net::listing::Listing;
+use crate::net::outbound::Outbound;
+use runtrack_discovery::{Call, Client, Clock, Told, Watch};
+use runtrack_net::Network;
+use std::pin::pin;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::task::{JoinSet, spawn_local};
+use weirwharf::Balancer;
+
+/// What a running sidecar is told.
+pub enum Order {
+    /// Another configuration takes the place of the one it has, or is not understood.
+    Reload(Result<Box<Config>, ConfigError>),
+    /// Answer what has been taken, take nothing more, and end.
+    Drain,
+}
+
+/// Runs a sidecar until it has drained, or can't go on. It needs a single-threaded runtime with a `LocalSet`, and ends
+/// all that it has started.
+pub async fn run(
+    config: Config,
+    network: Rc<dyn Network>,
+    clock: Clock,
+    mut orders: UnboundedReceiver<Order>,
+    gauges: Rc<Gauges>,
+) -> Result<(), String> {
+    let Config { name, listen, discovery, seed, sockets, memory_mb, known, settings, names, mut file } =
+        config;
+    let balancer =
+        Balancer::new(settings.clone(), seed, clock.now()).map_err(|e| format!("settings: {e}"))?;
+    let budget = Budget::new(sockets, memory_mb);
+    let (inbox, inputs) = unbounded_channel();
+    let (calls, asked) = unbounded_channel();
+    let outbound = Outbound::new(network.clone(), &settings, budget.clone());
+    let inbound = Inbound::new(settings.clone(), &names, budget, outbound.clone(), inbox.clone());
+    let listing = Rc::new(Listing::new(names));
+    let watch = match settings.discovery {
+        weirwharf::Discovery::Push => Watch::Kept, // the module never asks for one
+        weirwharf::Discovery::Ask => Watch::Asked,
+    };
+    let (translate, news) = (listing.clone(), inbox.clone());
+    let client = Client::new(network.clone(), discovery, watch, seed, move |told: Told| {
+        let _ = news.send(Input::List(translate.told(told))); // fails only while the process ends
+    });
+    // The list as last held is there before the first client.
+    client.start_from(known.rev);
+    let _ = inbox.send(Input::List(listing.cached(known)));
+    let attempts = settings.limits.max_attempts;
+    let driver =
+        Driver::new(balancer, clock, attempts, outbound.clone(), listing, calls.clone(), inbox, gauges);
+    let mut driver = spawn_local(driver.run(inputs));
+    let mut helpers = JoinSet::new();
+    helpers.spawn_local(client.run(asked));
+    helpers.spawn_local(outbound.sweep());
+    let listener = network.listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+    log::info!("{name}: serving on {listen}");
+    let drain = Notify::new();
+    let mut serving = pin!(inbound.serve(listener, &drain));
+    loop {
+        tokio::select! {
+            biased;
+            () = &mut serving => return Ok(()),
+            ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
+            Some(order) = orders.recv() => match order {
+                Order::Drain => drain.notify_one(),
+                Order::Reload(config) => {
+                    let moved = match config.and_then(|config| Config::reload(&mut file, *config)) {
+                        Ok((moved, restart)) => {
+                            let to = moved.map_or("as it was".to_owned(), |at| at.to_string());
+                            log::info!("reloaded: discovery {to}");
+                            if !restart.is_empty() {
+                                log::info!("reloaded: changes that need a restart: {}", restart.join(", "));
+                            }
+                            moved
+                        }
+                        Err(problem) => {
+                            log::info!("reload: {problem}; going on as before");
+                            None
+                        }
+                    };
+                    if let Some(address) = moved {
+                        let _ = calls.send(Call::Move(address)); // fails only while the process ends
+                    }
+                }
+            },
+        }
+    }
+}
