--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -7,7 +7,7 @@
 use hyper_util::rt::TokioIo;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use runtrack_net::Network;
+use runtrack_net::{Network, mutant};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -117,6 +117,7 @@
                     (self.tell)(Told::Unchanged);
                 }
                 Some(Call::Fetch) => drop(fetches.spawn_local(self.clone().fetch_once())),
+                Some(Call::Move(_)) if mutant("move-unheard") => {}
                 Some(Call::Move(address)) => {
                     self.address.set(address);
                     self.moved.set(true);
@@ -181,7 +182,8 @@
                 Err(reason) => return reason,
             }
         }
-        let path = format!("/api/targets?watch=1&after={}", self.rev.get());
+        let path =
+            format!("/api/targets?watch=1&after={}", self.rev.get() + u64::from(mutant("watch-skips")));
         let (response, _connection) = match self.call(&path).await {
             Ok(answered) => answered,
             Err(reason) => return reason,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -47,6 +47,36 @@
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>>;
 }
 
+/// Whether an error that was planted under this name is switched on, for this thread. Without the feature `mutants`
+/// there are none.
+#[cfg(not(feature = "mutants"))]
+#[inline(always)]
+pub const fn mutant(_: &str) -> bool {
+    false
+}
+
+#[cfg(feature = "mutants")]
+pub use mutants::{mutant, plant};
+
+#[cfg(feature = "mutants")]
+mod mutants {
+    use std::cell::RefCell;
+
+    thread_local! {
+        static PLANTED: RefCell<Option<String>> = const { RefCell::new(None) };
+    }
+
+    /// Whether an error that was planted under this name is switched on, for this thread.
+    pub fn mutant(name: &str) -> bool {
+        PLANTED.with_borrow(|planted| planted.as_deref() == Some(name))
+    }
+
+    /// Switches the error of this name on, and any other off, for this thread.
+    pub fn plant(name: Option<&str>) {
+        PLANTED.set(name.map(str::to_owned));
+    }
+}
+
 struct Stderr;
 
 impl log::Log for Stderr {
--- a/crates/runtrack/src/net/config.rs
+++ b/crates/runtrack/src/net/config.rs
@@ -122,8 +122,15 @@
         let raw: Value = serde_json::from_str(text).map_err(|e| error("ROUTER_CONFIG", e))?;
         let file: File =
             serde_path_to_error::deserialize(&raw).map_err(|e| error(&e.path().to_string(), e.inner()))?;
-        let settings = wire::settings(1, &file.settings.to_string())
+        let mut settings = wire::settings(1, &file.settings.to_string())
             .map_err(|e| error(&e.field.replacen("conf", "settings", 1), e.problem))?;
+        if runtrack_net::mutant("keyed-for-ever") {
+            settings.classes.iter_mut().for_each(|class| {
+                if let weirwharf::Semantics::Keyed { window, .. } = &mut class.semantics {
+                    *window *= 100;
+                }
+            });
+        }
         let names: Names = serde_path_to_error::deserialize(&file.settings)
             .map_err(|e| error(&format!("settings.{}", e.path()), e.inner()))?;
         if file.limits.sockets < super::budget::LEAST_SOCKETS {
--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -6,6 +6,7 @@
 use super::outbound::{Attempt, Ended, Forward, Outbound, Progress};
 use hyper::body::Bytes;
 use runtrack_discovery::{Call, Clock};
+use runtrack_net::mutant;
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -302,6 +303,9 @@
         } else {
             self.count(outcome_name(outcome));
         }
+        if outcome == Outcome::Reset && mutant("count-not-lowered") {
+            return;
+        }
         let finished = self.requests.get(&id).is_none_or(|open| open.answer.is_none());
         self.handle(Event::AttemptEnded(AttemptEnded {
             request: id,
@@ -339,7 +343,7 @@
             };
             log::info!("list: {} is {state}", self.listing.uid(entry.id));
         }
-        if whole {
+        if whole && !mutant("missing-stay") {
             let outbound = &self.outbound;
             self.addresses.retain(|id, _| {
                 let listed = entries.iter().any(|entry| entry.id == *id);
@@ -379,6 +383,10 @@
                 self.finish(request, Answer::Refused(retry_after));
                 self.tidy(request);
             }
+            Action::Fail { request } if mutant("refuse-for-fail") => {
+                self.finish(request, Answer::Refused(None));
+                self.tidy(request);
+            }
             Action::Fail { request } => {
                 self.finish(request, Answer::Failed);
                 self.tidy(request);
--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use runtrack_net::{Connection, Listener};
+use runtrack_net::{Connection, Listener, mutant};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
@@ -201,7 +201,7 @@
         while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&*listener)).await.is_ok() {}
         drop(listener);
         self.connections.borrow().values().for_each(|turn| turn.close.notify_one());
-        if timeout_at(until, self.all_gone()).await.is_err() {
+        if !mutant("lost-on-term") && timeout_at(until, self.all_gone()).await.is_err() {
             let _ = self.inbox.send(Input::GiveUp);
             let _ = timeout(LAST_ANSWERS, self.all_gone()).await;
         }
@@ -392,7 +392,7 @@
         let (mut head, body) = request.into_parts();
         // Clients state a body's length. hyper would let chunks win over a length beside them, and take
         // what was hidden in that body for the next request.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) {
+        if head.headers.contains_key(header::TRANSFER_ENCODING) && !mutant("smuggled") {
             return Err((StatusCode::LENGTH_REQUIRED, "no Transfer-Encoding"));
         }
         let (mut request, time) = self.read(&head.method, &head.uri, &head.headers)?;
@@ -424,6 +424,7 @@
         drop_hop_headers(&mut head.headers);
         let (answer, answered) = oneshot::channel();
         let forward = Rc::new(Forward { method: head.method, uri: head.uri, headers: head.headers, body });
+        let time = if mutant("late-deadline") { time * 3 } else { time };
         let deadline = came + time - ANSWER_MARGIN.min(time / 10);
         let semantics = self.settings.classes[request.class.0].semantics;
         let never_twice = semantics == Semantics::Unsafe;
--- a/crates/runtrack/src/net/listing.rs
+++ b/crates/runtrack/src/net/listing.rs
@@ -2,6 +2,7 @@
 
 use super::config::Names;
 use runtrack_discovery::{List, State, Told};
+use runtrack_net::mutant;
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -82,11 +83,12 @@
                 cell: CellId(target.pod_group),
                 state: match target.state {
                     State::Up => EndpointState::Ready,
+                    State::Draining if mutant("drain-unheard") => EndpointState::Ready,
                     State::Draining => EndpointState::Draining,
                     State::Removed => EndpointState::Gone,
                 },
                 weight: target.capacity_hint,
-                started: (target.boot_ms > 0.0)
+                started: (target.boot_ms > 0.0 && !mutant("cold-unseen"))
                     .then(|| Duration::from_micros((target.boot_ms * 1e3) as u64)),
             });
         }
--- a/crates/runtrack/src/net/outbound.rs
+++ b/crates/runtrack/src/net/outbound.rs
@@ -9,7 +9,7 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use runtrack_net::{Came, Network};
+use runtrack_net::{Came, Network, mutant};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -87,7 +87,7 @@
 impl Progress {
     /// The outcome of no longer waiting: a request not written whole proves that it never ran.
     pub fn given_up(&self) -> Outcome {
-        if self.0.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
+        if self.0.get() && !mutant("late-never-ran") { Outcome::TimedOut } else { Outcome::ConnectFailed }
     }
 }
 
@@ -116,7 +116,7 @@
             }
             ready!(wait.as_mut().poll(cx));
         }
-        self.whole.set(true);
+        self.whole.set(!mutant("unsaid-last-byte"));
         let last = std::mem::take(&mut self.rest);
         Poll::Ready((!last.is_empty()).then_some(Ok(Frame::data(last))))
     }
@@ -291,6 +291,7 @@
                 return ended;
             }
             match (progress.0.get(), fresh) {
+                (true, _) if mutant("reset-never-ran") => return Ended::bare(Outcome::ConnectFailed),
                 (true, _) => return ended,
                 (false, true) => return Ended::bare(Outcome::ConnectFailed),
                 (false, false) => {} // a kept connection says nothing of its endpoint: another one
@@ -448,6 +449,9 @@
                 let rested = now >= link.idle_since + rest;
                 (link, rested)
             };
+            if mutant("no-rest") {
+                return Some((link, true));
+            }
             if !rested || self.silent(endpoint, address, &link) {
                 return Some((link, rested));
             }
--- a/crates/runtrack/src/net/socket.rs
+++ b/crates/runtrack/src/net/socket.rs
@@ -1,6 +1,6 @@
 //! A TCP connection that notes what comes in, under hyper, which keeps that to itself.
 
-use runtrack_net::{Came, Connection};
+use runtrack_net::{Came, Connection, mutant};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -63,6 +63,9 @@
         let before = buf.filled().len();
         let read = Pin::new(&mut *heard.stream.borrow_mut()).poll_read(cx, buf);
         let came = matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() > before;
+        if matches!(read, Poll::Ready(Ok(()))) && !came && mutant("end-unheard") {
+            return Poll::Pending;
+        }
         heard.more.set(came);
         if came && heard.began.get().is_none() {
             heard.began.set(Some(Instant::now()));
@@ -73,7 +76,11 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, bytes)
+        let mut stream = self.0.stream.borrow_mut();
+        if mutant("answered-twice") && bytes.starts_with(b"HTTP/1.1 503") {
+            let _ = Pin::new(&mut *stream).poll_write(cx, bytes);
+        }
+        Pin::new(&mut *stream).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
--- /dev/null
+++ b/crates/sim/src/draw.rs
@@ -0,0 +1,121 @@
+//! Scripts from seeds. Each seed switches a random part of the kinds of fault on (swarm testing), so that rare
+//! combinations come about that a mixture of all would bury.
+
+use crate::script::{Ask, Class, Fault, Manner, Script, Spoil};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// Kinds of fault that can be switched on.
+const KINDS: u32 = 18;
+/// A second copy comes this much behind the first at most. A connection that an endpoint's silences have earned rests
+/// for 5 ms (`docs/design/wire-speed.md`): a copy that is later than that, and the first one ever, is beyond what is
+/// promised.
+const TWICE_MOST: u32 = 4;
+/// Requests begin once the sidecars listen.
+const READY: u32 = 300;
+
+struct Draws(Pcg32);
+
+impl Draws {
+    /// From the least up to the most, both included.
+    fn of(&mut self, least: u32, most: u32) -> u32 {
+        least + self.0.next_u32() % (most - least + 1)
+    }
+
+    fn one_in(&mut self, count: u32) -> bool {
+        self.0.next_u32().is_multiple_of(count)
+    }
+}
+
+/// The script of a seed.
+pub fn script(seed: u64) -> Script {
+    let mut d = Draws(Pcg32::seed_from_u64(seed));
+    let sidecars = d.of(1, 2);
+    let endpoints = d.of(2, 6);
+    let length = d.of(4_000, 12_000);
+    let clients = d.of(1, 12);
+    let latency = d.of(1, 4);
+    let mut script = Script {
+        seed,
+        sidecars,
+        latency_ms: (latency, latency + d.of(0, 6)),
+        split: if d.one_in(2) { 0 } else { d.of(1, 60) },
+        fall_tenths: d.of(20, 40),
+        endpoints,
+        asks: Vec::new(),
+        faults: Vec::new(),
+    };
+    let mut asks = d.of(30, 220);
+    if d.one_in(8) {
+        asks += 200;
+    }
+    let bad = d.one_in(3);
+    let hurried = d.one_in(3);
+    for _ in 0..asks {
+        let class = [Class::Quote, Class::Book, Class::Pay][d.of(0, 2) as usize];
+        let manner = match d.of(0, 39) {
+            0 if bad => Manner::Rubbish,
+            1 if bad => Manner::Smuggles,
+            2 if bad => Manner::Pipelines,
+            3 if bad => Manner::Stops,
+            4 if bad => Manner::HalfCloses,
+            5 => Manner::Leaves(d.of(1, 400)),
+            6 => Manner::Slowly(d.of(1, 300)),
+            _ => Manner::Plain,
+        };
+        let wait = if hurried { d.of(60, 700) } else { d.of(400, 3000) };
+        let at = READY + d.of(0, length);
+        script.asks.push(Ask { at, client: d.of(0, clients * sidecars - 1), class, wait, manner });
+    }
+    script.asks.sort_by_key(|ask| ask.at);
+    let on: Vec<u32> = (0..KINDS).filter(|_| d.one_in(4)).collect();
+    let mut draining = 0;
+    let mut moved = false;
+    for kind in on {
+        for _ in 0..d.of(1, 3) {
+            let (at, lasts) = (READY + d.of(0, length), d.of(50, 3_000));
+            let (endpoint, sidecar) = (d.of(0, endpoints - 1), d.of(0, sidecars - 1));
+            let fault = match kind {
+                0 => Fault::Slow { endpoint, at, lasts, times: d.of(2, 20) },
+                1..=4 => {
+                    let how = match d.of(0, 6) {
+                        0 => Spoil::Noise,
+                        1 => Spoil::Short,
+                        2 => Spoil::Twice(d.of(0, TWICE_MOST)),
+                        3 => Spoil::Swallowed,
+                        4 => Spoil::Informed,
+                        5 => Spoil::Error,
+                        _ => Spoil::Reset,
+                    };
+                    Fault::Spoils { endpoint, at, lasts, one_of: d.of(1, 8), how }
+                }
+                5 => Fault::Silent { endpoint, at, lasts },
+                6 => Fault::Hangs { endpoint, at, lasts },
+                7 => Fault::Resets { endpoint, at },
+                8 => Fault::Stalls { endpoint, sidecar, answers: d.one_in(2), at, lasts },
+                9 => Fault::Dies { endpoint, at, lasts },
+                10 if draining + 1 < endpoints => {
+                    draining += 1;
+                    Fault::Drains { endpoint, at, lasts: d.of(500, 6_000) }
+                }
+                11 => Fault::Wavers { endpoint, at, lasts: d.of(500, 5_000) },
+                12 => Fault::Joins { at, count: d.of(1, 3) },
+                13 => match d.of(0, 2) {
+                    0 => Fault::DiscoveryDown { at, lasts },
+                    1 => Fault::DiscoveryLags { at, lasts },
+                    _ => Fault::WatchesBreak { at },
+                },
+                14 => Fault::Pause { sidecar, at, lasts: d.of(10, 900) },
+                15 => Fault::Term { sidecar, at, lasts: d.of(3_700, 6_000) },
+                16 => Fault::Kill { sidecar, at, lasts: d.of(100, 3_000) },
+                17 if !moved => {
+                    moved = true;
+                    Fault::Moves { at: at.max(1_500) }
+                }
+                _ => Fault::ClientStalls { client: d.of(0, clients - 1), at, lasts },
+            };
+            script.faults.push(fault);
+        }
+    }
+    script
+}
--- /dev/null
+++ b/crates/sim/src/http.rs
@@ -0,0 +1,112 @@
+//! HTTP/1.1 messages out of bytes, with the offsets at which they lie: for those who play peers, and for who looks on.
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// Its first line.
+    pub first: String,
+    /// Its headers, with names in small letters.
+    pub headers: Vec<(String, String)>,
+    /// Its body, by `Content-Length`.
+    pub body: Vec<u8>,
+    /// Offsets of its first byte, and behind its last.
+    pub at: (u64, u64),
+}
+
+impl Message {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(held, _)| held == name).map(|(_, value)| value.as_str())
+    }
+
+    /// An answer's status; 0 where it has none.
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Takes bytes and gives messages.
+#[derive(Default)]
+pub struct Reader {
+    bytes: Vec<u8>,
+    /// The offset of the first of them.
+    offset: u64,
+}
+
+/// What came is no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoMessage;
+
+impl Reader {
+    /// More bytes have come.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Whether a message has begun.
+    pub fn begun(&self) -> bool {
+        !self.bytes.is_empty()
+    }
+
+    /// The head of the message that has begun, if that is there; its body is empty.
+    pub fn head(&self) -> Result<Option<(Message, usize)>, NoMessage> {
+        let Some(end) = self.bytes.windows(4).position(|four| four == b"\r\n\r\n") else { return Ok(None) };
+        let text = std::str::from_utf8(&self.bytes[..end]).map_err(|_| NoMessage)?;
+        let mut lines = text.split("\r\n");
+        let first = lines.next().unwrap_or_default().to_owned();
+        let pair = |line: &str| {
+            let (name, value) = line.split_once(':').ok_or(NoMessage)?;
+            Ok((name.to_ascii_lowercase(), value.trim().to_owned()))
+        };
+        let headers = lines.map(pair).collect::<Result<Vec<_>, _>>()?;
+        let at = (self.offset, self.offset + end as u64 + 4);
+        Ok(Some((Message { first, headers, body: Vec::new(), at }, end + 4)))
+    }
+
+    /// The next message, if it is whole.
+    pub fn next(&mut self) -> Result<Option<Message>, NoMessage> {
+        let Some((mut message, head)) = self.head()? else { return Ok(None) };
+        let length = message.header("content-length").map_or(Ok(0), |text| text.parse::<usize>());
+        let end = head + length.map_err(|_| NoMessage)?;
+        if self.bytes.len() < end {
+            return Ok(None);
+        }
+        message.body = self.bytes[head..end].to_vec();
+        message.at.1 = self.offset + end as u64;
+        self.bytes.drain(..end);
+        self.offset += end as u64;
+        Ok(Some(message))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_come_whole_with_their_places_whatever_the_pieces() {
+        let text = b"POST /a HTTP/1.1\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\n\r\n";
+        for piece in 1..text.len() {
+            let (mut reader, mut found) = (Reader::default(), Vec::new());
+            for bytes in text.chunks(piece) {
+                reader.feed(bytes);
+                while let Some(message) = reader.next().expect("messages") {
+                    found.push(message);
+                }
+            }
+            assert_eq!(found.len(), 2, "in pieces of {piece}");
+            assert_eq!((found[0].header("x-id"), &found[0].body[..]), (Some("7"), &b"abc"[..]));
+            assert_eq!((found[0].at.1, found[1].at), (found[1].at.0, (found[1].at.0, text.len() as u64)));
+            assert!(!reader.begun());
+        }
+    }
+
+    #[test]
+    fn what_is_no_message_is_said_to_be_none() {
+        for bad in [&b"x\r\nno colon\r\n\r\n"[..], b"\xff\r\n\r\n", b"a b\r\nContent-Length: -1\r\n\r\n"] {
+            let mut reader = Reader::default();
+            reader.feed(bad);
+            assert_eq!(reader.next(), Err(NoMessage));
+        }
+    }
+}
