--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -171,7 +171,6 @@
         listing: Rc<Listing>,
         calls: UnboundedSender<Call>,
         inbox: Inbox,
-        gauges: Rc<Gauges>,
     ) -> Self {
         Driver {
             balancer,
@@ -188,10 +187,15 @@
             listing,
             calls,
             inbox,
-            gauges,
+            gauges: Rc::default(),
         }
     }
 
+    /// The same, which shows these who look on.
+    pub fn showing(self, gauges: Rc<Gauges>) -> Self {
+        Driver { gauges, ..self }
+    }
+
     /// Runs until nothing can report any more.
     pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>) {
         let mut batch = Vec::new();
--- a/crates/runtrack/src/sidecar.rs
+++ b/crates/runtrack/src/sidecar.rs
@@ -54,8 +54,8 @@
     client.start_from(known.rev);
     let _ = inbox.send(Input::List(listing.cached(known)));
     let attempts = settings.limits.max_attempts;
-    let driver =
-        Driver::new(balancer, clock, attempts, outbound.clone(), listing, calls.clone(), inbox, gauges);
+    let driver = Driver::new(balancer, clock, attempts, outbound.clone(), listing, calls.clone(), inbox)
+        .showing(gauges);
     let mut driver = spawn_local(driver.run(inputs));
     let mut helpers = JoinSet::new();
     helpers.spawn_local(client.run(asked));
