A link in the virtual world's documentation mended

Cause: it named a fault that is called otherwise; the documentation did not build. Change: the name.

--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -17,7 +17,7 @@
     pub split: u32,
     /// How a cold endpoint may be loaded: this many tenths of what it can do.
     pub fall_tenths: u32,
-    /// Endpoints that are there from the start; those that [`Fault::Join`] come after them.
+    /// Endpoints that are there from the start; those that [`Fault::Joins`] brings come after them.
     pub endpoints: u32,
     /// What is asked.
     pub asks: Vec<Ask>,
