Open calls are counted when asked for, not at every turn of the driver; twins made one

The driver summed the module's calls over all endpoints, and what it remembers, at each wake-up, for nobody but the simulation. Several pieces stood twice or were never used.

Change: the sidecar is asked for its gauges by an order, and the driver derives them then. xDS and LRS share the wait for a first request, the count of a node's streams, and the source of a resource; a pool's last ten minutes are summed in one place. In the simulation: one hash, one conversion of a script's times, one way to a host's connections; parameters that were always the same, a time that was always now, a filter that let all pass are gone.

--- a/crates/cli/src/service.rs
+++ b/crates/cli/src/service.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Streams that have what is for them.
+    fn up_to_date(&self) -> usize {
+        self.proxies - self.behind.len().min(self.proxies)
+    }
+
     fn line(&self) -> String {
         let serial = self.serial.map(|serial| format!("serial {serial}, ")).unwrap_or_default();
         let named = |what: &str, nodes: &[String]| match nodes {
@@ -128,7 +133,7 @@
         let fleet = self.fleet.get(..12).unwrap_or("unknown");
         format!(
             "{serial}fleet {fleet}, {} of {} streams have what is for them{}{}{}",
-            self.proxies - self.behind.len().min(self.proxies),
+            self.up_to_date(),
             self.proxies,
             named("behind", &self.behind),
             named("rejected", &self.rejected),
@@ -180,7 +185,7 @@
             said = line;
         }
         bar.set_length(standing.proxies as u64);
-        bar.set_position((standing.proxies - standing.behind.len().min(standing.proxies)) as u64);
+        bar.set_position(standing.up_to_date() as u64);
         bar.set_message(standing.rollout.as_ref().map(|(stage, _)| stage.clone()).unwrap_or_default());
         let served = wanted.is_none_or(|wanted| standing.fleet == wanted);
         if let Some((stage, Some(why))) = &standing.rollout {
--- a/crates/runtrack/src/main.rs
+++ b/crates/runtrack/src/main.rs
@@ -1,7 +1,6 @@
 //! `runtrack`: the sidecar on the system's sockets, clock and signals.
 
 use runtrack::net::config::Config;
-use runtrack::net::driver::Gauges;
 use runtrack::sidecar::{self, Order};
 use runtrack_discovery::Clock;
 use runtrack_net::Tcp;
@@ -40,5 +39,5 @@
             let _ = orders.send(order); // fails only while the process ends
         }
     });
-    sidecar::run(config, Rc::new(Tcp), Clock::start(), taken, Rc::new(Gauges::default())).await
+    sidecar::run(config, Rc::new(Tcp), Clock::start(), taken).await
 }
--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -7,7 +7,6 @@
 use hyper::body::Bytes;
 use runtrack_discovery::{Call, Clock};
 use runtrack_net::mutant;
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::fmt;
@@ -45,6 +44,8 @@
     ProbeEnded(EndpointId, Ended, Duration),
     /// News from discovery.
     List(News),
+    /// Somebody asks how much is open.
+    Report(oneshot::Sender<Gauges>),
     /// The process must end: fail what is still open.
     GiveUp,
 }
@@ -128,17 +129,17 @@
     out: usize,
 }
 
-/// How much is open, for who looks on.
-#[derive(Debug, Default)]
+/// How much is open.
+#[derive(Clone, Copy, Debug)]
 pub struct Gauges {
     /// Requests with no final answer, or with an attempt that has not ended.
-    pub open: Cell<usize>,
+    pub open: usize,
     /// Attempts that have not ended.
-    pub attempts: Cell<usize>,
+    pub attempts: usize,
     /// Calls that the module counts as in flight.
-    pub counted: Cell<u32>,
+    pub counted: u32,
     /// What the module remembers of requests.
-    pub remembered: Cell<usize>,
+    pub remembered: usize,
 }
 
 /// Owns the module, its timers, and the requests and attempts in flight.
@@ -158,7 +159,6 @@
     listing: Rc<Listing>,
     calls: UnboundedSender<Call>,
     inbox: Inbox,
-    gauges: Rc<Gauges>,
 }
 
 impl Driver {
@@ -187,15 +187,9 @@
             listing,
             calls,
             inbox,
-            gauges: Rc::default(),
         }
     }
 
-    /// The same, which shows these who look on.
-    pub fn showing(self, gauges: Rc<Gauges>) -> Self {
-        Driver { gauges, ..self }
-    }
-
     /// Runs until nothing can report any more.
     pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>) {
         let mut batch = Vec::new();
@@ -216,9 +210,6 @@
                 () = &mut wake => {}
             }
             self.fire();
-            self.gauges.open.set(self.requests.len());
-            self.gauges.counted.set(self.balancer.calls_in_flight());
-            self.gauges.remembered.set(self.balancer.remembered());
         }
     }
 
@@ -256,6 +247,7 @@
                 self.handle(Event::ProbeEnded { endpoint, outcome, elapsed, report });
             }
             Input::List(news) => self.list(news),
+            Input::Report(to) => drop(to.send(self.gauges())), // who asked may have gone
             Input::GiveUp => {
                 let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
                 let mut open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
@@ -270,6 +262,15 @@
         }
     }
 
+    fn gauges(&self) -> Gauges {
+        Gauges {
+            open: self.requests.len(),
+            attempts: self.requests.values().map(|open| open.out).sum(),
+            counted: self.balancer.calls_in_flight(),
+            remembered: self.balancer.remembered(),
+        }
+    }
+
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { mut request, reading, came, deadline, forward, never_twice, repeat_within, answer } =
             arrival;
@@ -297,7 +298,6 @@
             return; // its outcome has been told
         }
         open.out -= 1;
-        self.gauges.attempts.update(|out| out - 1);
         tried.may_have_run = !matches!(ended.outcome, Outcome::ConnectFailed | Outcome::Full);
         let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
         let Ended { outcome, body, report, stages } = ended;
@@ -454,7 +454,6 @@
         let write_by = open.repeat_within.and_then(|window| Some(first? + window));
         open.tries.push(Try { endpoint, sent: now, may_have_run: true, cancel: Some(cancel) });
         open.out += 1;
-        self.gauges.attempts.update(|out| out + 1);
         let attempted =
             Attempt { forward: open.forward.clone(), until, write_by, never_twice: open.never_twice };
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
--- a/crates/runtrack/src/sidecar.rs
+++ b/crates/runtrack/src/sidecar.rs
@@ -10,27 +10,28 @@
 use runtrack_net::Network;
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
-use tokio::task::{JoinSet, spawn_local};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
 use weirwharf::Balancer;
 
 /// What a running sidecar is told.
 pub enum Order {
     /// Another configuration takes the place of the one it has, or is not understood.
     Reload(Result<Box<Config>, ConfigError>),
+    /// Say how much is open.
+    Report(oneshot::Sender<Gauges>),
     /// Answer what has been taken, take nothing more, and end.
     Drain,
 }
 
-/// Runs a sidecar until it has drained, or can't go on. It needs a single-threaded runtime with a `LocalSet`, and ends
-/// all that it has started.
+/// Runs a sidecar until it has drained, or can't go on. It needs a single-threaded runtime with a `LocalSet`, and what it
+/// starts there ends with that set.
 pub async fn run(
     config: Config,
     network: Rc<dyn Network>,
     clock: Clock,
     mut orders: UnboundedReceiver<Order>,
-    gauges: Rc<Gauges>,
 ) -> Result<(), String> {
     let Config { name, listen, discovery, seed, sockets, memory_mb, known, settings, names, mut file } =
         config;
@@ -54,12 +55,11 @@
     client.start_from(known.rev);
     let _ = inbox.send(Input::List(listing.cached(known)));
     let attempts = settings.limits.max_attempts;
-    let driver = Driver::new(balancer, clock, attempts, outbound.clone(), listing, calls.clone(), inbox)
-        .showing(gauges);
+    let driver =
+        Driver::new(balancer, clock, attempts, outbound.clone(), listing, calls.clone(), inbox.clone());
     let mut driver = spawn_local(driver.run(inputs));
-    let mut helpers = JoinSet::new();
-    helpers.spawn_local(client.run(asked));
-    helpers.spawn_local(outbound.sweep());
+    spawn_local(client.run(asked));
+    spawn_local(outbound.sweep());
     let listener = network.listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
     log::info!("{name}: serving on {listen}");
     let drain = Notify::new();
@@ -71,21 +71,19 @@
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
             Some(order) = orders.recv() => match order {
                 Order::Drain => drain.notify_one(),
+                Order::Report(to) => drop(inbox.send(Input::Report(to))), // fails only while the process ends
                 Order::Reload(config) => {
-                    let moved = match config.and_then(|config| Config::reload(&mut file, *config)) {
-                        Ok((moved, restart)) => {
-                            let to = moved.map_or("as it was".to_owned(), |at| at.to_string());
-                            log::info!("reloaded: discovery {to}");
-                            if !restart.is_empty() {
-                                log::info!("reloaded: changes that need a restart: {}", restart.join(", "));
-                            }
-                            moved
-                        }
+                    let (moved, restart) = match config.and_then(|config| Config::reload(&mut file, *config)) {
+                        Ok(changes) => changes,
                         Err(problem) => {
                             log::info!("reload: {problem}; going on as before");
-                            None
+                            continue;
                         }
                     };
+                    log::info!("reloaded: discovery {}", moved.map_or("as it was".to_owned(), |at| at.to_string()));
+                    if !restart.is_empty() {
+                        log::info!("reloaded: changes that need a restart: {}", restart.join(", "));
+                    }
                     if let Some(address) = moved {
                         let _ = calls.send(Call::Move(address)); // fails only while the process ends
                     }
--- a/crates/sim/src/client.rs
+++ b/crates/sim/src/client.rs
@@ -4,7 +4,7 @@
 use crate::http::Reader;
 use crate::net::Stream;
 use crate::script::{Ask, Class, Manner};
-use crate::world::{PORT, World, client_ip, sidecar_ip};
+use crate::world::{PORT, World, client_ip, ms, sidecar_ip};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -72,7 +72,7 @@
             sent: None,
             taken: None,
             read: false,
-            wait: Duration::from_millis(ask.wait.into()),
+            wait: ms(ask.wait),
             left: None,
             broke: None,
             on: None,
@@ -88,7 +88,7 @@
         let mut stream = match next.take() {
             Some(stream) => stream,
             None => {
-                let until = world.start + world.now() + Duration::from_millis(ask.wait.into());
+                let until = world.start + world.now() + ms(ask.wait);
                 match timeout_at(until, world.wires.connect(client_ip(ask.client), to)).await {
                     Ok(Ok(stream)) => stream,
                     _ => return, // nobody there: never taken
@@ -138,7 +138,7 @@
         if stream.write_all(part.as_bytes()).await.is_err() {
             return End::Broke;
         }
-        sleep(Duration::from_millis(after.into())).await;
+        sleep(ms(after)).await;
     }
     let end = begin + text.len() as u64;
     let link = stream.link();
@@ -148,10 +148,10 @@
         let asked = &mut world.facts.borrow_mut().asked[fact];
         (asked.sent, asked.taken, asked.on) = (Some(sent), arrives, Some((link, answered_from)));
     }
-    let wait = Duration::from_millis(ask.wait.into());
+    let wait = ms(ask.wait);
     // A client that waits for its time waits a little longer for what was sent in time.
     let patience = match ask.manner {
-        Manner::Leaves(after) => Duration::from_millis(after.into()),
+        Manner::Leaves(after) => ms(after),
         _ => wait + Duration::from_millis(500),
     };
     let until = Instant::now() + patience;
--- a/crates/sim/src/discovery.rs
+++ b/crates/sim/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::http::Reader;
 use crate::net::Stream;
 use crate::script::Fault;
-use crate::world::{PORT, UNIX, World, discovery_at, endpoint_ip, number_of};
+use crate::world::{PORT, UNIX, World, discovery_at, endpoint_ip, ms, number_of};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -173,7 +173,6 @@
         }
         for fault in &world.script.faults {
             if let Fault::DiscoveryDown { at, lasts } | Fault::DiscoveryLags { at, lasts } = fault {
-                let ms = |ms: u32| Duration::from_millis(ms.into());
                 world.facts.borrow_mut().dark.push((ms(*at), ms(at + lasts)));
             }
         }
--- a/crates/sim/src/endpoint.rs
+++ b/crates/sim/src/endpoint.rs
@@ -4,7 +4,7 @@
 use crate::http::{Message, Reader};
 use crate::net::Stream;
 use crate::script::{Class, Fault, Spoil};
-use crate::world::{self, PORT, SLOTS, World, endpoint_ip, mean_work};
+use crate::world::{self, PORT, SLOTS, World, endpoint_ip, mean_work, ms};
 use rand_core::RngCore;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -119,7 +119,7 @@
             }
             Some(Spoil::Twice(after)) => {
                 write(stream, &good).await?;
-                sleep(Duration::from_millis(after.into())).await;
+                sleep(ms(after)).await;
                 write(stream, &good).await
             }
             Some(Spoil::Swallowed) => std::future::pending().await,
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -176,7 +176,7 @@
     let outcome = mutants::with(mutant, || run(&script, false));
     let Some(breach) = outcome.breaches.first() else { return Err("it breaks no rule".to_owned()) };
     let (small, runs) = mutants::with(mutant, || {
-        shrink::shrink(&script, breach.rule, |left, _| eprintln!("{left} requests and faults"))
+        shrink::shrink(&script, breach.rule, |left| eprintln!("{left} requests and faults"))
     });
     let to = PathBuf::from(format!("{}.small", path.display()));
     write(&to, &small)?;
@@ -273,7 +273,7 @@
         missed |= counts.contains(&u64::MAX);
         let (rule, left) = match first {
             Some((_, script, rule)) => {
-                let (small, _) = mutants::with(Some(name), || shrink::shrink(&script, rule, |_, _| {}));
+                let (small, _) = mutants::with(Some(name), || shrink::shrink(&script, rule, |_| {}));
                 (format!("{rule:?}"), format!("{} and {}", small.asks.len(), small.faults.len()))
             }
             None => ("-".to_owned(), "-".to_owned()),
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -89,14 +89,10 @@
     draws: Pcg32,
 }
 
-struct Waiting {
-    at: Instant,
-    link: u64,
-}
-
 #[derive(Default)]
 struct Port {
-    waiting: VecDeque<Waiting>,
+    /// Links that have come, in their order.
+    waiting: VecDeque<u64>,
     waker: Option<Waker>,
 }
 
@@ -128,7 +124,8 @@
 #[derive(Clone)]
 pub struct Wires(Rc<RefCell<State>>);
 
-fn fnv(hash: u64, bytes: &[u8]) -> u64 {
+/// FNV-1a, going on from a hash.
+pub(crate) fn fnv(hash: u64, bytes: &[u8]) -> u64 {
     bytes.iter().fold(hash, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
 }
 
@@ -180,11 +177,19 @@
         silent.map(|window| window.until).max()
     }
 
-    fn reset(&mut self, number: u64, at: Option<Instant>) {
+    fn links_of(&self, host: IpAddr) -> Vec<u64> {
+        self.links
+            .iter()
+            .filter(|(_, link)| link.hosts.contains(&host))
+            .map(|(number, _)| *number)
+            .collect()
+    }
+
+    fn reset(&mut self, number: u64) {
         let now = Instant::now();
         if let Some(link) = self.links.get_mut(&number) {
             for pipe in &mut link.pipes {
-                pipe.push(at.unwrap_or(now), Segment::Reset);
+                pipe.push(now, Segment::Reset);
                 pipe.ended = true;
                 if let Some(waker) = pipe.writer.take() {
                     waker.wake();
@@ -259,24 +264,19 @@
     pub fn died(&self, host: IpAddr) {
         let mut state = self.0.borrow_mut();
         state.ports.retain(|at, _| at.ip() != host);
-        let dead: Vec<u64> =
-            state.links.iter().filter(|(_, l)| l.hosts.contains(&host)).map(|(n, _)| *n).collect();
-        for number in dead {
-            state.reset(number, None);
+        for number in state.links_of(host) {
+            state.reset(number);
             if let Some(link) = state.links.get_mut(&number) {
                 (0..2).filter(|side| link.hosts[*side] == host).for_each(|side| link.gone[side] = true);
             }
         }
     }
 
-    /// Resets the connections that are open between two hosts, or of one.
-    pub fn reset_between(&self, host: IpAddr, other: Option<IpAddr>) {
+    /// Resets the connections of a host, which goes on.
+    pub fn reset_all(&self, host: IpAddr) {
         let mut state = self.0.borrow_mut();
-        let between =
-            |l: &Link| l.hosts.contains(&host) && other.is_none_or(|other| l.hosts.contains(&other));
-        let open: Vec<u64> = state.links.iter().filter(|(_, l)| between(l)).map(|(n, _)| *n).collect();
-        for number in open {
-            state.reset(number, None);
+        for number in state.links_of(host) {
+            state.reset(number);
         }
     }
 
@@ -324,7 +324,7 @@
             state.note(number, 0, "connects", to.port().into());
             (asked, number)
         };
-        let mut stream = Stream { wires: self.clone(), link: number, side: 0, timer: None };
+        let stream = Stream { wires: self.clone(), link: number, side: 0, timer: None };
         let Some(asked) = asked else {
             let back = self.0.borrow().back(hosts);
             match back {
@@ -342,10 +342,9 @@
         sleep_until(hung.unwrap_or(asked)).await;
         let answered = {
             let mut state = self.0.borrow_mut();
-            let now = Instant::now();
             let listens = match state.ports.get_mut(&to) {
                 Some(port) => {
-                    port.waiting.push_back(Waiting { at: now, link: number });
+                    port.waiting.push_back(number);
                     if let Some(waker) = port.waker.take() {
                         waker.wake();
                     }
@@ -363,7 +362,6 @@
             Some((at, listens)) => {
                 sleep_until(at).await;
                 if listens {
-                    stream.timer = None;
                     return Ok(stream);
                 }
                 Err(io::ErrorKind::ConnectionRefused.into())
@@ -410,7 +408,7 @@
 
     /// Ends it with a reset.
     pub fn abort(&self) {
-        self.wires.0.borrow_mut().reset(self.link, None);
+        self.wires.0.borrow_mut().reset(self.link);
     }
 }
 
@@ -569,11 +567,8 @@
         let Some(port) = state.ports.get_mut(&self.at) else {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         };
-        // What has come has arrived: it is put there at its time.
-        match port.waiting.pop_front().filter(|waiting| waiting.at <= Instant::now()) {
-            Some(Waiting { link, .. }) => {
-                Poll::Ready(Ok(Stream { wires: self.wires.clone(), link, side: 1, timer: None }))
-            }
+        match port.waiting.pop_front() {
+            Some(link) => Poll::Ready(Ok(Stream { wires: self.wires.clone(), link, side: 1, timer: None })),
             None => {
                 port.waker = Some(cx.waker().clone());
                 Poll::Pending
@@ -597,8 +592,8 @@
     fn drop(&mut self) {
         let mut state = self.wires.0.borrow_mut();
         if let Some(port) = state.ports.remove(&self.at) {
-            for Waiting { link: number, .. } in port.waiting {
-                state.reset(number, None);
+            for number in port.waiting {
+                state.reset(number);
                 if let Some(link) = state.links.get_mut(&number) {
                     link.gone[1] = true;
                 }
--- a/crates/sim/src/oracle.rs
+++ b/crates/sim/src/oracle.rs
@@ -81,7 +81,7 @@
         let what = format!("sent to endpoint {}, and no client asked it", attempt.endpoint);
         breaches.push(breach(Rule::Answer, attempt.first, &attempt.id, what));
     }
-    drains(script, facts, &mut breaches);
+    drains(facts, &mut breaches);
     cold(script, facts, &mut breaches);
     for what in &facts.open {
         breaches.push(breach(Rule::Left, Duration::MAX, "the end", what.clone()));
@@ -139,20 +139,19 @@
         }
         Some(_) => {}
         None => {
-            let killed = facts.lives.iter().any(|life| {
-                let until = life.until.unwrap_or(Duration::MAX);
-                // Who had no processor after SIGTERM did not have the time that is promised until SIGKILL.
-                let robbed = life.until.is_some()
-                    && life.told.is_some_and(|told| {
-                        by(facts, life.sidecar, told, until.saturating_sub(told)) > until
-                    });
-                let here = life.sidecar == asked.sidecar && life.from <= taken && taken <= until;
-                here && (life.killed || robbed) && until <= due
-            });
             // A machine on which no such process runs takes nothing.
-            let alive = facts.lives.iter().any(|life| {
-                let until = life.until.unwrap_or(Duration::MAX);
-                life.sidecar == asked.sidecar && life.from <= taken && taken <= until
+            let life = facts.lives.iter().find(|life| {
+                life.sidecar == asked.sidecar
+                    && life.from <= taken
+                    && life.until.is_none_or(|until| taken <= until)
+            });
+            let Some(life) = life else { return };
+            let killed = life.until.is_some_and(|until| {
+                // Who had no processor after SIGTERM did not have the time that is promised until SIGKILL.
+                let robbed = life
+                    .told
+                    .is_some_and(|told| by(facts, life.sidecar, told, until.saturating_sub(told)) > until);
+                (life.killed || robbed) && until <= due
             });
             let left = asked.left.is_some_and(|left| left < due);
             let new_while_draining = facts.lives.iter().any(|life| {
@@ -163,7 +162,7 @@
             });
             // The first request on a connection that is closed with nothing sent on for it has failed and is not lost.
             let crossed = asked.broke.is_some() && !asked.read && unsent;
-            if crossed || killed || left || !alive || new_while_draining {
+            if crossed || killed || left || new_while_draining {
                 return;
             }
             let what = match asked.broke {
@@ -267,7 +266,7 @@
 }
 
 /// Rule three.
-fn drains(script: &Script, facts: &Facts, breaches: &mut Vec<Breach>) {
+fn drains(facts: &Facts, breaches: &mut Vec<Breach>) {
     for attempt in &facts.attempts {
         let (sidecar, endpoint) = (attempt.sidecar, attempt.endpoint);
         let told = facts
@@ -299,7 +298,6 @@
             breaches.push(breach(Rule::Drain, attempt.first, &format!("endpoint {endpoint}"), what));
         }
     }
-    let _ = script;
 }
 
 /// When the telling began that stands at a moment: the first of those that say the same.
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -6,12 +6,11 @@
 use crate::facts::{Facts, Life};
 use crate::oracle::{self, Breach};
 use crate::script::{Fault, Script};
-use crate::world::{DEADLINE, UNIX, World, sidecar_ip};
+use crate::world::{DEADLINE, UNIX, World, ms, sidecar_ip};
 use runtrack::net::config::Config;
-use runtrack::net::driver::Gauges;
 use runtrack::sidecar::{self, Order};
 use runtrack_discovery::Clock;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::pin::Pin;
@@ -19,6 +18,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until, timeout_at};
 
@@ -81,7 +81,6 @@
 struct Process {
     gate: Rc<Gate>,
     orders: UnboundedSender<Order>,
-    gauges: Rc<Gauges>,
     task: JoinHandle<()>,
     life: usize,
 }
@@ -99,6 +98,11 @@
     Kill,
 }
 
+/// A list with nobody on it.
+fn nobody() -> Value {
+    json!({"rev": 0, "all": true, "targets": []})
+}
+
 /// A sidecar through the script.
 struct Player {
     world: Rc<World>,
@@ -112,11 +116,9 @@
     fn start(&self) -> Process {
         let (world, number) = (self.world.clone(), self.number);
         let lives = self.lives.replace(self.lives.get() + 1);
-        let known = if lives == 0 { self.discovery.list() } else { Value::Null };
-        let known =
-            if known.is_null() { serde_json::json!({"rev": 0, "all": true, "targets": []}) } else { known };
+        // What is started again knows nothing.
+        let known = if lives == 0 { self.discovery.list() } else { nobody() };
         let config = world.config(number, lives, self.server.get(), &known);
-        let gauges: Rc<Gauges> = Rc::default();
         let (orders, taken) = unbounded_channel();
         let life = {
             let facts = &mut world.facts.borrow_mut();
@@ -130,12 +132,12 @@
             facts.lives.len() - 1
         };
         let network = world.wires.host(sidecar_ip(number));
-        let (seen, clock) = (gauges.clone(), Clock::at(UNIX + world.now()));
+        let clock = Clock::at(UNIX + world.now());
         let process = async move {
             let done = match Config::parse(&config.to_string(), None, None, None) {
                 Ok(config) => {
                     let set = LocalSet::new();
-                    set.run_until(sidecar::run(config, network, clock, taken, seen)).await
+                    set.run_until(sidecar::run(config, network, clock, taken)).await
                 }
                 Err(problem) => Err(problem.to_string()),
             };
@@ -148,7 +150,7 @@
         };
         let gate: Rc<Gate> = Rc::default();
         let task = spawn_local(Gated { gate: gate.clone(), inner: Box::pin(process) });
-        Process { gate, orders, gauges, task, life }
+        Process { gate, orders, task, life }
     }
 
     async fn kill(&self, process: Process, killed: bool) {
@@ -162,7 +164,7 @@
     }
 
     fn turns(&self) -> Vec<(Duration, Turn)> {
-        let ms = |ms: &u32| Duration::from_millis((*ms).into());
+        let ms = |time: &u32| ms(*time);
         let mut turns = Vec::new();
         for fault in &self.world.script.faults {
             match fault {
@@ -208,8 +210,7 @@
                 (Turn::Move, running) => {
                     self.server.set(1);
                     if let Some(process) = running {
-                        let empty = serde_json::json!({"rev": 0, "all": true, "targets": []});
-                        let text = world.config(self.number, 0, 1, &empty).to_string();
+                        let text = world.config(self.number, 0, 1, &nobody()).to_string();
                         let config = Config::parse(&text, None, None, None).map(Box::new);
                         let _ = process.orders.send(Order::Reload(config));
                     }
@@ -230,17 +231,20 @@
         }
         sleep_until(world.start + end).await;
         let Some(process) = process.filter(|process| !process.task.is_finished()) else { return };
+        let (ask, told) = oneshot::channel();
+        let _ = process.orders.send(Order::Report(ask));
+        let Ok(gauges) = told.await else { return }; // it has just ended, and says so itself
         let mut open = Vec::new();
         let mut left = |what: &str, count: usize, most: usize| {
             if count > most {
                 open.push(format!("sidecar {}: {what}: {count}", self.number));
             }
         };
-        left("requests open", process.gauges.open.get(), 0);
-        left("calls that the module counts as in flight", process.gauges.counted.get() as usize, 0);
-        left("attempts out", process.gauges.attempts.get(), 0);
+        left("requests open", gauges.open, 0);
+        left("calls that the module counts as in flight", gauges.counted as usize, 0);
+        left("attempts out", gauges.attempts, 0);
         let most = world.script.all_endpoints() as usize * REMEMBERED_OF_ENDPOINT + REMEMBERED_MORE;
-        left("things that the module remembers", process.gauges.remembered.get(), most);
+        left("things that the module remembers", gauges.remembered, most);
         // The watch, and what asks for a list now and then.
         left("connections open", world.wires.open_of(sidecar_ip(self.number)), 2);
         world.facts.borrow_mut().open.extend(open);
@@ -283,7 +287,7 @@
                 let host = crate::world::endpoint_ip(*endpoint);
                 spawn_local(async move {
                     sleep_until(at).await;
-                    world.wires.reset_between(host, None);
+                    world.wires.reset_all(host);
                 });
             }
             _ => {}
@@ -300,7 +304,7 @@
         *at + lasts.map_or(0, |lasts| *lasts)
     });
     let last = latest.max().unwrap_or(0).max(world.script.last_ask()).max(500);
-    let end = Duration::from_millis(last.into()) + DEADLINE + KILLED_AFTER + REST;
+    let end = ms(last) + DEADLINE + KILLED_AFTER + REST;
     let players: Vec<JoinHandle<()>> = (0..world.script.sidecars)
         .map(|number| {
             let (server, lives) = Default::default();
--- a/crates/sim/src/shrink.rs
+++ b/crates/sim/src/shrink.rs
@@ -9,7 +9,7 @@
 const RUNS_MOST: usize = 3_000;
 
 /// The smaller script, and how many runs that took.
-pub fn shrink(script: &Script, rule: Rule, mut progress: impl FnMut(usize, &Script)) -> (Script, usize) {
+pub fn shrink(script: &Script, rule: Rule, mut progress: impl FnMut(usize)) -> (Script, usize) {
     let mut runs = 0;
     let mut breaks = |candidate: &Script| {
         runs += 1;
@@ -26,7 +26,7 @@
             }
         }
         best = rounder(best, &mut breaks);
-        progress(best.asks.len() + best.faults.len(), &best);
+        progress(best.asks.len() + best.faults.len());
         if best == before {
             return (best, runs);
         }
--- a/crates/sim/src/timeline.rs
+++ b/crates/sim/src/timeline.rs
@@ -6,6 +6,10 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+fn state(ready: bool) -> &'static str {
+    if ready { "up" } else { "draining or gone" }
+}
+
 fn events(outcome: &Outcome, about: Option<&str>) -> Vec<(Duration, String)> {
     let (facts, mut events) = (&outcome.facts, Vec::new());
     let wanted = |id: &str| about.is_none_or(|about| about == id || id.starts_with(&format!("{about}-")));
@@ -47,17 +51,11 @@
         events.push((effect.at, format!("endpoint {} runs {}", effect.endpoint, effect.id)));
     }
     for (endpoint, at, ready) in &facts.known {
-        events.push((
-            *at,
-            format!("discovery  endpoint {endpoint} is {}", if *ready { "up" } else { "draining or gone" }),
-        ));
+        events.push((*at, format!("discovery  endpoint {endpoint} is {}", state(*ready))));
     }
     for told in &facts.told {
-        let state = if told.ready { "up" } else { "draining or gone" };
-        events.push((
-            told.at,
-            format!("sidecar {}  is told: endpoint {} is {state}", told.sidecar, told.endpoint),
-        ));
+        let (sidecar, endpoint, state) = (told.sidecar, told.endpoint, state(told.ready));
+        events.push((told.at, format!("sidecar {sidecar}  is told: endpoint {endpoint} is {state}")));
     }
     for (endpoint, at) in &facts.started {
         events.push((*at, format!("endpoint {endpoint} starts, cold")));
@@ -95,14 +93,11 @@
 /// What led to a broken rule: the events of the request or endpoint that it is about, and the script's faults.
 pub fn explain(script: &Script, outcome: &Outcome, breach: &Breach) -> String {
     let request = outcome.facts.asked.iter().any(|asked| asked.id == breach.about);
-    let mut led = match request {
-        true => events(outcome, Some(&breach.about)),
-        false => events(outcome, None),
-    };
+    let mut led = events(outcome, request.then_some(&breach.about));
     led.retain(|(at, what)| {
         let near =
             *at <= breach.at && (breach.at == Duration::MAX || *at + Duration::from_secs(10) >= breach.at);
-        near && (request || what.contains(&breach.about) || !what.contains('r'))
+        near && (request || what.contains(&breach.about))
     });
     let mut out = format!("{breach}\n\nfaults:\n");
     for fault in &script.faults {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::facts::{Answered, Attempt, Facts, Written};
 use crate::http::Reader;
-use crate::net::{Tap, Wires};
+use crate::net::{Tap, Wires, fnv};
 use crate::script::{Class, Script};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -37,16 +37,21 @@
 /// An endpoint closes a connection that is idle for so long.
 pub const IDLE: Duration = Duration::from_secs(10);
 
+/// A script's time.
+pub fn ms(time: u32) -> Duration {
+    Duration::from_millis(time.into())
+}
+
 /// Of each class.
 pub fn mean_work(class: Class) -> Duration {
-    Duration::from_millis(match class {
+    ms(match class {
         Class::Quote => 40,
         Class::Pay => 30,
         Class::Book => 25,
     })
 }
 
-/// A sidecar's machine, an endpoint's, a client's, and discovery's, the first and the second.
+/// A sidecar's machine.
 pub fn sidecar_ip(n: u32) -> IpAddr {
     [10, 0, 0, 1 + n as u8].into()
 }
@@ -91,7 +96,6 @@
 impl World {
     /// A world that begins now.
     pub fn new(script: Script, lines: bool) -> Rc<World> {
-        let ms = |ms: u32| Duration::from_millis(ms.into());
         let (least, most) = script.latency_ms;
         let wires = Wires::new(script.seed, (ms(least), ms(most.max(least))), script.split, lines);
         let facts: Rc<RefCell<Facts>> = Rc::default();
@@ -107,8 +111,8 @@
     }
 
     /// A moment of the script.
-    pub fn at(&self, ms: u32) -> Instant {
-        self.start + Duration::from_millis(ms.into())
+    pub fn at(&self, at: u32) -> Instant {
+        self.start + ms(at)
     }
 
     /// A moment as a fact has it.
@@ -118,9 +122,7 @@
 
     /// Draws that depend on the seed and a name alone, and not on who drew before.
     pub fn draws(&self, name: &str) -> Pcg32 {
-        let hash = name.bytes().fold(self.script.seed ^ 0x51_7c_c1_b7_27_22_0a_95, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
+        let hash = fnv(self.script.seed ^ 0x51_7c_c1_b7_27_22_0a_95, name.as_bytes());
         Pcg32::seed_from_u64(hash)
     }
 
@@ -171,11 +173,6 @@
     attempt: Option<usize>,
 }
 
-/// The request that a message belongs to.
-fn id_of(message: &crate::http::Message) -> String {
-    message.header("x-request-id").unwrap_or_default().to_owned()
-}
-
 impl Tap for Onlooker {
     fn wrote(&mut self, link: u64, from: IpAddr, to: IpAddr, bytes: &[u8], now: Instant) {
         let ((kind, other), (_, sidecar)) = (number_of(to), number_of(from));
@@ -210,7 +207,7 @@
             let first = seen.began.unwrap_or(now);
             let place = *seen.attempt.get_or_insert_with(|| {
                 let attempt = Attempt {
-                    id: id_of(&head),
+                    id: head.header("x-request-id").unwrap_or_default().to_owned(),
                     sidecar,
                     endpoint,
                     link,
--- a/crates/sim/tests/planted.rs
+++ b/crates/sim/tests/planted.rs
@@ -47,7 +47,7 @@
         outcome.breaches.first().map(|breach| (script.clone(), breach.rule))
     });
     let (script, rule) = first.expect("it is found");
-    let (small, runs) = mutants::with(name, || shrink::shrink(&script, rule, |_, _| {}));
+    let (small, runs) = mutants::with(name, || shrink::shrink(&script, rule, |_| {}));
     assert!(small.asks.len() + small.faults.len() <= 6, "{small:?}");
     assert!(runs < 1000, "{runs}");
     let again = mutants::with(name, || run(&small, false));
--- a/crates/xds/src/hub.rs
+++ b/crates/xds/src/hub.rs
@@ -127,6 +127,16 @@
     reporters: BTreeMap<String, usize>,
 }
 
+/// A node has one stream less.
+fn one_less(of_node: &mut BTreeMap<String, usize>, node: &str) {
+    if let Some(count) = of_node.get_mut(node) {
+        *count -= 1;
+        if *count == 0 {
+            of_node.remove(node);
+        }
+    }
+}
+
 /// A stream that reports loads, while it is open.
 pub(crate) struct Reporter {
     hub: Arc<Hub>,
@@ -135,13 +145,7 @@
 
 impl Drop for Reporter {
     fn drop(&mut self) {
-        let mut streams = self.hub.lock();
-        if let Some(count) = streams.reporters.get_mut(&self.node) {
-            *count -= 1;
-            if *count == 0 {
-                streams.reporters.remove(&self.node);
-            }
-        }
+        one_less(&mut self.hub.lock().reporters, &self.node);
     }
 }
 
@@ -386,12 +390,7 @@
         let at = self.now();
         let mut streams = self.lock();
         let Some(stream) = streams.open.remove(&number) else { return };
-        if let Some(count) = streams.of_node.get_mut(&stream.node) {
-            *count -= 1;
-            if *count == 0 {
-                streams.of_node.remove(&stream.node);
-            }
-        }
+        one_less(&mut streams.of_node, &stream.node);
         if streams.ended.len() == ENDED_MOST {
             streams.ended.pop_front();
         }
--- a/crates/xds/src/load.rs
+++ b/crates/xds/src/load.rs
@@ -100,11 +100,6 @@
         Loads { every, stage: None, pools: BTreeMap::new(), taken: (0, 0) }
     }
 
-    /// How often proxies are asked to report.
-    pub fn every(&self) -> Duration {
-        self.every
-    }
-
     /// Takes a proxy's report, of the pools that are `served`.
     pub fn report(
         &mut self,
@@ -149,9 +144,8 @@
     /// end.
     pub fn part(&mut self, now: Duration) {
         for pool in self.pools.values_mut() {
-            pool.expire(now);
-            let before = pool.slots.drain(..).fold(Tally::default(), |sum, (_, tally)| sum.plus(tally));
-            pool.compared = Compared { before, ..Compared::default() };
+            pool.compared = Compared { before: pool.recent(now), ..Compared::default() };
+            pool.slots.clear();
         }
         self.stage = Some(Stage { share: 0, since: now });
     }
@@ -183,10 +177,7 @@
 
     /// The last ten minutes of each pool, where no version is handed out.
     pub fn recent(&self, now: Duration) -> impl Iterator<Item = (&str, Tally)> {
-        self.pools.iter().map(move |(name, pool)| {
-            let fresh = pool.slots.iter().filter(|(at, _)| !is_over(*at, now));
-            (name.as_str(), fresh.fold(Tally::default(), |sum, (_, tally)| sum.plus(*tally)))
-        })
+        self.pools.iter().map(move |(name, pool)| (name.as_str(), pool.recent(now)))
     }
 
     /// Reports taken, and the pools named in them that are not served.
@@ -200,18 +191,19 @@
 }
 
 impl Pool {
-    fn note(&mut self, now: Duration, tally: Tally) {
-        self.expire(now);
-        match self.slots.back_mut().filter(|(at, _)| now.saturating_sub(*at) < SLOT) {
-            Some((_, sum)) => *sum = sum.plus(tally),
-            None => self.slots.push_back((now, tally)),
-        }
+    fn recent(&self, now: Duration) -> Tally {
+        let fresh = self.slots.iter().filter(|(at, _)| !is_over(*at, now));
+        fresh.fold(Tally::default(), |sum, (_, tally)| sum.plus(*tally))
     }
 
-    fn expire(&mut self, now: Duration) {
+    fn note(&mut self, now: Duration, tally: Tally) {
         while self.slots.front().is_some_and(|(at, _)| is_over(*at, now)) {
             self.slots.pop_front();
         }
+        match self.slots.back_mut().filter(|(at, _)| now.saturating_sub(*at) < SLOT) {
+            Some((_, sum)) => *sum = sum.plus(tally),
+            None => self.slots.push_back((now, tally)),
+        }
     }
 }
 
--- a/crates/xds/src/lrs.rs
+++ b/crates/xds/src/lrs.rs
@@ -3,7 +3,7 @@
 use crate::allowance::Allowance;
 use crate::hub::{Hub, place};
 use crate::load::Report;
-use crate::server::Responses;
+use crate::server::{Responses, first_request};
 use envoy_types::pb;
 use lrs::load_reporting_service_server::LoadReportingService;
 use lrs::{LoadStatsRequest, LoadStatsResponse};
@@ -55,13 +55,10 @@
 
 /// Takes a stream's reports to its end.
 async fn take(hub: &Arc<Hub>, mut requests: Streaming<LoadStatsRequest>, out: &Out) -> Result<(), Status> {
-    let wait = hub.settings.first_request;
-    let first = timeout(wait, requests.message()).await;
-    let first = first.map_err(|_| Status::deadline_exceeded(format!("no request within {wait:?}")))??;
-    let Some(first) = first else { return Ok(()) };
+    let Some(first) = first_request(hub, &mut requests).await? else { return Ok(()) };
     let node: Node = first.node.clone().unwrap_or_default();
     let _open = hub.open_reporter(&node.id, &node.cluster)?;
-    let every = hub.loads(|loads| loads.every());
+    let every = hub.settings.report_every;
     // Which pools there are changes; the proxy knows those that it uses.
     let ask = LoadStatsResponse {
         send_all_clusters: true,
--- a/crates/xds/src/server.rs
+++ b/crates/xds/src/server.rs
@@ -236,6 +236,13 @@
     }
 }
 
+/// The first request of a stream, which must not take long; none where the stream has ended.
+pub(crate) async fn first_request<T>(hub: &Hub, requests: &mut Streaming<T>) -> Result<Option<T>, Status> {
+    let wait = hub.settings.first_request;
+    let first = timeout(wait, requests.message()).await;
+    first.map_err(|_| Status::deadline_exceeded(format!("no request within {wait:?}")))?
+}
+
 /// Waits for the first request, which names the node.
 async fn begin<V: Variant>(
     hub: &Hub,
@@ -243,9 +250,7 @@
     number: u64,
     requests: &mut Streaming<V::In>,
 ) -> Result<(Follower, V::In), Status> {
-    let wait = hub.settings.first_request;
-    let first = timeout(wait, requests.message()).await;
-    let first = first.map_err(|_| Status::deadline_exceeded(format!("no request within {wait:?}")))??;
+    let first = first_request(hub, requests).await?;
     let mut first = first.ok_or_else(|| Status::invalid_argument("the stream ended with no request"))?;
     let node = V::node(&mut first).unwrap_or_default();
     let zone = node.locality.map(|locality| locality.zone).unwrap_or_default();
--- a/crates/xds/src/translate.rs
+++ b/crates/xds/src/translate.rs
@@ -375,22 +375,18 @@
 }
 
 fn same_stream() -> core::ConfigSource {
-    core::ConfigSource {
-        resource_api_version: core::ApiVersion::V3 as i32,
-        config_source_specifier: Some(core::config_source::ConfigSourceSpecifier::Ads(
-            core::AggregatedConfigSource {},
-        )),
-        ..Default::default()
-    }
+    source(core::config_source::ConfigSourceSpecifier::Ads(core::AggregatedConfigSource {}))
 }
 
 /// Where this resource came from.
 fn self_source() -> core::ConfigSource {
+    source(core::config_source::ConfigSourceSpecifier::Self_(core::SelfConfigSource::default()))
+}
+
+fn source(specifier: core::config_source::ConfigSourceSpecifier) -> core::ConfigSource {
     core::ConfigSource {
         resource_api_version: core::ApiVersion::V3 as i32,
-        config_source_specifier: Some(core::config_source::ConfigSourceSpecifier::Self_(
-            core::SelfConfigSource::default(),
-        )),
+        config_source_specifier: Some(specifier),
         ..Default::default()
     }
 }
