The agreed log's core: a replicated state machine, a member round raft, its folder

Several control instances are to decide as one.

A torn tail of the log is cut off; a broken record that was durable is refused.

Tests: members in one process over links that are cut, and disks that are cut at every operation, flipped at every byte, full. Nothing acknowledged is lost, no two lead in a term, states are equal to the byte. Not wired into the control service yet.

--- /dev/null
+++ b/crates/agree/src/lib.rs
@@ -0,0 +1,23 @@
+//! One ordered log for several control instances.
+//!
+//! [`State`] is what is agreed: commands in, outcomes and effects out, no I/O. [`Node`] is a member: it takes ticks,
+//! messages and proposals, keeps its promises on a [`Disk`], and gives messages and what was applied. Consensus itself is
+//! the library `raft`'s. Neither opens a socket nor asks a clock: the same code runs in service and in a virtual world.
+//!
+//! What it does not do: it has no transport (a host carries [`PeerMessage`]s, in any order, losing any of them), and it
+//! trusts members: a member that lies can do what it likes.
+
+pub mod command;
+mod disk;
+mod memory;
+mod message;
+mod node;
+mod record;
+mod state;
+
+pub use command::{Command, MemberChange, MemberId, Outcome, Proposal};
+pub use disk::{Base, Disk, DiskError, Found, Identity, Place, identity};
+pub use message::{BYTES_MOST, PeerMessage};
+pub use node::{Applied, Fetch, Node, NodeError, Output, Peer, Role, Standing, Tuning};
+pub use record::{Entry, Promise, Record};
+pub use state::{Effects, MEMBERS_MOST, Member, OUTCOMES, Pool, Removed, Rollout, State, TEXTS_MOST};
--- /dev/null
+++ b/crates/agree/tests/disks.rs
@@ -0,0 +1,194 @@
+//! Members whose disks fail, are cut off or are damaged: what was answered for is never forgotten.
+
+mod support;
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use runtrack_agree::{Node, NodeError};
+use runtrack_store::Files;
+use runtrack_testkit::Disk;
+use std::collections::BTreeSet;
+use support::*;
+
+/// Writes at a member alone until its disk fails, and gives the ids of those that were acknowledged.
+fn writes(node: &mut Node<Disk>, count: u64, size: usize) -> (BTreeSet<String>, bool) {
+    let mut acknowledged = BTreeSet::new();
+    for n in 0..count {
+        node.tick();
+        let text = format!("{n} {}", "x".repeat(size));
+        let id = format!("w{n}");
+        let command = node.state().map(|state| commit(state, &text)).expect("it has a state");
+        let _ = node.propose(&proposal(&id, command));
+        match node.drive() {
+            Ok(output) => acknowledged.extend(output.applied.into_iter().map(|applied| applied.id)),
+            Err(_) => return (acknowledged, false),
+        }
+    }
+    (acknowledged, true)
+}
+
+fn lone(disk: &Disk) -> Node<Disk> {
+    let mut node = Node::open(disk.clone(), TUNING, 1).expect("a sound folder");
+    for _ in 0..40 {
+        node.tick();
+        node.drive().expect("a sound disk");
+    }
+    assert!(node.leads());
+    node
+}
+
+#[test]
+fn a_power_cut_at_any_operation_forgets_nothing_that_was_acknowledged() {
+    // Large texts, so that the log is cut behind a snapshot on the way.
+    let made = || {
+        let disk = Disk::default();
+        let state = runtrack_agree::State::new("lineage-1", 7, "m1", "a1", "folder-1");
+        Node::found(disk.clone(), identity(1), &state).expect("made");
+        disk
+    };
+    let (whole, size) = (8, 4_000);
+    let steps = {
+        let disk = made();
+        let mut node = lone(&disk);
+        let before = disk.done();
+        let (all, _) = writes(&mut node, whole, size);
+        assert!(
+            all.len() as u64 + 1 >= whole && node.snapshot().index > 1,
+            "it made a snapshot on the way"
+        );
+        disk.done() - before
+    };
+    let mut kept = 0;
+    for cut in 0..steps {
+        for seed in 0..4 {
+            let disk = made();
+            let mut node = lone(&disk);
+            disk.fail(Some((disk.done() + cut, true)));
+            let (acknowledged, _) = writes(&mut node, whole, size);
+            drop(node);
+            let left = disk.after_cut(&mut Pcg32::seed_from_u64(seed));
+            let node = lone(&left);
+            let state = node.state().expect("it has a state");
+            for id in &acknowledged {
+                assert!(state.outcome(id).is_some(), "cut {cut}, seed {seed}: {id} is forgotten");
+            }
+            kept += acknowledged.len();
+        }
+    }
+    assert!(kept > 100, "{kept} writes were acknowledged before a cut");
+}
+
+#[test]
+fn power_cuts_of_all_members_at_any_time_lose_nothing_and_elect_no_two() {
+    for seed in 0..40 {
+        let mut cluster = Cluster::of(3, 1_000 + seed);
+        let mut written = Vec::new();
+        for n in 0..12 {
+            let victim = 1 + u64::from(cluster.draws.next_u32() % 3);
+            // In the middle of a turn: its disk is cut off at one of its next operations.
+            let disk = cluster.disks[&victim].clone();
+            let at = disk.done() + cluster.draws.next_u32() as usize % 6;
+            disk.fail(Some((at, true)));
+            if n % 4 == 3 {
+                (1..=3).for_each(|member| cluster.power_off(member));
+                (1..=3).for_each(|member| cluster.start(member));
+            }
+            let id = format!("w{n}");
+            cluster.write(&id, hold(n));
+            written.push(id);
+            cluster.power_cycle(victim);
+        }
+        cluster.settle();
+        for id in written {
+            assert!(
+                (1..=3).all(|member| cluster.state(member).outcome(&id).is_some()),
+                "seed {seed}: {id}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_flipped_byte_anywhere_in_a_members_folder_is_refused_or_harmless() {
+    let mut cluster = Cluster::of(3, 20);
+    for n in 0..4 {
+        cluster.write("", hold(n));
+    }
+    cluster.settle();
+    let applied = cluster.state(2).index;
+    let disk = cluster.disks[&2].clone();
+    drop(cluster);
+    let (mut refused, mut harmless) = (0, 0);
+    for name in disk.names() {
+        let good = disk.read(&name).expect("there");
+        for at in 0..good.len() {
+            let mut bad = good.clone();
+            bad[at] ^= 0x04;
+            disk.spoil(&name, &bad);
+            match Node::open(disk.clone(), TUNING, 1) {
+                Err(NodeError::Disk(_)) => refused += 1,
+                Err(other) => panic!("{name}, byte {at}: {other}"),
+                Ok(mut node) => {
+                    node.drive().expect("a sound disk");
+                    let standing = node.standing();
+                    assert!(
+                        standing.committed >= applied,
+                        "{name}, byte {at}: what was agreed is forgotten"
+                    );
+                    harmless += 1;
+                }
+            }
+            disk.spoil(&name, &good);
+        }
+    }
+    assert!(refused > 20 * harmless, "{refused} refused, {harmless} harmless");
+}
+
+#[test]
+fn a_full_disk_takes_a_leader_out_and_it_comes_back() {
+    let mut cluster = Cluster::of(3, 21);
+    for n in 0..5 {
+        cluster.write("", hold(n));
+    }
+    let leader = cluster.leader().expect("somebody");
+    let disk = cluster.disks[&leader].clone();
+    disk.fail(Some((disk.done(), false)));
+    cluster.write("", hold(5));
+    assert!(matches!(&cluster.errors[..], [(member, NodeError::Disk(_))] if *member == leader));
+    let index = cluster.write("", hold(6));
+    cluster.start(leader);
+    cluster.settle();
+    assert!(cluster.state(leader).index >= index);
+    assert_eq!(cluster.state(leader).held.len(), 7);
+}
+
+#[test]
+fn a_member_far_behind_is_given_a_snapshot_and_the_log_stays_bounded() {
+    let mut cluster = Cluster::of(3, 22);
+    let behind = (1..=3).find(|member| Some(*member) != cluster.leader()).expect("one of the others");
+    cluster.cut_off(behind, true);
+    let mut index = 0;
+    for n in 0..30 {
+        let leader = cluster.leader().expect("somebody");
+        let command = commit(cluster.state(leader), &format!("{n} {}", "y".repeat(4_000)));
+        index = cluster.write(&format!("v{n}"), command);
+    }
+    let leader = cluster.leader().expect("somebody");
+    let bytes = cluster.nodes[&leader].log_bytes();
+    let snapshot = cluster.nodes[&leader].snapshot().clone();
+    assert!(snapshot.index > 10 && bytes < 300_000, "snapshot {}, log of {bytes} bytes", snapshot.index);
+    cluster.cut_off(behind, false);
+    cluster.settle();
+    assert!(cluster.state(behind).index >= index);
+    // A repeat of a write from before the snapshot is answered, not run twice.
+    let serial = cluster.state(behind).serial();
+    let again = cluster.applied.values().filter(|applied| applied.id == "v3").count();
+    assert_eq!(again, 1);
+    let repeat = commit(cluster.state(behind), "again");
+    let leader = cluster.leader().expect("somebody");
+    cluster.nodes.get_mut(&leader).expect("it runs").propose(&proposal("v3", repeat)).expect("taken");
+    for _ in 0..20 {
+        cluster.turn();
+    }
+    assert_eq!(cluster.state(leader).serial(), serial);
+}
--- a/crates/store/src/files.rs
+++ b/crates/store/src/files.rs
@@ -1,6 +1,6 @@
 //! What the store asks of a file system, and a folder of the real one.
 
-use std::fs::{self, File};
+use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
@@ -10,6 +10,10 @@
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
     /// Makes a file of these bytes, in place of what it held.
     fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Adds bytes behind those of a file, which is made if it is not there. Where it fails part of them may be there.
+    fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Leaves only so many bytes of a file.
+    fn cut(&self, name: &str, length: u64) -> io::Result<()>;
     /// Makes a file's bytes durable.
     fn sync(&self, name: &str) -> io::Result<()>;
     /// Gives a file another name, in place of whoever had that: at once or not at all.
@@ -40,6 +44,14 @@
         File::create(self.0.join(name))?.write_all(bytes)
     }
 
+    fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        OpenOptions::new().create(true).append(true).open(self.0.join(name))?.write_all(bytes)
+    }
+
+    fn cut(&self, name: &str, length: u64) -> io::Result<()> {
+        OpenOptions::new().write(true).open(self.0.join(name))?.set_len(length)
+    }
+
     fn sync(&self, name: &str) -> io::Result<()> {
         File::open(self.0.join(name))?.sync_all()
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -79,7 +79,7 @@
 }
 
 /// One version of the state.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Version {
     /// Rises by one a commit; the first is 1.
--- a/crates/store/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -23,7 +23,7 @@
     for cut in 0..=4 {
         for seed in 0..100 {
             let disk = Disk::default();
-            disk.fails.set(Some((cut, true)));
+            disk.fail(Some((cut, true)));
             let _ = Store::open_or_make(disk.clone(), "lineage-1");
             let left = disk.after_cut(&mut Pcg32::seed_from_u64(seed));
             let store = Store::open_or_make(left, "lineage-1").expect("made or there");
@@ -37,7 +37,7 @@
     for at in 0..6 {
         let disk = made(2);
         let mut store = Store::open(disk.clone()).unwrap().unwrap();
-        disk.fails.set(Some((disk.done.get() + at, false)));
+        disk.fail(Some((disk.done() + at, false)));
         let refused = store.commit(2, &text(3), entry("maker"));
         assert!(matches!(refused, Err(StoreError::File { .. })), "step {at}: {refused:?}");
         let serial = whole(&disk);
@@ -50,7 +50,7 @@
 #[test]
 fn a_flipped_byte_anywhere_is_refused_or_harmless_and_never_served() {
     let disk = made(3);
-    let files: Vec<String> = disk.state.borrow().names.keys().cloned().collect();
+    let files: Vec<String> = disk.names();
     assert_eq!(files, ["head", "state-0000000001", "state-0000000002", "state-0000000003"]);
     for name in files {
         let good = disk.read(&name).unwrap();
@@ -107,7 +107,7 @@
     assert_eq!(store.history().len(), runtrack_store::HISTORY);
     assert_eq!(store.history()[0].serial, 6);
     assert!(matches!(store.text(5), Err(StoreError::Unknown(5))));
-    assert_eq!(disk.state.borrow().names.len(), runtrack_store::HISTORY + 1);
+    assert_eq!(disk.names().len(), runtrack_store::HISTORY + 1);
     assert_eq!(whole(&disk), versions);
 }
 
@@ -143,16 +143,16 @@
     let steps = {
         let disk = made(2);
         in_format_1(&disk);
-        let from = disk.done.get();
+        let from = disk.done();
         Store::open(disk.clone()).unwrap().unwrap().commit(2, &text(3), entry("maker")).unwrap();
-        disk.done.get() - from
+        disk.done() - from
     };
     let (mut before, mut after) = (0, 0);
     for cut in 0..=steps {
         for seed in 0..100 {
             let disk = made(2);
             let old = in_format_1(&disk);
-            disk.fails.set(Some((disk.done.get() + cut, true)));
+            disk.fail(Some((disk.done() + cut, true)));
             let _ = Store::open(disk.clone()).unwrap().unwrap().commit(2, &text(3), entry("maker"));
             let left = disk.after_cut(&mut Pcg32::seed_from_u64(seed));
             if whole(&left) == 2 {
--- a/crates/store/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -1,168 +1,10 @@
-//! A disk in memory that can fail or be cut off at any operation, and what is left of it then.
+//! Stores on a disk in memory, and what a commit that is cut off leaves of them.
 #![allow(dead_code)]
 
-use rand_core::{RngCore, SeedableRng};
+use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
-use runtrack_store::{Entry, Files, Store};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::io;
-use std::rc::Rc;
-
-/// Bytes written together or not at all.
-pub const SECTOR: usize = 64;
-
-#[derive(Clone, Default)]
-pub struct Content {
-    pub synced: Vec<u8>,
-    pub now: Vec<u8>,
-}
-
-/// A change of names that is not durable yet.
-#[derive(Clone)]
-pub enum Naming {
-    Link(String, usize),
-    Unlink(String),
-}
-
-impl Naming {
-    fn apply(&self, names: &mut BTreeMap<String, usize>) {
-        match self {
-            Naming::Link(name, content) => drop(names.insert(name.clone(), *content)),
-            Naming::Unlink(name) => drop(names.remove(name)),
-        }
-    }
-}
-
-#[derive(Clone, Default)]
-pub struct State {
-    pub contents: Vec<Content>,
-    pub names: BTreeMap<String, usize>,
-    pub synced: BTreeMap<String, usize>,
-    pub pending: Vec<Naming>,
-}
-
-impl State {
-    fn name(&mut self, change: Naming) {
-        change.apply(&mut self.names);
-        self.pending.push(change);
-    }
-}
-
-/// A disk in memory. What was not synced may be lost, in part and in any order, when it is cut off.
-#[derive(Clone, Default)]
-pub struct Disk {
-    pub state: Rc<RefCell<State>>,
-    /// Operations that change something.
-    pub done: Rc<Cell<usize>>,
-    /// The operation that fails, and whether all after it do.
-    pub fails: Rc<Cell<Option<(usize, bool)>>>,
-}
-
-impl Disk {
-    fn step(&self) -> io::Result<()> {
-        let number = self.done.get();
-        self.done.set(number + 1);
-        match self.fails.get() {
-            Some((at, false)) if number == at => Err(io::Error::from(io::ErrorKind::StorageFull)),
-            Some((at, true)) if number >= at => Err(io::Error::other("cut off")),
-            _ => Ok(()),
-        }
-    }
-
-    /// What a machine finds when it comes up again.
-    pub fn after_cut(&self, draws: &mut Pcg32) -> Disk {
-        let state = self.state.borrow();
-        let mut names = state.synced.clone();
-        for change in &state.pending {
-            if draws.next_u32().is_multiple_of(2) {
-                change.apply(&mut names);
-            }
-        }
-        let torn = |content: &Content, draws: &mut Pcg32| {
-            let length = match draws.next_u32() % 3 {
-                0 => content.synced.len(),
-                1 => content.now.len(),
-                _ => draws.next_u32() as usize % (content.now.len() + 1),
-            };
-            let mut bytes = vec![0; length];
-            for (n, sector) in bytes.chunks_mut(SECTOR).enumerate() {
-                let from = if draws.next_u32().is_multiple_of(2) { &content.synced } else { &content.now };
-                let there = from.get(n * SECTOR..).unwrap_or_default();
-                let count = sector.len().min(there.len());
-                sector[..count].copy_from_slice(&there[..count]);
-            }
-            bytes
-        };
-        let contents = state.contents.iter().map(|content| {
-            let bytes =
-                if content.synced == content.now { content.now.clone() } else { torn(content, draws) };
-            Content { synced: bytes.clone(), now: bytes }
-        });
-        let contents = contents.collect();
-        let state = State { contents, synced: names.clone(), names, pending: Vec::new() };
-        Disk { state: Rc::new(RefCell::new(state)), ..Disk::default() }
-    }
-}
-
-impl Files for Disk {
-    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        let state = self.state.borrow();
-        let content = state.names.get(name).ok_or(io::ErrorKind::NotFound)?;
-        Ok(state.contents[*content].now.clone())
-    }
-
-    fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let cut = self.step();
-        let mut state = self.state.borrow_mut();
-        let content = match state.names.get(name) {
-            Some(content) => *content,
-            None => {
-                state.contents.push(Content::default());
-                let content = state.contents.len() - 1;
-                state.name(Naming::Link(name.to_owned(), content));
-                content
-            }
-        };
-        // A write that fails has come half-way.
-        let come = if cut.is_ok() { bytes.len() } else { bytes.len() / 2 };
-        state.contents[content].now = bytes[..come].to_vec();
-        cut
-    }
-
-    fn sync(&self, name: &str) -> io::Result<()> {
-        self.step()?;
-        let mut state = self.state.borrow_mut();
-        let content = *state.names.get(name).ok_or(io::ErrorKind::NotFound)?;
-        let content = &mut state.contents[content];
-        content.synced = content.now.clone();
-        Ok(())
-    }
-
-    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        self.step()?;
-        let mut state = self.state.borrow_mut();
-        let content = *state.names.get(from).ok_or(io::ErrorKind::NotFound)?;
-        // One change on the disk: the new name appears with the old one's going, or before it.
-        state.name(Naming::Link(to.to_owned(), content));
-        state.name(Naming::Unlink(from.to_owned()));
-        Ok(())
-    }
-
-    fn remove(&self, name: &str) -> io::Result<()> {
-        self.step()?;
-        self.state.borrow_mut().name(Naming::Unlink(name.to_owned()));
-        Ok(())
-    }
-
-    fn sync_folder(&self) -> io::Result<()> {
-        self.step()?;
-        let mut state = self.state.borrow_mut();
-        state.synced = state.names.clone();
-        state.pending.clear();
-        Ok(())
-    }
-}
+use runtrack_store::{Entry, Store};
+pub use runtrack_testkit::Disk;
 
 pub fn entry(author: &str) -> Entry<'_> {
     Entry { author, reason: "a test", at_ms: 1_796_000_000_000, ..Entry::default() }
@@ -198,16 +40,16 @@
     let (mut old, mut new) = (0, 0);
     let steps = {
         let disk = made(versions);
-        let before = disk.done.get();
+        let before = disk.done();
         let mut store = Store::open(disk.clone()).unwrap().unwrap();
         store.commit(versions, &text(versions + 1), entry("maker")).unwrap();
-        disk.done.get() - before
+        disk.done() - before
     };
     for cut in 0..=steps {
         for seed in seeds.clone() {
             let disk = made(versions);
             let mut store = Store::open(disk.clone()).unwrap().unwrap();
-            disk.fails.set(Some((disk.done.get() + cut, true)));
+            disk.fail(Some((disk.done() + cut, true)));
             let done = store.commit(versions, &text(versions + 1), entry("maker")).is_ok();
             let left = disk.after_cut(&mut Pcg32::seed_from_u64(seed));
             let serial = whole(&left);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,15 +1,17 @@
 //! Stand-ins that tests and measurements of several crates share, written from the public protocols: the
-//! platform's discovery, endpoints that count what reaches them, proxies and scripted peers that speak xDS, and a
-//! control service as a child process. All on loopback.
+//! platform's discovery, endpoints that count what reaches them, proxies and scripted peers that speak xDS, a
+//! control service as a child process, a disk that fails. All on loopback.
 
 mod control;
 mod discovery;
+mod disk;
 mod endpoint;
 mod proxy;
 mod scripted;
 
 pub use control::{Control, Folder, free_port};
 pub use discovery::{Discovery, target};
+pub use disk::Disk;
 pub use endpoint::Endpoint;
 pub use proxy::{Proxy, ProxyState, ProxyTo};
 pub use scripted::{Scripted, ScriptedDelta, ScriptedLoad, connect, delta_request, node, request, url};
