--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -4,16 +4,18 @@
 //! messages and proposals, keeps its promises on a [`Disk`], and gives messages and what was applied. Consensus itself is
 //! the library `raft`'s. Neither opens a socket nor asks a clock: the same code runs in service and in a virtual world.
 //!
-//! What it does not do: it has no transport (a host carries [`PeerMessage`]s, in any order, losing any of them), and it
-//! trusts members: a member that lies can do what it likes.
+//! [`host`] is the thin shell round a node: a thread with a clock, gRPC links to the others, the folder of a real disk.
+//!
+//! What it does not do: it trusts members, and a member that lies can do what it likes.
 
 pub mod command;
 mod disk;
+pub mod host;
 mod memory;
 mod message;
 mod node;
 mod record;
-mod state;
+pub mod state;
 
 pub use command::{Command, MemberChange, MemberId, Outcome, Proposal};
 pub use disk::{Base, Disk, DiskError, Found, Identity, Place, identity};
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use thiserror::Error;
 
 /// Bytes of entries in one message.
@@ -177,7 +178,7 @@
 pub struct Node<F: Files> {
     disk: Disk<F>,
     raw: RawNode<Memory>,
-    state: Option<State>,
+    state: Option<Arc<State>>,
     tuning: Tuning,
     seed: u64,
     /// Elections that it has stood for or asked about, and the last draw's reasons.
@@ -215,7 +216,7 @@
         let (disk, mut found) = Disk::open(files)?;
         let (id, place) = (disk.identity().member, found.place.clone());
         let state = match &found.snapshot {
-            Some(text) => Some(read_snapshot(&place, text)?),
+            Some(text) => Some(Arc::new(read_snapshot(&place, text)?)),
             None => None,
         };
         found.promise.commit = found.promise.commit.max(place.index);
@@ -273,7 +274,12 @@
 
     /// What is agreed, as far as it is applied here; none for a new member that has heard nothing yet.
     pub fn state(&self) -> Option<&State> {
-        self.state.as_ref()
+        self.state.as_deref()
+    }
+
+    /// The same, to be kept: what is applied later does not change it.
+    pub fn shared_state(&self) -> Option<Arc<State>> {
+        self.state.clone()
     }
 
     /// Whether it leads.
@@ -518,7 +524,7 @@
         self.disk.replace(place.clone(), Some(&text), promise, base, &[])?;
         (self.voters, self.learners) = (place.voters.clone(), place.learners.clone());
         self.raw.mut_store().install(place, promise);
-        self.state = Some(state);
+        self.state = Some(Arc::new(state));
         self.out.installed = true;
         Ok(())
     }
@@ -527,7 +533,7 @@
         for entry in entries {
             let (index, term) = (entry.index, entry.term);
             let damage = |problem: String| NodeError::Entry { index, problem };
-            let Some(state) = &mut self.state else {
+            let Some(state) = self.state.as_mut().map(Arc::make_mut) else {
                 return Err(damage("there is no state yet".to_owned()));
             };
             let (id, (outcome, effects)) = match entry.entry_type {
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -9,6 +9,7 @@
 use runtrack_store::{HISTORY, Version, seal};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 /// Outcomes remembered for repeats. A client repeats for minutes at most; this many writes take longer.
 pub const OUTCOMES: usize = 4_096;
@@ -80,7 +81,7 @@
     outcome: Outcome,
 }
 
-/// Everything that is agreed.
+/// Everything that is agreed. A clone shares what is large.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct State {
@@ -94,11 +95,11 @@
     pub served: u64,
     /// Versions of the fleet, the newest last.
     pub versions: Vec<Version>,
-    texts: BTreeMap<u64, String>,
+    texts: BTreeMap<u64, Arc<str>>,
     /// The roll-out under way.
     pub rollout: Option<Rollout>,
     /// Pools that follow discovery.
-    pub pools: BTreeMap<String, Pool>,
+    pub pools: BTreeMap<String, Arc<Pool>>,
     /// Endpoints that somebody holds back, by pool and uid.
     pub held: BTreeSet<(String, String)>,
     /// Members by number.
@@ -106,7 +107,7 @@
     /// Those that were members, by number.
     pub removed: BTreeMap<MemberId, Removed>,
     next_member: MemberId,
-    answered: BTreeMap<u64, Answered>,
+    answered: Arc<BTreeMap<u64, Answered>>,
 }
 
 /// What a command has changed.
@@ -173,7 +174,7 @@
             members: [(1, member)].into(),
             removed: BTreeMap::new(),
             next_member: 2,
-            answered: BTreeMap::new(),
+            answered: Arc::default(),
         }
     }
 
@@ -181,7 +182,7 @@
     /// kept.
     pub fn with_versions(mut self, versions: impl IntoIterator<Item = (Version, String)>) -> State {
         for (version, text) in versions {
-            self.texts.insert(version.serial, text);
+            self.texts.insert(version.serial, text.into());
             self.versions.push(version);
         }
         self.trim();
@@ -205,7 +206,7 @@
 
     /// A version's text, if it is still kept.
     pub fn text(&self, serial: u64) -> Option<&str> {
-        self.texts.get(&serial).map(String::as_str)
+        self.texts.get(&serial).map(AsRef::as_ref)
     }
 
     /// What came of the write of this id, if that is known, and at which index.
@@ -249,15 +250,21 @@
         if effects.serves() {
             self.served = index;
         }
-        if !id.is_empty() {
-            self.answered.insert(index, Answered { id, outcome: outcome.clone() });
-            while self.answered.len() > OUTCOMES {
-                self.answered.pop_first();
-            }
-        }
+        self.remember(index, id, &outcome);
         (outcome, effects)
     }
 
+    fn remember(&mut self, index: u64, id: String, outcome: &Outcome) {
+        if id.is_empty() {
+            return;
+        }
+        let answered = Arc::make_mut(&mut self.answered);
+        answered.insert(index, Answered { id, outcome: outcome.clone() });
+        while answered.len() > OUTCOMES {
+            answered.pop_first();
+        }
+    }
+
     fn commit(&mut self, commit: Commit) -> Applied {
         let Commit { on, parent, text, by, plan, stages, pause_ms } = commit;
         if let Some(version) = self.versions.iter().find(|v| !plan.is_empty() && v.plan == plan) {
@@ -294,7 +301,7 @@
             stages,
             pause_ms,
         });
-        self.texts.insert(serial, text);
+        self.texts.insert(serial, text.into());
         self.trim();
         (Outcome::Committed(serial), VERSION)
     }
@@ -304,7 +311,7 @@
     fn trim(&mut self) {
         let needed = self.rollout.as_ref().map_or(u64::MAX, |rollout| rollout.from);
         loop {
-            let bytes: usize = self.texts.values().map(String::len).sum();
+            let bytes: usize = self.texts.values().map(|text| text.len()).sum();
             let Some(oldest) = self.versions.first().map(|version| version.serial) else { return };
             let over = self.versions.len() > HISTORY || bytes > TEXTS_MOST;
             if !over || self.versions.len() == 1 || oldest >= needed {
@@ -344,7 +351,7 @@
             return refused("the pool's name is too long");
         }
         let before = self.pools.get(&name);
-        let mut pool = before.cloned().unwrap_or_default();
+        let mut pool = before.map(|pool| Pool::clone(pool)).unwrap_or_default();
         if whole {
             pool.endpoints.retain(|uid, _| endpoints.contains_key(uid));
         }
@@ -368,13 +375,15 @@
         }
         pool.drained_at.retain(|uid, _| pool.endpoints.contains_key(uid));
         pool.rev = rev;
-        let same = before == Some(&pool);
-        self.pools.insert(name, pool);
+        let same = before.is_some_and(|before| **before == pool);
+        self.pools.insert(name, pool.into());
         (Outcome::Done, if same { Effects::default() } else { LISTS })
     }
 
     fn draining(&mut self, pool: &str, uid: &str, boot_ms: u64, rev: u64) -> Applied {
-        let Some(pool) = self.pools.get_mut(pool) else { return refused("there is no such pool") };
+        let Some(pool) = self.pools.get_mut(pool).map(Arc::make_mut) else {
+            return refused("there is no such pool");
+        };
         let Some(endpoint) = pool.endpoints.get_mut(uid) else { return refused("it is not listed") };
         if endpoint.boot_ms > boot_ms {
             return refused("another process runs there now");
@@ -480,9 +489,7 @@
                 (Outcome::Done, MEMBERS)
             }
         };
-        if !id.is_empty() {
-            self.answered.insert(index, Answered { id, outcome: applied.0.clone() });
-        }
+        self.remember(index, id, &applied.0);
         applied
     }
 
@@ -495,7 +502,7 @@
     pub fn snapshot(&self) -> String {
         let mut state = self.clone();
         if mutant("snapshot-forgets-writes") {
-            state.answered.clear();
+            state.answered = Arc::default();
         }
         serde_json::to_string(&state).unwrap_or_default() // fails only for maps with keys that are no text
     }
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -64,7 +64,7 @@
     pub fn code(&self) -> u8 {
         match self {
             Failure::File { .. } | Failure::Fleet(_) | Failure::Usage(_) | Failure::NoState(_) => 1,
-            Failure::Service { .. } => 3,
+            Failure::Service { .. } | Failure::Apply(ApplyError::Service { .. }) => 3,
             Failure::Plan { .. } => 10,
             Failure::Apply(ApplyError::Moved { .. } | ApplyError::Store(StoreError::Moved { .. })) => 11,
             Failure::Apply(ApplyError::OtherLineage { .. }) => 12,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `runtrackctl`: what a person types to change a fleet: plan, look, apply, and back.
 
+mod cluster;
 mod failure;
 mod run;
 mod service;
@@ -18,6 +19,9 @@
     /// The state's folder.
     #[arg(long, global = true, env = "RUNTRACK_STATE", default_value = "state", value_name = "FOLDER")]
     state: PathBuf,
+    /// The admin addresses of a cluster's instances, in place of a folder: any of them will do.
+    #[arg(long, global = true, env = "RUNTRACK_CLUSTER", value_delimiter = ',', value_name = "ADDRESSES")]
+    cluster: Vec<String>,
     /// Who is acting, for the history.
     #[arg(long, global = true, env = "USER", default_value = "unknown", value_name = "NAME")]
     author: String,
@@ -27,7 +31,7 @@
 
 const CODES: &str = "\
 Exit codes: 0 done; 1 a file or the command line is wrong; 2 `plan --detailed-exitcode` found changes;
-3 the control service does not answer; 10 the plan is damaged or does not fit; 11 the state has moved;
+3 the control service does not answer, or a cluster has no majority; 10 the plan is damaged or does not fit; 11 the state has moved;
 12 the plan is another state's; 13 the plan is too old, or a clock is wrong; 14 a high risk is not accepted;
 15 somebody else is writing; 16 the state is damaged or its disk fails.";
 
@@ -74,6 +78,9 @@
     },
     /// List the versions that are kept, the newest first.
     History {
+        /// From a cluster: as a majority has it now, at the price of a round.
+        #[arg(long)]
+        consistent: bool,
         /// As JSON.
         #[arg(long)]
         json: bool,
@@ -88,6 +95,22 @@
     /// Finish a roll-out in stages, either way.
     #[command(subcommand)]
     Rollout(Rollout),
+    /// Several instances as one: make a cluster, change its members, see how it stands.
+    #[command(subcommand)]
+    Cluster(cluster::Ask),
+    /// Have an endpoint get nothing new, whatever discovery says of it, or no longer.
+    Hold {
+        /// The pool.
+        pool: String,
+        /// The endpoint's name.
+        endpoint: String,
+        /// Let it get requests again.
+        #[arg(long)]
+        release: bool,
+        /// Why, for the history.
+        #[arg(long, default_value = "", value_name = "TEXT")]
+        reason: String,
+    },
     /// Look at the state itself.
     #[command(subcommand)]
     State(State),
@@ -194,7 +217,7 @@
             return if problem.use_stderr() { ExitCode::FAILURE } else { ExitCode::SUCCESS };
         }
     };
-    let place = run::Place { folder: cli.state, author: cli.author };
+    let place = run::Place { folder: cli.state, cluster: cli.cluster, author: cli.author };
     let done = match cli.command {
         Command::Validate { file } => run::validate(&file),
         Command::Init => place.init(),
@@ -203,10 +226,14 @@
         Command::Apply { plan, accept_risk, wait, wait_most } => {
             place.apply(&plan, accept_risk, wait.map(|at| (at, wait_most)))
         }
-        Command::History { json } => place.history(json),
+        Command::History { json, consistent } => place.history(json, consistent),
         Command::Rollback { serial, made } => place.rollback(serial, &made),
         Command::Rollout(Rollout::Resume { admin }) => service::resume(&admin),
         Command::Rollout(Rollout::Abort) => place.abort(),
+        Command::Cluster(ask) => cluster::run(ask, &place),
+        Command::Hold { pool, endpoint, release, reason } => {
+            cluster::hold(&place, &pool, &endpoint, !release, &reason)
+        }
         Command::State(State::Show { serial }) => place.state(serial),
         Command::State(State::Export { serial, out }) => place.export(serial, out.as_deref()),
         Command::State(State::Import { file }) => place.import(&file),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,10 +1,11 @@
 //! The commands on files and on a state's folder.
 
 use crate::Made;
+use crate::cluster::Cluster;
 use crate::failure::Failure;
 use crate::{service, show};
 use runtrack_model::Fleet;
-use runtrack_plan::{Applied, ApplyError, Load, Plan, Request, apply, current};
+use runtrack_plan::{Applied, Load, Plan, Request, Versions, apply, current};
 use runtrack_store::{Entry, Folder, Lock, Store};
 use std::collections::BTreeSet;
 use std::hash::{BuildHasher, RandomState};
@@ -19,15 +20,18 @@
 /// `plan --detailed-exitcode` has found changes.
 const CHANGES: u8 = 2;
 
-/// A state's folder, and who acts on it.
+/// Where a state is kept, and who acts on it.
 pub struct Place {
-    /// The folder.
+    /// Its folder; or ...
     pub folder: PathBuf,
+    /// ... the admin addresses of a cluster that keeps it.
+    pub cluster: Vec<String>,
     /// Who.
     pub author: String,
 }
 
-fn now_ms() -> u64 {
+/// Unix time in milliseconds.
+pub fn now_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
@@ -55,7 +59,14 @@
     Plan::read(&bytes).map_err(|problem| Failure::Plan { file: file.to_owned(), problem })
 }
 
-fn print_json(value: &impl serde::Serialize) {
+/// A random number that no other command has.
+pub fn random() -> String {
+    let one = || RandomState::new().hash_one(now_ms());
+    format!("{:016x}{:016x}", one(), one())
+}
+
+/// Prints what other programs read.
+pub fn print_json(value: &impl serde::Serialize) {
     // Fails only for maps with keys that are no text, which nothing here has.
     anstream::println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
 }
@@ -84,29 +95,34 @@
         Folder::new(&self.folder).map_err(Failure::file(&self.folder))
     }
 
-    fn open(&self) -> Result<Store<Folder>, Failure> {
-        Store::open(self.folder()?)?.ok_or_else(|| Failure::NoState(self.folder.clone()))
+    fn open(&self) -> Result<Box<dyn Versions>, Failure> {
+        if !self.cluster.is_empty() {
+            return Ok(Box::new(Cluster::new(&self.cluster).versions(false)?));
+        }
+        let store = Store::open(self.folder()?)?.ok_or_else(|| Failure::NoState(self.folder.clone()))?;
+        Ok(Box::new(store))
     }
 
-    /// The right to write, and the state as it is once nobody else writes.
-    fn open_locked(&self) -> Result<(Lock, Store<Folder>), Failure> {
+    /// The right to write, and the state as it is once nobody else writes. In a cluster the log decides who comes first.
+    fn open_locked(&self) -> Result<(Option<Lock>, Box<dyn Versions>), Failure> {
+        if !self.cluster.is_empty() {
+            return Ok((None, Box::new(Cluster::new(&self.cluster).versions(true)?)));
+        }
         let _ = self.folder()?; // says better than the lock that there is none
         let lock = Lock::take(&self.folder, &format!("{}, process {}", self.author, std::process::id()))?;
-        Ok((lock, self.open()?))
+        Ok((Some(lock), self.open()?))
     }
 
     /// `init`.
     pub fn init(&self) -> Done {
         let folder = Folder::new(&self.folder).map_err(Failure::file(&self.folder))?;
         let _lock = Lock::take(&self.folder, &self.author)?;
-        let random = || RandomState::new().hash_one(now_ms());
-        let lineage = format!("{:016x}{:016x}", random(), random());
-        let store = Store::open_or_make(folder, &lineage)?;
+        let store = Store::open_or_make(folder, &random())?;
         println!("{}: lineage {}, serial {}", self.folder.display(), store.lineage(), store.serial());
         Ok(0)
     }
 
-    fn make(&self, store: &Store<Folder>, to: &Fleet, reason: &str, made: &Made) -> Result<Plan, Failure> {
+    fn make(&self, store: &dyn Versions, to: &Fleet, reason: &str, made: &Made) -> Result<Plan, Failure> {
         let from = current(store, store.serial())?;
         let load = load(made.load.as_deref())?;
         // All proxies are the last stage, said or not.
@@ -146,19 +162,19 @@
     /// `plan`.
     pub fn plan(&self, file: &Path, made: &Made, detailed: bool) -> Done {
         let to = fleet(file)?;
-        let plan = self.make(&self.open()?, &to, &made.reason, made)?;
+        let plan = self.make(&*self.open()?, &to, &made.reason, made)?;
         Ok(if detailed && !plan.steps.is_empty() { CHANGES } else { 0 })
     }
 
     /// `rollback`.
     pub fn rollback(&self, serial: u64, made: &Made) -> Done {
         let store = self.open()?;
-        let to = current(&store, serial)?;
+        let to = current(&*store, serial)?;
         let reason = match made.reason.is_empty() {
             true => format!("back to serial {serial}"),
             false => made.reason.clone(),
         };
-        self.make(&store, &to, &reason, made)?;
+        self.make(&*store, &to, &reason, made)?;
         Ok(0)
     }
 
@@ -168,7 +184,7 @@
         let accepted: BTreeSet<String> = accepted.into_iter().collect();
         let done = {
             let (_lock, mut store) = self.open_locked()?;
-            apply(&mut store, &plan, &accepted, &self.author, now_ms())?
+            apply(&mut *store, &plan, &accepted, &self.author, now_ms())?
         };
         match done {
             Applied::Now(serial) => println!("applied as serial {serial}: {}", plan.summary()),
@@ -189,18 +205,26 @@
             let what = "the current version is not handed out in stages: plan a rollback instead";
             return Err(Failure::Usage(what.to_owned()));
         };
-        let before = current(&store, version.serial - 1)?;
+        let before = current(&*store, version.serial - 1)?;
         let reason = format!("abort of serial {}", version.serial);
         let entry = Entry { author: &self.author, reason: &reason, at_ms: now_ms(), ..Entry::default() };
-        let serial =
-            store.commit(version.serial, &before.canonical(), entry).map_err(ApplyError::Store)?.serial;
+        let (Applied::Now(serial) | Applied::Before(serial)) =
+            store.commit(version.serial, &before.canonical(), entry)?;
         println!("serial {serial}: as serial {} was, for all proxies at once", version.serial - 1);
         Ok(0)
     }
 
     /// `history`.
-    pub fn history(&self, json: bool) -> Done {
-        let store = self.open()?;
+    pub fn history(&self, json: bool, consistent: bool) -> Done {
+        let store: Box<dyn Versions> = match self.cluster.is_empty() {
+            true => self.open()?,
+            false => {
+                let versions = Cluster::new(&self.cluster).versions(consistent)?;
+                // Of two words of a cluster the older one may be shown: people see how old it is.
+                anstream::eprintln!("{}", versions.age());
+                Box::new(versions)
+            }
+        };
         match json {
             true => print_json(&store.history()),
             false => anstream::print!("{}", show::history(store.history())),
@@ -212,7 +236,7 @@
     pub fn state(&self, serial: Option<u64>) -> Done {
         let store = self.open()?;
         let serial = serial.unwrap_or(store.serial());
-        let fleet = current(&store, serial)?;
+        let fleet = current(&*store, serial)?;
         println!("lineage {}", store.lineage());
         let version = store.history().iter().filter(|version| version.serial == serial);
         anstream::print!("{}", show::history(&version.cloned().collect::<Vec<_>>()));
@@ -229,7 +253,7 @@
     /// `state export`.
     pub fn export(&self, serial: Option<u64>, out: Option<&Path>) -> Done {
         let store = self.open()?;
-        let text = current(&store, serial.unwrap_or(store.serial()))?.canonical();
+        let text = current(&*store, serial.unwrap_or(store.serial()))?.canonical();
         match out {
             Some(out) => std::fs::write(out, text).map_err(Failure::file(out))?,
             None => println!("{text}"),
@@ -249,8 +273,9 @@
         }
         let reason = format!("imported from {}", file.display());
         let entry = Entry { author: &self.author, reason: &reason, at_ms: now_ms(), ..Entry::default() };
-        let version = store.commit(0, &fleet.canonical(), entry).map_err(ApplyError::Store)?;
-        println!("serial {}: {}", version.serial, version.hash);
+        let (Applied::Now(serial) | Applied::Before(serial)) =
+            store.commit(0, &fleet.canonical(), entry)?;
+        println!("serial {serial}: {}", fleet.hash());
         Ok(0)
     }
 }
--- a/crates/cli/src/service.rs
+++ b/crates/cli/src/service.rs
@@ -2,10 +2,10 @@
 
 use crate::failure::Failure;
 use crate::run::Done;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
-use hyper::header::HOST;
+use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -24,7 +24,7 @@
 /// One request over a connection of its own: the code, and the body.
 async fn exchange(
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
-    ask: Request<Empty<Bytes>>,
+    ask: Request<Full<Bytes>>,
 ) -> Answer {
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let talk = async {
@@ -43,9 +43,23 @@
 
 /// Asks a service at its admin address, or at the Unix socket of a path.
 fn request(at: &str, method: Method, path: &str) -> Result<(StatusCode, Bytes), Failure> {
+    send(at, method, path, None, ANSWER_MOST)
+}
+
+/// The same, with a JSON body, and for as long as is said.
+pub fn send(
+    at: &str,
+    method: Method,
+    path: &str,
+    body: Option<&Value>,
+    most: Duration,
+) -> Result<(StatusCode, Bytes), Failure> {
     let failed = |problem: String| Failure::Service { at: at.to_owned(), problem };
-    let ask =
-        Request::builder().method(method).uri(path).header(HOST, "runtrack-control").body(Empty::new());
+    let mut ask = Request::builder().method(method).uri(path).header(HOST, "runtrack-control");
+    if body.is_some() {
+        ask = ask.header(CONTENT_TYPE, "application/json");
+    }
+    let ask = ask.body(Full::new(body.map(|body| Bytes::from(body.to_string())).unwrap_or_default()));
     let ask = ask.map_err(|problem| failed(problem.to_string()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let talk = async {
@@ -56,8 +70,8 @@
     };
     let answer = runtime
         .map_err(|problem| failed(problem.to_string()))?
-        .block_on(async { tokio::time::timeout(ANSWER_MOST, talk).await });
-    let answer = answer.map_err(|_| failed(format!("no answer within {ANSWER_MOST:?}")))?;
+        .block_on(async { tokio::time::timeout(most, talk).await });
+    let answer = answer.map_err(|_| failed(format!("no answer within {most:?}")))?;
     answer.map_err(|problem| failed(problem.to_string()))
 }
 
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -1,11 +1,15 @@
 //! What people and their tools may ask, as JSON over HTTP on loopback.
 
+use crate::rollout::Rollout;
 use crate::shared::Shared;
+use crate::{cluster, together};
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::{get, post};
 use axum::serve::Listener;
 use axum::{Json, Router};
+use runtrack_agree::Command;
+use runtrack_agree::command::{Step, Towards};
 use runtrack_xds::{Kind, Tally};
 use serde_json::{Value, json};
 use std::fmt::Debug;
@@ -17,23 +21,46 @@
 use std::time::Duration;
 use tokio::net::UnixListener;
 
+/// A resumption that is not agreed after so long may come to pass yet.
+const RESUME_MOST: Duration = Duration::from_secs(5);
+
 /// Has a roll-out that has halted go on.
 async fn resume(State(shared): State<Arc<Shared>>) -> StatusCode {
-    let rollout = shared.rollout.lock().unwrap_or_else(PoisonError::into_inner);
-    if rollout.as_ref().is_none_or(|rollout| rollout.progress().halted.is_none()) {
-        return StatusCode::CONFLICT;
+    let halted = {
+        let rollout = shared.rollout.lock().unwrap_or_else(PoisonError::into_inner);
+        let progress = rollout.as_ref().map(Rollout::progress).filter(|progress| progress.halted.is_some());
+        progress.map(|progress| (progress.serial, progress.stage))
+    };
+    let Some((serial, stage)) = halted else { return StatusCode::CONFLICT };
+    if let Some(cluster) = &shared.cluster {
+        let step = Step { serial, stage, to: Towards::Resume };
+        return match cluster.write("", Command::Rollout(step), RESUME_MOST).await {
+            Ok((_, outcome)) if outcome.is_done() => StatusCode::ACCEPTED,
+            Ok(_) => StatusCode::CONFLICT,
+            Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+        };
     }
     shared.resume.notify_one();
     StatusCode::ACCEPTED
 }
 
-/// Serves `GET /status`, `GET /ready` and `POST /rollout/resume`, at an address or a Unix socket.
+/// Ready is who can serve; in a cluster, who can decide with the others.
+async fn ready(State(shared): State<Arc<Shared>>) -> (StatusCode, String) {
+    match shared.cluster.as_ref().filter(|handle| !handle.has_majority()) {
+        Some(handle) => (StatusCode::SERVICE_UNAVAILABLE, together::trouble_of(&handle.view()) + "\n"),
+        None => (StatusCode::OK, "ready\n".to_owned()),
+    }
+}
+
+/// Serves `GET /status`, `GET /ready` and `POST /rollout/resume`, and what a cluster has besides, at an address or a Unix socket.
 pub async fn serve<L: Listener<Addr: Debug>>(listener: L, shared: Arc<Shared>) {
+    let cluster = shared.cluster.clone().map(cluster::router);
     let router = Router::new()
         .route("/status", get(|State(shared): State<Arc<Shared>>| async move { Json(status(&shared)) }))
-        .route("/ready", get(|| async { "ready\n" }))
+        .route("/ready", get(ready))
         .route("/rollout/resume", post(resume))
-        .with_state(shared);
+        .with_state(shared)
+        .merge(cluster.unwrap_or_default());
     if let Err(problem) = axum::serve(listener, router).await {
         eprintln!("admin: {problem}");
     }
@@ -134,8 +161,9 @@
         (resources, cache.epoch(), cache.seq(), cache.encodings())
     });
     let troubles = shared.troubles.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let cluster = shared.cluster.as_ref().map(cluster::standing);
     json!({
-        "epoch": epoch, "seq": seq, "encodings": encodings, "fleet": fleet,
+        "cluster": cluster, "epoch": epoch, "seq": seq, "encodings": encodings, "fleet": fleet,
         "serial": serial, "version": version, "rollout": rollout,
         "resources": resources, "pools": pools, "loads": loads, "proxies": proxies, "ended": ended, "troubles": troubles,
     })
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -99,6 +99,32 @@
         }
     }
 
+    /// Takes the list of a pool that is agreed with the other instances, whole.
+    pub fn agreed(&mut self, now: Duration, pool: &str, list: List) {
+        let followed = |pool: &Pool| matches!(pool.source, Source::Platform(_));
+        if !self.fleet.pools.get(pool).is_some_and(followed) {
+            return;
+        }
+        if self.pools.get_mut(pool).is_some_and(|members| members.agreed(now, list)) {
+            self.dirty.insert(pool.to_owned());
+        }
+    }
+
+    /// From now on these endpoints of each pool and no others get nothing new, whatever the lists say.
+    pub fn hold_back(&mut self, uids: &BTreeMap<String, BTreeSet<String>>) {
+        for (name, members) in &mut self.pools {
+            if members.hold_back(uids.get(name).cloned().unwrap_or_default()) {
+                self.dirty.insert(name.clone());
+            }
+        }
+    }
+
+    /// What is believed of a pool that follows a source, and whether that counts its lists anew; none: nothing was heard.
+    pub fn heard(&self, pool: &str) -> Option<(List, bool)> {
+        let members = self.pools.get(pool).filter(|members| members.hears())?;
+        Some((members.list(), members.counts_anew()))
+    }
+
     /// Looks at the clock.
     pub fn tick(&mut self, now: Duration) {
         for (name, members) in self.pools.iter_mut().filter(|(_, members)| members.waits()) {
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -1,42 +1,33 @@
 //! Keeps what is served in step with what is desired and what sources tell: commits first, then publishes; and takes
 //! a version that is handed out in stages through them.
 
-use crate::core::{Core, Due};
+use crate::core::Core;
 use crate::desired::{Desired, Origin};
-use crate::errors::{Tolerance, failing};
+use crate::errors::Tolerance;
 use crate::memory::Memory;
 use crate::progress::ProgressFile;
-use crate::rollout::{Cohort, Next, Progress, Rollout};
+use crate::rollout::{Next, Progress, Rollout};
+use crate::served::{Served, halted, locked};
 use crate::shared::Shared;
 use crate::source::Sources;
 use runtrack_discovery::{List, Told};
-
-use runtrack_store::Version;
-use runtrack_xds::place;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Commits and publishes what the core makes necessary.
 pub struct Keeper {
     shared: Arc<Shared>,
+    served: Served,
     from: Origin,
     memory: Option<Memory>,
     progress: Option<ProgressFile>,
-    seed: u64,
     tolerance: Tolerance,
-    /// While a version is rolled out: the one before it, for the proxies that do not have the new one yet. It hears
-    /// of drains like the other.
-    before: Option<Core>,
     /// A version in stages that waits for another one's roll-out to end.
     waits: Option<u64>,
 }
 
-fn locked<T, R>(of: &Mutex<T>, with: impl FnOnce(&mut T) -> R) -> R {
-    with(&mut of.lock().unwrap_or_else(PoisonError::into_inner))
-}
-
 impl Keeper {
     /// Nothing is served yet.
     pub fn new(
@@ -47,16 +38,12 @@
         seed: u64,
         tolerance: Tolerance,
     ) -> Keeper {
-        Keeper { shared, from, memory, progress, seed, tolerance, before: None, waits: None }
-    }
-
-    fn core<T>(&self, with: impl FnOnce(&mut Core) -> T) -> T {
-        locked(&self.shared.core, with)
+        let served = Served::new(shared.clone(), seed);
+        Keeper { shared, served, from, memory, progress, tolerance, waits: None }
     }
 
     /// Serves what is desired, with the lists that were held before a restart; a roll-out goes on where it was.
     pub fn start(&mut self, desired: Desired, held: BTreeMap<String, List>) {
-        let now = self.shared.clock.now();
         let staged = desired.version.as_ref().filter(|version| !version.stages.is_empty()).map(|version| {
             let was = self.progress.as_ref().and_then(ProgressFile::read);
             let fresh = Progress::new(version.serial, &version.hash, version.serial - 1);
@@ -67,12 +54,12 @@
         let before = under_way.and_then(|progress| Some((self.from.fleet_of(progress.from)?, progress)));
         match before {
             Some((before, progress)) => {
-                self.core(|core| *core = Core::new(before, held, self.seed, now));
+                self.served.begin(before, held);
                 self.publish(true);
                 self.hand_out(desired, progress);
             }
             None => {
-                self.core(|core| *core = Core::new(desired.fleet, held, self.seed, now));
+                self.served.begin(desired.fleet, held);
                 locked(&self.shared.version, |version| *version = desired.version);
                 self.publish(true);
             }
@@ -81,73 +68,42 @@
 
     /// The sources to follow.
     pub fn sources(&self) -> Sources {
-        let before = self.before.as_ref().map(Core::sources).unwrap_or_default();
-        self.core(|core| core.sources()).into_iter().chain(before).collect()
+        self.served.sources()
     }
 
     /// Whether there is anything to publish.
     pub fn is_dirty(&self) -> bool {
-        self.core(|core| core.is_dirty()) || self.before.as_ref().is_some_and(Core::is_dirty)
+        self.served.is_dirty()
     }
 
     /// Takes what a source told.
     pub fn told(&mut self, now: Duration, pool: &str, from: SocketAddr, told: Told) {
-        if let Some(before) = &mut self.before {
-            before.told(now, pool, from, told.clone());
-        }
-        self.core(|core| core.told(now, pool, from, told));
+        self.served.both(|core| core.told(now, pool, from, told.clone()));
     }
 
     /// Looks at the clock, the store and the roll-out; says whether the sources may have changed.
     pub fn tick(&mut self) -> bool {
         let now = self.shared.clock.now();
-        if let Some(before) = &mut self.before {
-            before.tick(now);
-        }
-        self.core(|core| core.tick(now));
+        self.served.both(|core| core.tick(now));
         let followed = self.follow();
         let ended = self.roll();
-        self.show();
+        self.served.show();
         followed || ended
     }
 
     /// First the disk, then the proxies: what a proxy was told, a restart knows. A disk that fails holds no
     /// drain up.
     pub fn publish(&mut self, whole: bool) {
-        let (now, hub) = (self.shared.clock.now(), self.shared.hub.clone());
-        let Due { mut lists, changes } = match whole {
-            true => hub.cache(|cache| self.core(|core| core.whole(now, cache))),
-            false => self.core(|core| core.take(now)),
-        };
-        let before = self.before.as_mut().map(|before| match whole {
-            true => hub.cache_before(|cache| before.whole(now, cache)),
-            false => before.take(now),
-        });
-        let before = before.unwrap_or_default();
-        // A pool of both is kept as the newer one has it.
-        let newer = self.core(|core| core.sources());
-        lists.extend(
-            before.lists.into_iter().filter(|(pool, _)| newer.iter().all(|(other, _)| other != pool)),
-        );
-        if let Some(mut memory) = self.memory.take_if(|_| !lists.is_empty()) {
+        let (shared, memory) = (&self.shared, &mut self.memory);
+        self.served.publish(whole, |lists| {
+            let Some(memory) = memory.as_mut().filter(|_| !lists.is_empty()) else { return };
             let mut done = memory.commit(lists);
             if memory.wants_rewrite() {
-                done = memory.rewrite(self.core(|core| core.lists()));
+                done = memory.rewrite(locked(&shared.core, |core: &mut Core| core.lists()));
             }
-            self.memory = Some(memory);
             let what = |e| format!("{e}: a restart now would not know of the last changes");
-            self.shared.trouble("state", done.err().map(what));
-        }
-        self.show();
-        hub.publish(changes);
-        hub.publish_before(before.changes);
-    }
-
-    /// Shows how the pools stand, unless there is something to commit first.
-    fn show(&self) {
-        if let Some(pools) = self.core(|core| (!core.is_dirty()).then(|| core.status())) {
-            locked(&self.shared.pools, |shown| *shown = pools);
-        }
+            shared.trouble("state", done.err().map(what));
+        });
     }
 
     /// Reads the desired state again where it comes from a store whose head has moved; says whether it has.
@@ -161,7 +117,7 @@
                 self.shared.trouble("reload", None);
                 false
             }
-            Some(Ok(serial)) if self.waits == Some(serial) && self.before.is_some() => false,
+            Some(Ok(serial)) if self.waits == Some(serial) && self.served.is_parted() => false,
             // A bad one is told by the reload, once.
             Some(_) => self.reload(),
         }
@@ -179,10 +135,10 @@
         let serial = desired.version.as_ref().map(|version| version.serial);
         let served = locked(&self.shared.version, |version| version.as_ref().map(|version| version.serial));
         let staged = desired.version.as_ref().is_some_and(|version| !version.stages.is_empty());
-        if self.before.is_some() && serial == served {
+        if self.served.is_parted() && serial == served {
             return false; // it is being handed out
         }
-        if self.before.is_some() && staged {
+        if self.served.is_parted() && staged {
             self.waits = serial;
             let what = "waits for the roll-out under way: resume that, or abort it";
             self.shared.trouble("reload", Some(format!("serial {}: {what}", serial.unwrap_or_default())));
@@ -194,7 +150,7 @@
             self.hand_out(desired, progress);
         } else {
             // What is not staged goes to all at once, and ends a roll-out: so does going back in a hurry.
-            self.core(|core| core.replace(now, desired.fleet));
+            self.served.core(|core| core.replace(now, desired.fleet));
             locked(&self.shared.version, |version| *version = desired.version);
             self.publish(true);
             self.end_rollout();
@@ -211,18 +167,12 @@
     /// Begins to hand a version out, or goes on with it.
     fn hand_out(&mut self, desired: Desired, progress: Progress) {
         let Desired { fleet, version: Some(version) } = desired else { return };
-        let (now, hub) = (self.shared.clock.now(), self.shared.hub.clone());
-        let before = self.core(|core| {
-            let held: BTreeMap<String, List> = core.lists().into_iter().collect();
-            Core::new(core.fleet().clone(), held, self.seed, now)
-        });
-        self.before = Some(before);
-        hub.fork();
-        self.core(|core| core.replace(now, fleet));
+        let hub = self.shared.hub.clone();
+        self.served.part(fleet);
         let pause = Duration::from_millis(version.pause_ms);
         let rollout = Rollout::new(progress, &version.stages, pause, hub.now());
         if let Some(why) = &rollout.progress().halted {
-            self.shared.trouble("rollout", Some(halted(&version, why)));
+            self.shared.trouble("rollout", Some(halted(version.serial, why)));
         }
         locked(&self.shared.version, |shown| *shown = Some(version));
         self.publish(true);
@@ -231,30 +181,12 @@
         locked(&self.shared.rollout, |shown| *shown = Some(rollout));
     }
 
-    /// How the proxies that are to have the new version stand.
-    fn cohort(&self, rollout: &Rollout) -> Cohort {
-        let (newest, mut cohort) = (self.shared.hub.newest_line(), Cohort::default());
-        for stream in self.shared.hub.streams() {
-            if place(&stream.node) >= rollout.share() {
-                continue;
-            }
-            if stream.line != newest || stream.standings.iter().any(|standing| standing.behind) {
-                cohort.behind.push(stream.node.clone());
-            }
-            let rejected = stream.standings.iter().filter_map(|standing| standing.rejected.as_ref());
-            let late = rejected.filter(|rejected| rejected.at >= rollout.since());
-            cohort.rejected.extend(late.map(|rejected| (stream.node.clone(), rejected.detail.clone())));
-        }
-        cohort.failing = self.shared.hub.loads(|loads| failing(loads.compared(), self.tolerance));
-        cohort
-    }
-
     /// Looks at the roll-out, if there is one; says whether it has ended.
     fn roll(&mut self) -> bool {
         let Some(mut rollout) = locked(&self.shared.rollout, |rollout| rollout.clone()) else {
             return false;
         };
-        let cohort = self.cohort(&rollout);
+        let cohort = self.served.cohort(&rollout, rollout.since(), self.tolerance);
         let next = rollout.look(self.shared.hub.now(), &cohort);
         if next == Next::Wait {
             return false;
@@ -264,9 +196,7 @@
         let serial = rollout.progress().serial;
         match &rollout.progress().halted {
             Some(why) => {
-                let version = locked(&self.shared.version, |version| version.clone());
-                let what = version.map(|version| halted(&version, why));
-                self.shared.trouble("rollout", what);
+                self.shared.trouble("rollout", Some(halted(serial, why)));
             }
             None => eprintln!("serial {serial}: {} of 10000 nodes", rollout.share()),
         }
@@ -296,10 +226,8 @@
     }
 
     fn end_rollout(&mut self) {
-        self.shared.hub.settle();
-        self.before = None;
+        self.served.settle();
         self.waits = None;
-        locked(&self.shared.rollout, |rollout| *rollout = None);
     }
 
     fn keep(&self, rollout: &Rollout) {
@@ -310,7 +238,3 @@
         }
     }
 }
-
-fn halted(version: &Version, why: &str) -> String {
-    format!("serial {} goes no further: {why}. Resume it, or abort it: runtrackctl rollout", version.serial)
-}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,6 +1,7 @@
 //! `runtrack-control`: learns of endpoints, health and drains, and hands decisions to proxies through xDS.
 
 mod admin;
+mod cluster;
 mod core;
 mod desired;
 mod errors;
@@ -10,9 +11,11 @@
 mod progress;
 mod rollout;
 mod serve;
+mod served;
 mod settings;
 mod shared;
 mod source;
+mod together;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
@@ -57,8 +60,11 @@
         },
         Command::Check { config } => settings::Settings::read(&config)
             .map_err(desired::DesiredError::from)
-            .and_then(|settings| desired::Origin::settings(&settings).read())
-            .map(|desired| println!("{}", desired.fleet.hash()))
+            .and_then(|settings| match &settings.cluster {
+                Some(cluster) => Ok(format!("a member of a cluster, in {}", cluster.member.display())),
+                None => desired::Origin::settings(&settings).read().map(|desired| desired.fleet.hash()),
+            })
+            .map(|found| println!("{found}"))
             .map_err(|problem| problem.to_string()),
     };
     match done {
--- a/crates/control/src/pool.rs
+++ b/crates/control/src/pool.rs
@@ -46,6 +46,10 @@
     panic_hold: Duration,
     /// Changes since they were last taken, for the journal.
     changes: BTreeMap<String, Target>,
+    /// Endpoints that are to get nothing new, whatever the list says.
+    held_back: BTreeSet<String>,
+    /// The list that is believed was doubted for being older, and stood: the source counts anew.
+    anew: bool,
 }
 
 impl Members {
@@ -75,6 +79,8 @@
             panic_threshold: pool.panic_threshold,
             panic_hold: pool.panic_hold,
             changes: BTreeMap::new(),
+            held_back: BTreeSet::new(),
+            anew: false,
         };
         if let Source::Static(endpoints) = &pool.source {
             let target = |(uid, e): (&String, &runtrack_model::Endpoint)| Target {
@@ -103,6 +109,22 @@
         self.stale = Some(Stale { since: now, why: why.to_owned() });
     }
 
+    /// Takes the list that is agreed with the other instances, whole; tells whether the endpoints may differ.
+    pub fn agreed(&mut self, now: Duration, list: List) -> bool {
+        (self.stale, self.doubt) = (None, None);
+        self.believe(now, List { all: true, ..list })
+    }
+
+    /// From now on these endpoints and no others get nothing new, whatever the list says; tells whether that differs.
+    pub fn hold_back(&mut self, uids: BTreeSet<String>) -> bool {
+        std::mem::replace(&mut self.held_back, uids) != self.held_back
+    }
+
+    /// Whether the source counts its lists anew, as far as is believed.
+    pub fn counts_anew(&self) -> bool {
+        self.anew
+    }
+
     /// Takes the pool's other settings, while its source and its endpoints stay.
     pub fn retune(&mut self, pool: &Pool) {
         (self.panic_threshold, self.panic_hold) = (pool.panic_threshold, pool.panic_hold);
@@ -172,6 +194,7 @@
         let mut changed = false;
         if let Some(doubt) = self.doubt.take_if(|doubt| doubt.since + self.panic_hold <= now) {
             self.stale = None;
+            self.anew = doubt.list.rev < self.rev;
             changed = self.believe(now, doubt.list);
         }
         let uids: Vec<String> = self.cold.keys().cloned().collect();
@@ -271,7 +294,7 @@
                 address: target.endpoint,
                 zone: target.az.clone(),
                 weight: target.capacity_hint,
-                draining: standing.info.state != EndpointState::Ready,
+                draining: standing.info.state != EndpointState::Ready || self.held_back.contains(uid),
                 part: (standing.part * PART_STEPS).floor().max(1.0) / PART_STEPS,
                 heat: standing.heat,
             });
@@ -295,6 +318,11 @@
         self.known
     }
 
+    /// Whether the source has answered, and what it says lately is believed or looked into.
+    pub fn hears(&self) -> bool {
+        self.known && (self.stale.is_none() || self.doubt.is_some())
+    }
+
     /// Why the list may be old.
     pub fn stale(&self) -> Option<&Stale> {
         self.stale.as_ref()
@@ -302,7 +330,9 @@
 
     /// How many endpoints are ready, draining and cold.
     pub fn counts(&self) -> (usize, usize, usize) {
-        let draining = self.targets.values().filter(|t| t.state == State::Draining).count();
+        let drains =
+            |(uid, t): &(&String, &Target)| t.state == State::Draining || self.held_back.contains(*uid);
+        let draining = self.targets.iter().filter(drains).count();
         (self.targets.len() - draining, draining, self.cold.len())
     }
 }
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -1,27 +1,30 @@
 //! The service: sockets, signals, the clock and the disk round the core.
 
-use crate::admin;
 use crate::core::Core;
 use crate::desired::{self, DesiredError};
 use crate::keeper::Keeper;
 use crate::memory::{self, Memory};
 use crate::progress::ProgressFile;
-use crate::settings::{Settings, SettingsError};
+use crate::settings::{Cluster, Settings, SettingsError};
 use crate::shared::Shared;
-use crate::source::{self, News};
-use runtrack_discovery::Clock;
+use crate::source::{self, News, Sources};
+use crate::together::Together;
+use crate::{admin, cluster};
+use runtrack_agree::host::{Handle, View};
+use runtrack_discovery::{Clock, Told};
 use runtrack_model::Fleet;
 use runtrack_xds::{
     Aggregated, ClientStatus, ClientStatusDiscoveryServiceServer, Clusters, Discovery, Endpoints, Hub,
     Incoming, Listeners, LoadReporting, LoadReportingServiceServer, Routes,
 };
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::sleep_until;
 use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
 
@@ -34,6 +37,9 @@
 /// ... and given up after so long without an answer.
 const PONG: Duration = Duration::from_secs(10);
 
+/// Connections of other members at once: a few of each, as one that broke may not have been noticed yet.
+const PEERS_MOST: usize = 256;
+
 /// Why the service can't start or go on.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -63,35 +69,14 @@
 /// Serves until SIGTERM or SIGINT.
 pub async fn serve(path: &Path) -> Result<(), ServeError> {
     let settings = Settings::read(path)?;
-    let from = desired::Origin::settings(&settings);
-    let desired = from.read()?;
     let mut hup = signal(SignalKind::hangup()).map_err(system("SIGHUP"))?;
     let mut term = signal(SignalKind::terminate()).map_err(system("SIGTERM"))?;
-    let clock = Clock::start();
-    let (epoch, memory, held) = match &settings.state {
-        Some(folder) => {
-            let (memory, held) = Memory::open(folder).map_err(system(folder.display().to_string()))?;
-            let epoch = memory::next_epoch(folder).map_err(system(folder.display().to_string()))?;
-            (epoch, Some(memory), held)
-        }
-        None => (memory::clock_epoch(), None, BTreeMap::new()),
+    let (shared, mut keeps) = match &settings.cluster {
+        Some(cluster) => together(cluster, &settings).await?,
+        None => alone(&settings)?,
     };
-    let hub = Hub::new(epoch, settings.xds());
-    let progress = settings.state.as_deref().map(ProgressFile::new);
-    let shared = Arc::new(Shared {
-        hub: hub.clone(),
-        core: Mutex::new(Core::new(Fleet::default(), BTreeMap::new(), epoch, clock.now())),
-        pools: Mutex::default(),
-        version: Mutex::default(),
-        rollout: Mutex::default(),
-        resume: Notify::new(),
-        clock,
-        troubles: Mutex::default(),
-    });
-    let mut keeper =
-        Keeper::new(shared.clone(), from, memory, progress, epoch, settings.rollouts.tolerance());
-    keeper.start(desired, held);
-
+    let (hub, clock) = (shared.hub.clone(), shared.clock);
+    let mut agreed = shared.cluster.as_ref().map(Handle::watch);
     let listener = TcpListener::bind(settings.listen).await;
     let listener = listener.map_err(system(format!("listen: {}", settings.listen)))?;
     if let Some(at) = settings.admin {
@@ -118,8 +103,10 @@
     let mut serving = tokio::spawn(router.serve_with_incoming(incoming));
 
     let (told, mut news) = mpsc::unbounded_channel();
-    let wanted = source::follow(epoch, told).map_err(system("a thread for the sources"))?;
-    let _ = wanted.send(keeper.sources());
+    let wanted = source::follow(hub.cache(|cache| cache.epoch()), told)
+        .map_err(system("a thread for the sources"))?;
+    let _ = wanted.send(keeps.sources());
+    let epoch = hub.cache(|cache| cache.epoch());
     eprintln!("serving xDS on {}, epoch {epoch}", settings.listen);
 
     let push_every = settings.push_every();
@@ -127,7 +114,7 @@
     let mut next_push = tokio::time::Instant::now();
     let mut batch: Vec<News> = Vec::new();
     loop {
-        let dirty = keeper.is_dirty();
+        let dirty = keeps.is_dirty();
         tokio::select! {
             taken = news.recv_many(&mut batch, BATCH) => {
                 if taken == 0 {
@@ -136,22 +123,25 @@
                 let now = clock.now();
                 for News { pool, from, told } in batch.drain(..) {
                     log(&pool, &told);
-                    keeper.told(now, &pool, from, told);
+                    keeps.told(now, &pool, from, told);
                 }
             }
             () = sleep_until(next_push), if dirty => {
-                keeper.publish(false);
+                if keeps.publish() {
+                    let _ = wanted.send(keeps.sources());
+                }
                 next_push = tokio::time::Instant::now() + push_every;
             }
             _ = ticks.tick() => {
-                if keeper.tick() {
-                    let _ = wanted.send(keeper.sources());
+                if keeps.tick() {
+                    let _ = wanted.send(keeps.sources());
                 }
             }
-            () = shared.resume.notified() => keeper.resume(),
+            () = news_of(&mut agreed) => {} // it is taken with the next push
+            () = shared.resume.notified() => keeps.resume(),
             _ = hup.recv() => {
-                keeper.reload();
-                let _ = wanted.send(keeper.sources());
+                keeps.reload();
+                let _ = wanted.send(keeps.sources());
             }
             _ = term.recv() => {
                 eprintln!("SIGTERM: proxies keep what they have");
@@ -168,6 +158,130 @@
     }
 }
 
+/// Waits until something more is agreed; for ever, where this instance is alone.
+async fn news_of(agreed: &mut Option<watch::Receiver<Arc<View>>>) {
+    let heard = match agreed {
+        Some(agreed) => agreed.changed().await.is_ok(),
+        None => false,
+    };
+    if !heard {
+        std::future::pending().await
+    }
+}
+
+fn shared(hub: Arc<Hub>, clock: Clock, cluster: Option<Handle>) -> Arc<Shared> {
+    let (now, epoch) = (clock.now(), hub.cache(|cache| cache.epoch()));
+    Arc::new(Shared {
+        hub,
+        core: Mutex::new(Core::new(Fleet::default(), BTreeMap::new(), epoch, now)),
+        pools: Mutex::default(),
+        version: Mutex::default(),
+        rollout: Mutex::default(),
+        resume: Notify::new(),
+        cluster,
+        clock,
+        troubles: Mutex::default(),
+    })
+}
+
+/// One instance for itself, whose desired state comes from a file or a store.
+fn alone(settings: &Settings) -> Result<(Arc<Shared>, Keeps), ServeError> {
+    let from = desired::Origin::settings(settings);
+    let desired = from.read()?;
+    let (epoch, memory, held) = match &settings.state {
+        Some(folder) => {
+            let (memory, held) = Memory::open(folder).map_err(system(folder.display().to_string()))?;
+            let epoch = memory::next_epoch(folder).map_err(system(folder.display().to_string()))?;
+            (epoch, Some(memory), held)
+        }
+        None => (memory::clock_epoch(), None, BTreeMap::new()),
+    };
+    let shared = shared(Hub::new(epoch, settings.xds()), Clock::start(), None);
+    let progress = settings.state.as_deref().map(ProgressFile::new);
+    let tolerance = settings.rollouts.tolerance();
+    let mut keeper = Keeper::new(shared.clone(), from, memory, progress, epoch, tolerance);
+    keeper.start(desired, held);
+    Ok((shared, Keeps::Alone(Box::new(keeper))))
+}
+
+/// One instance of a cluster. What is desired comes from what is agreed.
+async fn together(of: &Cluster, settings: &Settings) -> Result<(Arc<Shared>, Keeps), ServeError> {
+    let (handle, peers) = cluster::start(of, settings).map_err(system(of.member.display().to_string()))?;
+    let listener = TcpListener::bind(of.listen).await.map_err(system(format!("cluster: {}", of.listen)))?;
+    let router = server(settings)?.add_service(peers);
+    let incoming = Incoming::new(listener, PEERS_MOST);
+    tokio::spawn(async move {
+        if let Err(problem) = router.serve_with_incoming(incoming).await {
+            eprintln!("cluster: {problem}");
+        }
+    });
+    let shared = shared(Hub::new(0, settings.xds()), Clock::start(), Some(handle.clone()));
+    let seed = memory::clock_epoch();
+    let together = Together::new(shared.clone(), handle, seed, settings.rollouts.tolerance());
+    Ok((shared, Keeps::Together(Box::new(together))))
+}
+
+/// What keeps what is served in step with what is desired.
+enum Keeps {
+    Alone(Box<Keeper>),
+    Together(Box<Together>),
+}
+
+impl Keeps {
+    fn sources(&self) -> Sources {
+        match self {
+            Keeps::Alone(keeper) => keeper.sources(),
+            Keeps::Together(together) => together.sources(),
+        }
+    }
+
+    fn is_dirty(&self) -> bool {
+        match self {
+            Keeps::Alone(keeper) => keeper.is_dirty(),
+            Keeps::Together(together) => together.is_dirty(),
+        }
+    }
+
+    fn told(&mut self, now: Duration, pool: &str, from: SocketAddr, told: Told) {
+        match self {
+            Keeps::Alone(keeper) => keeper.told(now, pool, from, told),
+            Keeps::Together(together) => together.told(now, pool, from, told),
+        }
+    }
+
+    /// Says whether the sources may have changed.
+    fn tick(&mut self) -> bool {
+        match self {
+            Keeps::Alone(keeper) => keeper.tick(),
+            Keeps::Together(together) => together.tick(),
+        }
+    }
+
+    /// Says whether the sources may have changed.
+    fn publish(&mut self) -> bool {
+        match self {
+            Keeps::Alone(keeper) => {
+                keeper.publish(false);
+                false
+            }
+            Keeps::Together(together) => together.publish(),
+        }
+    }
+
+    fn resume(&mut self) {
+        if let Keeps::Alone(keeper) = self {
+            keeper.resume(); // in a cluster it is agreed first
+        }
+    }
+
+    fn reload(&mut self) {
+        match self {
+            Keeps::Alone(keeper) => drop(keeper.reload()),
+            Keeps::Together(_) => eprintln!("SIGHUP: in a cluster there is no file to read again"),
+        }
+    }
+}
+
 fn server(settings: &Settings) -> Result<Server, ServeError> {
     let mut server = Server::builder()
         .http2_keepalive_interval(Some(PING))
@@ -185,8 +299,8 @@
     Ok(server)
 }
 
-fn log(pool: &str, told: &runtrack_discovery::Told) {
-    if let runtrack_discovery::Told::Failed(why) = told {
+fn log(pool: &str, told: &Told) {
+    if let Told::Failed(why) = told {
         eprintln!("pool {pool}: discovery: {why}; its last list stands");
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -26,6 +26,8 @@
     pub fleet: Option<PathBuf>,
     /// ... the folder of the state that plans are applied to.
     pub store: Option<PathBuf>,
+    /// ... membership of a cluster, which agrees on it.
+    pub cluster: Option<Cluster>,
     /// Where proxies connect.
     pub listen: SocketAddr,
     /// Where people and their tools ask; none: nowhere.
@@ -74,6 +76,30 @@
     }
 }
 
+/// Membership of a cluster: several instances that decide as one.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cluster {
+    /// This member's folder, from this file's folder: made by `runtrackctl cluster init` or `join`.
+    pub member: PathBuf,
+    /// Where the other members connect.
+    pub listen: SocketAddr,
+    /// The tick of the agreement, in milliseconds: a leader shows itself every 2, and is given up after 20 to 40.
+    #[serde(default = "tick_ms")]
+    pub tick_ms: u64,
+    /// A log beyond this size is cut behind a snapshot.
+    #[serde(default = "log_bytes")]
+    pub log_bytes: u64,
+}
+
+fn tick_ms() -> u64 {
+    50
+}
+
+fn log_bytes() -> u64 {
+    4 << 20
+}
+
 /// Certificates, as PEM files from the settings' folder.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -149,10 +175,29 @@
         let folder = path.parent().unwrap_or(Path::new(""));
         settings.fleet = settings.fleet.map(|fleet| folder.join(fleet));
         settings.store = settings.store.map(|store| folder.join(store));
-        if settings.fleet.is_some() == settings.store.is_some() {
-            return Err(wrong(
-                " `fleet` (a file) or `store` (a folder): one of the two, and not both".to_owned(),
-            ));
+        let from = [settings.fleet.is_some(), settings.store.is_some(), settings.cluster.is_some()];
+        if from.into_iter().filter(|from| *from).count() != 1 {
+            let what =
+                " `fleet` (a file), `store` (a folder) or `[cluster]`: one of the three, and no other";
+            return Err(wrong(what.to_owned()));
+        }
+        if let Some(cluster) = &mut settings.cluster {
+            cluster.member = folder.join(&cluster.member);
+            if !(5..=1000).contains(&cluster.tick_ms) || cluster.log_bytes < 4096 {
+                return Err(wrong(
+                    " cluster: tick_ms must be 5 to 1000, and log_bytes at least 4096".to_owned(),
+                ));
+            }
+            let open = settings.tls.is_none() && !settings.plain_text_anywhere;
+            if open && !cluster.listen.ip().is_loopback() {
+                return Err(wrong(format!(
+                    " cluster.listen: {} is not loopback, and there is no [tls]: add it, or say plain_text_anywhere = true",
+                    cluster.listen
+                )));
+            }
+            if settings.tls.as_ref().is_some_and(|tls| tls.client_ca.is_none()) {
+                return Err(wrong(" tls: members know each other by `client_ca`: add it".to_owned()));
+            }
         }
         settings.admin_socket = settings.admin_socket.map(|socket| folder.join(socket));
         settings.state = settings.state.map(|state| folder.join(state));
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Core, PoolStatus};
 use crate::rollout::Rollout;
+use runtrack_agree::host::Handle;
 use runtrack_discovery::Clock;
 use runtrack_store::Version;
 use runtrack_xds::Hub;
@@ -23,6 +24,8 @@
     pub rollout: Mutex<Option<Rollout>>,
     /// Somebody wants a roll-out that has halted to go on.
     pub resume: Notify,
+    /// This instance's part in a cluster; none: it is alone.
+    pub cluster: Option<Handle>,
     /// The clock.
     pub clock: Clock,
     /// What went wrong last with the disk or a reload, and has not been put right.
--- a/crates/control/tests/service.rs
+++ b/crates/control/tests/service.rs
@@ -209,7 +209,7 @@
 fn settings_that_make_no_sense_are_refused_with_their_place() {
     let bad = [
         ("fleet = 1\nlisten = \"127.0.0.1:1\"", "control.toml:1:9"),
-        ("listen = \"127.0.0.1:1\"", "one of the two"),
+        ("listen = \"127.0.0.1:1\"", "one of the three"),
         ("fleet = \"fleet.toml\"\nlisten = \"0.0.0.0:1\"", "not loopback"),
         ("fleet = \"fleet.toml\"\nlisten = \"nowhere\"", "control.toml:2:10"),
         ("fleet = \"fleet.toml\"\nlisten = \"127.0.0.1:1\"\nadmin = \"0.0.0.0:2\"", "asks nobody"),
--- a/crates/control/tests/store.rs
+++ b/crates/control/tests/store.rs
@@ -116,7 +116,7 @@
     };
     for from in ["", "fleet = \"f\"\nstore = \"s\"\n"] {
         let (good, said) = check(&format!("{from}listen = \"127.0.0.1:1\"\n"));
-        assert!(!good && said.contains("one of the two"), "{said}");
+        assert!(!good && said.contains("one of the three"), "{said}");
     }
     let (good, said) = check("store = \"nowhere\"\nlisten = \"127.0.0.1:1\"\n");
     assert!(!good && said.contains("runtrackctl --state") && said.contains("nowhere init"), "{said}");
--- a/crates/plan/src/apply.rs
+++ b/crates/plan/src/apply.rs
@@ -4,7 +4,7 @@
 use crate::file::Plan;
 use crate::risk::Risk;
 use runtrack_model::{Fleet, Severity};
-use runtrack_store::{Entry, Files, Store, StoreError};
+use runtrack_store::{Entry, Files, Store, StoreError, Version};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use thiserror::Error;
@@ -80,6 +80,54 @@
     /// The store refuses.
     #[error(transparent)]
     Store(#[from] StoreError),
+    /// A service that keeps the state refuses, or does not answer.
+    #[error("{at}: {problem}")]
+    Service {
+        /// Which.
+        at: String,
+        /// What is wrong.
+        problem: String,
+    },
+}
+
+/// The versions of a state, wherever they are kept.
+pub trait Versions {
+    /// The lineage.
+    fn lineage(&self) -> &str;
+    /// The versions that are kept, the newest last.
+    fn history(&self) -> &[Version];
+    /// A version's text.
+    fn text(&self, serial: u64) -> Result<String, ApplyError>;
+    /// Makes a text the version after this serial and no other.
+    fn commit(&mut self, on: u64, text: &str, entry: Entry) -> Result<Applied, ApplyError>;
+
+    /// The current version.
+    fn current(&self) -> Option<&Version> {
+        self.history().last()
+    }
+
+    /// The serial of the current version; 0 before the first.
+    fn serial(&self) -> u64 {
+        self.current().map_or(0, |version| version.serial)
+    }
+}
+
+impl<F: Files> Versions for Store<F> {
+    fn lineage(&self) -> &str {
+        Store::lineage(self)
+    }
+
+    fn history(&self) -> &[Version] {
+        Store::history(self)
+    }
+
+    fn text(&self, serial: u64) -> Result<String, ApplyError> {
+        Ok(Store::text(self, serial)?)
+    }
+
+    fn commit(&mut self, on: u64, text: &str, entry: Entry) -> Result<Applied, ApplyError> {
+        Ok(Applied::Now(Store::commit(self, on, text, entry)?.serial))
+    }
 }
 
 fn not_accepted(risks: &[Risk]) -> String {
@@ -89,16 +137,16 @@
 }
 
 /// The fleet of a version; an empty one before the first.
-pub fn current<F: Files>(store: &Store<F>, serial: u64) -> Result<Fleet, ApplyError> {
+pub fn current(store: &(impl Versions + ?Sized), serial: u64) -> Result<Fleet, ApplyError> {
     if serial == 0 {
         return Ok(Fleet::default());
     }
     Fleet::from_canonical(&store.text(serial)?).map_err(|problem| ApplyError::NoFleet { serial, problem })
 }
 
-/// Carries a plan out as one commit. The caller holds the store's lock.
-pub fn apply<F: Files>(
-    store: &mut Store<F>,
+/// Carries a plan out as one commit. The caller holds the lock of a store in a folder.
+pub fn apply(
+    store: &mut (impl Versions + ?Sized),
     plan: &Plan,
     accepted: &BTreeSet<String>,
     author: &str,
@@ -135,11 +183,11 @@
     }
     let (stages, pause_ms) = (plan.stages.as_slice(), plan.pause_ms);
     let entry = Entry { author, reason: &plan.reason, at_ms: now_ms, plan: &plan.id, stages, pause_ms };
-    Ok(Applied::Now(store.commit(plan.serial, &fleet.canonical(), entry)?.serial))
+    store.commit(plan.serial, &fleet.canonical(), entry)
 }
 
 /// Who has moved the state, and what has changed.
-fn moved<F: Files>(store: &Store<F>, plan: &Plan) -> ApplyError {
+fn moved(store: &(impl Versions + ?Sized), plan: &Plan) -> ApplyError {
     let by = store.current().map_or("nobody".to_owned(), |version| {
         let reason = if version.reason.is_empty() { "no reason given" } else { &version.reason };
         format!("{} ({reason})", version.author)
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -10,7 +10,7 @@
 mod risk;
 mod shadow;
 
-pub use apply::{Applied, ApplyError, apply, current};
+pub use apply::{Applied, ApplyError, Versions, apply, current};
 pub use diff::{Counts, Edit, Step, StepError, counts, diff, replay};
 pub use file::{FORMAT, Plan, PlanError, Request};
 pub use objects::{Address, Object};
--- a/crates/plan/tests/common/mod.rs
+++ b/crates/plan/tests/common/mod.rs
@@ -5,11 +5,9 @@
 use rand_pcg::Pcg32;
 use runtrack_model::*;
 use runtrack_plan::{Load, Plan, Request};
-use runtrack_store::{Entry, Files, Store};
-use std::cell::RefCell;
+use runtrack_store::{Entry, Store};
+use runtrack_testkit::Disk;
 use std::collections::BTreeMap;
-use std::io;
-use std::rc::Rc;
 use std::time::Duration;
 use weirwharf::Group;
 
@@ -137,7 +135,7 @@
     fleet
 }
 
-pub fn plan_on(store: &Store<Memory>, from: &Fleet, to: &Fleet, reason: &str) -> Plan {
+pub fn plan_on(store: &Store<Disk>, from: &Fleet, to: &Fleet, reason: &str) -> Plan {
     let request = Request {
         author: "somchai",
         reason,
@@ -152,41 +150,9 @@
     Plan::make(request, from, to)
 }
 
-/// A folder in memory, shared by its clones.
-#[derive(Clone, Default)]
-pub struct Memory(Rc<RefCell<BTreeMap<String, Vec<u8>>>>);
-
-impl Files for Memory {
-    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        self.0.borrow().get(name).cloned().ok_or(io::ErrorKind::NotFound.into())
-    }
-
-    fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.0.borrow_mut().insert(name.to_owned(), bytes.to_vec());
-        Ok(())
-    }
-
-    fn sync(&self, _: &str) -> io::Result<()> {
-        Ok(())
-    }
-
-    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        let bytes = self.0.borrow_mut().remove(from).ok_or(io::ErrorKind::NotFound)?;
-        self.write(to, &bytes)
-    }
-
-    fn remove(&self, name: &str) -> io::Result<()> {
-        self.0.borrow_mut().remove(name).map(drop).ok_or(io::ErrorKind::NotFound.into())
-    }
-
-    fn sync_folder(&self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// A state with one version of this fleet, applied long before `NOW`.
-pub fn state_of(fleet: &Fleet) -> Store<Memory> {
-    let mut store = Store::open_or_make(Memory::default(), "a-lineage").expect("a store in memory");
+pub fn state_of(fleet: &Fleet) -> Store<Disk> {
+    let mut store = Store::open_or_make(Disk::default(), "a-lineage").expect("a store in memory");
     let entry = Entry { author: "nok", reason: "first", at_ms: NOW - HOUR, ..Entry::default() };
     store.commit(0, &fleet.canonical(), entry).expect("a first version");
     store
--- a/crates/store/src/files.rs
+++ b/crates/store/src/files.rs
@@ -25,6 +25,7 @@
 }
 
 /// A folder of the file system.
+#[derive(Clone, Debug)]
 pub struct Folder(PathBuf);
 
 impl Folder {
--- a/crates/xds/src/cache.rs
+++ b/crates/xds/src/cache.rs
@@ -72,7 +72,7 @@
 pub(crate) struct Entry {
     /// Its last change.
     pub(crate) seq: u64,
-    /// Hash of what it is, the same after a restart.
+    /// Hash of what it is, the same after a restart, and at every instance of a cluster.
     pub(crate) version: u64,
     body: Body,
     plain: Encoded,
@@ -109,19 +109,71 @@
     unknown: BTreeSet<Arc<str>>,
 }
 
+/// Where a cache stands in a log that several instances agree on.
+#[derive(Clone, Copy)]
+struct Agreed {
+    /// What is served holds all up to this index; 0: nothing is known yet.
+    index: u64,
+    /// It is being brought there.
+    moving: bool,
+}
+
 /// All resources of all types. Its clone shares their bytes.
 #[derive(Clone)]
 pub struct Cache {
     epoch: u64,
     seq: u64,
     encodings: u64,
+    agreed: Option<Agreed>,
     tables: [Table; 4],
 }
 
 impl Cache {
     /// An empty cache. The epoch orders its versions after those of earlier ones.
     pub fn new(epoch: u64) -> Self {
-        Cache { epoch, seq: 0, encodings: 0, tables: Default::default() }
+        Cache { epoch, seq: 0, encodings: 0, agreed: None, tables: Default::default() }
+    }
+
+    /// From now on it is to hold what is agreed up to this index, in the cluster's epoch. Until it is
+    /// [`settled`](Self::settle) there, sessions are told nothing.
+    pub fn move_to(&mut self, epoch: u64, index: u64) {
+        self.epoch = epoch;
+        self.agreed = Some(Agreed { index, moving: true });
+    }
+
+    /// It holds what is agreed up to the index that it was moved to.
+    pub fn settle(&mut self) {
+        if let Some(agreed) = &mut self.agreed {
+            agreed.moving = false;
+        }
+    }
+
+    /// The index of the agreed log up to which all is served; none: what is served is this instance's alone.
+    pub fn index(&self) -> Option<u64> {
+        self.agreed.map(|agreed| agreed.index)
+    }
+
+    /// Whether a proxy that holds what was agreed up to an index may be told anything: no proxy goes back.
+    pub(crate) fn reaches(&self, index: u64) -> bool {
+        self.agreed.is_none_or(|agreed| !agreed.moving && agreed.index >= index.max(1))
+    }
+
+    /// Where it stands, as the first part of a version.
+    pub(crate) fn place(&self) -> String {
+        match self.agreed {
+            Some(agreed) => format!("{}.{}.{}", self.epoch, agreed.index, self.seq),
+            None => format!("{}.{}", self.epoch, self.seq),
+        }
+    }
+
+    /// The index that a version of this epoch names; 0 for any other, and where nothing is agreed with others.
+    pub(crate) fn index_in(&self, version: &str) -> u64 {
+        let place = version.split('-').next().unwrap_or_default();
+        let mut numbers = place.split('.').map(|number| number.parse::<u64>().ok());
+        match (self.agreed, numbers.next().flatten(), numbers.next().flatten()) {
+            (Some(_), Some(epoch), Some(index)) if epoch == self.epoch => index,
+            _ => 0,
+        }
     }
 
     /// Number of the last change.
@@ -189,14 +241,15 @@
             table.gone_log.remove(&gone.seq);
         }
         let version = body.version();
+        let text = match self.agreed {
+            Some(agreed) => format!("{}.{}-{}", self.epoch, agreed.index, version_text(version)),
+            None => version_text(version),
+        };
         let encode = |bytes: &Bytes| {
             let any = AnyOut { type_url: kind.url().to_owned(), value: bytes.clone() };
             let any = Bytes::from(any.encode_to_vec());
-            let resource = ResourceOut {
-                version: version_text(version),
-                resource: any.clone(),
-                name: name.to_string(),
-            };
+            let resource =
+                ResourceOut { version: text.clone(), resource: any.clone(), name: name.to_string() };
             Encoded { any, resource: resource.encode_to_vec().into() }
         };
         let plain = encode(&body.plain);
@@ -292,6 +345,11 @@
     hash
 }
 
+/// Whether a version that a proxy holds is that of this content, wherever it was told.
+pub(crate) fn is_version(text: &str, version: u64) -> bool {
+    text.rsplit('-').next() == Some(version_text(version).as_str())
+}
+
 pub(crate) fn version_text(version: u64) -> String {
     format!("{version:016x}")
 }
--- a/crates/xds/src/hub.rs
+++ b/crates/xds/src/hub.rs
@@ -5,6 +5,7 @@
 use crate::load::{Impossible, Loads, Report};
 use crate::session::{Limits, Standing};
 use std::collections::BTreeMap;
+use std::hash::{BuildHasher, RandomState};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 use std::time::{Duration, Instant};
@@ -170,6 +171,11 @@
         self.next.as_ref().filter(|(_, share)| place < *share).map_or(&self.main, |(line, _)| line)
     }
 
+    fn caches(&mut self) -> impl Iterator<Item = &mut Cache> {
+        let next = self.next.as_mut().map(|(line, _)| &mut line.cache);
+        [&mut self.main.cache].into_iter().chain(next)
+    }
+
     fn newest(&self) -> &Line {
         self.next.as_ref().map_or(&self.main, |(line, _)| line)
     }
@@ -188,6 +194,8 @@
     streams: Mutex<Streams>,
     loads: Mutex<Loads>,
     next_stream: AtomicU64,
+    /// No other run of an instance has the same: streams are named after it.
+    pub(crate) run: u64,
     started: Instant,
 }
 
@@ -204,6 +212,7 @@
             head: watch::Sender::new(0),
             streams: Mutex::default(),
             next_stream: AtomicU64::new(1),
+            run: RandomState::new().hash_one(epoch),
             started: Instant::now(),
         })
     }
@@ -273,6 +282,23 @@
         changed
     }
 
+    /// From now on what is served is to hold what is agreed up to this index of a cluster's log. No stream is told
+    /// anything until it is [`settled`](Self::arrive) there.
+    pub fn move_to(&self, epoch: u64, index: u64) {
+        self.change(|lines| {
+            lines.caches().for_each(|cache| cache.move_to(epoch, index));
+            false
+        });
+    }
+
+    /// What is served holds what is agreed up to the index that it was moved to.
+    pub fn arrive(&self) {
+        self.change(|lines| {
+            lines.caches().for_each(Cache::settle);
+            true
+        });
+    }
+
     /// Looks at what the newest line serves.
     pub fn cache<T>(&self, with: impl FnOnce(&Cache) -> T) -> T {
         with(&self.lines().newest().cache)
--- a/crates/xds/src/server.rs
+++ b/crates/xds/src/server.rs
@@ -258,7 +258,7 @@
     if zone.len() > NODE_NAME_MOST {
         return Err(Status::invalid_argument(format!("the zone is over {NODE_NAME_MOST} bytes")));
     }
-    let stream = format!("{}.{number}", hub.cache(|cache| cache.epoch()));
+    let stream = format!("{:x}.{number}", hub.run);
     let mut session = Session::new(stream, V::INCREMENTAL, only, hub.settings.limits.clone());
     session.set_zone(&zone);
     let place = place(&node.id);
--- a/crates/xds/src/session.rs
+++ b/crates/xds/src/session.rs
@@ -8,7 +8,7 @@
 //! "Four Variants", "ACK/NACK and resource type instance version", "When to send an update"; incremental: ibid.,
 //! "Incremental xDS".
 
-use crate::cache::{Cache, Encoded, Entry, hash, version_text};
+use crate::cache::{Cache, Encoded, Entry, hash, is_version, version_text};
 use crate::kind::Kind;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -48,6 +48,8 @@
 const UNACKED_MOST: usize = 8;
 /// Parts into which what was rejected is taken at most.
 const APART_MOST: usize = 64;
+/// Requests that wait for this instance to know what the proxy knows: a few for each type.
+const EARLY_MOST: usize = 64;
 /// Of a proxy's words on why it rejects so many bytes are kept.
 const DETAIL_MOST: usize = 1024;
 
@@ -199,6 +201,10 @@
     next_nonce: u64,
     names: usize,
     name_bytes: usize,
+    /// The proxy holds what was agreed up to this index: with less it is told nothing.
+    floor: u64,
+    /// Requests that wait until the cache has come there.
+    early: Vec<Request>,
 }
 
 impl Session {
@@ -215,6 +221,8 @@
             next_nonce: 0,
             names: 0,
             name_bytes: 0,
+            floor: 0,
+            early: Vec::new(),
         }
     }
 
@@ -224,7 +232,32 @@
     }
 
     /// Takes a request. A refusal ends the stream.
+    ///
+    /// What the proxy holds may be newer than what this instance knows: then nothing is said of what it asks for until
+    /// that has changed.
     pub fn request(&mut self, cache: &Cache, now: Duration, request: Request) -> Result<(), Refusal> {
+        self.claim(cache, &request);
+        if cache.reaches(self.floor) && self.early.is_empty() {
+            return self.take(cache, now, request);
+        }
+        if self.early.len() >= EARLY_MOST {
+            return Err(Refusal::TooFarBehind);
+        }
+        self.early.push(request);
+        Ok(())
+    }
+
+    fn claim(&mut self, cache: &Cache, request: &Request) {
+        let held = request.initial_versions.values().chain([&request.version]);
+        self.floor = held.map(|version| cache.index_in(version)).fold(self.floor, u64::max);
+    }
+
+    /// The index that the proxy holds and this instance has yet to reach, if that is so.
+    pub fn awaits(&self, cache: &Cache) -> Option<u64> {
+        (!cache.reaches(self.floor)).then_some(self.floor)
+    }
+
+    fn take(&mut self, cache: &Cache, now: Duration, request: Request) -> Result<(), Refusal> {
         let kind = match (self.only, Kind::from_url(&request.type_url)) {
             (Some(only), _) if request.type_url.is_empty() => only,
             (Some(only), Some(kind)) if kind == only => only,
@@ -348,8 +381,7 @@
             let name: Arc<str> = match cache.entry(kind, &name) {
                 Some((known, entry)) => {
                     // What the proxy holds already needs no sending: only on a first request can it say so.
-                    let same =
-                        first && watch.held.get(&name).is_some_and(|v| *v == version_text(entry.version));
+                    let same = first && watch.held.get(&name).is_some_and(|v| is_version(v, entry.version));
                     if !same && name != "*" {
                         watch.due.insert(known.clone());
                     }
@@ -396,6 +428,16 @@
     /// The next response, if anything is to be told: to be called when the stream can take one, and then until
     /// there is none.
     pub fn poll(&mut self, cache: &Cache, now: Duration) -> Result<Option<Response>, Refusal> {
+        let early = std::mem::take(&mut self.early);
+        // What they name could not be told from another cluster's while the epoch was not known.
+        early.iter().for_each(|request| self.claim(cache, request));
+        if !cache.reaches(self.floor) {
+            self.early = early;
+            return Ok(None);
+        }
+        for request in early {
+            self.take(cache, now, request)?;
+        }
         loop {
             let before = self.settled();
             for kind in Kind::ALL {
@@ -450,8 +492,8 @@
         self.next_nonce += 1;
         let nonce = self.next_nonce;
         let version = match watch.tag.take() {
-            Some(tag) => format!("{}.{}-{}", cache.epoch(), cache.seq(), version_text(tag)),
-            None => format!("{}.{}", cache.epoch(), cache.seq()),
+            Some(tag) => format!("{}-{}", cache.place(), version_text(tag)),
+            None => cache.place(),
         };
         let Batch { resources, names, removed, .. } = batch;
         watch.sent = Some((version.clone(), now));
@@ -626,7 +668,7 @@
                 return true;
             }
             self.cursor = entry.seq;
-            let held = self.held.get(&**name).is_some_and(|held| *held == version_text(entry.version));
+            let held = self.held.get(&**name).is_some_and(|held| is_version(held, entry.version));
             if self.subscribed(name, entry) && !told.contains(name) && !held {
                 batch.add(name, entry);
             }
--- a/crates/xds/tests/session.rs
+++ b/crates/xds/tests/session.rs
@@ -711,3 +711,98 @@
         }
     }
 }
+
+// ---- several instances that agree on a log ----
+
+/// An instance of a cluster of epoch 7 that has come to this index.
+fn instance(index: u64, changes: impl IntoIterator<Item = Change>) -> Cache {
+    let mut cache = Cache::new(0);
+    cache.move_to(7, index);
+    cache.apply(NOW, changes);
+    cache.settle();
+    cache
+}
+
+fn at(index: u64) -> Cache {
+    let pools = if index > 10 { vec!["a", "b"] } else { vec!["a"] };
+    instance(
+        index,
+        pools.into_iter().map(|pool| set(Kind::Cluster, pool, &format!("cluster {pool} {}", index / 10))),
+    )
+}
+
+/// A later instance's view reached by the earlier one.
+fn go_on(cache: &mut Cache, index: u64, changes: impl IntoIterator<Item = Change>) {
+    cache.move_to(7, index);
+    cache.apply(NOW, changes);
+}
+
+#[test]
+fn a_proxy_that_moves_to_an_instance_that_lags_is_told_nothing_until_that_has_caught_up() {
+    let mut before = whole();
+    before.request(&at(12), NOW, ask(Kind::Cluster, &[])).expect("taken");
+    let held = one(&mut before, &at(12)).version;
+    let (mut late, mut session) = (at(9), whole());
+    let claim = Request { version: held.clone(), ..ask(Kind::Cluster, &[]) };
+    session.request(&late, NOW, claim.clone()).expect("taken");
+    assert_eq!(drain(&mut session, &late, NOW), [], "what it knows is older");
+    assert_eq!(session.awaits(&late), Some(12));
+    go_on(&mut late, 12, ["a", "b"].map(|pool| set(Kind::Cluster, pool, &format!("cluster {pool} 1"))));
+    assert_eq!(drain(&mut session, &late, NOW), [], "it is on its way there");
+    late.settle();
+    assert_eq!(drain(&mut session, &late, NOW), [], "the proxy holds just this");
+    go_on(&mut late, 13, [set(Kind::Cluster, "b", "cluster b 2")]);
+    late.settle();
+    let response = one(&mut session, &late);
+    assert!(
+        holds(&response, "cluster b 2") && response.version.starts_with("7.13."),
+        "{}",
+        response.version
+    );
+    // Another cluster's index says nothing here.
+    let mut stranger = whole();
+    stranger.request(&at(9), NOW, Request { version: "8.99.1-00".to_owned(), ..claim }).expect("taken");
+    assert_eq!(drain(&mut stranger, &at(9), NOW).len(), 1);
+}
+
+#[test]
+fn an_incremental_proxy_that_moves_keeps_what_a_lagging_instance_does_not_know() {
+    let mut before = delta();
+    before.request(&at(12), NOW, ask(Kind::Cluster, &[])).expect("taken");
+    let first = one(&mut before, &at(12));
+    assert_eq!(first.resources.len(), 2);
+    let version = |pool: &str| {
+        let entry = format!("cluster {pool} 1");
+        let bytes =
+            first.resources.iter().find(|bytes| bytes.windows(entry.len()).any(|w| w == entry.as_bytes()));
+        let text = String::from_utf8_lossy(bytes.expect("told")).into_owned();
+        let from = text.find("7.12-").expect("it names the index");
+        text[from..from + "7.12-0123456789abcdef".len()].to_owned()
+    };
+    let held: BTreeMap<String, String> = ["a", "b"].map(|pool| (pool.to_owned(), version(pool))).into();
+    let (mut late, mut session) = (at(9), delta());
+    session
+        .request(&late, NOW, Request { initial_versions: held, ..ask(Kind::Cluster, &[]) })
+        .expect("taken");
+    assert_eq!(drain(&mut session, &late, NOW), [], "neither the old `a` nor that `b` is gone");
+    go_on(&mut late, 12, ["a", "b"].map(|pool| set(Kind::Cluster, pool, &format!("cluster {pool} 1"))));
+    late.settle();
+    assert_eq!(drain(&mut session, &late, NOW), [], "it holds just this, whoever told it");
+    go_on(&mut late, 14, [remove(Kind::Cluster, "b")]);
+    late.settle();
+    assert_eq!(one(&mut session, &late).removed, ["b"]);
+}
+
+#[test]
+fn an_instance_that_has_heard_nothing_yet_says_nothing_and_does_not_wait_for_ever_with_more() {
+    let (mut empty, mut session) = (Cache::new(0), whole());
+    empty.move_to(0, 0);
+    let claim = Request { version: "7.12.3-00".to_owned(), ..ask(Kind::Cluster, &[]) };
+    session.request(&empty, NOW, claim).expect("taken");
+    assert_eq!(drain(&mut session, &empty, NOW), []);
+    go_on(&mut empty, 9, [set(Kind::Cluster, "a", "old")]);
+    empty.settle();
+    assert_eq!(drain(&mut session, &empty, NOW), [], "now that the epoch is known so is the claim");
+    let refused = (0..100).map(|_| session.request(&empty, NOW, ask(Kind::Endpoint, &["a"])));
+    assert_eq!(refused.filter(Result::is_err).count(), 100 - 63, "requests that wait are bounded");
+}
