The rig: rounds of real processes with faulty links between them, histories, checkers

Need: the cluster is to be shown by processes that are cut off, stalled, killed and replaced, not by calls in one.

crates/rig, runtrack-rig run|search|replay|judge|shrink: control instances and runtrackctl as processes, stand-in discovery, endpoints and proxies, every link through a proxy of the rig's that tells by the socket's owner who connects (held, one way, refused, reset, late, slow, flapping). One history as JSON lines; checkers for one leader a term, an order of reads and writes, nothing acknowledged lost or doubled, proxies that never go back, drains within 2 s, the way back. The shrinking of lists is crates/sim's, made general. A planted error can be named for a whole process, in builds with those.

--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -10,6 +10,7 @@
 use runtrack_store::{Folder, Version};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::sync::Arc;
@@ -77,6 +78,8 @@
     index: u64,
     serial: u64,
     versions: &'a [Version],
+    /// Endpoints that are held back, by pool and name.
+    held: &'a BTreeSet<(String, String)>,
     /// Milliseconds since this instance was last in touch with a majority; none: never.
     age_ms: Option<u64>,
 }
@@ -114,6 +117,7 @@
         index: state.index,
         serial: state.serial(),
         versions: &state.versions,
+        held: &state.held,
         age_ms,
     };
     Ok(Json(json!(versions)))
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -61,14 +61,18 @@
 #[cfg(feature = "mutants")]
 mod mutants {
     use std::cell::RefCell;
+    use std::sync::LazyLock;
 
     thread_local! {
         static PLANTED: RefCell<Option<String>> = const { RefCell::new(None) };
     }
 
-    /// Whether an error that was planted under this name is switched on, for this thread.
+    /// For a whole process, by its environment.
+    static OF_PROCESS: LazyLock<Option<String>> = LazyLock::new(|| std::env::var("RUNTRACK_MUTANT").ok());
+
+    /// Whether an error that was planted under this name is switched on, for this thread or this process.
     pub fn mutant(name: &str) -> bool {
-        PLANTED.with_borrow(|planted| planted.as_deref() == Some(name))
+        PLANTED.with_borrow(|planted| planted.as_deref() == Some(name)) || OF_PROCESS.as_deref() == Some(name)
     }
 
     /// Switches the error of this name on, and any other off, for this thread.
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,258 @@
+//! `runtrack-rig`: plays rounds of real processes with faults between them, and judges what happened.
+
+use clap::{Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use runtrack_rig::check::{Judgement, judge};
+use runtrack_rig::history::{self, Event};
+use runtrack_rig::script::Script;
+use runtrack_rig::{draw, world};
+use runtrack_sim::shrink::fewer;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// Plays rounds of real processes of the project with faults between them, and judges what happened.
+#[derive(Parser)]
+#[command(
+    name = "runtrack-rig",
+    version,
+    about,
+    after_help = "Exit codes: 0 no rule broken; 1 a rule was broken; 2 the command line or a file is wrong, or a round could not be played."
+)]
+struct Cli {
+    /// An error to plant in the instances, where they were built with such errors.
+    #[arg(long, global = true, value_name = "NAME")]
+    mutant: Option<String>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play the round of a seed.
+    Run {
+        /// The seed.
+        #[arg(long)]
+        seed: u64,
+        /// Write its script here.
+        #[arg(long, value_name = "FILE")]
+        script: Option<PathBuf>,
+        /// Write what happened here, a JSON line an event.
+        #[arg(long, value_name = "FILE")]
+        history: Option<PathBuf>,
+    },
+    /// Play the rounds of many seeds, and say which break a rule.
+    Search {
+        /// From, and up to without: A..B.
+        #[arg(long, value_parser = range)]
+        seeds: std::ops::Range<u64>,
+        /// Rounds at once.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+        /// Where scripts and histories of rounds that break a rule go.
+        #[arg(long, default_value = "found", value_name = "FOLDER")]
+        out: PathBuf,
+    },
+    /// Play a script.
+    Replay {
+        /// The script (JSON).
+        script: PathBuf,
+        /// Write what happened here, a JSON line an event.
+        #[arg(long, value_name = "FILE")]
+        history: Option<PathBuf>,
+    },
+    /// Judge a history again.
+    Judge {
+        /// The history.
+        history: PathBuf,
+    },
+    /// Leave out of a script what the broken rule does not need; write it with `.small` behind.
+    Shrink {
+        /// The script (JSON).
+        script: PathBuf,
+        /// Rounds at most.
+        #[arg(long, default_value_t = 60)]
+        rounds: usize,
+    },
+}
+
+fn range(text: &str) -> Result<std::ops::Range<u64>, String> {
+    let parts = text.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
+    parts.ok_or_else(|| format!("`{text}` is no range: A..B"))
+}
+
+fn named(path: &Path) -> impl Fn(std::io::Error) -> String {
+    let path = path.display().to_string();
+    move |problem| format!("{path}: {problem}")
+}
+
+fn read(path: &Path) -> Result<Script, String> {
+    let text = std::fs::read_to_string(path).map_err(named(path))?;
+    serde_json::from_str(&text).map_err(|problem| named(path)(problem.into()))
+}
+
+fn write(path: &Path, script: &Script) -> Result<(), String> {
+    let text = serde_json::to_string_pretty(script).unwrap_or_default(); // fails only for maps with odd keys
+    std::fs::write(path, text + "\n").map_err(named(path))
+}
+
+fn play(script: &Script, mutant: Option<&str>) -> Result<(Vec<Event>, Judgement), String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let events = runtime.map_err(|e| e.to_string())?.block_on(world::play(script, mutant));
+    let events = events.map_err(|problem| format!("the round could not be played: {problem}"))?;
+    let judgement = judge(&events);
+    Ok((events, judgement))
+}
+
+fn report(judgement: &Judgement) -> ExitCode {
+    for breach in &judgement.breaches {
+        println!("{breach}");
+    }
+    for key in &judgement.unjudged {
+        println!("{key}: too many possible orders, not judged");
+    }
+    println!("{} events, {} broken rules", judgement.looked_at, judgement.breaches.len());
+    if judgement.breaches.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn one(script: &Script, history: Option<&Path>, mutant: Option<&str>) -> Result<ExitCode, String> {
+    let (events, judgement) = play(script, mutant)?;
+    if let Some(path) = history {
+        history::write(path, &events).map_err(named(path))?;
+    }
+    Ok(report(&judgement))
+}
+
+fn main() -> ExitCode {
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(problem) => {
+            let _ = problem.print();
+            return if problem.use_stderr() { ExitCode::from(2) } else { ExitCode::SUCCESS };
+        }
+    };
+    let mutant = cli.mutant.as_deref();
+    let done = match cli.command {
+        Command::Run { seed, script, history } => {
+            let drawn = draw::script(seed);
+            let kept = script.map_or(Ok(()), |path| write(&path, &drawn));
+            kept.and_then(|()| one(&drawn, history.as_deref(), mutant))
+        }
+        Command::Search { seeds, jobs, out } => search(seeds, jobs, &out, mutant),
+        Command::Replay { script, history } => {
+            read(&script).and_then(|script| one(&script, history.as_deref(), mutant))
+        }
+        Command::Judge { history } => {
+            history::read(&history).map_err(named(&history)).map(|events| report(&judge(&events)))
+        }
+        Command::Shrink { script, rounds } => shrink(&script, rounds, mutant),
+    };
+    done.unwrap_or_else(|problem| {
+        eprintln!("{problem}");
+        ExitCode::from(2)
+    })
+}
+
+#[derive(Default)]
+struct Sums {
+    pairs: BTreeMap<(&'static str, &'static str), u64>,
+    events: usize,
+    broken: u64,
+    unplayed: u64,
+}
+
+fn search(
+    seeds: std::ops::Range<u64>,
+    jobs: usize,
+    out: &Path,
+    mutant: Option<&str>,
+) -> Result<ExitCode, String> {
+    std::fs::create_dir_all(out).map_err(named(out))?;
+    let (began, next) = (Instant::now(), AtomicU64::new(seeds.start));
+    let style = ProgressStyle::with_template("{bar:32} {pos}/{len} rounds {eta} {msg}");
+    let bar = ProgressBar::new(seeds.end.saturating_sub(seeds.start));
+    let bar = bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let sums: Mutex<Sums> = Mutex::default();
+    let locked = || sums.lock().unwrap_or_else(PoisonError::into_inner);
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds.end {
+                        return;
+                    }
+                    let script = draw::script(seed);
+                    let played = play(&script, mutant);
+                    bar.inc(1);
+                    let (events, judgement) = match played {
+                        Ok(played) => played,
+                        Err(problem) => {
+                            locked().unplayed += 1;
+                            bar.suspend(|| println!("seed {seed}: {problem}"));
+                            continue;
+                        }
+                    };
+                    let mut kinds: Vec<&str> = script.faults.iter().map(|fault| fault.what.kind()).collect();
+                    kinds.sort_unstable();
+                    kinds.dedup();
+                    let mut sums = locked();
+                    sums.events += judgement.looked_at;
+                    for (n, one) in kinds.iter().enumerate() {
+                        kinds[n + 1..].iter().for_each(|other| *sums.pairs.entry((one, other)).or_default() += 1);
+                    }
+                    if let Some(breach) = judgement.breaches.first() {
+                        sums.broken += 1;
+                        bar.suspend(|| println!("seed {seed}: {breach}"));
+                        let kept = write(&out.join(format!("rig-{seed}.json")), &script);
+                        let kept = kept.and_then(|()| {
+                            let path = out.join(format!("rig-{seed}.history"));
+                            history::write(&path, &events).map_err(named(&path))
+                        });
+                        if let Err(problem) = kept {
+                            bar.suspend(|| eprintln!("{problem}"));
+                        }
+                    }
+                }
+            });
+        }
+    });
+    bar.finish_and_clear();
+    let sums = sums.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let (done, took) = (seeds.end.saturating_sub(seeds.start), began.elapsed().as_secs_f64());
+    println!(
+        "{done} rounds in {took:.0} s, {:.0} an hour; {} events judged; {} pairs of kinds of fault seen, the rarest {} times; \
+         {} rounds break a rule, {} could not be played",
+        done as f64 * 3600.0 / took,
+        sums.events,
+        sums.pairs.len(),
+        sums.pairs.values().min().unwrap_or(&0),
+        sums.broken,
+        sums.unplayed
+    );
+    Ok(if sums.broken + sums.unplayed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Real processes are no virtual world: a round that broke a rule may not do so again. What is left out is what the rule
+/// broke without, at least once.
+fn shrink(path: &Path, rounds: usize, mutant: Option<&str>) -> Result<ExitCode, String> {
+    let script = read(path)?;
+    let (_, judgement) = play(&script, mutant)?;
+    let Some(rule) = judgement.breaches.first().map(|breach| breach.rule) else {
+        return Err("it breaks no rule, this time".to_owned());
+    };
+    let mut played = 0;
+    let mut breaks = |candidate: &Script| {
+        played += 1;
+        let broken = |(_, judgement): (Vec<Event>, Judgement)| judgement.breaches.iter().any(|breach| breach.rule == rule);
+        played <= rounds && play(candidate, mutant).is_ok_and(broken)
+    };
+    let small = fewer(script, |script: &mut Script| &mut script.faults, &mut breaks);
+    let to = PathBuf::from(format!("{}.small", path.display()));
+    write(&to, &small)?;
+    println!("{}: {} faults, after {played} rounds, and {rule:?} still breaks", to.display(), small.faults.len());
+    Ok(ExitCode::FAILURE)
+}
--- /dev/null
+++ b/crates/rig/src/script.rs
@@ -0,0 +1,153 @@
+//! A round as data.
+
+use serde::{Deserialize, Serialize};
+
+/// A round: what is there, and what goes wrong. Times are in milliseconds from the moment at which all stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Script {
+    /// Of what the script leaves open: who is asked, and when.
+    pub seed: u64,
+    /// Control instances.
+    pub instances: u32,
+    /// Stand-in proxies, by turns of either variant; each begins at an instance of its own.
+    pub proxies: u32,
+    /// How long the round lasts before everything is healed.
+    pub lasts: u32,
+    /// What goes wrong, and what people do meanwhile.
+    pub faults: Vec<Fault>,
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When.
+    pub at: u32,
+    /// For how long.
+    pub lasts: u32,
+    /// What.
+    pub what: What,
+}
+
+/// An instance, as a script names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Who {
+    /// Whoever leads then.
+    Leader,
+    /// This one, from 0.
+    Instance(u32),
+}
+
+/// How a link is spoilt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// Nothing gets through, new connections hang; what was sent comes when it is over, all at once.
+    Held,
+    /// The same for what the one that connects sends; answers get through.
+    HeldThere,
+    /// The same for what comes back.
+    HeldBack,
+    /// Connections end at once, new ones too.
+    Refused,
+    /// Connections are reset once.
+    Reset,
+    /// All is late by so many milliseconds, and up to as many more.
+    Late(u32),
+    /// So many KiB a second get through.
+    Slow(u32),
+    /// Held and open again so often a second.
+    Flaps(u32),
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// All links between an instance and the other ones.
+    Cut {
+        /// Which.
+        who: Who,
+        /// How.
+        how: How,
+    },
+    /// The links of one instance to another, and back.
+    Link {
+        /// From whom.
+        from: Who,
+        /// To whom.
+        to: Who,
+        /// How.
+        how: How,
+    },
+    /// An instance's link to discovery.
+    Blind {
+        /// Which.
+        who: Who,
+    },
+    /// SIGKILL; started again when it is over, with its folder.
+    Kill {
+        /// Whom.
+        who: Who,
+    },
+    /// SIGKILL, and its folder is lost: it is removed, and another member takes its place.
+    Lose {
+        /// Whom.
+        who: Who,
+    },
+    /// SIGSTOP, then SIGCONT.
+    Stop {
+        /// Whom.
+        who: Who,
+    },
+    /// SIGTERM; started again when it is over.
+    End {
+        /// Whom.
+        who: Who,
+    },
+    /// Every instance is killed at once, and started again.
+    PowerOff,
+    /// An endpoint drains from now on.
+    Drain,
+    /// A proxy goes over to another instance.
+    Move {
+        /// The proxy, from 0.
+        proxy: u32,
+        /// To this instance.
+        to: u32,
+    },
+    /// Somebody has leadership handed over.
+    Transfer {
+        /// To this instance.
+        to: u32,
+    },
+}
+
+impl What {
+    /// The kind, for what came together with what.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            What::Cut { how, .. } => match how {
+                How::Held => "cut held",
+                How::HeldThere | How::HeldBack => "cut one way",
+                How::Refused => "cut refused",
+                How::Reset => "cut reset",
+                How::Late(_) => "cut late",
+                How::Slow(_) => "cut slow",
+                How::Flaps(_) => "cut flaps",
+            },
+            What::Link { .. } => "link",
+            What::Blind { .. } => "blind",
+            What::Kill { .. } => "kill",
+            What::Lose { .. } => "lose",
+            What::Stop { .. } => "stop",
+            What::End { .. } => "end",
+            What::PowerOff => "power off",
+            What::Drain => "drain",
+            What::Move { .. } => "move",
+            What::Transfer { .. } => "transfer",
+        }
+    }
+}
--- a/crates/sim/src/shrink.rs
+++ b/crates/sim/src/shrink.rs
@@ -33,12 +33,12 @@
     }
 }
 
-/// Leaves out parts of a list, large ones first.
-fn fewer<T: Clone>(
-    mut best: Script,
-    list: impl Fn(&mut Script) -> &mut Vec<T>,
-    breaks: &mut impl FnMut(&Script) -> bool,
-) -> Script {
+/// Leaves out parts of a script's list, large ones first, for as long as what is left still breaks the rule.
+pub fn fewer<S: Clone, T>(
+    mut best: S,
+    list: impl Fn(&mut S) -> &mut Vec<T>,
+    breaks: &mut impl FnMut(&S) -> bool,
+) -> S {
     let mut part = list(&mut best).len().div_ceil(2);
     while part > 0 {
         let mut at = 0;
--- a/crates/testkit/src/control.rs
+++ b/crates/testkit/src/control.rs
@@ -1,5 +1,6 @@
 //! A control service as a child process, killed and started at will.
 
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -60,6 +61,23 @@
     }
 }
 
+/// One request over HTTP, with a JSON body or none, and a connection of its own: the code and the body.
+pub async fn ask(at: SocketAddr, method: &str, path: &str, body: &str) -> io::Result<(u16, String)> {
+    let mut stream = TcpStream::connect(at).await?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {at}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(body.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    let cut = || io::Error::from(io::ErrorKind::UnexpectedEof);
+    let (head, body) = answer.split_once("\r\n\r\n").ok_or_else(cut)?;
+    let code = head.split(' ').nth(1).and_then(|code| code.parse().ok()).ok_or_else(cut)?;
+    Ok((code, body.to_owned()))
+}
+
 /// A control service.
 pub struct Control {
     binary: PathBuf,
@@ -156,17 +174,7 @@
     }
 
     async fn ask(&self, method: &str, path: &str) -> (u16, String) {
-        let mut stream = TcpStream::connect(self.admin).await.expect("the admin port is open");
-        let ask = format!(
-            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-            self.admin
-        );
-        stream.write_all(ask.as_bytes()).await.expect("a request is taken");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.expect("an answer comes");
-        let (head, body) = answer.split_once("\r\n\r\n").expect("an answer has a body");
-        let code = head.split(' ').nth(1).and_then(|code| code.parse().ok());
-        (code.expect("an answer has a code"), body.to_owned())
+        ask(self.admin, method, path, "").await.expect("the admin port answers")
     }
 
     /// Resident memory, in KiB.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,11 +9,11 @@
 mod proxy;
 mod scripted;
 
-pub use control::{Control, Folder, free_port};
+pub use control::{Control, Folder, ask, free_port};
 pub use discovery::{Discovery, target};
 pub use disk::Disk;
 pub use endpoint::Endpoint;
-pub use proxy::{Proxy, ProxyState, ProxyTo};
+pub use proxy::{Proxy, ProxyState, ProxyTo, Told};
 pub use scripted::{Scripted, ScriptedDelta, ScriptedLoad, connect, delta_request, node, request, url};
 
 use std::time::Duration;
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -46,6 +46,23 @@
     pub streams: u64,
     /// When the last response came.
     pub last: Option<Instant>,
+    /// When a request was sent to an address last.
+    pub sent: BTreeMap<SocketAddr, Instant>,
+    /// What was told: when, the type URL, the version of the whole, the clusters held then.
+    pub told: Vec<Told>,
+}
+
+/// A response as a proxy took it.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// When.
+    pub at: Instant,
+    /// The type URL.
+    pub kind: String,
+    /// The version of the whole.
+    pub version: String,
+    /// Names of the clusters that it held afterwards.
+    pub clusters: Vec<String>,
 }
 
 impl ProxyState {
@@ -84,6 +101,11 @@
     /// Sends requests to a pool without pause over so many connections, choosing like a proxy would: of two at
     /// random the one with fewer in flight, anew for each request from what the proxy then holds.
     pub fn send_without_pause(&mut self, pool: &str, lanes: u64) {
+        self.send(pool, lanes, Duration::ZERO);
+    }
+
+    /// The same, with a pause after each request of a connection.
+    pub fn send(&mut self, pool: &str, lanes: u64, pause: Duration) {
         let flights: Arc<Mutex<BTreeMap<SocketAddr, u32>>> = Arc::default();
         for lane in 0..lanes {
             let (state, flights, pool) = (self.state.clone(), flights.clone(), pool.to_owned());
@@ -110,6 +132,7 @@
                         *flights.entry(to).or_default() += 1;
                         to
                     };
+                    state.lock().expect("unpoisoned").sent.insert(to, Instant::now());
                     let kept = connections.remove(&to);
                     if let Some(kept) = ask(kept, to).await {
                         connections.insert(to, kept);
@@ -117,6 +140,9 @@
                     if let Some(count) = flights.lock().expect("unpoisoned").get_mut(&to) {
                         *count -= 1;
                     }
+                    if !pause.is_zero() {
+                        tokio::time::sleep(pause).await;
+                    }
                 }
             });
         }
@@ -201,6 +227,7 @@
             for name in response.removed_resources {
                 state.lose(&kind, &name);
             }
+            state.note(&kind, &response.system_version_info);
         }
         send(DeltaDiscoveryRequest {
             type_url: kind,
@@ -255,6 +282,7 @@
                     state.lose(&kind, gone);
                 }
             }
+            state.note(&kind, &response.version_info);
         }
         versions.insert(kind.clone(), (response.version_info.clone(), response.nonce.clone()));
         let refers = [("cds", "eds"), ("lds", "rds")].into_iter().find(|(from, _)| kind == url(from));
@@ -303,6 +331,12 @@
         self.last = Some(Instant::now());
     }
 
+    fn note(&mut self, kind: &str, version: &str) {
+        let clusters = self.versions.get(url("cds")).into_iter().flatten().map(|(name, _)| name.clone()).collect();
+        let (kind, version) = (kind.to_owned(), version.to_owned());
+        self.told.push(Told { at: Instant::now(), kind, version, clusters });
+    }
+
     fn take(&mut self, kind: &str, name: &str, version: String, value: &[u8]) {
         self.versions.entry(kind.to_owned()).or_default().insert(name.to_owned(), version);
         if kind != url("eds") {
