--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -8,7 +8,7 @@
 use crate::record::Promise;
 use crate::state::{Effects, State};
 use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, Snapshot};
-use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole};
+use raft::{Config, Progress, ProgressState, RawNode, SnapshotStatus, StateRole};
 use runtrack_net::mutant;
 use runtrack_store::{Files, seal};
 use serde::{Deserialize, Serialize};
@@ -284,7 +284,7 @@
 
     /// Whether it leads.
     pub fn leads(&self) -> bool {
-        self.raw.raft.state == StateRole::Leader
+        self.raw.raft.state == StateRole::Leader && !self.is_removed()
     }
 
     /// Who leads, as far as it knows; 0: nobody.
@@ -334,8 +334,17 @@
         }
     }
 
+    /// Whether this member knows that it was removed. It may have led by then: the library can't go on with a leader that
+    /// is none of its members, so such a one takes no part any more, and the others elect another.
+    fn is_removed(&self) -> bool {
+        self.state.as_ref().is_some_and(|state| state.removed.contains_key(&self.raw.raft.id))
+    }
+
     /// Time goes on by one tick.
     pub fn tick(&mut self) {
+        if self.is_removed() {
+            return;
+        }
         let elapsed = self.raw.raft.election_elapsed;
         self.raw.tick();
         if !self.leads() && self.raw.raft.election_elapsed < elapsed {
@@ -346,7 +355,10 @@
 
     /// Takes a message. What no member sends to this one is dropped.
     pub fn step(&mut self, message: PeerMessage) {
-        if message.to != self.raw.raft.id || (!mutant("removed-votes") && self.is_stranger(&message)) {
+        if message.to != self.raw.raft.id || self.is_removed() {
+            return;
+        }
+        if !mutant("removed-votes") && self.is_stranger(&message) {
             return;
         }
         if let Some(place) = message.place() {
@@ -404,6 +416,9 @@
     /// Proposes a command, here or through the leader. An error says that it was not; without one it may be lost, too:
     /// only what is applied has happened.
     pub fn propose(&mut self, proposal: &Proposal) -> Result<(), NodeError> {
+        if self.is_removed() {
+            return Err(raft::Error::ProposalDropped.into());
+        }
         let data = serde_json::to_vec(proposal).unwrap_or_default(); // fails only for maps with odd keys
         Ok(self.raw.propose(Vec::new(), data)?)
     }
@@ -414,7 +429,9 @@
         if (mutant("stale-read") && self.leads()) || mutant("lone-read") {
             return self.out.reads.push(number);
         }
-        self.raw.read_index(number.to_le_bytes().to_vec());
+        if !self.is_removed() {
+            self.raw.read_index(number.to_le_bytes().to_vec());
+        }
     }
 
     /// Hands leadership to another member, if this one leads.
@@ -452,7 +469,9 @@
                 let last = self.raw.raft.raft_log.last_index();
                 let progress = self.raw.raft.prs().get(member);
                 let lacks = progress.map_or(last, |p| last.saturating_sub(p.matched));
-                if lacks > CAUGHT_UP || progress.is_none_or(|p| !p.recent_active) {
+                // One that is still being sent a snapshot has nothing: its vote would hold up what is agreed.
+                let follows = |p: &Progress| p.recent_active && p.state == ProgressState::Replicate;
+                if lacks > CAUGHT_UP || !progress.is_some_and(follows) {
                     return Err(format!("it has not caught up: it lacks {lacks} entries, or is not heard"));
                 }
             }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -2,6 +2,7 @@
 //! do, one seed: the same script gives the same run. What the code under test does is judged by [`oracle`], from the
 //! world's facts alone.
 
+pub mod agreement;
 mod client;
 mod discovery;
 pub mod draw;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -4,7 +4,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use runtrack_sim::run::{Outcome, run};
 use runtrack_sim::script::Script;
-use runtrack_sim::{draw, mutants, shrink, timeline};
+use runtrack_sim::{agreement, draw, mutants, shrink, timeline};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -69,6 +69,9 @@
         /// The script (JSON).
         script: PathBuf,
     },
+    /// Several control instances that agree, in place of the sidecar.
+    #[command(subcommand)]
+    Cluster(Cluster),
     /// Plant each error in turn, and count the seeds until it is found and the lines of its smallest script.
     Mutants {
         /// Starts, from which the median is taken.
@@ -80,12 +83,48 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Cluster {
+    /// Run one seed.
+    Run {
+        /// The seed.
+        #[arg(long)]
+        seed: u64,
+        /// Write its script here.
+        #[arg(long, value_name = "FILE")]
+        script: Option<PathBuf>,
+    },
+    /// Run many seeds and say which break a rule.
+    Search {
+        /// From, and up to without: A..B.
+        #[arg(long, value_parser = range)]
+        seeds: std::ops::Range<u64>,
+        /// Threads; each runs seeds of its own.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+    },
+    /// Run a script.
+    Replay {
+        /// The script (JSON).
+        script: PathBuf,
+    },
+    /// Plant each error in turn, and count the seeds until it is found and the faults of its smallest script.
+    Mutants {
+        /// Starts, from which the median is taken.
+        #[arg(long, default_value_t = 5)]
+        starts: u64,
+        /// Seeds at most for each.
+        #[arg(long, default_value_t = 2000)]
+        most: u64,
+    },
+}
+
 fn range(text: &str) -> Result<std::ops::Range<u64>, String> {
     let parts = text.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
     parts.ok_or_else(|| format!("`{text}` is no range: A..B"))
 }
 
-fn read(path: &PathBuf) -> Result<Script, String> {
+fn read<T: serde::de::DeserializeOwned>(path: &PathBuf) -> Result<T, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
@@ -134,10 +173,11 @@
         }
     };
     if let Some(name) = &cli.mutant
-        && mutants::ALL.iter().all(|(known, _)| known != name)
+        && mutants::ALL.iter().chain(&agreement::MUTANTS).all(|(known, _)| known != name)
     {
         eprintln!("there is no mutant `{name}`; those that there are:");
-        mutants::ALL.iter().for_each(|(name, what)| eprintln!("  {name}: {what}"));
+        let all = mutants::ALL.iter().chain(&agreement::MUTANTS);
+        all.for_each(|(name, what)| eprintln!("  {name}: {what}"));
         return ExitCode::from(2);
     }
     let mutant = cli.mutant.as_deref();
@@ -163,6 +203,7 @@
             }
             report(&outcome)
         }),
+        Command::Cluster(ask) => cluster(ask, mutant),
         Command::Mutants { starts, most } => Ok(plant_all(starts, most)),
     };
     done.unwrap_or_else(|problem| {
@@ -283,3 +324,113 @@
     }
     if missed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
+
+// ---- several control instances ----
+
+fn cluster(ask: Cluster, mutant: Option<&str>) -> Result<ExitCode, String> {
+    // A member that panics is a broken rule, and reported as one.
+    std::panic::set_hook(Box::new(|_| {}));
+    let report = |script: &agreement::Script| {
+        let done = mutants::with(mutant, || agreement::run(script));
+        done.breaches.iter().for_each(|breach| println!("{breach}"));
+        let agreement::Outcomes { answered, index, hash, breaches } = done;
+        println!("{answered} answers, {index} entries; hash {hash:016x}; {} broken rules", breaches.len());
+        if breaches.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    };
+    match ask {
+        Cluster::Run { seed, script } => {
+            let drawn = agreement::script(seed);
+            if let Some(path) = script {
+                let text = serde_json::to_string_pretty(&drawn).unwrap_or_default();
+                std::fs::write(&path, text + "\n").map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            Ok(report(&drawn))
+        }
+        Cluster::Replay { script } => read(&script).map(|script| report(&script)),
+        Cluster::Search { seeds, jobs } => Ok(search_cluster(seeds, jobs, mutant)),
+        Cluster::Mutants { starts, most } => Ok(plant_cluster(starts, most)),
+    }
+}
+
+fn search_cluster(seeds: std::ops::Range<u64>, jobs: usize, mutant: Option<&str>) -> ExitCode {
+    let (began, next) = (Instant::now(), AtomicU64::new(seeds.start));
+    let (broken, answers) = (AtomicU64::new(0), AtomicU64::new(0));
+    let pairs: Mutex<BTreeMap<(&str, &str), u64>> = Mutex::default();
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds.end {
+                        return;
+                    }
+                    let script = agreement::script(seed);
+                    let done = mutants::with(mutant, || agreement::run(&script));
+                    answers.fetch_add(done.answered, Ordering::Relaxed);
+                    let mut kinds: Vec<&str> =
+                        script.faults.iter().map(|fault| fault.what.kind()).collect();
+                    kinds.sort_unstable();
+                    kinds.dedup();
+                    let mut pairs = pairs.lock().unwrap_or_else(PoisonError::into_inner);
+                    for (n, one) in kinds.iter().enumerate() {
+                        kinds[n + 1..]
+                            .iter()
+                            .for_each(|other| *pairs.entry((one, other)).or_default() += 1);
+                    }
+                    if let Some(breach) = done.breaches.first() {
+                        broken.fetch_add(1, Ordering::Relaxed);
+                        println!("seed {seed}: {breach}");
+                    }
+                }
+            });
+        }
+    });
+    let (pairs, took) =
+        (pairs.into_inner().unwrap_or_else(PoisonError::into_inner), began.elapsed().as_secs_f64());
+    let (done, broken) = (seeds.end - seeds.start, broken.into_inner());
+    println!(
+        "{done} seeds in {took:.1} s: {:.0} a second; {} answers; {} pairs of kinds of fault seen, the rarest {} times; {broken} \
+         seeds break a rule",
+        done as f64 / took,
+        answers.into_inner(),
+        pairs.len(),
+        pairs.values().min().unwrap_or(&0)
+    );
+    if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn plant_cluster(starts: u64, most: u64) -> ExitCode {
+    println!("| planted | rule | seeds until found, median of {starts} | worst | faults left |");
+    println!("| --- | --- | --- | --- | --- |");
+    let mut missed = false;
+    for (name, _) in agreement::MUTANTS {
+        let find = |from: u64| {
+            (from..from + most).find_map(|seed| {
+                let script = agreement::script(seed);
+                let done = mutants::with(Some(name), || agreement::run(&script));
+                done.breaches.first().map(|breach| (seed - from + 1, script.clone(), breach.rule))
+            })
+        };
+        let finds: Vec<_> = (0..starts.max(1)).map(|start| find(start * 100_000)).collect();
+        let mut counts: Vec<u64> =
+            finds.iter().map(|found| found.as_ref().map_or(u64::MAX, |f| f.0)).collect();
+        counts.sort_unstable();
+        missed |= counts.contains(&u64::MAX);
+        let count = |count: u64| if count == u64::MAX { format!("over {most}") } else { count.to_string() };
+        let (rule, left) = match finds.into_iter().flatten().next() {
+            Some((_, script, rule)) => {
+                let breaks = |candidate: &agreement::Script| {
+                    let done = mutants::with(Some(name), || agreement::run(candidate));
+                    done.breaches.iter().any(|breach| breach.rule == rule)
+                };
+                let mut breaks = breaks;
+                let small = shrink::fewer(script, |s: &mut agreement::Script| &mut s.faults, &mut breaks);
+                (format!("{rule:?}"), small.faults.len().to_string())
+            }
+            None => ("-".to_owned(), "-".to_owned()),
+        };
+        let (median, worst) = (count(counts[counts.len() / 2]), count(counts[counts.len() - 1]));
+        println!("| `{name}` | {rule} | {median} | {worst} | {left} |");
+    }
+    if missed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
