--- a/crates/agree/src/host/work.rs
+++ b/crates/agree/src/host/work.rs
@@ -2,7 +2,7 @@
 
 use super::link::Links;
 use super::{AskError, Order, Reply, Settings, View};
-use crate::command::{Command, MemberChange, MemberId, Outcome, Proposal};
+use crate::command::{Command, MemberChange, MemberId, Outcome, Proposal, WRITE_ID_MOST};
 use crate::node::{Node, NodeError, Output};
 use crate::state::State;
 use rand_core::{RngCore, SeedableRng};
@@ -207,6 +207,10 @@
     }
 
     fn write(&mut self, id: String, command: Command, until: Instant, reply: Reply<(u64, Outcome)>) {
+        if id.len() > WRITE_ID_MOST {
+            let why = format!("a write's id has {} bytes, and {WRITE_ID_MOST} is the most", id.len());
+            return drop(reply.send(Err(AskError::Refused(why))));
+        }
         // Without an id of its client's it gets one of this member's, to be known by.
         let id = match id.is_empty() {
             true => format!("m{:016x}{:016x}", self.draws.next_u64(), self.draws.next_u64()),
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -470,7 +470,8 @@
                 let progress = self.raw.raft.prs().get(member);
                 let lacks = progress.map_or(last, |p| last.saturating_sub(p.matched));
                 // One that is still being sent a snapshot has nothing: its vote would hold up what is agreed.
-                let follows = |p: &Progress| p.recent_active && p.state == ProgressState::Replicate;
+                let follows =
+                    |p: &Progress| p.recent_active && p.state != ProgressState::Snapshot && p.matched > 0;
                 if lacks > CAUGHT_UP || !progress.is_some_and(follows) {
                     return Err(format!("it has not caught up: it lacks {lacks} entries, or is not heard"));
                 }
@@ -486,7 +487,7 @@
     /// Does what there is to do: makes promises durable, applies what is agreed, and gives what follows from it. After an
     /// error the member is to be dropped, and its folder opened anew.
     pub fn drive(&mut self) -> Result<Output, NodeError> {
-        while self.raw.has_ready() {
+        while !self.is_removed() && self.raw.has_ready() {
             let mut ready = self.raw.ready();
             self.send(ready.take_messages());
             let promise = ready.hs().map(promise_out);
@@ -506,12 +507,18 @@
             self.send(ready.take_persisted_messages());
             let committed = ready.take_committed_entries();
             self.apply(committed)?;
+            if self.is_removed() {
+                break;
+            }
             let mut light = self.raw.advance_append(ready);
             if let Some(commit) = light.commit_index() {
                 self.raw.mut_store().committed(commit);
             }
             self.send(light.take_messages());
             self.apply(light.take_committed_entries())?;
+            if self.is_removed() {
+                break;
+            }
             self.raw.advance_apply();
             self.draw();
         }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod draw;
 pub mod history;
 pub mod link;
+pub mod measure;
 pub mod process;
 pub mod script;
 pub mod world;
--- a/crates/rig/src/link.rs
+++ b/crates/rig/src/link.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -53,6 +54,8 @@
     rules: Arc<Mutex<BTreeMap<Pair, watch::Sender<Rule>>>>,
     /// Processes by their ids, to tell who connects.
     names: Arc<Mutex<BTreeMap<u32, String>>>,
+    /// Bytes that went through, in all.
+    bytes: Arc<AtomicU64>,
 }
 
 fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -71,6 +74,11 @@
         rules.entry((from.to_owned(), to.to_owned())).or_default().send_modify(change);
     }
 
+    /// Bytes that went through any of them so far.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     /// Opens all links.
     pub fn heal(&self) {
         for rule in locked(&self.rules).values() {
@@ -106,12 +114,12 @@
         let whose = move |peer, me| (links.who(peer, me), to.clone());
         let links = self.clone();
         let target = watch::Sender::new(behind);
-        listen(at, move |peer, me| links.rule_of(whose(peer, me)), target.subscribe()).await.map(
-            |mut tasks| {
+        listen(at, self.bytes.clone(), move |peer, me| links.rule_of(whose(peer, me)), target.subscribe())
+            .await
+            .map(|mut tasks| {
                 tasks.spawn(async move { target.closed().await });
                 tasks
-            },
-        )
+            })
     }
 
     fn rule_of(&self, (from, to): Pair) -> watch::Receiver<Rule> {
@@ -127,7 +135,7 @@
         target: watch::Receiver<SocketAddr>,
     ) -> io::Result<JoinSet<()>> {
         let rule = self.rule(from, to);
-        listen(at, move |_, _| rule.clone(), target).await
+        listen(at, self.bytes.clone(), move |_, _| rule.clone(), target).await
     }
 }
 
@@ -149,6 +157,7 @@
 
 async fn listen(
     at: SocketAddr,
+    bytes: Arc<AtomicU64>,
     rule: impl Fn(SocketAddr, SocketAddr) -> watch::Receiver<Rule> + Send + 'static,
     target: watch::Receiver<SocketAddr>,
 ) -> io::Result<JoinSet<()>> {
@@ -158,7 +167,7 @@
         let mut connections = JoinSet::new();
         while let Ok((stream, peer)) = listener.accept().await {
             let Ok(me) = stream.local_addr() else { continue };
-            connections.spawn(carry(stream, rule(peer, me), target.clone()));
+            connections.spawn(carry(stream, rule(peer, me), target.clone(), bytes.clone()));
             while connections.try_join_next().is_some() {}
         }
     });
@@ -170,7 +179,12 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-async fn carry(near: TcpStream, mut rule: watch::Receiver<Rule>, mut target: watch::Receiver<SocketAddr>) {
+async fn carry(
+    near: TcpStream,
+    mut rule: watch::Receiver<Rule>,
+    mut target: watch::Receiver<SocketAddr>,
+    bytes: Arc<AtomicU64>,
+) {
     let began = rule.borrow_and_update().resets;
     let over = |rule: &Rule| rule.refused || rule.resets != began;
     // A connection that hangs reaches nobody until the link is open.
@@ -184,8 +198,8 @@
     if let (Ok(near_again), Ok(far_again)) = (again(&near), again(&far)) {
         let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
         let mut pumps = JoinSet::new();
-        pumps.spawn(pump(near_in, far_out, rule.clone(), |rule| rule.there));
-        pumps.spawn(pump(far_in, near_out, rule.clone(), |rule| rule.back));
+        pumps.spawn(pump(near_in, far_out, rule.clone(), |rule| rule.there, bytes.clone()));
+        pumps.spawn(pump(far_in, near_out, rule.clone(), |rule| rule.back, bytes));
         let both = async { while pumps.join_next().await.is_some() {} };
         tokio::select! {
             () = both => {}
@@ -213,6 +227,7 @@
     mut to: OwnedWriteHalf,
     mut rule: watch::Receiver<Rule>,
     way: fn(&Rule) -> Way,
+    through: Arc<AtomicU64>,
 ) {
     let (give, mut take) = mpsc::channel::<(Instant, Vec<u8>)>(ON_THE_WAY);
     let mut draws = Pcg32::seed_from_u64(7);
@@ -225,6 +240,7 @@
                 Ok(n) if n > 0 => bytes.truncate(n),
                 _ => return,
             }
+            through.fetch_add(bytes.len() as u64, Ordering::Relaxed);
             let Way { late, rate, .. } = way(&clock.borrow_and_update());
             let spread = late.mul_f64(f64::from(draws.next_u32()) / f64::from(u32::MAX));
             // Bytes stay in order, and take their time on a slow link.
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,7 +5,7 @@
 use runtrack_rig::check::{Judgement, judge};
 use runtrack_rig::history::{self, Event};
 use runtrack_rig::script::Script;
-use runtrack_rig::{draw, world};
+use runtrack_rig::{draw, measure, world};
 use runtrack_sim::shrink::fewer;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -64,6 +64,15 @@
         #[arg(long, value_name = "FILE")]
         history: Option<PathBuf>,
     },
+    /// Measure what agreement costs, with three instances and with five.
+    Measure {
+        /// Kills of a leader.
+        #[arg(long, default_value_t = 30)]
+        kills: usize,
+        /// Pools of a large fleet.
+        #[arg(long, default_value_t = 10_000)]
+        pools: usize,
+    },
     /// Judge a history again.
     Judge {
         /// The history.
@@ -107,6 +116,14 @@
     Ok((events, judgement))
 }
 
+fn figures(kills: usize, pools: usize) -> Result<ExitCode, String> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
+    for count in [3, 5] {
+        runtime.block_on(measure::instances(count, kills, pools)).map_err(|e| e.to_string())?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn report(judgement: &Judgement) -> ExitCode {
     for breach in &judgement.breaches {
         println!("{breach}");
@@ -145,6 +162,7 @@
         Command::Replay { script, history } => {
             read(&script).and_then(|script| one(&script, history.as_deref(), mutant))
         }
+        Command::Measure { kills, pools } => figures(kills, pools),
         Command::Judge { history } => {
             history::read(&history).map_err(named(&history)).map(|events| report(&judge(&events)))
         }
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -39,13 +39,13 @@
 const KEYS: u32 = 5;
 const ENDPOINTS: usize = 6;
 
-fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
     of.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-struct Instance {
+pub(crate) struct Instance {
     name: String,
-    process: Process,
+    pub(crate) process: Process,
     member: PathBuf,
     xds: SocketAddr,
     admin: SocketAddr,
@@ -62,8 +62,8 @@
 }
 
 /// What all tasks of a round share.
-struct World {
-    script: Script,
+pub(crate) struct World {
+    pub(crate) script: Script,
     folder: Folder,
     links: Links,
     history: History,
@@ -71,7 +71,7 @@
     ctl: PathBuf,
     mutant: Option<String>,
     /// By place: a member that is replaced keeps its predecessor's place.
-    instances: Mutex<Vec<Instance>>,
+    pub(crate) instances: Mutex<Vec<Instance>>,
     proxies: Mutex<Vec<ProxyAt>>,
     discovery: Discovery,
     /// Where instances find discovery: the rig's link.
@@ -90,7 +90,11 @@
 
 /// The fleet of a serial: the pool that proxies send to, and one whose name says the serial.
 fn fleet(discovery: SocketAddr, serial: u64) -> String {
-    let text = format!(
+    Fleet::read(&fleet_toml(discovery, serial)).map(|fleet| fleet.canonical()).unwrap_or_default()
+}
+
+fn fleet_toml(discovery: SocketAddr, serial: u64) -> String {
+    format!(
         r#"
 [rules]
 warm_within = "0s"
@@ -121,8 +125,7 @@
 class = "post"
 pool = "p"
 "#
-    );
-    Fleet::read(&text).map(|fleet| fleet.canonical()).unwrap_or_default()
+    )
 }
 
 /// The serial that a cluster's name says.
@@ -169,7 +172,7 @@
 }
 
 impl World {
-    async fn build(script: &Script, mutant: Option<&str>) -> io::Result<Arc<World>> {
+    pub(crate) async fn build(script: &Script, mutant: Option<&str>) -> io::Result<Arc<World>> {
         let mut endpoints = Vec::new();
         for _ in 0..ENDPOINTS {
             endpoints.push(Endpoint::start().await);
@@ -313,7 +316,7 @@
         Ok(())
     }
 
-    fn launch(&self, place: usize) -> io::Result<()> {
+    pub(crate) fn launch(&self, place: usize) -> io::Result<()> {
         let instance = &mut locked(&self.instances)[place];
         if instance.process.pid().is_none() || instance.process.has_ended() {
             let pid = instance.process.start()?;
@@ -327,7 +330,7 @@
         locked(&self.instances)[place].admin
     }
 
-    async fn get(&self, place: usize, path: &str) -> Option<Value> {
+    pub(crate) async fn get(&self, place: usize, path: &str) -> Option<Value> {
         let answer = timeout(ANSWER, ask(self.admin(place), "GET", path, "")).await.ok()?.ok()?;
         (answer.0 == 200).then(|| serde_json::from_str(&answer.1).ok()).flatten()
     }
@@ -393,6 +396,70 @@
         }
     }
 
+    // ---- for figures ----
+
+    pub(crate) fn folder(&self) -> &std::path::Path {
+        self.folder.path()
+    }
+
+    /// Bytes that went through links so far.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.links.bytes()
+    }
+
+    /// Resident memory of each instance, in KiB.
+    pub(crate) fn memory_kib(&self) -> Vec<u64> {
+        let instances = locked(&self.instances);
+        let of = |pid: u32| {
+            let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+            let line = text.lines().find(|line| line.starts_with("VmRSS:"))?.to_owned();
+            line.split_whitespace().nth(1)?.parse().ok()
+        };
+        instances.iter().filter_map(|instance| of(instance.process.pid()?)).collect()
+    }
+
+    /// The round is over: what holds links open lets go.
+    pub(crate) fn end(&self) {
+        self.over.store(true, Ordering::SeqCst);
+    }
+
+    /// Commits a fleet of so many pools; gives its bytes, and how long that took.
+    pub(crate) async fn commit_pools(&self, pools: usize) -> io::Result<(usize, Duration)> {
+        let mut toml = fleet_toml(self.discovery_at, 2);
+        for n in 0..pools {
+            toml.push_str(&format!(
+                "[[pool]]\nname = \"q-{n}\"\n[[pool.endpoint]]\nname = \"e\"\naddress = \"127.0.0.1:9\"\n"
+            ));
+        }
+        let text = Fleet::read(&toml)
+            .map(|fleet| fleet.canonical())
+            .map_err(|e| io::Error::other(e.to_string()))?;
+        let bytes = text.len();
+        let began = Instant::now();
+        match self.commit_text(0, "pools", |_| text.clone()).await? {
+            Some(_) => Ok((bytes, began.elapsed())),
+            None => Err(io::Error::other("the fleet of many pools was not committed")),
+        }
+    }
+
+    /// Starts an empty member; gives how long it takes until that has the current version.
+    pub(crate) async fn newcomer(&self) -> io::Result<Duration> {
+        let wanted = self.get(0, "/cluster").await.unwrap_or_default()["serial"].as_u64();
+        let place = locked(&self.instances).len();
+        let instance = self.instance(place, "late").await?;
+        self.invite(&instance).await?;
+        locked(&self.instances).push(instance);
+        self.launch(place)?;
+        let began = Instant::now();
+        while self.get(place, "/cluster").await.unwrap_or_default()["serial"].as_u64() != wanted {
+            if began.elapsed() > 3 * BACK {
+                return Err(io::Error::other("the new member never had the current version"));
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        Ok(began.elapsed())
+    }
+
     // ---- what goes wrong ----
 
     fn place(&self, who: Who) -> usize {
@@ -586,7 +653,12 @@
     }
 
     /// Asks one instance after the other until one knows; none: nobody does.
-    async fn write(&self, first: usize, id: &str, command: &Value) -> Option<Result<Value, String>> {
+    pub(crate) async fn write(
+        &self,
+        first: usize,
+        id: &str,
+        command: &Value,
+    ) -> Option<Result<Value, String>> {
         let body = json!({"id": id, "command": command}).to_string();
         let end = Instant::now() + REPEATS;
         for n in 0.. {
@@ -662,6 +734,15 @@
 
     /// Commits one version on top of what an instance says is the current one.
     async fn commit(&self, place: usize, id: &str) -> io::Result<Option<u64>> {
+        self.commit_text(place, id, |serial| fleet(self.discovery_at, serial)).await
+    }
+
+    async fn commit_text(
+        &self,
+        place: usize,
+        id: &str,
+        text: impl Fn(u64) -> String,
+    ) -> io::Result<Option<u64>> {
         let Some(said) = self.get(place, "/versions").await else {
             return Err(io::ErrorKind::NotConnected.into());
         };
@@ -671,7 +752,7 @@
             (said["serial"].as_u64().unwrap_or(0), current["hash"].as_str().unwrap_or_default());
         let by = json!({"author": "rig", "reason": "", "at_ms": 0});
         let commit = json!({"commit": {
-            "on": on, "parent": parent, "text": fleet(self.discovery_at, on + 1), "by": by, "plan": id, "stages": [], "pause_ms": 0,
+            "on": on, "parent": parent, "text": text(on + 1), "by": by, "plan": id, "stages": [], "pause_ms": 0,
         }});
         let began = self.history.now();
         let done = self.write(place, id, &commit).await;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -328,8 +328,10 @@
 // ---- several control instances ----
 
 fn cluster(ask: Cluster, mutant: Option<&str>) -> Result<ExitCode, String> {
-    // A member that panics is a broken rule, and reported as one.
-    std::panic::set_hook(Box::new(|_| {}));
+    // A member that panics is a broken rule, and reported as one; with RUST_BACKTRACE it is also shown where.
+    if std::env::var_os("RUST_BACKTRACE").is_none() {
+        std::panic::set_hook(Box::new(|_| {}));
+    }
     let report = |script: &agreement::Script| {
         let done = mutants::with(mutant, || agreement::run(script));
         done.breaches.iter().for_each(|breach| println!("{breach}"));
--- a/crates/weirwharf/src/balance.rs
+++ b/crates/weirwharf/src/balance.rs
@@ -29,6 +29,10 @@
 const DRAG_WEIGHT: f64 = 0.15;
 /// Seconds in which drag is forgotten to a third, so that a slow endpoint is tried again.
 const DRAG_SECONDS: f64 = 6.0;
+/// Or the time of so many calls to one endpoint, where that is longer: of hundreds of callers each meets an
+/// endpoint once in seconds, would have forgotten it by then, and all of them together would keep it busy.
+const DRAG_CALLS: f64 = 8.0;
+const DRAG_MOST: f64 = 60.0;
 /// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money.
 const CROSS_MARGIN: f64 = 1.0;
 /// Retries that each new request earns; all tiers retry, so the product must stay near one.
@@ -91,8 +95,9 @@
 /// microseconds is the noise of any machine. It would hide a jam only where all answers take less.
 const LATE_LEAST: f64 = 0.005;
 /// Balancers that share each endpoint. One that uses many learns too little of each (i44da9d); its idle
-/// connections fill their tables, which takes capacity; so many that balancers of unlike load even out.
-const PART_CALLERS: f64 = 4.0;
+/// connections fill their tables, which takes capacity. The sum of n unlike loads is uneven by the root of n less:
+/// with nine, where some balancers carry several times the mean, by a third of it.
+const PART_CALLERS: f64 = 9.0;
 /// Endpoints of a zone that a caller uses at least, so that d samples still find a choice among failing ones.
 const PART_LEAST: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
@@ -149,6 +154,8 @@
     in_flight: u32,
     /// Recent failures as calls in flight.
     heat: Fading,
+    /// It is there and fails: the last that came from it was an error.
+    ill: bool,
     /// Its latency as a multiple of the class's unhurried mean, beyond one: what calls of
     /// others, unseen here, do to it. Own counts say little where a caller has one call out or none.
     drag: Fading,
@@ -210,6 +217,8 @@
     /// Heat that three quarters of the endpoints share: it comes from below and is nobody's fault here.
     /// Not the median's, or a zone lost would pass for it.
     common_heat: f64,
+    /// Seconds for which what was learned of an endpoint is remembered, as of the last choice.
+    memory: f64,
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
     windows: [Window; 2],
     recheck_set: bool,
@@ -278,6 +287,7 @@
             requests: HashMap::new(),
             held: BTreeMap::new(),
             common_heat: 0.0,
+            memory: DRAG_SECONDS,
             windows: [Window { size: 1.0, out: 0, opening: true, used: Fading::default() }; 2],
             recheck_set: false,
             missed: Fading::default(),
@@ -368,7 +378,7 @@
     pub fn standing(&self, now: Duration, id: EndpointId) -> Option<Standing<'_>> {
         let i = *self.index.get(&id)?;
         let endpoint = &self.endpoints[i];
-        let (part, heat) = (self.warmth(now, i), endpoint.heat(now));
+        let (part, heat) = (self.warmth(now, i), endpoint.heat(now, self.memory));
         Some(Standing { info: &endpoint.info, part, heat, in_flight: endpoint.in_flight })
     }
 
@@ -489,6 +499,7 @@
             info,
             in_flight: 0,
             heat: Fading::default(),
+            ill: false,
             drag: Fading::default(),
             limit: LIMIT_START,
             opening,
@@ -520,8 +531,10 @@
         let (size, callers) = (ring.len() as f64, f64::from(self.settings.balancers.max(1)));
         let start = (size * (f64::from(self.settings.me) * PLACE_STEP).fract()) as usize;
         // Cold endpoints come on top: through a release a part of them alone would be crowded.
-        let wanted = (size * PART_CALLERS / callers).max(PART_LEAST);
         let side = usize::from(zone != self.settings.zone);
+        // Those of a zone send there first, and have to even out among themselves.
+        let zones = if side == 0 { f64::from(self.settings.zones.max(1)) } else { 1.0 };
+        let wanted = (size * PART_CALLERS * zones / callers).max(PART_LEAST);
         let (pools, index) = (&mut self.pools, &self.index);
         ring.arc(start, wanted.ceil() as usize, new, |id, within| pools.set(side, index[&id], within));
     }
@@ -628,7 +641,7 @@
             self.reaped_after = self.reaped_after.min(attempt.idle);
         }
         if let Some(&i) = self.index.get(&attempt.endpoint) {
-            self.endpoints[i].add_heat(now);
+            self.endpoints[i].add_heat(now, self.memory);
         }
     }
 
@@ -756,22 +769,28 @@
             endpoint.limit += opening.max(1.0 / endpoint.limit);
         }
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        let memory = self.memory;
         match ended.outcome {
             Outcome::Ok => {
-                self.endpoints[i].heard = Some(now);
+                (self.endpoints[i].heard, self.endpoints[i].ill) = (Some(now), false);
                 let silence = self.silence.read(now, SILENCE_SECONDS) - SILENCE_REFUTED;
                 self.silence.set(now, silence.max(0.0));
                 self.late_share += DRAG_WEIGHT * (f64::from(u8::from(slow)) - self.late_share);
                 let multiple = elapsed / self.latency[class].usual().max(1e-6);
                 let endpoint = &mut self.endpoints[i];
-                let drag = endpoint.drag.read(now, DRAG_SECONDS);
-                endpoint.drag.set(now, drag + DRAG_WEIGHT * (multiple - 1.0 - drag));
+                let drag = endpoint.drag.read(now, memory);
+                // The longer ago the last answer, the more this one says.
+                let weight = (1.0 - endpoint.drag.left(now, DRAG_SECONDS)).clamp(DRAG_WEIGHT, 0.5);
+                endpoint.drag.set(now, drag + weight * (multiple - 1.0 - drag));
                 if warm {
                     self.prove(now);
                 }
             }
             Outcome::Cancelled | Outcome::Moot => {}
-            _ => endpoint.add_heat(now),
+            outcome => {
+                endpoint.add_heat(now, memory);
+                endpoint.ill = outcome == Outcome::Error;
+            }
         }
     }
 
@@ -985,6 +1004,7 @@
 
     /// The eligible set, then d samples, then the least occupied, ties at random.
     fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
+        self.memory = self.memory(now);
         self.common_heat = self.shared_heat(now);
         // Of this balancer's part, or of all where too few of it can take the call.
         for pool in [0, 2] {
@@ -1025,12 +1045,19 @@
         (best, found)
     }
 
+    /// Seconds for which what was learned of an endpoint is remembered.
+    fn memory(&self, now: Duration) -> f64 {
+        let used = (self.pools.len(0) + self.pools.len(1)) as f64;
+        let rate = self.arrivals.rate(now, RATE_SECONDS, self.born);
+        (DRAG_CALLS * used / rate.max(1e-3)).clamp(DRAG_SECONDS, DRAG_MOST)
+    }
+
     /// The heat of the best quarter, of all endpoints or of every so many.
     fn shared_heat(&mut self, now: Duration) -> f64 {
         let step = self.endpoints.len().div_ceil(DRAWS).max(1);
         let skipped = self.draws.below(step);
         let ready = self.endpoints.iter().skip(skipped).step_by(step).filter(|e| e.is_ready());
-        let mut heats: Vec<f64> = ready.map(|e| e.heat(now)).collect();
+        let mut heats: Vec<f64> = ready.map(|e| e.heat(now, self.memory)).collect();
         heats.sort_by(f64::total_cmp);
         heats.get(heats.len() / 4).copied().unwrap_or(0.0)
     }
@@ -1038,13 +1065,13 @@
     /// Own calls in flight and what failures beyond the common measure count for.
     fn load(&self, now: Duration, i: usize) -> f64 {
         let endpoint = &self.endpoints[i];
-        f64::from(endpoint.in_flight) + (endpoint.heat(now) - self.common_heat).max(0.0)
+        f64::from(endpoint.in_flight) + (endpoint.heat(now, self.memory) - self.common_heat).max(0.0)
     }
 
     /// Own calls in flight plus what failures, slow answers and an earlier attempt there count for.
     fn occupancy(&self, now: Duration, i: usize, pending: &Pending) -> f64 {
         let endpoint = &self.endpoints[i];
-        let drag = (endpoint.drag.read(now, DRAG_SECONDS) - DRAG_FREE).max(0.0);
+        let drag = (endpoint.drag.read(now, self.memory) - DRAG_FREE).max(0.0);
         let tried = pending.attempts.iter().any(|a| a.endpoint == endpoint.info.id);
         self.load(now, i) + drag + if tried { HEAT_MOST } else { 0.0 }
     }
@@ -1126,12 +1153,12 @@
         self.info.state == EndpointState::Ready
     }
 
-    fn add_heat(&mut self, now: Duration) {
-        self.heat.set(now, (self.heat(now) + FAILURE_HEAT).min(HEAT_MOST));
+    fn add_heat(&mut self, now: Duration, memory: f64) {
+        self.heat.set(now, (self.heat(now, memory) + FAILURE_HEAT).min(HEAT_MOST));
     }
 
-    fn heat(&self, now: Duration) -> f64 {
-        let heat = self.heat.read(now, HEAT_SECONDS);
+    fn heat(&self, now: Duration, memory: f64) -> f64 {
+        let heat = self.heat.read(now, if self.ill { memory.max(HEAT_SECONDS) } else { HEAT_SECONDS });
         if heat < HEAT_LEAST { 0.0 } else { heat }
     }
 }
--- a/crates/weirwharf/src/stats.rs
+++ b/crates/weirwharf/src/stats.rs
@@ -36,6 +36,11 @@
         self.value * fade(now.saturating_sub(self.at).as_secs_f64(), third)
     }
 
+    /// What is left of any value that was set then.
+    pub(crate) fn left(&self, now: Duration, third: f64) -> f64 {
+        fade(now.saturating_sub(self.at).as_secs_f64(), third)
+    }
+
     pub(crate) fn set(&mut self, now: Duration, value: f64) {
         (self.value, self.at) = (value, now);
     }
