--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -170,10 +170,20 @@
     let mut breach = |at, why| breaches.push(Breach { rule: Rule::Committed, at, why });
     for event in events {
         let Did::Commit { id, serial: Some(serial), .. } = &event.what else { continue };
-        if let Some(other) = by_serial.insert(*serial, id) {
+        if let Some(other) = by_serial.insert(*serial, id)
+            && other != id
+        {
             breach(event.began, format!("{other} and {id} were both acknowledged as serial {serial}"));
         }
     }
+    let mut by_id: BTreeMap<&str, u64> = BTreeMap::new();
+    for event in events {
+        let Did::Commit { id, serial: Some(serial), .. } = &event.what else { continue };
+        let first = *by_id.entry(id).or_insert(*serial);
+        if first != *serial {
+            breach(event.began, format!("{id} was acknowledged as serial {first}, and again as {serial}"));
+        }
+    }
     for event in events {
         let Did::Versions { versions } = &event.what else { continue };
         let oldest = versions.first().map_or(0, |(serial, _)| *serial);
@@ -358,6 +368,9 @@
         assert_eq!(broken(&[commit("a", Some(1)), versions(&[(1, "a"), (2, "a")])]), [Rule::Committed]);
         assert_eq!(broken(&[commit("a", Some(1)), commit("b", Some(1))]), [Rule::Committed]);
         assert_eq!(broken(&[commit("a", None), versions(&[(1, "a")])]), [Rule::Committed]);
+        // Said again it must be the same.
+        assert_eq!(broken(&[commit("a", Some(1)), commit("a", Some(1))]), []);
+        assert_eq!(broken(&[commit("a", Some(1)), commit("a", Some(2))]), [Rule::Committed]);
         // Of what is kept no longer nothing is said.
         assert_eq!(broken(&[commit("a", Some(1)), versions(&[(5, "x")])]), []);
     }
--- a/crates/rig/src/draw.rs
+++ b/crates/rig/src/draw.rs
@@ -64,6 +64,9 @@
         let what = What::Move { proxy: draws.below(proxies), to: draws.below(instances) };
         faults.push(Fault { at: draws.below(lasts), lasts: 0, what });
     }
+    if draws.below(2) == 0 {
+        faults.push(Fault { at: draws.below(lasts - 500), lasts: 0, what: What::Apply });
+    }
     faults.sort_by_key(|fault| fault.at);
     Script { seed, instances, proxies, lasts, faults }
 }
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -118,6 +118,8 @@
         /// To this instance.
         to: u32,
     },
+    /// Somebody plans a change and applies it, twice, with `runtrackctl`.
+    Apply,
     /// Somebody has leadership handed over.
     Transfer {
         /// To this instance.
@@ -147,6 +149,7 @@
             What::PowerOff => "power off",
             What::Drain => "drain",
             What::Move { .. } => "move",
+            What::Apply => "apply",
             What::Transfer { .. } => "transfer",
         }
     }
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -558,6 +558,7 @@
                     self.history.now_that("discovery", Did::Drained { endpoint, count });
                 }
             }
+            What::Apply => self.apply().await,
             What::Move { proxy, to } => self.lead(proxy as usize, to as usize),
             What::Transfer { to } => {
                 say(&name(to as usize), "is to lead");
@@ -766,6 +767,45 @@
         Ok(serial)
     }
 
+    /// Plans a change of the fleet and applies it; once more, that must give the same answer.
+    async fn apply(&self) {
+        let path = |suffix: &str| self.folder.path().join(format!("apply-{}.{suffix}", self.history.now()));
+        for _ in 0..10 {
+            let Some(said) = self.get(0, "/versions").await else {
+                sleep(FINDS).await;
+                continue;
+            };
+            let toml = fleet_toml(self.discovery_at, said["serial"].as_u64().unwrap_or(0) + 1);
+            let (file, plan) = (path("toml"), path("plan"));
+            let (file, plan) = (file.display().to_string(), plan.display().to_string());
+            if std::fs::write(&file, toml).is_err()
+                || self.ctl(&["plan", &file, "-o", &plan]).await.is_err()
+            {
+                continue;
+            }
+            // A plan's id is the hash on its first line.
+            let text = std::fs::read_to_string(&plan).unwrap_or_default();
+            let id = text.split_whitespace().nth(2).unwrap_or_default().to_owned();
+            let mut moved = false;
+            for _ in 0..2 {
+                let began = self.history.now();
+                let done = self.ctl(&["apply", &plan]).await;
+                let word = done.as_ref().ok().and_then(|said| said.split("as serial ").nth(1));
+                let digits =
+                    word.map(|word| word.chars().take_while(char::is_ascii_digit).collect::<String>());
+                let serial = digits.and_then(|digits| digits.parse().ok());
+                moved = done.as_ref().is_err_and(|problem| problem.to_string().contains("has moved"));
+                let known = serial.is_some() || moved;
+                let ended = known.then(|| self.history.now());
+                let did = Did::Commit { id: id.clone(), serial, refused: moved };
+                self.history.note("runtrackctl", began, ended, did);
+            }
+            if !moved {
+                return;
+            }
+        }
+    }
+
     async fn committer(self: Arc<Self>) {
         let mut draws = self.draws(99);
         for n in 0_u32.. {
--- a/crates/rig/tests/rounds.rs
+++ b/crates/rig/tests/rounds.rs
@@ -93,6 +93,26 @@
     assert!(terms(&events) <= 4, "{} terms in 10 s", terms(&events));
 }
 
+/// Hard case 3: the instance that `runtrackctl apply` asks first is killed, at another moment each time; said again it
+/// gives the same answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_apply_whose_instance_dies_is_done_once_or_not_at_all() {
+    let mut faults = Vec::new();
+    for n in 0..6 {
+        let at = 300 + n * 2_200;
+        faults.push(fault(at, 0, What::Apply));
+        faults.push(fault(at + 15 + n * 12, 700, What::Kill { who: Who::Instance(0) }));
+    }
+    let events = play(3, 14_000, faults, None).await;
+    sound(&events);
+    let said = |e: &&Event| e.who == "runtrackctl" && matches!(e.what, Did::Commit { serial: Some(_), .. });
+    let applied = events.iter().filter(said).count();
+    assert!(
+        applied >= 8,
+        "{applied} of 12 and more calls of `runtrackctl apply` were answered with a serial"
+    );
+}
+
 /// The checkers can fail: each of these errors, planted in the instances, is found.
 #[tokio::test(flavor = "multi_thread")]
 async fn planted_errors_are_found() {
