--- a/crates/agree/src/host/mod.rs
+++ b/crates/agree/src/host/mod.rs
@@ -1,4 +1,4 @@
-//! A member in service: the clock, the disk, the links to the others, round a [`Node`].
+//! A member in service: the clock, the disk, the links to the others, round a [`Node`](crate::Node).
 //!
 //! The member runs on a thread of its own, so that a slow disk delays nothing but itself. Everybody else holds a
 //! [`Handle`]: a view of what is agreed, and orders.
--- a/crates/weirwharf/src/balance.rs
+++ b/crates/weirwharf/src/balance.rs
@@ -95,8 +95,8 @@
 /// microseconds is the noise of any machine. It would hide a jam only where all answers take less.
 const LATE_LEAST: f64 = 0.005;
 /// Balancers that share each endpoint. One that uses many learns too little of each (i44da9d); its idle
-/// connections fill their tables, which takes capacity. The sum of n unlike loads is uneven by the root of n less:
-/// with nine, where some balancers carry several times the mean, by a third of it.
+/// connections fill their tables, which takes capacity. The sum of n unlike loads is uneven by the root of n
+/// less: with nine, where some balancers carry several times the mean, by a third of it.
 const PART_CALLERS: f64 = 9.0;
 /// Endpoints of a zone that a caller uses at least, so that d samples still find a choice among failing ones.
 const PART_LEAST: f64 = 4.0;
