What the programs that search by seeds share is one module, and not written three times

Read over: the range of seeds, reading and writing scripts, the threads under a bar, the pairs of kinds of fault and the table of planted errors stood twice or three times in runtrack-sim's and runtrack-rig's main files. crates/sim/src/campaign.rs has them once.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,16 +1,14 @@
 //! `runtrack-rig`: plays rounds of real processes with faults between them, and judges what happened.
 
 use clap::{Parser, Subcommand};
-use indicatif::{ProgressBar, ProgressStyle};
 use runtrack_rig::check::{Judgement, judge};
 use runtrack_rig::history::{self, Event};
 use runtrack_rig::script::Script;
 use runtrack_rig::{draw, measure, world};
+use runtrack_sim::campaign::{self, Pairs, Seeds, named, read, write};
 use runtrack_sim::shrink::fewer;
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
@@ -46,12 +44,8 @@
     },
     /// Play the rounds of many seeds, and say which break a rule.
     Search {
-        /// From, and up to without: A..B.
-        #[arg(long, value_parser = range)]
-        seeds: std::ops::Range<u64>,
-        /// Rounds at once.
-        #[arg(long, default_value_t = 1)]
-        jobs: usize,
+        #[command(flatten)]
+        which: Seeds,
         /// Where scripts and histories of rounds that break a rule go.
         #[arg(long, default_value = "found", value_name = "FOLDER")]
         out: PathBuf,
@@ -88,26 +82,6 @@
     },
 }
 
-fn range(text: &str) -> Result<std::ops::Range<u64>, String> {
-    let parts = text.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
-    parts.ok_or_else(|| format!("`{text}` is no range: A..B"))
-}
-
-fn named(path: &Path) -> impl Fn(std::io::Error) -> String {
-    let path = path.display().to_string();
-    move |problem| format!("{path}: {problem}")
-}
-
-fn read(path: &Path) -> Result<Script, String> {
-    let text = std::fs::read_to_string(path).map_err(named(path))?;
-    serde_json::from_str(&text).map_err(|problem| named(path)(problem.into()))
-}
-
-fn write(path: &Path, script: &Script) -> Result<(), String> {
-    let text = serde_json::to_string_pretty(script).unwrap_or_default(); // fails only for maps with odd keys
-    std::fs::write(path, text + "\n").map_err(named(path))
-}
-
 fn play(script: &Script, mutant: Option<&str>) -> Result<(Vec<Event>, Judgement), String> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let events = runtime.map_err(|e| e.to_string())?.block_on(world::play(script, mutant));
@@ -144,12 +118,9 @@
 }
 
 fn main() -> ExitCode {
-    let cli = match Cli::try_parse() {
+    let cli: Cli = match campaign::parse() {
         Ok(cli) => cli,
-        Err(problem) => {
-            let _ = problem.print();
-            return if problem.use_stderr() { ExitCode::from(2) } else { ExitCode::SUCCESS };
-        }
+        Err(code) => return code,
     };
     let mutant = cli.mutant.as_deref();
     let done = match cli.command {
@@ -158,7 +129,7 @@
             let kept = script.map_or(Ok(()), |path| write(&path, &drawn));
             kept.and_then(|()| one(&drawn, history.as_deref(), mutant))
         }
-        Command::Search { seeds, jobs, out } => search(seeds, jobs, &out, mutant),
+        Command::Search { which, out } => search(&which, &out, mutant),
         Command::Replay { script, history } => {
             read(&script).and_then(|script| one(&script, history.as_deref(), mutant))
         }
@@ -176,85 +147,51 @@
 
 #[derive(Default)]
 struct Sums {
-    pairs: BTreeMap<(&'static str, &'static str), u64>,
+    pairs: Pairs,
     events: usize,
     broken: u64,
     unplayed: u64,
 }
 
-fn search(
-    seeds: std::ops::Range<u64>,
-    jobs: usize,
-    out: &Path,
-    mutant: Option<&str>,
-) -> Result<ExitCode, String> {
+fn search(which: &Seeds, out: &Path, mutant: Option<&str>) -> Result<ExitCode, String> {
     std::fs::create_dir_all(out).map_err(named(out))?;
-    let (began, next) = (Instant::now(), AtomicU64::new(seeds.start));
-    let style = ProgressStyle::with_template("{bar:32} {pos}/{len} rounds {eta} {msg}");
-    let bar = ProgressBar::new(seeds.end.saturating_sub(seeds.start));
-    let bar = bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let began = Instant::now();
     let sums: Mutex<Sums> = Mutex::default();
-    let locked = || sums.lock().unwrap_or_else(PoisonError::into_inner);
-    std::thread::scope(|scope| {
-        for _ in 0..jobs.max(1) {
-            scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed >= seeds.end {
-                        return;
-                    }
-                    let script = draw::script(seed);
-                    let played = play(&script, mutant);
-                    bar.inc(1);
-                    let (events, judgement) = match played {
-                        Ok(played) => played,
-                        Err(problem) => {
-                            locked().unplayed += 1;
-                            bar.suspend(|| println!("seed {seed}: {problem}"));
-                            continue;
-                        }
-                    };
-                    let mut kinds: Vec<&str> =
-                        script.faults.iter().map(|fault| fault.what.kind()).collect();
-                    kinds.sort_unstable();
-                    kinds.dedup();
-                    let mut sums = locked();
-                    sums.events += judgement.looked_at;
-                    for (n, one) in kinds.iter().enumerate() {
-                        kinds[n + 1..]
-                            .iter()
-                            .for_each(|other| *sums.pairs.entry((one, other)).or_default() += 1);
-                    }
-                    if let Some(breach) = judgement.breaches.first() {
-                        sums.broken += 1;
-                        bar.suspend(|| println!("seed {seed}: {breach}"));
-                        let kept = write(&out.join(format!("rig-{seed}.json")), &script);
-                        let kept = kept.and_then(|()| {
-                            let path = out.join(format!("rig-{seed}.history"));
-                            history::write(&path, &events).map_err(named(&path))
-                        });
-                        if let Err(problem) = kept {
-                            bar.suspend(|| eprintln!("{problem}"));
-                        }
-                    }
-                }
-            });
+    let done = campaign::search(which, "{bar:32} {pos}/{len} rounds {eta} {msg}", |seed, bar| {
+        let script = draw::script(seed);
+        let played = play(&script, mutant);
+        let mut sums = sums.lock().unwrap_or_else(PoisonError::into_inner);
+        let (events, judgement) = match played {
+            Ok(played) => played,
+            Err(problem) => {
+                sums.unplayed += 1;
+                bar.suspend(|| println!("seed {seed}: {problem}"));
+                return true;
+            }
+        };
+        sums.events += judgement.looked_at;
+        sums.pairs.add(script.faults.iter().map(|fault| fault.what.kind()));
+        if let Some(breach) = judgement.breaches.first() {
+            sums.broken += 1;
+            bar.suspend(|| println!("seed {seed}: {breach}"));
+            let path = out.join(format!("rig-{seed}.history"));
+            let kept = write(&out.join(format!("rig-{seed}.json")), &script);
+            let kept = kept.and_then(|()| history::write(&path, &events).map_err(named(&path)));
+            if let Err(problem) = kept {
+                bar.suspend(|| eprintln!("{problem}"));
+            }
         }
+        true
     });
-    bar.finish_and_clear();
-    let sums = sums.into_inner().unwrap_or_else(PoisonError::into_inner);
-    let (done, took) = (seeds.end.saturating_sub(seeds.start), began.elapsed().as_secs_f64());
+    let Sums { pairs, events, broken, unplayed } =
+        sums.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let took = began.elapsed().as_secs_f64();
     println!(
-        "{done} rounds in {took:.0} s, {:.0} an hour; {} events judged; {} pairs of kinds of fault seen, the rarest {} times; \
-         {} rounds break a rule, {} could not be played",
-        done as f64 * 3600.0 / took,
-        sums.events,
-        sums.pairs.len(),
-        sums.pairs.values().min().unwrap_or(&0),
-        sums.broken,
-        sums.unplayed
+        "{done} rounds in {took:.0} s, {:.0} an hour; {events} events judged; {pairs}; {broken} rounds break a rule, {unplayed} \
+         could not be played",
+        done as f64 * 3600.0 / took
     );
-    Ok(if sums.broken + sums.unplayed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if broken + unplayed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 /// Real processes are no virtual world: a round that broke a rule may not do so again. What is left out is what the rule
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -3,6 +3,7 @@
 //! world's facts alone.
 
 pub mod agreement;
+pub mod campaign;
 mod client;
 mod discovery;
 pub mod draw;
