One stream type, one invitation, one fleet and one memory reading where there were two

Read over: streams over a channel were written three times (agree's answers and queue, xds's responses), and tokio-stream has one. The invitation stood in control and cli: it is agree's. The rig's fleet repeated that of the control service's tests, and its reading of a process's memory the testkit's: both are the testkit's. The link to discovery was held by a task that polled: it is a field of the round. The draw of an election's time-out finished the same digest eight times; an assertion that could not fail is gone; the term is asked for without the standing of all peers.

--- a/crates/agree/src/disk.rs
+++ b/crates/agree/src/disk.rs
@@ -75,6 +75,15 @@
     pub others: Vec<(u64, String)>,
 }
 
+/// An invitation: what a new member's folder is made of. The folder's own random number is for who takes it to make.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Invitation {
+    /// The new member's name, for people.
+    pub name: String,
+    /// Who it will be.
+    pub identity: Identity,
+}
+
 /// Where a snapshot stands in the log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/agree/src/host/link.rs
+++ b/crates/agree/src/host/link.rs
@@ -12,14 +12,13 @@
 use http::uri::PathAndQuery;
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::runtime::Handle as Runtime;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::metadata::MetadataMap;
 use tonic::transport::{Channel, ClientTlsConfig, Endpoint};
 use tonic::{Code, Request, Status};
@@ -89,7 +88,6 @@
         let mut queue = locked(&self.queue);
         if message.is_heartbeat() {
             // Of these only the newest says anything.
-            let before = queue.messages.len();
             let mut freed = 0;
             queue.messages.retain(|old| {
                 let stays = old.kind != message.kind || !old.is_heartbeat();
@@ -97,7 +95,6 @@
                 stays
             });
             queue.bytes -= freed;
-            debug_assert!(before >= queue.messages.len());
         }
         let size = message.size();
         if queue.messages.len() >= MESSAGES || queue.bytes + size > BYTES.max(size) {
@@ -131,17 +128,6 @@
     }
 }
 
-/// Messages as they are taken from the queue, one ahead of the connection.
-struct Outgoing(mpsc::Receiver<PeerMessage>);
-
-impl futures_core::Stream for Outgoing {
-    type Item = PeerMessage;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<PeerMessage>> {
-        self.0.poll_recv(context)
-    }
-}
-
 struct Held {
     link: Arc<Link>,
     task: AbortHandle,
@@ -403,7 +389,7 @@
     if let Err(problem) = client.ready().await {
         return (false, Status::unavailable(deepest(&problem)));
     }
-    let request = Request::from_parts(links.hello(member), Default::default(), Outgoing(take));
+    let request = Request::from_parts(links.hello(member), Default::default(), ReceiverStream::new(take));
     let codec = ProstCodec::<PeerMessage, Ack>::default();
     // The other side says yes first, by headers, and ends the stream only when the link does.
     let answer = client.streaming(request, PathAndQuery::from_static(PATH_DELIVER), codec);
--- a/crates/agree/src/host/server.rs
+++ b/crates/agree/src/host/server.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::body::Body;
 use tonic::metadata::MetadataMap;
 use tonic::server::{Grpc, NamedService, ServerStreamingService, StreamingService, UnaryService};
@@ -105,6 +106,8 @@
     }
 }
 
+/// Answers that come through a channel.
+type Answers<T> = ReceiverStream<Result<T, Status>>;
 type Pinned<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
 /// The service for peers.
@@ -208,17 +211,6 @@
     }
 }
 
-/// Answers that come through a channel.
-pub struct Answers<T>(mpsc::Receiver<Result<T, Status>>);
-
-impl<T> futures_core::Stream for Answers<T> {
-    type Item = Result<T, Status>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.0.poll_recv(context)
-    }
-}
-
 struct Deliver(Peers);
 
 impl StreamingService<PeerMessage> for Deliver {
@@ -262,7 +254,7 @@
                 };
                 let _ = give.send(Err(status)).await;
             });
-            Ok(Response::new(Answers(take)))
+            Ok(Response::new(Answers::new(take)))
         })
     }
 }
@@ -295,7 +287,7 @@
                     let _ = peers.handle.orders.try_send(Order::Fetching(from));
                 }
             });
-            Ok(Response::new(Answers(take)))
+            Ok(Response::new(Answers::new(take)))
         })
     }
 }
--- a/crates/agree/src/host/work.rs
+++ b/crates/agree/src/host/work.rs
@@ -325,7 +325,7 @@
     fn propose(&mut self, now: Instant) {
         let again = self.settings.patience() / 2;
         let Some(node) = &mut self.node else { return };
-        let (leader, term) = (node.leader(), node.standing().term);
+        let (leader, term) = (node.leader(), node.term());
         for write in self.writes.values_mut() {
             let due =
                 write.proposed.is_none_or(|(at, of, to)| now >= at + again || (of, to) != (term, leader));
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod state;
 
 pub use command::{Command, MemberChange, MemberId, Outcome, Proposal};
-pub use disk::{Base, Disk, DiskError, Found, Identity, Place, identity};
+pub use disk::{Base, Disk, DiskError, Found, Identity, Invitation, Place, identity};
 pub use message::{BYTES_MOST, PeerMessage};
 pub use node::{Applied, Fetch, Node, NodeError, Output, Peer, Role, Standing, Tuning};
 pub use record::{Entry, Promise, Record};
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -262,7 +262,8 @@
         for part in [self.seed, raft.id, raft.term, self.campaigns] {
             sum.update(part.to_le_bytes());
         }
-        let drawn = u64::from_le_bytes(std::array::from_fn(|n| sum.clone().finalize()[n]));
+        let digest = sum.finalize();
+        let drawn = u64::from_le_bytes(std::array::from_fn(|n| digest[n]));
         let timeout = self.tuning.election + (drawn % self.tuning.election as u64) as usize;
         self.raw.raft.set_randomized_election_timeout(timeout);
     }
@@ -287,6 +288,11 @@
         self.raw.raft.state == StateRole::Leader && !self.is_removed()
     }
 
+    /// The term.
+    pub fn term(&self) -> u64 {
+        self.raw.raft.term
+    }
+
     /// Who leads, as far as it knows; 0: nobody.
     pub fn leader(&self) -> MemberId {
         self.raw.raft.leader_id
--- a/crates/cli/src/cluster.rs
+++ b/crates/cli/src/cluster.rs
@@ -6,10 +6,10 @@
 use clap::Subcommand;
 use hyper::{Method, StatusCode};
 use runtrack_agree::command::{By, Commit};
-use runtrack_agree::{Command, Identity, Node, Outcome, State};
+use runtrack_agree::{Command, Identity, Invitation, Node, Outcome, State};
 use runtrack_plan::{Applied, ApplyError, Versions};
 use runtrack_store::{Entry, Folder, Store, StoreError, Version};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -83,12 +83,6 @@
     },
 }
 
-#[derive(Serialize, Deserialize)]
-struct Invitation {
-    name: String,
-    identity: Identity,
-}
-
 /// Instances of a cluster, asked in turn.
 pub struct Cluster {
     at: Vec<String>,
--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -6,7 +6,9 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use runtrack_agree::host::{self, AskError, Handle, Peers};
-use runtrack_agree::{Command, Identity, MemberChange, MemberId, Outcome, State as Agreed, Tuning};
+use runtrack_agree::{
+    Command, Identity, Invitation, MemberChange, MemberId, Outcome, State as Agreed, Tuning,
+};
 use runtrack_store::{Folder, Version};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -40,14 +42,6 @@
     })
 }
 
-/// An invitation: what a new member's folder is made of.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Invitation {
-    name: String,
-    /// Its folder's random number is its own to make.
-    identity: Identity,
-}
-
 /// A change of the members, by their names.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -4,44 +4,14 @@
 use runtrack_model::Fleet;
 use runtrack_plan::{Applied, Load, Plan, Request, apply, current};
 use runtrack_store::{Folder as Files, Store};
+pub use runtrack_testkit::platform_fleet;
 use runtrack_testkit::{Control, Proxy, ProxyTo};
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 pub const BINARY: &str = env!("CARGO_BIN_EXE_runtrack-control");
 
-/// A fleet with one pool `p` from the platform, and a listener with a route to it.
-pub fn platform_fleet(discovery: SocketAddr, more: &str) -> String {
-    format!(
-        r#"
-[rules]
-warm_within = "0s"
-
-[[class]]
-name = "post"
-semantics = "unsafe"
-deadline = "1s"
-
-[[pool]]
-name = "p"
-platform = "{discovery}"
-{more}
-
-[[listener]]
-name = "front"
-address = "127.0.0.1:8080"
-api = true
-
-[[listener.route]]
-name = "all"
-class = "post"
-pool = "p"
-"#
-    )
-}
-
 /// A fleet with static endpoints in pool `p`, each on a port and with a state.
 pub fn static_fleet(endpoints: &[(u16, &str)]) -> String {
     let mut text = platform_fleet(([127, 0, 0, 1], 1).into(), "");
--- a/crates/rig/src/link.rs
+++ b/crates/rig/src/link.rs
@@ -58,7 +58,7 @@
     bytes: Arc<AtomicU64>,
 }
 
-fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
     of.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -1,7 +1,8 @@
 //! Figures: what agreement costs, side by side with one write and sync on the same disk in the same run.
 
+use crate::link::locked;
 use crate::script::Script;
-use crate::world::{World, locked};
+use crate::world::World;
 use serde_json::{Value, json};
 use std::io::{self, Write};
 use std::sync::Arc;
@@ -87,7 +88,6 @@
     if pools > 0 {
         many_pools(&world, pools).await?;
     }
-    world.end();
     Ok(())
 }
 
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -1,21 +1,23 @@
 //! A round: processes, links, people at work, faults, and the way back.
 
 use crate::history::{Did, Event, History};
-use crate::link::{Links, Rule, flap};
+use crate::link::{Links, Rule, flap, locked};
 use crate::process::{Process, program};
 use crate::script::{How, Script, What, Who};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use runtrack_discovery::Target;
 use runtrack_model::Fleet;
-use runtrack_testkit::{Discovery, Endpoint, Folder, Proxy, ProxyTo, ask, free_port, target};
+use runtrack_testkit::{
+    Discovery, Endpoint, Folder, Proxy, ProxyTo, ask, free_port, memory_kib, platform_fleet, target,
+};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -39,10 +41,6 @@
 const KEYS: u32 = 5;
 const ENDPOINTS: usize = 6;
 
-pub(crate) fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 pub(crate) struct Instance {
     name: String,
     pub(crate) process: Process,
@@ -76,6 +74,7 @@
     discovery: Discovery,
     /// Where instances find discovery: the rig's link.
     discovery_at: SocketAddr,
+    _before_discovery: JoinSet<()>,
     endpoints: Vec<Endpoint>,
     drained: Mutex<Vec<usize>>,
     leader: AtomicU32,
@@ -94,38 +93,11 @@
 }
 
 fn fleet_toml(discovery: SocketAddr, serial: u64) -> String {
-    format!(
-        r#"
-[rules]
-warm_within = "0s"
-
-[[class]]
-name = "post"
-semantics = "unsafe"
-deadline = "1s"
-
-[[pool]]
-name = "p"
-platform = "{discovery}"
-panic_threshold = 1.0
-
-[[pool]]
-name = "v-{serial}"
-[[pool.endpoint]]
-name = "e"
-address = "127.0.0.1:9"
-
-[[listener]]
-name = "front"
-address = "127.0.0.1:8080"
-api = true
-
-[[listener.route]]
-name = "all"
-class = "post"
-pool = "p"
-"#
-    )
+    let more = format!(
+        "panic_threshold = 1.0\n\n[[pool]]\nname = \"v-{serial}\"\n\
+         [[pool.endpoint]]\nname = \"e\"\naddress = \"127.0.0.1:9\"\n"
+    );
+    platform_fleet(discovery, &more)
 }
 
 /// The serial that a cluster's name says.
@@ -182,7 +154,7 @@
         let discovery = Discovery::start(targets).await;
         let links = Links::default();
         let discovery_at = at(9, free_port());
-        let mut before = links.stand_before("discovery", discovery_at, discovery.address).await?;
+        let before = links.stand_before("discovery", discovery_at, discovery.address).await?;
         let world = Arc::new(World {
             script: script.clone(),
             folder: Folder::new(),
@@ -195,6 +167,7 @@
             proxies: Mutex::default(),
             discovery,
             discovery_at,
+            _before_discovery: before,
             endpoints,
             drained: Mutex::default(),
             leader: AtomicU32::new(0),
@@ -202,15 +175,6 @@
             healing: AtomicBool::new(false),
             over: AtomicBool::new(false),
         });
-        let (holder, mut over) = (world.clone(), Duration::ZERO);
-        tokio::spawn(async move {
-            // The link to discovery stands as long as the round.
-            while !holder.over.load(Ordering::SeqCst) && over < Duration::from_secs(300) {
-                sleep(LOOK).await;
-                over += LOOK;
-            }
-            before.abort_all();
-        });
         for place in 0..script.instances as usize {
             let instance = world.instance(place, &format!("i{place}")).await?;
             if place == 0 {
@@ -410,17 +374,7 @@
     /// Resident memory of each instance, in KiB.
     pub(crate) fn memory_kib(&self) -> Vec<u64> {
         let instances = locked(&self.instances);
-        let of = |pid: u32| {
-            let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-            let line = text.lines().find(|line| line.starts_with("VmRSS:"))?.to_owned();
-            line.split_whitespace().nth(1)?.parse().ok()
-        };
-        instances.iter().filter_map(|instance| of(instance.process.pid()?)).collect()
-    }
-
-    /// The round is over: what holds links open lets go.
-    pub(crate) fn end(&self) {
-        self.over.store(true, Ordering::SeqCst);
+        instances.iter().filter_map(|instance| instance.process.pid()).map(memory_kib).collect()
     }
 
     /// Commits a fleet of so many pools; gives its bytes, and how long that took.
--- a/crates/sim/src/agreement.rs
+++ b/crates/sim/src/agreement.rs
@@ -448,7 +448,7 @@
 
     fn leader(&self) -> Option<MemberId> {
         let leading = self.nodes.iter().filter(|(id, node)| node.leads() && !self.stalled.contains_key(id));
-        leading.map(|(id, node)| (node.standing().term, *id)).max().map(|(_, id)| id)
+        leading.map(|(id, node)| (node.term(), *id)).max().map(|(_, id)| id)
     }
 
     /// A member by its place, or whoever leads.
@@ -601,7 +601,7 @@
             }
         };
         if node.leads() {
-            let term = node.standing().term;
+            let term = node.term();
             let first = *self.leaders.entry(term).or_insert(member);
             if first != member {
                 self.breach(Rule::Leaders, format!("{first} and {member} lead in term {term}"));
@@ -710,7 +710,7 @@
     fn change_members(&mut self) {
         let Some(leader) = self.leader() else { return };
         // What it accepted is over once it has applied it, or leads no more.
-        let term = self.nodes[&leader].standing().term;
+        let term = self.nodes[&leader].term();
         let open = self.accepted.get(&leader).filter(|(id, of)| {
             *of == term && self.nodes[&leader].state().is_some_and(|state| state.outcome(id).is_none())
         });
--- a/crates/testkit/src/control.rs
+++ b/crates/testkit/src/control.rs
@@ -78,6 +78,43 @@
     Ok((code, body.to_owned()))
 }
 
+/// Resident memory of a process, in KiB; 0 where there is none.
+pub fn memory_kib(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    line.and_then(|l| l.split_whitespace().nth(1)).and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// A fleet with one pool `p` from the platform, and a listener with a route to it.
+pub fn platform_fleet(discovery: SocketAddr, more: &str) -> String {
+    format!(
+        r#"
+[rules]
+warm_within = "0s"
+
+[[class]]
+name = "post"
+semantics = "unsafe"
+deadline = "1s"
+
+[[pool]]
+name = "p"
+platform = "{discovery}"
+{more}
+
+[[listener]]
+name = "front"
+address = "127.0.0.1:8080"
+api = true
+
+[[listener.route]]
+name = "all"
+class = "post"
+pool = "p"
+"#
+    )
+}
+
 /// A control service.
 pub struct Control {
     binary: PathBuf,
@@ -179,9 +216,7 @@
 
     /// Resident memory, in KiB.
     pub fn memory_kib(&self) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with("VmRSS:"));
-        line.and_then(|l| l.split_whitespace().nth(1)).and_then(|n| n.parse().ok()).unwrap_or(0)
+        memory_kib(self.pid())
     }
 
     /// Processor time used, in seconds.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,7 +9,7 @@
 mod proxy;
 mod scripted;
 
-pub use control::{Control, Folder, ask, free_port};
+pub use control::{Control, Folder, ask, free_port, memory_kib, platform_fleet};
 pub use discovery::{Discovery, target};
 pub use disk::Disk;
 pub use endpoint::Endpoint;
--- a/crates/xds/src/csds.rs
+++ b/crates/xds/src/csds.rs
@@ -49,7 +49,7 @@
                 }
             }
         });
-        Ok(Response::new(Responses(responses)))
+        Ok(Response::new(Responses::new(responses)))
     }
 
     async fn fetch_client_status(
--- a/crates/xds/src/lrs.rs
+++ b/crates/xds/src/lrs.rs
@@ -47,7 +47,7 @@
                 let _ = timeout(hub.settings.first_request, out.send(Err(status))).await;
             }
         });
-        Ok(Response::new(Responses(responses)))
+        Ok(Response::new(Responses::new(responses)))
     }
 }
 
--- a/crates/xds/src/server.rs
+++ b/crates/xds/src/server.rs
@@ -7,7 +7,6 @@
 use crate::session::{Refusal, Request, Response, Session};
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::discovery::v3::{DeltaDiscoveryRequest, DiscoveryRequest};
-use futures_core::Stream as FuturesStream;
 use std::convert::Infallible;
 use std::future::Future;
 use std::marker::PhantomData;
@@ -17,6 +16,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::body::Body;
 use tonic::server::{Grpc, NamedService, StreamingService};
 use tonic::{Status, Streaming};
@@ -202,20 +202,12 @@
         // Room for one response: the next one is made when this one is taken, from the newest state.
         let (out, responses) = mpsc::channel(1);
         tokio::spawn(drive::<V>(hub, only, request.into_inner(), out));
-        Box::pin(async move { Ok(tonic::Response::new(Responses(responses))) })
+        Box::pin(async move { Ok(tonic::Response::new(Responses::new(responses))) })
     }
 }
 
 /// The responses of a stream.
-pub struct Responses<T>(pub(crate) mpsc::Receiver<Result<T, Status>>);
-
-impl<T> FuturesStream for Responses<T> {
-    type Item = Result<T, Status>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.0.poll_recv(context)
-    }
-}
+pub(crate) type Responses<T> = ReceiverStream<Result<T, Status>>;
 
 /// Runs a stream to its end.
 async fn drive<V: Variant>(
