Clients that left are forgotten before their attempt begins; the end resets nobody

- A client gone while its attempt waited for a socket, a resting connection or a late connect: where the settings allow no cancelling the module stops nothing (balance.rs, finish), and driver.rs left the attempt to be written for nobody.
An attempt that has not begun is now withdrawn, whatever the settings say, and so is a second copy once the request has its answer.
- The same where its endpoint is told to drain or moves meanwhile: connect limit and wait for a socket together may pass the grace.
It ends as never sent, costs no retry, and goes elsewhere.
- A request open as SIGTERM came was answered without `Connection: close` (inbound.rs read `draining` before the wait): the client sent the next one on a connection about to end.
- At the end a kept connection on which half a request lay was closed under it; now it is read to its end and answered.
- A close over unread bytes reset the connection, with what the client had not read of the last answer: lingering close (RFC 9112, 9.6) for up to 1 s and 1 MiB, cut short where room is wanted.
- Held requests that were never sent on were failed at the end, now refused by the module (Event::GiveUp) with Retry-After.
- SIGHUP before the handlers stood (the file was read first) ended the process.
- A client that came again by the same id while the end of its first connection lay unread got 409.
- The end of a keyed window is asked at each write, not only before the hand-over to hyper.

Each has a test that plants the old way (feature mutants, now also in the sidecar's tests) and sees the bad order come about. Spans have a module and a test file of their own.

--- a/crates/runtrack/src/lib.rs
+++ b/crates/runtrack/src/lib.rs
@@ -11,5 +11,6 @@
     pub mod outbound;
     pub mod rest;
     pub mod socket;
+    pub mod spans;
 }
 pub mod sidecar;
--- a/crates/runtrack/src/main.rs
+++ b/crates/runtrack/src/main.rs
@@ -12,10 +12,8 @@
 
 fn main() -> ExitCode {
     runtrack_net::log_to_stderr();
-    let done = Config::from_env().map_err(|e| e.to_string()).and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        runtime.map_err(|e| e.to_string()).and_then(|rt| LocalSet::new().block_on(&rt, run(config)))
-    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let done = runtime.map_err(|e| e.to_string()).and_then(|rt| LocalSet::new().block_on(&rt, run()));
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
@@ -25,10 +23,14 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
-    // Without a handler SIGHUP would end the process.
+async fn run() -> Result<(), String> {
+    if runtrack_net::mutant("signals-late") {
+        Config::from_env().map_err(|e| e.to_string())?;
+    }
+    // Before anything else: without a handler either would end the process, and it may come while the file is read.
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let config = Config::from_env().map_err(|e| e.to_string())?;
     let (orders, taken) = unbounded_channel();
     spawn_local(async move {
         loop {
--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -4,12 +4,12 @@
 
 use super::listing::{Listing, News};
 use super::outbound::{Attempt, Ended, Forward, Outbound, Progress};
+use super::spans::Spans;
 use hyper::body::Bytes;
 use runtrack_discovery::{Call, Clock};
 use runtrack_net::mutant;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
-use std::fmt;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -87,31 +87,24 @@
     may_have_run: bool,
     /// Dropped to cancel; gone once the attempt has ended.
     cancel: Option<oneshot::Sender<()>>,
+    progress: Progress,
 }
 
-/// Where served calls spent their time, summed by stage.
-#[derive(Default)]
-struct Spans {
-    calls: u32,
-    sums: [Duration; 5],
-}
-
-impl Spans {
-    /// Reading the request, until it was sent on (decided, and held for want of room), until it had a connection,
-    /// until an answer began, until that was whole.
-    fn add(&mut self, stages: [Duration; 5]) {
-        self.calls += 1;
-        self.sums.iter_mut().zip(stages).for_each(|(sum, stage)| *sum += stage);
+impl Try {
+    /// Stops it. It tells its end itself, unless another outcome is already on its way.
+    fn stop(&mut self) {
+        if let Some(cancel) = &mut self.cancel {
+            let (kept, _) = oneshot::channel();
+            drop(std::mem::replace(cancel, kept));
+        }
     }
-}
 
-impl fmt::Display for Spans {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        write!(f, "served {}, mean us:", self.calls)?;
-        for (name, sum) in ["read", "decided", "connected", "answer begun", "whole"].iter().zip(self.sums) {
-            write!(f, " {name} {}", sum.as_micros() / u128::from(self.calls.max(1)))?;
+    /// Stops it if it has not begun: it waits for a socket, for a connection's rest or for a new connection, and none
+    /// of its bytes has gone.
+    fn withdraw(&mut self) {
+        if !self.progress.begun() {
+            self.stop();
         }
-        Ok(())
     }
 }
 
@@ -254,8 +247,11 @@
                 open.sort_unstable(); // not in the order of a hash
                 log::info!("giving up {} requests", open.len());
                 for id in open {
+                    if !mutant("given-up-alike") {
+                        self.handle(Event::GiveUp(id));
+                    }
+                    // The module's word on it has come; without one it has failed all the same.
                     self.finish(id, Answer::Failed);
-                    self.handle(Event::RequestGone(id));
                     self.tidy(id);
                 }
             }
@@ -285,6 +281,10 @@
     fn gone(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         if open.answer.take().is_some() {
+            // Whatever the settings say of cancelling: what has not begun is no one's work yet.
+            if !mutant("sent-for-nobody") {
+                open.tries.iter_mut().for_each(Try::withdraw);
+            }
             self.count("client gone");
             self.handle(Event::RequestGone(id));
         }
@@ -298,7 +298,7 @@
             return; // its outcome has been told
         }
         open.out -= 1;
-        tried.may_have_run = !matches!(ended.outcome, Outcome::ConnectFailed | Outcome::Full);
+        tried.may_have_run = !ended.outcome.never_ran();
         let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
         let Ended { outcome, body, report, stages } = ended;
         if let Some((handed, began)) = stages.filter(|_| outcome == Outcome::Ok) {
@@ -335,10 +335,13 @@
     }
 
     fn list(&mut self, news: News) {
+        // Endpoints to which nothing new goes, or not where it was to go.
+        let mut withdrawn = HashSet::new();
         for (id, address) in &news.addresses {
             let before = self.addresses.insert(*id, *address);
             if before.is_some_and(|before| before != *address) {
                 self.outbound.close_idle(*id);
+                withdrawn.insert(*id);
             }
         }
         let (whole, entries) = match &news.membership {
@@ -348,6 +351,7 @@
         };
         for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
             // Nothing new goes there.
+            withdrawn.insert(entry.id);
             let state = if entry.state == EndpointState::Gone {
                 self.addresses.remove(&entry.id);
                 self.outbound.forget(entry.id);
@@ -364,10 +368,22 @@
                 let listed = entries.iter().any(|entry| entry.id == *id);
                 if !listed {
                     outbound.forget(*id);
+                    withdrawn.insert(*id);
                 }
                 listed
             });
         }
+        // A connection may come up only after the grace: what waits for one goes elsewhere at once.
+        if !withdrawn.is_empty() && !mutant("drain-waits") {
+            let waits = |tried: &Try| withdrawn.contains(&tried.endpoint) && !tried.progress.begun();
+            let open = self.requests.iter().filter(|(_, open)| open.tries.iter().any(waits));
+            let mut open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
+            open.sort_unstable(); // not in the order of a hash
+            for id in open {
+                let tries = self.requests.get_mut(&id).into_iter().flat_map(|open| &mut open.tries);
+                tries.filter(|tried| waits(tried)).for_each(Try::withdraw);
+            }
+        }
         self.listing.keep(|id| self.addresses.contains_key(&id));
         self.handle(Event::Membership(news.membership));
     }
@@ -407,13 +423,10 @@
                 self.tidy(request);
             }
             Action::Cancel { request, attempt } => {
-                // The attempt itself tells its end, unless another outcome is already on its way.
                 if let Some(open) = self.requests.get_mut(&request)
                     && let Some(tried) = open.tries.get_mut(attempt.0 as usize)
-                    && let Some(cancel) = &mut tried.cancel
                 {
-                    let (kept, _) = oneshot::channel();
-                    drop(std::mem::replace(cancel, kept));
+                    tried.stop();
                 }
             }
             Action::SetTimer { token, after } => {
@@ -436,7 +449,8 @@
         let until = open.deadline.min(now + timeout);
         let moot = open.answer.is_none() || open.tries.len() >= self.max_attempts || until <= now;
         let Some(address) = address.filter(|_| !moot) else {
-            open.tries.push(Try { endpoint, sent: now, may_have_run: false, cancel: None });
+            let progress = Progress::default();
+            open.tries.push(Try { endpoint, sent: now, may_have_run: false, cancel: None, progress });
             self.due.push_back(Event::AttemptEnded(AttemptEnded {
                 request: id,
                 attempt,
@@ -452,17 +466,24 @@
         // The module has decided in time, but a connection may take longer than what is left of a repeat's window.
         let first = open.tries.iter().filter(|tried| tried.may_have_run).map(|tried| tried.sent).min();
         let write_by = open.repeat_within.and_then(|window| Some(first? + window));
-        open.tries.push(Try { endpoint, sent: now, may_have_run: true, cancel: Some(cancel) });
+        let progress = Progress::default();
+        let tried = Try {
+            endpoint,
+            sent: now,
+            may_have_run: true,
+            cancel: Some(cancel),
+            progress: progress.clone(),
+        };
+        open.tries.push(tried);
         open.out += 1;
         let attempted =
             Attempt { forward: open.forward.clone(), until, write_by, never_twice: open.never_twice };
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
         spawn_local(async move {
-            let progress = Progress::default();
             let exchange = timeout_at(until, outbound.attempt(endpoint, address, attempted, &progress));
             let ended = tokio::select! {
                 biased;
-                _ = &mut cancelled => Ended::bare(Outcome::Cancelled),
+                _ = &mut cancelled => Ended::bare(progress.stopped()),
                 ended = exchange => ended.unwrap_or_else(|_| Ended::bare(progress.given_up())),
             };
             let _ = inbox.send(Input::AttemptEnded(id, attempt, ended));
@@ -485,6 +506,7 @@
     fn finish(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(to) = open.answer.take() else { return };
+        open.tries.iter_mut().for_each(Try::withdraw);
         match &answer {
             Answer::Served(_) => {}
             Answer::Refused(_) => self.count("refused"),
@@ -517,19 +539,3 @@
         Outcome::Moot => "moot",
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn spans_are_means_in_microseconds_by_stage() {
-        let mut spans = Spans::default();
-        spans.add([10, 20, 30, 40, 50].map(Duration::from_micros));
-        spans.add([30, 20, 10, 0, 50].map(Duration::from_micros));
-        let line = "served 2, mean us: read 20 decided 20 connected 20 answer begun 20 whole 50";
-        assert_eq!(spans.to_string(), line);
-        let none = "served 0, mean us: read 0 decided 0 connected 0 answer begun 0 whole 0";
-        assert_eq!(Spans::default().to_string(), none);
-    }
-}
--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use runtrack_net::{Came, Connection, Listener, mutant};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::pin::pin;
@@ -57,6 +57,10 @@
 /// what is open this long after it is failed, which leaves the answers time to go out.
 const DRAIN_SLACK: Duration = Duration::from_millis(450);
 const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// A connection that we have ended is read on for so long at most, and so much, until its client has ended it too. A
+/// client on the way to one of our own endpoints or behind the front does so within a round trip.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_MOST: usize = 16 * BODY_MOST;
 /// The last answers go out within this.
 const LAST_ANSWERS: Duration = Duration::from_millis(150);
 
@@ -70,23 +74,30 @@
     inbox: Inbox,
     next: Cell<u64>,
     draining: Cell<bool>,
+    /// What was open has been given up, and nothing more is taken.
+    over: Cell<bool>,
     /// Accepting fails; said once in the log until it works again.
     failing: Cell<bool>,
     /// The connections in the order of their coming.
     connections: RefCell<BTreeMap<u64, Rc<Turn>>>,
-    /// The clients' own ids of the requests that are open.
-    open: RefCell<HashSet<HeaderValue>>,
+    /// The clients' own ids of the requests that are open, and the connections that they came on.
+    open: RefCell<HashMap<HeaderValue, Rc<Turn>>>,
 }
 
 /// A request's own id while it is open: a second one by the same id would be taken for it.
 struct OpenId<'a> {
-    open: &'a RefCell<HashSet<HeaderValue>>,
+    open: &'a RefCell<HashMap<HeaderValue, Rc<Turn>>>,
     id: HeaderValue,
+    turn: &'a Rc<Turn>,
 }
 
 impl Drop for OpenId<'_> {
     fn drop(&mut self) {
-        self.open.borrow_mut().remove(&self.id);
+        let mut open = self.open.borrow_mut();
+        // Its client may have come again by the same id, and that one's is not for us to forget.
+        if open.get(&self.id).is_some_and(|turn| Rc::ptr_eq(turn, self.turn)) {
+            open.remove(&self.id);
+        }
     }
 }
 
@@ -117,6 +128,8 @@
     last: Cell<bool>,
     /// It was told to close to make room.
     closing: Cell<bool>,
+    /// We have ended it, and wait for its client to do so.
+    lingering: Cell<bool>,
     /// Wakes the connection to close itself.
     close: Notify,
 }
@@ -130,6 +143,13 @@
             .map(|at| at.elapsed())
     }
 
+    /// A request has begun to come, if only to this machine: to end the connection now would reset it.
+    fn coming(&self) -> bool {
+        !self.busy.get()
+            && (self.heard.began().is_some() || self.heard.came() == Came::Bytes)
+            && !mutant("closed-unread")
+    }
+
     /// How long it has been silent or in the middle of a request's head.
     fn silent(&self) -> Option<Duration> {
         let since = if self.answered.get().is_none() { Some(self.accepted) } else { self.heard.began() };
@@ -178,6 +198,7 @@
             inbox,
             next: Cell::new(0),
             draining: Cell::new(false),
+            over: Cell::new(false),
             failing: Cell::new(false),
             connections: RefCell::default(),
             open: RefCell::default(),
@@ -204,6 +225,7 @@
         drop(listener);
         self.connections.borrow().values().for_each(|turn| turn.close.notify_one());
         if !mutant("lost-on-term") && timeout_at(until, self.all_gone()).await.is_err() {
+            self.over.set(true);
             let _ = self.inbox.send(Input::GiveUp);
             let _ = timeout(LAST_ANSWERS, self.all_gone()).await;
         }
@@ -225,8 +247,14 @@
                 let permit = permit.or_else(|| self.budget.take(Holder::Client));
                 let shed = permit.is_none();
                 let permit = permit.or_else(|| self.budget.take(Holder::Shed));
+                let (socket, turn, number) = self.take_in(stream);
                 let this = self.clone();
-                spawn_local(async move { this.connection(stream, shed, permit).await });
+                spawn_local(async move {
+                    let _permit = permit;
+                    this.follow(socket, shed, &turn).await;
+                    this.linger(&turn).await;
+                    this.connections.borrow_mut().remove(&number);
+                });
             }
             Err(e) => {
                 if !self.failing.replace(true) {
@@ -260,7 +288,12 @@
     /// goes, or will as soon as its silence has lasted.
     fn make_room(&self) -> bool {
         let connections = self.connections.borrow();
-        let open = || connections.values().filter(|turn| !turn.closing.get());
+        if let Some(turn) = connections.values().find(|turn| turn.lingering.get() && !turn.closing.get()) {
+            turn.closing.set(true);
+            turn.close.notify_one();
+            return true;
+        }
+        let open = || connections.values().filter(|turn| !turn.closing.get() && !turn.lingering.get());
         let silent = open().find(|turn| turn.silent().is_some());
         if silent.is_some_and(|turn| turn.silent().is_some_and(|time| time < SILENT_LEAST)) {
             return true;
@@ -286,19 +319,40 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: Box<dyn Connection>, shed: bool, _permit: Option<Permit>) {
+    /// Notes a new connection, at once: what is told to all connections is told to it too.
+    fn take_in(&self, stream: Box<dyn Connection>) -> (Socket, Rc<Turn>, u64) {
         let (socket, heard) = Socket::new(stream);
-        let (busy, answered, last, closing, close) = Default::default();
-        let turn = Rc::new(Turn { heard, accepted: Instant::now(), busy, answered, last, closing, close });
+        let (busy, answered, last, closing, lingering, close) = Default::default();
+        let accepted = Instant::now();
+        let turn = Rc::new(Turn { heard, accepted, busy, answered, last, closing, lingering, close });
         let number = self.next.get();
         self.next.set(number + 1);
         self.connections.borrow_mut().insert(number, turn.clone());
-        self.follow(socket, shed, &turn).await;
-        self.connections.borrow_mut().remove(&number);
+        (socket, turn, number)
+    }
+
+    /// Waits, for a while, until the client has read what we have written and ends its side too. Where room is wanted
+    /// this is cut short.
+    async fn linger(&self, turn: &Turn) {
+        turn.lingering.set(true);
+        turn.closing.set(false);
+        let until = Instant::now() + LINGER;
+        let mut lingered = pin!(turn.heard.linger(LINGER, LINGER_MOST));
+        while !mutant("no-linger") {
+            tokio::select! {
+                biased;
+                () = &mut lingered => return,
+                () = turn.close.notified() => {}
+            }
+            // What was told before belonged to the connection's life, not to its end.
+            if turn.closing.get() || Instant::now() >= until {
+                return;
+            }
+        }
     }
 
     /// Serves a connection until its end.
-    async fn follow(&self, socket: Socket, shed: bool, turn: &Turn) {
+    async fn follow(&self, socket: Socket, shed: bool, turn: &Rc<Turn>) {
         let service = service_fn(|request| self.answer(request, shed, turn));
         let connection = http1::Builder::new()
             .keep_alive(!shed)
@@ -319,6 +373,15 @@
                         // The first request is as good as taken: to close now would lose what the
                         // client is just writing.
                         fresh_until = Some(Instant::now() + FRESH_WAIT);
+                    } else if turn.closing.get()
+                        && turn.heard.began().is_some()
+                        && turn.heard.came() != Came::Bytes
+                    {
+                        return; // room is wanted, and this one stopped in the middle of a head
+                    } else if turn.coming() {
+                        // It crosses our end: it is answered, and the answer says that it is the last.
+                        turn.closing.set(false);
+                        turn.last.set(true);
                     } else if turn.silent().is_some() {
                         return;
                     } else {
@@ -327,10 +390,11 @@
                 }
                 () = sleep_until(until) => {
                     let now = Instant::now();
-                    let unused = fresh_until.take_if(|at| *at <= now).is_some() && turn.heard.began().is_none();
+                    let unused = fresh_until.take_if(|at| *at <= now).is_some() && !turn.coming();
                     if turn.until().is_some_and(|at| at <= now || unused) {
                         match turn.silent() {
                             Some(_) => return,
+                            None if turn.coming() => turn.last.set(true),
                             None => connection.as_mut().graceful_shutdown(),
                         }
                     }
@@ -343,7 +407,7 @@
         &self,
         request: Request<Incoming>,
         shed: bool,
-        turn: &Turn,
+        turn: &Rc<Turn>,
     ) -> Result<Reply, Infallible> {
         turn.busy.set(true);
         // Who keeps a connection after the answer keeps it for 2 s at least: where those fill up, new
@@ -355,9 +419,7 @@
             let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
         } else if shed {
-            let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
-            reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(SHED_RETRY));
-            reply
+            come_again("too many connections")
         } else {
             match self.serve_request(request, turn).await {
                 Ok(reply) => reply,
@@ -368,6 +430,8 @@
                 }
             }
         };
+        // It may have been told to end while the request was open.
+        last |= self.draining.get() && !mutant("end-unsaid");
         turn.busy.set(false);
         turn.answered.set(Some(Instant::now()));
         turn.heard.forget();
@@ -390,7 +454,7 @@
         .await
     }
 
-    async fn serve_request(&self, request: Request<Incoming>, turn: &Turn) -> Result<Reply, Bad> {
+    async fn serve_request(&self, request: Request<Incoming>, turn: &Rc<Turn>) -> Result<Reply, Bad> {
         let (mut head, body) = request.into_parts();
         // Clients state a body's length. hyper would let chunks win over a length beside them, and take
         // what was hidden in that body for the next request.
@@ -405,10 +469,7 @@
             return Err(bad("a body where none goes"));
         }
         let id = head.headers.get("x-request-id").cloned().ok_or(bad("X-Request-ID is missing"))?;
-        if !self.open.borrow_mut().insert(id.clone()) {
-            return Err((StatusCode::CONFLICT, "a request of that id is open"));
-        }
-        let _open = OpenId { open: &self.open, id };
+        let _open = self.open_id(id, turn)?;
         let mut body = pin!(Limited::new(body, BODY_MOST).collect());
         let mut read = timeout_at(turn.request_until(), body.as_mut()).await;
         if read.is_err() && turn.heard.came() == Came::Bytes {
@@ -424,6 +485,9 @@
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body never came")),
         };
         Self::undisturbed(turn, std::future::ready(())).await?;
+        if self.over.get() {
+            return Ok(come_again("ending"));
+        }
         // The client counts from its last byte.
         let came = Instant::now();
         let id = RequestId(self.next.get());
@@ -464,6 +528,19 @@
         })
     }
 
+    /// Notes a request's own id as open. A client that has left and come again at once may be read before the end of
+    /// its old connection is: that one is looked at.
+    fn open_id<'a>(&'a self, id: HeaderValue, turn: &'a Rc<Turn>) -> Result<OpenId<'a>, Bad> {
+        let mut open = self.open.borrow_mut();
+        if let Some(other) = open.get(&id)
+            && (other.heard.came() != Came::End || mutant("end-unlooked-for"))
+        {
+            return Err((StatusCode::CONFLICT, "a request of that id is open"));
+        }
+        open.insert(id.clone(), turn.clone());
+        Ok(OpenId { open: &self.open, id, turn })
+    }
+
     /// What the module is to know of a request, and the client's time.
     fn read(
         &self,
@@ -538,6 +615,13 @@
     (StatusCode::BAD_REQUEST, problem)
 }
 
+/// A refusal of what was never sent on, wherever it is tried next.
+fn come_again(why: &'static str) -> Reply {
+    let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, why);
+    reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(SHED_RETRY));
+    reply
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Reply {
     let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *reply.status_mut() = status;
--- a/crates/runtrack/src/net/outbound.rs
+++ b/crates/runtrack/src/net/outbound.rs
@@ -80,14 +80,33 @@
     }
 }
 
-/// How far an attempt has come: what is stopped before its last byte was handed over never ran.
-#[derive(Default)]
-pub struct Progress(Rc<Cell<bool>>);
+/// How far an attempt has come.
+#[derive(Clone, Default)]
+pub struct Progress {
+    /// It was handed to a connection, and its first byte may have gone.
+    begun: Rc<Cell<bool>>,
+    /// Its last byte was handed over: what is stopped before that never ran.
+    whole: Rc<Cell<bool>>,
+}
 
 impl Progress {
+    /// Whether its first byte may have gone.
+    pub fn begun(&self) -> bool {
+        self.begun.get() && !mutant("begun-unsaid")
+    }
+
     /// The outcome of no longer waiting: a request not written whole proves that it never ran.
     pub fn given_up(&self) -> Outcome {
-        if self.0.get() && !mutant("late-never-ran") { Outcome::TimedOut } else { Outcome::ConnectFailed }
+        if self.whole.get() && !mutant("late-never-ran") {
+            Outcome::TimedOut
+        } else {
+            Outcome::ConnectFailed
+        }
+    }
+
+    /// The outcome of being stopped.
+    pub fn stopped(&self) -> Outcome {
+        if self.begun.get() { Outcome::Cancelled } else { Outcome::Moot }
     }
 }
 
@@ -234,6 +253,7 @@
         // What comes ahead of an answer says nothing of when that will come.
         let ahead = Arc::new(AtomicBool::new(false));
         loop {
+            progress.begun.set(false);
             let Some((mut link, fresh)) = self.link(endpoint, address).await else {
                 return Ended::bare(Outcome::ConnectFailed);
             };
@@ -254,7 +274,7 @@
             }
             let idle = link.idle_since.elapsed();
             // What has no body is whole with its head, and goes at once.
-            let (rest, whole) = (forward.body.clone(), progress.0.clone());
+            let (rest, whole) = (forward.body.clone(), progress.whole.clone());
             whole.set(rest.is_empty());
             let hold = never_twice && ((!fresh && idle >= AGED) || !self.proven(endpoint));
             let left = until.saturating_duration_since(Instant::now());
@@ -263,13 +283,15 @@
             let seen = ahead.clone();
             hyper::ext::on_informational(&mut request, move |_| seen.store(true, Ordering::Relaxed));
             link.heard.forget();
+            link.heard.write_by(write_by);
+            progress.begun.set(true);
             let handed = Instant::now();
             let exchange = async {
                 match link.sender.try_send_request(request).await {
                     Ok(response) => self.read(response).await,
                     Err(error) => {
-                        if error.message().is_some() {
-                            progress.0.set(false); // handed back unsent
+                        if error.message().is_some() || link.heard.refused() {
+                            progress.whole.set(false); // handed back unsent, or its last byte held back for good
                         }
                         if error.error().is_parse() {
                             self.spoilt(endpoint);
@@ -292,16 +314,17 @@
                 links.answered = answered;
             }
             if ended.outcome != Outcome::Reset {
-                if progress.0.get() && !link.sender.is_closed() {
+                if progress.whole.get() && !link.sender.is_closed() {
                     link.idle_since = Instant::now();
                     self.put_back(endpoint, link);
                 }
                 return ended;
             }
-            match (progress.0.get(), fresh) {
+            match (progress.whole.get(), fresh) {
                 (true, _) if mutant("reset-never-ran") => return Ended::bare(Outcome::ConnectFailed),
                 (true, _) => return ended,
                 (false, true) => return Ended::bare(Outcome::ConnectFailed),
+                (false, false) if link.heard.refused() => return Ended::bare(Outcome::ConnectFailed),
                 (false, false) => {} // a kept connection says nothing of its endpoint: another one
             }
         }
--- /dev/null
+++ b/crates/runtrack/tests/orders_shutdown.rs
@@ -0,0 +1,344 @@
+//! Graceful shutdown in bad orders: signals at odd moments, requests that cross the end, answers that must arrive whole.
+
+#[path = "support/inside.rs"]
+mod inside;
+#[path = "support/node.rs"]
+mod support;
+
+use inside::Inside;
+use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use support::*;
+
+/// An endpoint that serves this body once it is let go.
+fn held(body: &'static str) -> (Peer, Arc<AtomicBool>) {
+    let free = Arc::new(AtomicBool::new(false));
+    let held = free.clone();
+    let peer = Peer::new(move |_| {
+        wait_for("the endpoint's leave", || held.load(Ordering::SeqCst));
+        Do::Serve(body)
+    });
+    (peer, free)
+}
+
+/// A program that reads its configuration from a pipe, and so stands still until that is written.
+struct Starting {
+    child: Child,
+    fifo: std::path::PathBuf,
+}
+
+impl Starting {
+    fn new(planted: &str) -> Starting {
+        let name = format!("runtrack-fifo-{}-{planted}", std::process::id());
+        let fifo = std::env::temp_dir().join(name);
+        let _ = std::fs::remove_file(&fifo);
+        assert!(Command::new("mkfifo").arg(&fifo).status().unwrap().success());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_runtrack"));
+        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        command.env("ROUTER_CONFIG", &fifo).env("RUNTRACK_MUTANT", planted).stderr(Stdio::null());
+        let child = command.spawn().unwrap();
+        // It sleeps only where it waits for the file to be written.
+        let opens = |pid: u32| {
+            let stack = std::fs::read_to_string(format!("/proc/{pid}/syscall")).unwrap_or_default();
+            let word = stack.split(' ').next().unwrap_or_default().to_owned();
+            word == libc_openat()
+        };
+        let pid = child.id();
+        wait_for("the program to open its file", || opens(pid));
+        Starting { child, fifo }
+    }
+
+    fn signal(&self, signal: &str) {
+        assert!(
+            Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap().success()
+        );
+    }
+
+    /// Writes the configuration as often as it is read.
+    fn give(&self, config: &Value) {
+        let (fifo, text) = (self.fifo.clone(), config.to_string());
+        std::thread::spawn(move || {
+            while let Ok(mut file) = std::fs::OpenOptions::new().write(true).open(&fifo) {
+                let _ = file.write_all(text.as_bytes());
+                drop(file);
+                std::thread::sleep(Duration::from_millis(5)); // the reader is to see an end
+            }
+        });
+    }
+}
+
+impl Drop for Starting {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.fifo);
+    }
+}
+
+/// The number of the system call that opens a file.
+fn libc_openat() -> String {
+    if cfg!(target_arch = "aarch64") { "56".to_owned() } else { "257".to_owned() }
+}
+
+/// Signals that come before the configuration was read, in this order; how the program ends, if it does by itself.
+fn signalled_at_the_start(signals: &[&str], planted: &str) -> (bool, Option<bool>) {
+    let peer = Peer::serving("ok");
+    let config = config(&[&peer]);
+    let mut starting = Starting::new(planted);
+    signals.iter().for_each(|signal| starting.signal(signal));
+    starting.give(&config);
+    let address: SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
+    let (mut served, mut ended) = (false, None);
+    wait_for("the program to serve or to end", || {
+        if let Some(mut client) = Client::connect(address).filter(|_| !served) {
+            client.send(&request("quote", "r1", "5000m"));
+            served = client.receive().is_some_and(|answer| answer.status() == 200);
+        }
+        ended = starting.child.try_wait().unwrap().map(|status| status.success());
+        ended.is_some() || (served && !signals.contains(&"-TERM"))
+    });
+    (served, ended)
+}
+
+#[test]
+fn signals_before_the_configuration_is_read_are_heard_and_end_nothing_badly() {
+    assert_eq!(signalled_at_the_start(&["-HUP"], ""), (true, None), "SIGHUP ends nothing");
+    for signals in [&["-TERM"][..], &["-TERM", "-TERM"], &["-HUP", "-TERM"], &["-TERM", "-HUP"]] {
+        let (_, ended) = signalled_at_the_start(signals, "");
+        assert_eq!(ended, Some(true), "{signals:?}: it drains and ends well");
+    }
+    assert_eq!(signalled_at_the_start(&["-HUP"], "signals-late").1, Some(false), "the check can fail");
+}
+
+/// The answers to a request that was open, one that had come by half on a fresh connection and one on a new connection:
+/// what they say of their connections, as the sidecar is told to end.
+fn across_the_signal(planted: &'static str) -> [String; 3] {
+    let (peer, free) = held("late");
+    let sidecar = Inside::start(&config(&[&peer]), planted);
+    let (mut open, mut fresh) = (sidecar.client(), sidecar.client());
+    open.send(&request("book", "open", "10000m"));
+    sidecar.wait_open(1);
+    let text = request("quote", "fresh", "10000m");
+    fresh.send(&text[..30]);
+    sidecar.drain();
+    // New connections still come, and what half has come of is read on.
+    let mut new = sidecar.client();
+    new.send(&request("quote", "new", "10000m"));
+    fresh.send(&text[30..]);
+    sidecar.wait_open(3);
+    free.store(true, Ordering::SeqCst);
+    let said = [&mut open, &mut fresh, &mut new].map(|client| {
+        let answer = client.receive().expect("an answer");
+        assert_eq!(answer.status(), 200);
+        answer.header("connection").to_owned()
+    });
+    assert!(
+        !planted.is_empty() || [open, fresh, new].iter_mut().all(|client| client.receive().is_none()),
+        "the end"
+    );
+    assert_eq!(sidecar.ended(), Ok(()));
+    said
+}
+
+#[test]
+fn requests_that_cross_the_signal_are_answered_as_the_last_of_their_connections() {
+    assert_eq!(across_the_signal(""), ["close"; 3]);
+    assert_eq!(across_the_signal("end-unsaid")[0], "", "the check can fail");
+}
+
+/// What comes of a request whose first half lies on a kept connection as the sidecar ends it.
+fn half_a_head_at_the_end(planted: &'static str) -> Option<u16> {
+    let (peer, free) = held("late");
+    let sidecar = Inside::start(&config(&[&peer]), planted);
+    let mut kept = sidecar.client();
+    free.store(true, Ordering::SeqCst);
+    assert_eq!(kept.ask("quote", "first").status(), 200);
+    free.store(false, Ordering::SeqCst);
+    let mut open = sidecar.client();
+    open.send(&request("book", "open", "10000m"));
+    sidecar.wait_open(1);
+    let text = request("quote", "half", "10000m");
+    kept.send(&text[..30]);
+    sidecar.drain();
+    // Connections at rest are ended together with the listener.
+    wait_for("the listener's end", || !sidecar.listens());
+    free.store(true, Ordering::SeqCst);
+    kept.send(&text[30..]);
+    let answer = kept.receive();
+    assert_eq!(open.receive().map(|answer| answer.status()), Some(200));
+    assert_eq!(sidecar.ended(), Ok(()));
+    answer.inspect(|answer| assert_eq!(answer.header("connection"), "close")).map(|answer| answer.status())
+}
+
+#[test]
+fn a_request_that_has_begun_to_come_on_a_kept_connection_is_answered_before_the_end() {
+    assert_eq!(half_a_head_at_the_end(""), Some(200));
+    assert_eq!(half_a_head_at_the_end("closed-unread"), None, "the check can fail");
+}
+
+const LONG: usize = 60_000;
+
+/// A client that takes in little before it reads.
+fn narrow(address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(2048).unwrap();
+    socket.connect(&address.into()).unwrap();
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// How much of a last answer a client gets that has sent more meanwhile.
+fn of_a_last_answer(planted: &'static str) -> usize {
+    let long: &'static str = Box::leak("x".repeat(LONG).into_boxed_str());
+    let (peer, free) = held(long);
+    let sidecar = Inside::start(&config(&[&peer]), planted);
+    let mut client = narrow(sidecar.address);
+    client.write_all(request("quote", "r1", "10000m").as_bytes()).unwrap();
+    sidecar.wait_open(1);
+    sidecar.drain();
+    free.store(true, Ordering::SeqCst);
+    // The answer has begun to come; most of it does not fit in here yet. What is sent now nobody will read.
+    assert!(client.peek(&mut [0]).is_ok());
+    let mut all = Vec::new();
+    let _ = client.write_all(request("quote", "r2", "10000m").as_bytes());
+    std::thread::sleep(Duration::from_millis(50)); // a reset, if there is one, is on loopback at once
+    let _ = client.read_to_end(&mut all);
+    drop(client);
+    assert_eq!(sidecar.ended(), Ok(()));
+    assert!(peer.count() == 1, "nothing that comes after the end is sent on");
+    all.iter().filter(|&&byte| byte == b'x').count()
+}
+
+#[test]
+fn the_last_answer_arrives_whole_although_bytes_lie_unread_at_the_end() {
+    assert_eq!(of_a_last_answer(""), LONG);
+    assert!(of_a_last_answer("no-linger") < LONG, "the check can fail");
+}
+
+/// Whether a client that is refused while it sends can send on until it has read so.
+fn sends_on_after_a_refusal(planted: &'static str) -> bool {
+    let peer = Peer::serving("ok");
+    let sidecar = Inside::start(&config(&[&peer]), planted);
+    let mut client = sidecar.client();
+    let head = request("book", "r1", "10000m").replace("Content-Length: 4", "Content-Length: 400000");
+    client.send(&head);
+    wait_for("the answer", || client.has_answer());
+    let mut stream = client.stream().try_clone().unwrap();
+    // A connection that was reset refuses the second of these at the latest.
+    let sent = (0..8).all(|_| {
+        let sent = stream.write_all(&[b'x'; 40_000]).is_ok();
+        std::thread::sleep(Duration::from_millis(5));
+        sent
+    });
+    let answer = client.receive();
+    assert!(!sent || answer.is_some_and(|answer| answer.status() == 413));
+    assert_eq!(peer.count(), 0);
+    sent
+}
+
+#[test]
+fn a_refusal_reaches_a_client_that_is_still_sending() {
+    assert!(sends_on_after_a_refusal(""));
+    assert!(!sends_on_after_a_refusal("no-linger"), "the check can fail");
+}
+
+#[test]
+fn clients_that_keep_their_connections_do_not_keep_the_process() {
+    let peer = Peer::serving("ok");
+    let sidecar = Inside::start(&config(&[&peer]), "");
+    let mut clients: Vec<Client> = (0..20).map(|_| sidecar.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.ask("quote", &format!("r{n}")).status(), 200);
+    }
+    let start = Instant::now();
+    sidecar.drain();
+    assert_eq!(sidecar.ended(), Ok(()));
+    assert!(start.elapsed() < Duration::from_secs(3), "the longest deadline is not waited for");
+    for client in &mut clients {
+        assert!(client.receive().is_none(), "ended, and not one of them first");
+    }
+}
+
+/// What a request that the module holds, with no attempt yet, is told at the end.
+fn held_to_the_end(planted: &'static str) -> (u16, bool) {
+    let mut config = config(&[]);
+    config["settings"]["classes"][1]["deadlineMs"] = json!(8000.0);
+    let sidecar = Inside::start(&config, planted);
+    let mut client = sidecar.client();
+    client.send(&request("book", "r1", "8000m"));
+    sidecar.wait_open(1);
+    sidecar.drain();
+    let answer = client.receive().expect("an answer before the end");
+    assert_eq!(sidecar.ended(), Ok(()));
+    (answer.status(), !answer.header("retry-after").is_empty())
+}
+
+#[test]
+fn what_was_never_sent_on_is_refused_at_the_end_and_told_when_to_come_again() {
+    assert_eq!(held_to_the_end(""), (503, true));
+    assert_eq!(held_to_the_end("given-up-alike").0, 502, "the check can fail");
+}
+
+#[test]
+fn endpoints_that_hang_do_not_keep_the_end_from_coming_in_time() {
+    // The longest deadline of the settings, but no more than 3 s, and 0.7 s more, is when SIGKILL comes.
+    for (deadline, most) in [(20_000.0, 3700), (400.0, 1100)] {
+        let peer = Peer::new(|_| Do::Silence);
+        let mut config = config(&[&peer]);
+        for class in config["settings"]["classes"].as_array_mut().unwrap() {
+            class["deadlineMs"] = json!(deadline);
+        }
+        let sidecar = Inside::start(&config, "");
+        let mut clients: Vec<Client> = (0..3).map(|_| sidecar.client()).collect();
+        for (client, class) in clients.iter_mut().zip(["quote", "pay", "book"]) {
+            client.send(&request(class, class, "20000m"));
+        }
+        sidecar.wait_open(3);
+        let start = Instant::now();
+        sidecar.drain();
+        for (client, class) in clients.iter_mut().zip(["quote", "pay", "book"]) {
+            let answer = client.receive().expect("an answer before the end");
+            let refused = answer.status() == 503;
+            assert!(refused || answer.status() == 502, "{}", answer.first_line);
+            assert!(
+                !(refused && class == "book"),
+                "what may have run is not refused where it must not run twice"
+            );
+        }
+        assert_eq!(sidecar.ended(), Ok(()));
+        assert!(start.elapsed() < Duration::from_millis(most), "{deadline}: {:?}", start.elapsed());
+    }
+}
+
+#[test]
+fn a_repeat_whose_turn_comes_during_the_end_is_made() {
+    let free = Arc::new(AtomicBool::new(false));
+    let held = free.clone();
+    // Breaks off the first request that comes, and serves what comes then.
+    let first = AtomicBool::new(true);
+    let peer = Peer::new(move |_| {
+        wait_for("the endpoint's leave", || held.load(Ordering::SeqCst));
+        match first.swap(false, Ordering::SeqCst) {
+            true => Do::WriteAndClose(String::new()),
+            false => Do::Serve("again"),
+        }
+    });
+    let sidecar = Inside::start(&config(&[&peer]), "");
+    let mut client = sidecar.client();
+    client.send(&request("quote", "r1", "10000m"));
+    wait_for("the attempt", || peer.connections.load(Ordering::SeqCst) == 1);
+    sidecar.drain();
+    free.store(true, Ordering::SeqCst);
+    let answer = client.receive().expect("an answer");
+    assert_eq!((answer.body.as_slice(), answer.header("connection")), (&b"again"[..], "close"));
+    assert_eq!(sidecar.ended(), Ok(()));
+}
--- a/crates/runtrack/tests/support/node.rs
+++ b/crates/runtrack/tests/support/node.rs
@@ -423,6 +423,12 @@
         assert!(kill.unwrap().success());
     }
 
+    /// Whether SIGSTOP has stopped it.
+    pub fn stopped(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+    }
+
     /// How it ended.
     pub fn ended(&mut self) -> ExitStatus {
         let mut status = None;
@@ -480,6 +486,18 @@
         Some(Client { reader: BufReader::new(stream) })
     }
 
+    pub fn stream(&self) -> &TcpStream {
+        self.reader.get_ref()
+    }
+
+    /// Whether some of an answer, or its end, has come.
+    pub fn has_answer(&self) -> bool {
+        self.stream().set_nonblocking(true).unwrap();
+        let came = self.stream().peek(&mut [0]);
+        self.stream().set_nonblocking(false).unwrap();
+        came.is_ok() || came.is_err_and(|e| e.kind() != std::io::ErrorKind::WouldBlock)
+    }
+
     pub fn send(&mut self, text: &str) {
         let _ = self.reader.get_mut().write_all(text.as_bytes());
     }
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -54,7 +54,7 @@
     segments: VecDeque<(Instant, Segment)>,
     /// Bytes in them.
     bytes: usize,
-    /// Bytes ever written, and ever read.
+    /// Bytes ever written, and ever read before the reader ended its own side.
     written: u64,
     read: u64,
     /// When each byte that was written last of a write was written, and will arrive: by the offset behind it.
@@ -287,7 +287,8 @@
         times.iter().find(|(end, ..)| *end >= offset).map(|(_, wrote, arrives)| (*wrote, *arrives))
     }
 
-    /// How much of what a side wrote the other one has read.
+    /// How much of what a side wrote the other one has read before it ended its own side: what is read after that is
+    /// thrown away (lingering close), and a client may send it again.
     pub fn read_of(&self, link: u64, side: usize) -> u64 {
         self.0.borrow().links.get(&link).map_or(0, |link| link.pipes[side].read)
     }
@@ -450,6 +451,7 @@
                 let Some(link) = state.links.get_mut(&self.link) else { return Poll::Ready(Ok(())) };
                 let short = link.draws.next_u32() % 100 < split;
                 let draw = link.draws.next_u32() as usize;
+                let ended = link.pipes[self.side].ended;
                 let pipe = &mut link.pipes[1 - self.side];
                 match pipe.segments.front_mut() {
                     Some((at, _)) if *at > Instant::now() => Some(*at),
@@ -464,7 +466,9 @@
                             pipe.segments.pop_front();
                         }
                         pipe.bytes -= count;
-                        pipe.read += count as u64;
+                        if !ended {
+                            pipe.read += count as u64;
+                        }
                         if let Some(waker) = pipe.writer.take() {
                             waker.wake();
                         }
--- a/crates/weirwharf/src/balance.rs
+++ b/crates/weirwharf/src/balance.rs
@@ -114,6 +114,9 @@
 const SHARE_SLACK: f64 = 1.5;
 /// First wait before discovery is asked again after a failure; doubles up to a fifth of a minute.
 const ASK_BACKOFF: f64 = 0.5;
+/// After a call that failed a list counts as good for four times `ask_within` (WIRE, `askWithinMs`): the
+/// wait takes half of that, the next call may take the rest.
+const ASK_FAILED_MULTIPLE: f64 = 2.0;
 
 /// What an attempt is known to have done.
 #[derive(Clone, Copy, PartialEq)]
@@ -321,6 +324,7 @@
             }
             Event::AttemptEnded(ended) => self.on_attempt_ended(now, ended, out),
             Event::RequestGone(id) => self.finish(id, out),
+            Event::GiveUp(id) => self.give_up(id, out),
             Event::Timer(token) => {
                 self.armed.retain(|(_, armed)| *armed != token);
                 self.on_due(now, out);
@@ -389,9 +393,14 @@
         match news {
             Membership::Failed => {
                 if ask {
-                    // Jittered and doubling, so that instances refused together do not return together.
+                    // Jittered and doubling, so that instances refused together do not return together; but
+                    // the list held counts as good only for so long.
                     let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(4));
-                    let wait = doubled * (0.5 + self.draws.uniform());
+                    let stated =
+                        Some(self.settings.rules.ask_within.as_secs_f64()).filter(|time| *time > 0.0);
+                    let most =
+                        stated.map_or(f64::MAX, |time| (time * ASK_FAILED_MULTIPLE).max(ASK_BACKOFF));
+                    let wait = (doubled * (0.5 + self.draws.uniform())).min(most);
                     self.ask_failures += 1;
                     self.set_timer(now + Duration::from_secs_f64(wait), Timer::Ask);
                 }
@@ -711,8 +720,10 @@
         }
         let idle = self.requests.get(&id).is_some_and(|p| !p.settled() && p.none_out());
         if idle {
-            if self.retry_tokens >= 1.0 && self.may_repeat(now, id) {
-                self.retry_tokens -= 1.0;
+            // What was never sent is no retry.
+            let price = if ended.outcome == Outcome::Moot { 0.0 } else { 1.0 };
+            if self.retry_tokens >= price && self.may_repeat(now, id) {
+                self.retry_tokens -= price;
                 self.advance(now, id, out);
             } else {
                 self.give_up(id, out);
--- a/crates/weirwharf/src/types.rs
+++ b/crates/weirwharf/src/types.rs
@@ -382,6 +382,8 @@
     AttemptEnded(AttemptEnded),
     /// The client left, or its answer is overdue; nothing is owed any more.
     RequestGone(RequestId),
+    /// The host ends: its final answer is due now.
+    GiveUp(RequestId),
     /// A timer came due.
     Timer(TimerToken),
     /// A probe ended.
