--- a/crates/discovery/tests/silence.rs
+++ b/crates/discovery/tests/silence.rs
@@ -110,13 +110,15 @@
         let _ = stream.write_all(chunk.as_bytes()).await;
         tokio::task::yield_now().await;
     }
-    while alive {
+    if !alive {
+        return std::future::pending().await;
+    }
+    loop {
         sleep(Duration::from_secs(2)).await;
         if stream.write_all(b"1\r\n\n\r\n").await.is_err() {
             return;
         }
     }
-    std::future::pending::<()>().await;
 }
 
 /// Lists as they were told, and when, and what was asked. A caller that has to ask does so at once after a failure.
