--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -28,6 +28,12 @@
 pub trait Connection: AsyncRead + AsyncWrite + Unpin {
     /// What this machine holds unread, whatever the runtime knows of it.
     fn came(&self) -> Came;
+
+    /// Whether small writes go out at once, and wait for no other (`TCP_NODELAY`); as a matter of course where there is
+    /// no such thing.
+    fn sends_at_once(&self) -> bool {
+        true
+    }
 }
 
 /// Where connections come in. Dropping it resets those that were not accepted.
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -24,6 +24,10 @@
             _ => Came::End,
         }
     }
+
+    fn sends_at_once(&self) -> bool {
+        self.nodelay().unwrap_or(false)
+    }
 }
 
 impl Listener for TcpListener {
--- a/crates/runtrack/src/net/budget.rs
+++ b/crates/runtrack/src/net/budget.rs
@@ -11,6 +11,8 @@
 const SHED_MOST: usize = 24;
 /// Fewer descriptors than this leave nothing to serve with.
 pub const LEAST_SOCKETS: usize = RESERVE + 16;
+/// No process holds more: the kernel's own bound on descriptors lies below.
+const SOCKETS_MOST: usize = 1 << 30;
 /// The most memory that a client's request may take with its buffers, bodies and attempt, in KiB.
 const CLIENT_KIB: usize = 160;
 
@@ -50,7 +52,7 @@
 impl Budget {
     /// A budget within so many descriptors and MiB of memory.
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Self> {
-        let total = sockets.saturating_sub(RESERVE);
+        let total = sockets.min(SOCKETS_MOST).saturating_sub(RESERVE);
         // An attempt needs a socket too: clients must not take what their own requests go out on.
         let by_memory = memory_mb.saturating_mul(1024) / 2 / CLIENT_KIB;
         let clients_most = (total * 5 / 8).min(by_memory).max(1);
--- a/crates/runtrack/src/net/socket.rs
+++ b/crates/runtrack/src/net/socket.rs
@@ -110,6 +110,9 @@
         let heard = &self.0;
         let before = buf.filled().len();
         let read = Pin::new(&mut *heard.stream.borrow_mut()).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Err(_))) && mutant("reset-ends") {
+            return Poll::Ready(Ok(()));
+        }
         let came = matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() > before;
         if matches!(read, Poll::Ready(Ok(()))) && !came && mutant("end-unheard") {
             return Poll::Pending;
--- /dev/null
+++ b/crates/runtrack/tests/orders_settings.rs
@@ -0,0 +1,236 @@
+//! Settings: any field missing, empty, huge or of another kind is named on one line or does no harm, and nothing of one
+//! sidecar's settings is seen in another one's.
+
+#[path = "support/inside.rs"]
+mod inside;
+#[path = "support/node.rs"]
+mod support;
+
+use inside::Inside;
+use runtrack::net::budget::Budget;
+use runtrack::net::config::Config;
+use runtrack::net::outbound::Outbound;
+use runtrack_net::Tcp;
+use serde_json::{Value, json};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+use std::time::Duration;
+use support::*;
+use weirwharf::Balancer;
+
+/// The paths of all values inside, with their parents.
+fn paths(value: &Value, here: &str, all: &mut Vec<String>) {
+    let mut inner = |name: &str, value: &Value| {
+        let path = format!("{here}/{name}");
+        all.push(path.clone());
+        paths(value, &path, all);
+    };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, value)| inner(name, value)),
+        Value::Array(items) => items.iter().enumerate().for_each(|(n, value)| inner(&n.to_string(), value)),
+        _ => {}
+    }
+}
+
+fn without(config: &Value, path: &str) -> Value {
+    let mut config = config.clone();
+    let (parent, name) = path.rsplit_once('/').unwrap();
+    match config.pointer_mut(parent) {
+        Some(Value::Object(fields)) => drop(fields.remove(name)),
+        Some(Value::Array(items)) => drop(items.remove(name.parse().unwrap())),
+        _ => unreachable!("a parent holds something"),
+    }
+    config
+}
+
+/// Every change of one value, by words.
+fn changes(config: &Value) -> Vec<(String, Value)> {
+    let mut all = Vec::new();
+    paths(config, "", &mut all);
+    let values = [
+        json!(null),
+        json!(0),
+        json!(-1),
+        json!(1e308),
+        json!(u64::MAX),
+        json!(0.5),
+        json!("text"),
+        json!(""),
+        json!([]),
+        json!({}),
+        json!(true),
+    ];
+    let mut changed = Vec::new();
+    for path in all {
+        changed.push((format!("{path} missing"), without(config, &path)));
+        for value in &values {
+            let mut config = config.clone();
+            *config.pointer_mut(&path).unwrap() = value.clone();
+            changed.push((format!("{path} = {value}"), config));
+        }
+        let mut config = config.clone();
+        if let Some(Value::Object(fields)) = config.pointer_mut(&path) {
+            fields.insert("heretofore_unknown".to_owned(), json!({"what": ["ever"]}));
+            changed.push((format!("{path} with an unknown field"), config));
+        }
+    }
+    changed
+}
+
+/// What all that a process makes of its settings says of them.
+fn takes(config: &Value) -> Result<(), String> {
+    let config = Config::parse(&config.to_string(), None, None, None).map_err(|e| e.to_string())?;
+    Balancer::new(config.settings.clone(), config.seed, Duration::from_secs(1))
+        .map_err(|e| format!("settings: {e}"))?;
+    let budget = Budget::new(config.sockets, config.memory_mb);
+    drop(Outbound::new(Rc::new(Tcp), &config.settings, budget));
+    Ok(())
+}
+
+#[test]
+fn whatever_one_value_is_it_is_named_or_taken_and_nothing_panics() {
+    let config = config(&[&Peer::serving("ok")]);
+    let (mut refused, mut taken) = (0, 0);
+    for (what, changed) in changes(&config) {
+        match catch_unwind(AssertUnwindSafe(|| takes(&changed))) {
+            Ok(Ok(())) => taken += 1,
+            Ok(Err(problem)) => {
+                refused += 1;
+                assert_eq!(problem.lines().count(), 1, "{what}: {problem}");
+                let path = what.split(' ').next().unwrap();
+                let names: Vec<&str> =
+                    path.split('/').filter(|name| name.parse::<usize>().is_err()).collect();
+                let named =
+                    names.iter().rev().take(2).any(|name| !name.is_empty() && problem.contains(name));
+                assert!(named, "{what} is not named: {problem}");
+            }
+            Err(_) => panic!("{what}: a panic"),
+        }
+    }
+    assert!(refused > 300 && taken > 100, "{refused} refused, {taken} taken");
+}
+
+#[test]
+fn what_is_taken_also_serves() {
+    let peer = Peer::serving("ok");
+    let whole = config(&[&peer]);
+    let odd = [json!(0), json!(1e308), json!(9e15), json!(0.001), json!(null)];
+    let mut all = Vec::new();
+    paths(&whole["settings"], "/settings", &mut all);
+    all.extend(["/limits/memory_mb", "/limits/sockets", "/limits/cores"].map(str::to_owned));
+    let numbers = all.into_iter().filter(|path| whole.pointer(path).is_some_and(Value::is_number));
+    let mut ran = 0;
+    for path in numbers {
+        for value in &odd {
+            let mut config = whole.clone();
+            config["listen"] = json!(nowhere().to_string());
+            *config.pointer_mut(&path).unwrap() = value.clone();
+            if takes(&config).is_err() {
+                continue;
+            }
+            let sidecar = Inside::start(&config, "");
+            let mut client = sidecar.client();
+            client.send(&request("book", "r1", "2000m"));
+            let answer = client.receive();
+            assert!(answer.is_some(), "{path} = {value}: no answer");
+            assert!(sidecar.gauges().open == 0, "{path} = {value}");
+            sidecar.order_drain();
+            ran += 1;
+        }
+    }
+    assert!(ran > 50, "{ran}");
+}
+
+#[test]
+fn the_built_program_names_the_field_and_ends_with_one() {
+    let config = config(&[&Peer::serving("ok")]);
+    for (path, value) in [
+        ("/settings/classes/0/deadlineMs", json!(-1)),
+        ("/settings/classes", json!([])),
+        ("/settings/limits/maxAttempts", json!(null)),
+        ("/settings/rules", json!(7)),
+        ("/limits/sockets", json!(1e308)),
+        ("/known/targets/0/endpoint", json!("nowhere")),
+        ("/discovery", json!(null)),
+    ] {
+        let mut config = config.clone();
+        *config.pointer_mut(path).unwrap() = value;
+        let (status, said) = refuses(&config.to_string());
+        assert_eq!(status.code(), Some(1), "{path}: {said}");
+        assert_eq!(said.trim_end().lines().count(), 1, "{path}: {said}");
+        let name = path.split('/').rfind(|name| name.parse::<usize>().is_err()).unwrap();
+        assert!(said.contains(name) && !said.contains("panicked"), "{path}: {said}");
+    }
+}
+
+/// One customer's configuration: its classes, their deadlines, tenants, and whether it tells when to come again.
+fn of_customer(
+    peer: &Peer,
+    class: &str,
+    semantics: &str,
+    tenant: &str,
+    deadline: f64,
+    tells: bool,
+) -> Value {
+    let mut config = config(&[peer]);
+    config["settings"]["classes"] = json!([
+        {"name": class, "semantics": semantics, "group": "all", "repeatWindowMs": 500.0,
+         "objectiveMs": deadline / 2.0, "deadlineMs": deadline, "worth": 3.0, "lateValue": 0.1}
+    ]);
+    config["settings"]["tenants"] = json!([{"name": tenant, "allowancePerS": 10.0, "portion": 1.0}]);
+    config["settings"]["limits"]["retryAfter"] = json!(tells);
+    config
+}
+
+/// What a sidecar makes of requests of both customers: statuses, how long a silent endpoint is waited for, and whether it
+/// says when to come again.
+fn behaviour(sidecar: &Inside, own: &str, post: bool, tenant: &str) -> (u16, u16, u16, bool, Duration) {
+    let text = |class: &str, tenant: &str, id: &str| {
+        let base = request(if post { "book" } else { "quote" }, id, "20000m");
+        base.replace("/book/", &format!("/{class}/"))
+            .replace("/quote/", &format!("/{class}/"))
+            .replace("acme", tenant)
+    };
+    let ask = |text: String| {
+        let mut client = sidecar.client();
+        client.send(&text);
+        client.receive().expect("an answer")
+    };
+    let start = std::time::Instant::now();
+    let answer = ask(text(own, tenant, "own"));
+    let took = start.elapsed();
+    let tells = !answer.header("retry-after").is_empty();
+    let other = ask(text("neither", tenant, "other")).status();
+    let stranger = ask(text(own, "stranger", "stranger")).status();
+    (answer.status(), other, stranger, tells, took)
+}
+
+#[test]
+fn nothing_of_one_customers_settings_is_seen_in_another_ones_sidecar() {
+    let silent = Peer::new(|_| Do::Silence);
+    let one = || of_customer(&silent, "withdraw", "unsafe", "north", 400.0, false);
+    let two = || of_customer(&silent, "balance", "safe", "south", 900.0, true);
+    let check_one = |sidecar: &Inside| {
+        let (own, other, stranger, tells, took) = behaviour(sidecar, "withdraw", true, "north");
+        assert_eq!((own, other, stranger, tells), (502, 404, 400, false));
+        assert!(took >= Duration::from_millis(300) && took < Duration::from_millis(800), "{took:?}");
+        let foreign = behaviour(sidecar, "balance", true, "south");
+        assert_eq!((foreign.0, foreign.2), (404, 404), "the other one's class");
+    };
+    let check_two = |sidecar: &Inside| {
+        let (own, other, stranger, tells, took) = behaviour(sidecar, "balance", false, "south");
+        assert_eq!((own, other, stranger, tells), (503, 404, 400, true));
+        assert!(took >= Duration::from_millis(700) && took < Duration::from_millis(1600), "{took:?}");
+        let foreign = behaviour(sidecar, "withdraw", false, "north");
+        assert_eq!((foreign.0, foreign.2), (404, 404), "the other one's class");
+    };
+    // Side by side, in one process.
+    let (first, second) = (Inside::start(&one(), ""), Inside::start(&two(), ""));
+    check_one(&first);
+    check_two(&second);
+    check_one(&first);
+    drop((first, second));
+    // After one another, in the order that has not been.
+    check_two(&Inside::start(&two(), ""));
+    check_one(&Inside::start(&one(), ""));
+}
--- a/crates/runtrack/tests/support/inside.rs
+++ b/crates/runtrack/tests/support/inside.rs
@@ -149,9 +149,14 @@
         });
     }
 
+    /// Tells it to drain, and waits for nothing.
+    pub fn order_drain(&self) {
+        let _ = self.orders.send(Order::Drain);
+    }
+
     /// Tells it to drain, and waits until it does.
     pub fn drain(&self) {
-        let _ = self.orders.send(Order::Drain);
+        self.order_drain();
         wait_for("the drain to begin", || {
             let mut client = self.client();
             client.send("GET /-/ready HTTP/1.1\r\nHost: t\r\n\r\n");
