--- a/crates/runtrack/tests/orders_endpoints.rs
+++ b/crates/runtrack/tests/orders_endpoints.rs
@@ -261,8 +261,7 @@
         tokio::time::advance(Duration::from_millis(400)).await;
         let late = socket.write_all(b" late").await;
         assert_eq!((late.is_err(), heard.refused()), (planted.is_none(), planted.is_none()));
-        let written = notes.0.borrow().clone();
-        written
+        notes.0.take()
     });
     runtrack_net::plant(None);
     written
