The virtual world's narrow moments: silent watches, late connects, clients that leave in a burst

Faults watches_silent and late_connects; scripts may allow longer connects, shorter windows for repeats, no cancelling; bursts of ten to fifty clients, most of which leave. They are drawn apart, so that what the seeds had before stays as it was; scripts without the new fields mean what they meant. Rule Gone: nothing is sent later than 0.3 s (and the slack) after its client left. Shutdown over resting clients was there (term with kept connections).

--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -204,7 +204,8 @@
         let mut body = response.into_body();
         let mut text = Vec::new();
         loop {
-            match timeout(SILENCE, body.frame()).await {
+            let silence = if mutant("silence-unheard") { SILENCE * 1000 } else { SILENCE };
+            match timeout(silence, body.frame()).await {
                 Err(_) => return "the watch fell silent".to_owned(),
                 Ok(None) => return "the watch ended".to_owned(),
                 Ok(Some(Err(e))) => return format!("the watch broke: {e}"),
--- a/crates/sim/src/discovery.rs
+++ b/crates/sim/src/discovery.rs
@@ -43,6 +43,8 @@
     entries: RefCell<Vec<Entry>>,
     /// Rises with each change, and with each break: the version, and how many breaks there were.
     changes: Cell<(u64, u64)>,
+    /// How often all watches have fallen silent.
+    silences: Cell<u64>,
     /// Wakes in the order of waiting; a `watch` channel's order is random.
     changed: Notify,
 }
@@ -52,7 +54,8 @@
     pub fn new(world: Rc<World>) -> Rc<Discovery> {
         let entry = |endpoint| Entry { endpoint, state: State::Up, boot: None, rev: 1 };
         let entries = RefCell::new((0..world.script.endpoints).map(entry).collect());
-        Rc::new(Discovery { world, entries, changes: Cell::new((1, 0)), changed: Notify::new() })
+        let (changes, silences) = (Cell::new((1, 0)), Cell::new(0));
+        Rc::new(Discovery { world, entries, changes, silences, changed: Notify::new() })
     }
 
     /// The whole list, as a sidecar is given it at its start.
@@ -130,6 +133,7 @@
                 Fault::WatchesBreak { at } | Fault::DiscoveryDown { at, .. } => {
                     turns.push((*at, Turn::Break))
                 }
+                Fault::WatchesSilent { at } => turns.push((*at, Turn::Silence)),
                 _ => {}
             }
         }
@@ -139,6 +143,10 @@
             for (at, turn) in turns {
                 sleep_until(this.world.at(at)).await;
                 match turn {
+                    Turn::Silence => {
+                        this.silences.set(this.silences.get() + 1);
+                        this.changed.notify_waiters();
+                    }
                     Turn::Break => {
                         let (rev, breaks) = this.changes.get();
                         this.changes.set((rev, breaks + 1));
@@ -230,9 +238,15 @@
 
     async fn watch(&self, server: u32, stream: &mut Stream, mut after: u64) -> std::io::Result<()> {
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
-        let breaks = self.changes.get().1;
+        let (breaks, silences) = (self.changes.get().1, self.silences.get());
         let mut first = true;
         loop {
+            if self.silences.get() != silences {
+                // Open, until the other side ends it.
+                let mut bytes = [0; 16];
+                while stream.read(&mut bytes).await? > 0 {}
+                return Ok(());
+            }
             if let Some(until) = self.until(false) {
                 let broken = async {
                     while self.changes.get().1 == breaks {
@@ -278,4 +292,5 @@
 enum Turn {
     State(u32, State, bool),
     Break,
+    Silence,
 }
--- a/crates/sim/src/draw.rs
+++ b/crates/sim/src/draw.rs
@@ -1,7 +1,7 @@
 //! Scripts from seeds. Each seed switches a random part of the kinds of fault on (swarm testing), so that rare
 //! combinations come about that a mixture of all would bury.
 
-use crate::script::{Ask, Class, Fault, Manner, Script, Spoil};
+use crate::script::{Ask, Class, Fault, Manner, Script, Spoil, usual_connect, usual_window};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -11,6 +11,9 @@
 /// for 5 ms (`docs/design/wire-speed.md`): a copy that is later than that, and the first one ever, is beyond what is
 /// promised.
 const TWICE_MOST: u32 = 4;
+const CLASSES: [Class; 3] = [Class::Quote, Class::Book, Class::Pay];
+/// Sets the draws of `narrow_moments` apart.
+const NARROW: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Requests begin once the sidecars listen.
 const READY: u32 = 300;
 
@@ -42,6 +45,9 @@
         split: if d.one_in(2) { 0 } else { d.of(1, 60) },
         fall_tenths: d.of(12, 40),
         endpoints,
+        connect_ms: usual_connect(),
+        window_ms: usual_window(),
+        uncancelled: false,
         asks: Vec::new(),
         faults: Vec::new(),
     };
@@ -52,7 +58,7 @@
     let bad = d.one_in(3);
     let hurried = d.one_in(3);
     for _ in 0..asks {
-        let class = [Class::Quote, Class::Book, Class::Pay][d.of(0, 2) as usize];
+        let class = CLASSES[d.of(0, 2) as usize];
         let manner = match d.of(0, 39) {
             0 if bad => Manner::Rubbish,
             1 if bad => Manner::Smuggles,
@@ -141,5 +147,49 @@
             script.faults.push(fault);
         }
     }
+    narrow_moments(&mut script, length, clients);
+    script.asks.sort_by_key(|ask| ask.at);
     script
 }
+
+/// What came later, from draws of its own, so that what the seeds had before stays as it was.
+fn narrow_moments(script: &mut Script, length: u32, clients: u32) {
+    let mut d = Draws(Pcg32::seed_from_u64(script.seed ^ NARROW));
+    let on = |d: &mut Draws| d.one_in(4);
+    if on(&mut d) {
+        // Who drains then is heard of by those alone who open their watch anew, and requests go on for long enough.
+        let at = READY + d.of(0, 2_000);
+        script.faults.push(Fault::WatchesSilent { at });
+        if !script.faults.iter().any(|fault| matches!(fault, Fault::Drains { .. })) {
+            let endpoint = d.of(0, script.endpoints - 1);
+            script.faults.push(Fault::Drains { endpoint, at: at + d.of(1, 2_000), lasts: 15_000 });
+        }
+        for _ in 0..d.of(20, 60) {
+            let (at, client) = (at + d.of(7_000, 15_000), d.of(0, clients * script.sidecars - 1));
+            let class = CLASSES[d.of(0, 2) as usize];
+            script.asks.push(Ask { at, client, class, wait: d.of(400, 3_000), manner: Manner::Plain });
+        }
+    }
+    if on(&mut d) {
+        script.window_ms = d.of(20, 400);
+    }
+    if on(&mut d) {
+        script.uncancelled = d.one_in(2);
+        script.connect_ms = d.of(250, 1_500);
+        let (at, lasts) = (READY + d.of(0, length), d.of(500, 4_000));
+        for endpoint in 0..script.endpoints {
+            if !d.one_in(3) {
+                let by = d.of(100, 1_500);
+                script.faults.push(Fault::LateConnects { endpoint, at, lasts, by });
+            }
+        }
+        // More at once than have connections, and many of them leave.
+        let (at, after) = (at + d.of(0, lasts), d.of(20, 400));
+        for n in 0..d.of(10, 50) {
+            let client = clients * script.sidecars + n;
+            let class = CLASSES[d.of(0, 2) as usize];
+            let manner = if d.one_in(4) { Manner::Plain } else { Manner::Leaves(after) };
+            script.asks.push(Ask { at, client, class, wait: d.of(600, 3_000), manner });
+        }
+    }
+}
--- a/crates/sim/src/mutants.rs
+++ b/crates/sim/src/mutants.rs
@@ -1,7 +1,7 @@
 //! Errors planted in the code under test, one line each, to prove that the search finds what it is for.
 
 /// Each error's name, and what it does.
-pub const ALL: [(&str, &str); 15] = [
+pub const ALL: [(&str, &str); 17] = [
     ("reset-never-ran", "a request that was reset after its last byte counts as never sent"),
     ("late-never-ran", "an attempt that was given up counts as never sent"),
     ("unsaid-last-byte", "the last byte of a body is not noted as sent"),
@@ -17,6 +17,8 @@
     ("keyed-for-ever", "a keyed request is repeated beyond its window"),
     ("watch-skips", "a watch begins one version too late"),
     ("move-unheard", "discovery's move is not followed"),
+    ("sent-for-nobody", "a request whose client has left is sent on when its connection comes up"),
+    ("silence-unheard", "a watch that has fallen silent is never opened anew"),
 ];
 
 /// Runs with this error switched on, on this thread.
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -32,6 +32,8 @@
     Silent(IpAddr),
     /// New connections to this host hang until the window ends.
     Hangs(IpAddr),
+    /// New connections to this host come up this much late.
+    Late(IpAddr, Duration),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -340,7 +342,16 @@
                 state.windows.iter().filter(|w| w.trouble == hangs && w.from <= asked && asked < w.until);
             hung.map(|window| window.until).max()
         };
-        sleep_until(hung.unwrap_or(asked)).await;
+        let late = {
+            let state = self.0.borrow();
+            let late = state.windows.iter().filter(|w| w.from <= asked && asked < w.until);
+            late.filter_map(|w| match w.trouble {
+                Trouble::Late(host, by) if host == to.ip() => Some(by),
+                _ => None,
+            })
+            .max()
+        };
+        sleep_until(hung.unwrap_or(asked) + late.unwrap_or_default()).await;
         let answered = {
             let mut state = self.0.borrow_mut();
             let listens = match state.ports.get_mut(&to) {
--- a/crates/sim/src/oracle.rs
+++ b/crates/sim/src/oracle.rs
@@ -12,6 +12,8 @@
 const SLACK: Duration = Duration::from_millis(50);
 /// Bad clients are owed an error or a close within this.
 const BAD_TOLD: Duration = Duration::from_secs(3);
+/// For a client that has left nothing is sent on later than this.
+const GONE: Duration = Duration::from_millis(300);
 /// What discovery has to tell counts as told this much later, whether or not it was asked.
 const TOLD_MOST: Duration = Duration::from_secs(6);
 /// Over the budget of a cold endpoint: chance, and a last call that was under way.
@@ -31,6 +33,8 @@
     Cold,
     /// An answer belongs to its request, and is one that an endpoint made for it.
     Answer,
+    /// For a client that has left nothing is sent on later than a moment after.
+    Gone,
     /// Who keeps to no protocol is told so, and passes nothing on.
     Bad,
     /// Nothing is left open, and nothing crashes.
@@ -74,7 +78,8 @@
         } else {
             bad(asked, &of_request, &mut breaches);
         }
-        repeated(asked, attempts, &mut breaches);
+        repeated(script, asked, attempts, &mut breaches);
+        gone(facts, asked, attempts, &mut breaches);
     }
     let known = |id: &str| facts.asked.iter().any(|asked| asked.id == id);
     for attempt in facts.attempts.iter().filter(|attempt| !known(&attempt.id)) {
@@ -176,6 +181,21 @@
     }
 }
 
+/// Nothing is sent on for who has left.
+fn gone(facts: &Facts, asked: &Asked, attempts: &[&Attempt], breaches: &mut Vec<Breach>) {
+    let Some(left) = asked.left else { return };
+    let limit = by(facts, asked.sidecar, left, GONE + SLACK);
+    if let Some(late) = attempts.iter().find(|attempt| attempt.first > limit) {
+        let what = format!(
+            "its client left at {}, sent to endpoint {} at {}",
+            ms(left),
+            late.endpoint,
+            ms(late.first)
+        );
+        breaches.push(breach(Rule::Gone, late.first, &asked.id, what));
+    }
+}
+
 fn bad(asked: &Asked, attempts: &BTreeMap<&str, Vec<&Attempt>>, breaches: &mut Vec<Breach>) {
     let Some(sent) = asked.sent else { return };
     let id = &asked.id;
@@ -212,8 +232,9 @@
 }
 
 /// Rule two.
-fn repeated(asked: &Asked, attempts: &[&Attempt], breaches: &mut Vec<Breach>) {
+fn repeated(script: &Script, asked: &Asked, attempts: &[&Attempt], breaches: &mut Vec<Breach>) {
     let id = &asked.id;
+    let window = Duration::from_millis(script.window_ms.into());
     if attempts.len() > world::ATTEMPTS {
         let what = format!("{} attempts", attempts.len());
         breaches.push(breach(Rule::Twice, attempts[world::ATTEMPTS].first, id, what));
@@ -238,7 +259,7 @@
             Class::Pay => {
                 let elsewhere = earlier.endpoint % 2 != later.endpoint % 2;
                 let whole = earlier.whole.unwrap_or(later.first);
-                if elsewhere || later.first > whole + world::KEYED_WINDOW + SLACK {
+                if elsewhere || later.first > whole + window + SLACK {
                     let why = if elsewhere { "in another group" } else { "beyond the window" };
                     let what = format!("{}, {again}, {why}", told(earlier));
                     breaches.push(breach(Rule::Twice, later.first, id, what));
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -252,12 +252,15 @@
 }
 
 fn troubles(world: &World) {
-    use crate::net::Trouble::{Hangs, Silent, Stalled};
+    use crate::net::Trouble::{Hangs, Late, Silent, Stalled};
     use crate::world::{client_ip, endpoint_ip};
     for fault in &world.script.faults {
         let (trouble, at, lasts) = match fault {
             Fault::Silent { endpoint, at, lasts } => (Silent(endpoint_ip(*endpoint)), at, lasts),
             Fault::Hangs { endpoint, at, lasts } => (Hangs(endpoint_ip(*endpoint)), at, lasts),
+            Fault::LateConnects { endpoint, at, lasts, by } => {
+                (Late(endpoint_ip(*endpoint), ms(*by)), at, lasts)
+            }
             Fault::Stalls { endpoint, sidecar, answers: false, at, lasts } => {
                 (Stalled(sidecar_ip(*sidecar), endpoint_ip(*endpoint)), at, lasts)
             }
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -19,12 +19,31 @@
     pub fall_tenths: u32,
     /// Endpoints that are there from the start; those that [`Fault::Joins`] brings come after them.
     pub endpoints: u32,
+    /// How long a sidecar may wait for a connection to an endpoint, in milliseconds.
+    #[serde(default = "usual_connect")]
+    pub connect_ms: u32,
+    /// How long a keyed request may be repeated after it may have run first, in milliseconds.
+    #[serde(default = "usual_window")]
+    pub window_ms: u32,
+    /// What has been sent may not be cancelled.
+    #[serde(default)]
+    pub uncancelled: bool,
     /// What is asked.
     pub asks: Vec<Ask>,
     /// What goes wrong.
     pub faults: Vec<Fault>,
 }
 
+/// What a sidecar's settings allow a connection where a script says nothing else.
+pub const fn usual_connect() -> u32 {
+    250
+}
+
+/// The window for repeats where a script says nothing else.
+pub const fn usual_window() -> u32 {
+    400
+}
+
 /// A class of requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -133,6 +152,10 @@
     DiscoveryLags { at: u32, lasts: u32 },
     /// Discovery breaks its watches; they may come again at once.
     WatchesBreak { at: u32 },
+    /// All watches that are open then fall silent, and stay open.
+    WatchesSilent { at: u32 },
+    /// New connections to an endpoint come up this much late.
+    LateConnects { endpoint: u32, at: u32, lasts: u32, by: u32 },
     /// A sidecar gets no processor.
     Pause { sidecar: u32, at: u32, lasts: u32 },
     /// A sidecar gets SIGTERM, and starts again so much later, at 3.7 s the earliest.
@@ -162,6 +185,8 @@
             Fault::DiscoveryDown { .. } => "discovery_down",
             Fault::DiscoveryLags { .. } => "discovery_lags",
             Fault::WatchesBreak { .. } => "watches_break",
+            Fault::WatchesSilent { .. } => "watches_silent",
+            Fault::LateConnects { .. } => "late_connects",
             Fault::Pause { .. } => "pause",
             Fault::Term { .. } => "term",
             Fault::Kill { .. } => "kill",
@@ -183,6 +208,7 @@
             | Fault::Wavers { at, lasts, .. }
             | Fault::DiscoveryDown { at, lasts }
             | Fault::DiscoveryLags { at, lasts }
+            | Fault::LateConnects { at, lasts, .. }
             | Fault::Pause { at, lasts, .. }
             | Fault::Term { at, lasts, .. }
             | Fault::Kill { at, lasts, .. }
@@ -190,6 +216,7 @@
             Fault::Resets { at, .. }
             | Fault::Joins { at, .. }
             | Fault::WatchesBreak { at }
+            | Fault::WatchesSilent { at }
             | Fault::Moves { at } => (at, None),
         }
     }
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -24,8 +24,6 @@
 pub const WARM_WITHIN: Duration = Duration::from_millis(5000);
 /// What a cold endpoint is sent counts over this long.
 pub const FALL: Duration = Duration::from_millis(1500);
-/// A keyed request may be repeated for so long after it may have run first.
-pub const KEYED_WINDOW: Duration = Duration::from_millis(400);
 /// Attempts in all.
 pub const ATTEMPTS: usize = 4;
 /// Longest time that a client waits, of any class.
@@ -130,7 +128,7 @@
     pub fn config(&self, sidecar: u32, life: usize, discovery: u32, known: &Value) -> Value {
         let class = |name: &str, semantics: &str| {
             json!({"name": name, "semantics": semantics, "group": "zone",
-                   "repeatWindowMs": KEYED_WINDOW.as_millis() as f64, "objectiveMs": 600.0,
+                   "repeatWindowMs": f64::from(self.script.window_ms), "objectiveMs": 600.0,
                    "deadlineMs": DEADLINE.as_millis() as f64, "worth": 1.0, "lateValue": 0.5})
         };
         let seed = self.script.seed.wrapping_add(u64::from(sidecar) << 32).wrapping_add(life as u64);
@@ -146,8 +144,8 @@
                 "balancers": self.script.sidecars, "me": sidecar, "myZone": 0, "discovery": "subscribe",
                 "classes": [class("quote", "safe"), class("book", "unsafe"), class("pay", "keyed")],
                 "tenants": [{"name": "acme", "allowancePerS": 1000.0, "portion": 1.0}],
-                "limits": {"cancelling": true, "secondCopies": true, "maxAttempts": ATTEMPTS,
-                           "connectTimeoutMs": 250.0, "idleCloseMs": IDLE.as_millis() as f64, "retryAfter": true,
+                "limits": {"cancelling": !self.script.uncancelled, "secondCopies": true, "maxAttempts": ATTEMPTS,
+                           "connectTimeoutMs": f64::from(self.script.connect_ms), "idleCloseMs": IDLE.as_millis() as f64, "retryAfter": true,
                            "maxRetryAfterMs": 2000.0, "streamsPerConn": 1},
                 "rules": {"askWithinMs": 800.0, "coldShare": COLD_SHARE,
                           "warmWithinMs": WARM_WITHIN.as_millis() as f64,
--- a/crates/sim/tests/rules.rs
+++ b/crates/sim/tests/rules.rs
@@ -18,6 +18,9 @@
         split: 0,
         fall_tenths: 20,
         endpoints: 2,
+        connect_ms: 250,
+        window_ms: 400,
+        uncancelled: false,
         asks,
         faults,
     }
@@ -100,6 +103,20 @@
     assert_eq!(with(Class::Book, |f| paused(f, 2251)), [Rule::Lost]);
 }
 
+#[test]
+fn for_who_has_left_nothing_is_sent_on_later_than_a_moment_after() {
+    let left = |f: &mut Facts, first| {
+        f.asked[0].answers.clear();
+        f.asked[0].left = Some(ms(1200));
+        f.attempts = vec![attempt(0, first)];
+    };
+    assert_eq!(with(Class::Quote, |f| left(f, 1550)), [], "with the slack");
+    assert_eq!(with(Class::Quote, |f| left(f, 1551)), [Rule::Gone]);
+    let paused = |f: &mut Facts, first| (left(f, first), f.pauses.push((0, ms(1210), ms(1310)))).0;
+    assert_eq!(with(Class::Quote, |f| paused(f, 1650)), [], "without a processor nobody acts");
+    assert_eq!(with(Class::Quote, |f| paused(f, 1651)), [Rule::Gone]);
+}
+
 #[test]
 fn rule_two_is_no_effect_twice() {
     let again = |f: &mut Facts| f.attempts.push(attempt(1, 1050));
