What comes whole when all is over is refused: forced by a test, with its planted error

Half a request lies on a fresh connection, another is given up at the end, and the answer to that one is the moment: the rest of the first comes then. Planted over-unsaid sends it on.

--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -485,7 +485,7 @@
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body never came")),
         };
         Self::undisturbed(turn, std::future::ready(())).await?;
-        if self.over.get() {
+        if self.over.get() && !mutant("over-unsaid") {
             return Ok(come_again("ending"));
         }
         // The client counts from its last byte.
--- a/crates/runtrack/tests/orders_shutdown.rs
+++ b/crates/runtrack/tests/orders_shutdown.rs
@@ -342,3 +342,35 @@
     assert_eq!((answer.body.as_slice(), answer.header("connection")), (&b"again"[..], "close"));
     assert_eq!(sidecar.ended(), Ok(()));
 }
+
+/// What is told a request that comes whole when all that was open has been given up, and how many the endpoint has seen.
+fn whole_when_all_is_over(planted: &'static str) -> (Option<u16>, usize) {
+    let peer = Peer::new(|_| Do::Silence);
+    let mut config = config(&[&peer]);
+    // Given up 1.65 s after the signal; a request has to come whole within 2 s.
+    for class in config["settings"]["classes"].as_array_mut().unwrap() {
+        class["deadlineMs"] = json!(1200.0);
+    }
+    let sidecar = Inside::start(&config, planted);
+    let (mut open, mut late) = (sidecar.client(), sidecar.client());
+    let texts = ["open", "late"].map(|id| request("book", id, "20000m"));
+    open.send(&texts[0][..30]);
+    late.send(&texts[1][..30]);
+    sidecar.drain();
+    wait_for("the listener's end", || !sidecar.listens());
+    // Half a second after the signal at the least: its own deadline lies behind the end.
+    open.send(&texts[0][30..]);
+    let given_up = open.receive().expect("an answer at the end");
+    assert_eq!(given_up.status(), 502, "it may have run");
+    late.send(&texts[1][30..]);
+    let told = late.receive().map(|answer| answer.status());
+    assert_eq!(sidecar.ended(), Ok(()));
+    wait_for("the endpoint to note what it has read", || peer.closed() == peer.count());
+    (told, peer.count())
+}
+
+#[test]
+fn what_comes_whole_when_all_is_over_is_refused_and_not_sent_on() {
+    assert_eq!(whole_when_all_is_over(""), (Some(503), 1));
+    assert_eq!(whole_when_all_is_over("over-unsaid").1, 2, "the check can fail");
+}
