--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -42,7 +42,7 @@
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
-const DRAIN_ACCEPT: Duration = Duration::from_millis(500);
+const SHUTDOWN_ACCEPT: Duration = Duration::from_millis(500);
 /// The backlog is empty once nothing has come out of it for this long.
 const BACKLOG_EMPTY: Duration = Duration::from_millis(30);
 /// Where room is wanted, connections are closed that have been between requests for this long ...
@@ -51,11 +51,11 @@
 const SILENT_LEAST: Duration = Duration::from_millis(50);
 /// Where nobody can be closed, that is looked at again after this.
 const ROOM_RECHECK: Duration = Duration::from_millis(10);
-/// While draining, a connection on which nothing has come yet is closed after this.
+/// While shutting down, a connection on which nothing has come yet is closed after this.
 const FRESH_WAIT: Duration = Duration::from_millis(200);
 /// SIGKILL comes no sooner than the longest deadline, but at most `DEADLINE_MOST`, and 0.7 s more:
 /// what is open this long after it is failed, which leaves the answers time to go out.
-const DRAIN_SLACK: Duration = Duration::from_millis(450);
+const SHUTDOWN_SLACK: Duration = Duration::from_millis(450);
 const DEADLINE_MOST: Duration = Duration::from_secs(3);
 /// A connection that we have ended is read on for so long at most, and so much, until its client has ended it too. A
 /// client on the way to one of our own endpoints or behind the front does so within a round trip.
@@ -73,7 +73,7 @@
     outbound: Rc<Outbound>,
     inbox: Inbox,
     next: Cell<u64>,
-    draining: Cell<bool>,
+    shutting_down: Cell<bool>,
     /// What was open has been given up, and nothing more is taken.
     over: Cell<bool>,
     /// Accepting fails; said once in the log until it works again.
@@ -197,7 +197,7 @@
             outbound,
             inbox,
             next: Cell::new(0),
-            draining: Cell::new(false),
+            shutting_down: Cell::new(false),
             over: Cell::new(false),
             failing: Cell::new(false),
             connections: RefCell::default(),
@@ -216,10 +216,10 @@
         }
         let asked = Instant::now();
         log::info!("draining: {} clients connected", self.budget.clients());
-        self.draining.set(true);
-        while timeout_at(asked + DRAIN_ACCEPT, self.accept(&*listener)).await.is_ok() {}
+        self.shutting_down.set(true);
+        while timeout_at(asked + SHUTDOWN_ACCEPT, self.accept(&*listener)).await.is_ok() {}
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-        let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
+        let until = asked + longest.min(DEADLINE_MOST) + SHUTDOWN_SLACK;
         // What still waits in the backlog counts as taken: closing the listener would reset it.
         while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&*listener)).await.is_ok() {}
         drop(listener);
@@ -369,7 +369,7 @@
                 () = turn.close.notified() => {
                     if turn.busy.get() {
                         turn.last.set(true);
-                    } else if self.draining.get() && turn.answered.get().is_none() {
+                    } else if self.shutting_down.get() && turn.answered.get().is_none() {
                         // The first request is as good as taken: to close now would lose what the
                         // client is just writing.
                         fresh_until = Some(Instant::now() + FRESH_WAIT);
@@ -412,11 +412,12 @@
         turn.busy.set(true);
         // Who keeps a connection after the answer keeps it for 2 s at least: where those fill up, new
         // clients would find no room, while hardly anybody is being answered.
-        let mut last = self.draining.get() || shed || self.budget.clients_crowd();
+        let mut last = self.shutting_down.get() || shed || self.budget.clients_crowd();
         let mut reply = if request.uri().path() == "/-/ready" && request.body().is_end_stream() {
             // Who only asks this is no client yet: hundreds that then stayed would take the clients' room.
             last = true;
-            let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
+            let status =
+                if self.shutting_down.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
         } else if shed {
             come_again("too many connections")
@@ -431,7 +432,7 @@
             }
         };
         // It may have been told to end while the request was open.
-        last |= self.draining.get() && !mutant("end-unsaid");
+        last |= self.shutting_down.get() && !mutant("end-unsaid");
         turn.busy.set(false);
         turn.answered.set(Some(Instant::now()));
         turn.heard.forget();
--- a/crates/runtrack/src/net/outbound.rs
+++ b/crates/runtrack/src/net/outbound.rs
@@ -149,7 +149,7 @@
     }
 }
 
-struct Link {
+struct Pooled {
     sender: SendRequest<HeldBack>,
     heard: Rc<Heard>,
     address: SocketAddr,
@@ -159,11 +159,11 @@
     _permit: Permit,
 }
 
-/// The connections to one endpoint.
+/// The connection pool of one endpoint.
 #[derive(Default)]
-struct Links {
+struct Pool {
     /// Idle ones, the most recently used last.
-    idle: Vec<Link>,
+    idle: Vec<Pooled>,
     rest: Rc<RefCell<Rest>>,
     /// When it last answered, unless it has reset a connection since.
     answered: Option<Instant>,
@@ -213,7 +213,7 @@
 pub struct Outbound {
     network: Rc<dyn Network>,
     budget: Rc<Budget>,
-    links: RefCell<BTreeMap<EndpointId, Links>>,
+    pools: RefCell<BTreeMap<EndpointId, Pool>>,
     connect_timeout: Duration,
     idle_most: Duration,
     /// What speaks against aged connections, and until when they are not used.
@@ -230,7 +230,7 @@
         Rc::new(Outbound {
             network,
             budget,
-            links: RefCell::default(),
+            pools: RefCell::default(),
             aged_resets: Cell::default(),
             aged_until: Cell::default(),
             connect_timeout: or(connect, CONNECT_UNSTATED),
@@ -249,7 +249,7 @@
         progress: &Progress,
     ) -> Ended {
         let Attempt { forward, until, write_by, never_twice } = attempt;
-        self.links.borrow_mut().entry(endpoint).or_default();
+        self.pools.borrow_mut().entry(endpoint).or_default();
         // What comes ahead of an answer says nothing of when that will come.
         let ahead = Arc::new(AtomicBool::new(false));
         loop {
@@ -310,8 +310,8 @@
             }
             ended.stages = link.heard.began().map(|began| (handed, began));
             let answered = (ended.outcome != Outcome::Reset).then(Instant::now);
-            if let Some(links) = self.links.borrow_mut().get_mut(&endpoint) {
-                links.answered = answered;
+            if let Some(pool) = self.pools.borrow_mut().get_mut(&endpoint) {
+                pool.answered = answered;
             }
             if ended.outcome != Outcome::Reset {
                 if progress.whole.get() && !link.sender.is_closed() {
@@ -371,36 +371,36 @@
 
     /// How many connections are idle.
     pub fn idle(&self) -> usize {
-        self.links.borrow().values().map(|links| links.idle.len()).sum()
+        self.pools.borrow().values().map(|pool| pool.idle.len()).sum()
     }
 
     /// Closes idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
-        if let Some(links) = self.links.borrow_mut().get_mut(&endpoint) {
-            links.idle.clear();
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&endpoint) {
+            pool.idle.clear();
         }
     }
 
     /// Closes idle connections to an endpoint that is no more, and forgets what it has earned.
     pub fn forget(&self, endpoint: EndpointId) {
-        self.links.borrow_mut().remove(&endpoint);
+        self.pools.borrow_mut().remove(&endpoint);
     }
 
     /// Closes idle connections to an endpoint on which nothing was heard since then: a machine that is
     /// cut off leaves them open and silent, and each would cost one more request all its time, where a
     /// new connection fails at once and proves that nothing ran.
     pub fn close_unheard(&self, endpoint: EndpointId, since: Instant) {
-        if let Some(links) = self.links.borrow_mut().get_mut(&endpoint) {
-            links.idle.retain(|link| link.idle_since > since);
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&endpoint) {
+            pool.idle.retain(|link| link.idle_since > since);
         }
     }
 
     /// Closes the connection that has been idle longest; false if there is none.
     pub fn close_oldest_idle(&self) -> bool {
-        let mut all = self.links.borrow_mut();
-        let oldest = all.values_mut().filter(|links| !links.idle.is_empty());
-        let Some(links) = oldest.min_by_key(|links| links.idle[0].idle_since) else { return false };
-        links.idle.remove(0);
+        let mut all = self.pools.borrow_mut();
+        let oldest = all.values_mut().filter(|pool| !pool.idle.is_empty());
+        let Some(pool) = oldest.min_by_key(|pool| pool.idle[0].idle_since) else { return false };
+        pool.idle.remove(0);
         true
     }
 
@@ -408,13 +408,13 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP).await;
-            for links in self.links.borrow_mut().values_mut() {
-                links.idle.retain(|link| self.usable(link));
+            for pool in self.pools.borrow_mut().values_mut() {
+                pool.idle.retain(|link| self.usable(link));
             }
         }
     }
 
-    fn usable(&self, link: &Link) -> bool {
+    fn usable(&self, link: &Pooled) -> bool {
         let paused = self.aged_until.get().is_some_and(|until| Instant::now() < until);
         let most = if paused { AGED.min(self.idle_most) } else { self.idle_most };
         !link.sender.is_closed() && link.idle_since.elapsed() < most
@@ -438,7 +438,7 @@
 
     /// A connection to send on, and whether it is new: an idle one that has rested; else a new one, within the
     /// budget; else the first that will have rested, should that be sooner.
-    async fn link(&self, endpoint: EndpointId, address: SocketAddr) -> Option<(Link, bool)> {
+    async fn link(&self, endpoint: EndpointId, address: SocketAddr) -> Option<(Pooled, bool)> {
         loop {
             let resting = match self.take_idle(endpoint, address) {
                 Some((link, true)) => return Some((link, false)),
@@ -467,17 +467,17 @@
 
     /// The most recently used idle connection that has rested, so that the others may age and be closed; else
     /// the first that will have.
-    fn take_idle(&self, endpoint: EndpointId, address: SocketAddr) -> Option<(Link, bool)> {
+    fn take_idle(&self, endpoint: EndpointId, address: SocketAddr) -> Option<(Pooled, bool)> {
         loop {
             let (link, rested) = {
-                let mut all = self.links.borrow_mut();
-                let links = all.get_mut(&endpoint)?;
-                let rest = links.rest.borrow().time();
+                let mut all = self.pools.borrow_mut();
+                let pool = all.get_mut(&endpoint)?;
+                let rest = pool.rest.borrow().time();
                 let now = Instant::now();
                 // They lie in the order in which they came.
                 let place =
-                    links.idle.partition_point(|link| now >= link.idle_since + rest).saturating_sub(1);
-                let link = (place < links.idle.len()).then(|| links.idle.remove(place))?;
+                    pool.idle.partition_point(|link| now >= link.idle_since + rest).saturating_sub(1);
+                let link = (place < pool.idle.len()).then(|| pool.idle.remove(place))?;
                 let rested = now >= link.idle_since + rest;
                 (link, rested)
             };
@@ -493,7 +493,7 @@
     /// Whether nothing has come on a connection that has rested, not even its end, and it may be used. At another
     /// address another machine may listen by now; and hyper sees only what the runtime has seen, which may be
     /// long ago where the processor is short.
-    fn silent(&self, endpoint: EndpointId, address: SocketAddr, link: &Link) -> bool {
+    fn silent(&self, endpoint: EndpointId, address: SocketAddr, link: &Pooled) -> bool {
         if link.address != address || !self.usable(link) {
             return false;
         }
@@ -508,21 +508,21 @@
 
     /// Whether an endpoint is there, beyond much doubt.
     fn proven(&self, endpoint: EndpointId) -> bool {
-        let answered = self.links.borrow().get(&endpoint).and_then(|links| links.answered);
+        let answered = self.pools.borrow().get(&endpoint).and_then(|pool| pool.answered);
         answered.is_some_and(|at| at.elapsed() < PROVEN)
     }
 
     /// Keeps a connection, unless its endpoint has been forgotten meanwhile.
-    fn put_back(&self, endpoint: EndpointId, link: Link) {
-        if let Some(links) = self.links.borrow_mut().get_mut(&endpoint) {
-            let place = links.idle.partition_point(|other| other.idle_since <= link.idle_since);
-            links.idle.insert(place, link);
+    fn put_back(&self, endpoint: EndpointId, link: Pooled) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&endpoint) {
+            let place = pool.idle.partition_point(|other| other.idle_since <= link.idle_since);
+            pool.idle.insert(place, link);
             self.budget.may_free_endpoint();
         }
     }
 
     fn rest(&self, endpoint: EndpointId) -> Rc<RefCell<Rest>> {
-        self.links.borrow().get(&endpoint).map(|links| links.rest.clone()).unwrap_or_default()
+        self.pools.borrow().get(&endpoint).map(|pool| pool.rest.clone()).unwrap_or_default()
     }
 
     /// Something came from an endpoint that no request had asked for, or that was no answer.
@@ -531,7 +531,7 @@
     }
 
     /// A new connection. Where one is resting that could be waited for, only out of what the budget has to spare.
-    async fn connect(&self, endpoint: EndpointId, address: SocketAddr, must: bool) -> Option<Link> {
+    async fn connect(&self, endpoint: EndpointId, address: SocketAddr, must: bool) -> Option<Pooled> {
         if !must && !self.budget.endpoints_spare() {
             return None;
         }
@@ -555,7 +555,7 @@
                 rest.borrow_mut().spoilt(Instant::now());
             }
         });
-        Some(Link {
+        Some(Pooled {
             sender,
             heard,
             address,
