A keyed attempt that comes last is bound by the copy that ran meanwhile

Cause: driver.rs reckoned the end of the window once, when an attempt was chosen, from the attempts before it. What was chosen first had no bound, though a later one may run before it has a connection.

Now all attempts of a request share one Window (net/window.rs): who begins notes when, who never ran is taken out, and each asks once it has a connection and at each write.

--- a/crates/runtrack/src/lib.rs
+++ b/crates/runtrack/src/lib.rs
@@ -12,5 +12,6 @@
     pub mod rest;
     pub mod socket;
     pub mod spans;
+    pub mod window;
 }
 pub mod sidecar;
--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -5,6 +5,7 @@
 use super::listing::{Listing, News};
 use super::outbound::{Attempt, Ended, Forward, Outbound, Progress};
 use super::spans::Spans;
+use super::window::Window;
 use hyper::body::Bytes;
 use runtrack_discovery::{Call, Clock};
 use runtrack_net::mutant;
@@ -83,8 +84,6 @@
 struct Try {
     endpoint: EndpointId,
     sent: Instant,
-    /// It may have run, as far as is known.
-    may_have_run: bool,
     /// Dropped to cancel; gone once the attempt has ended.
     cancel: Option<oneshot::Sender<()>>,
     progress: Progress,
@@ -112,7 +111,7 @@
 struct Open {
     forward: Rc<Forward>,
     never_twice: bool,
-    repeat_within: Option<Duration>,
+    window: Option<Rc<Window>>,
     reading: Duration,
     came: Instant,
     deadline: Instant,
@@ -272,8 +271,8 @@
             arrival;
         request.time_left = deadline.saturating_duration_since(Instant::now());
         let (answer, tries) = (Some(answer), Vec::new());
-        let open =
-            Open { forward, never_twice, repeat_within, reading, came, deadline, answer, tries, out: 0 };
+        let window = repeat_within.map(|length| Rc::new(Window::new(length)));
+        let open = Open { forward, never_twice, window, reading, came, deadline, answer, tries, out: 0 };
         self.requests.insert(request.id, open);
         self.handle(Event::Request(request));
     }
@@ -298,7 +297,9 @@
             return; // its outcome has been told
         }
         open.out -= 1;
-        tried.may_have_run = !ended.outcome.never_ran();
+        if let Some(window) = open.window.as_ref().filter(|_| ended.outcome.never_ran()) {
+            window.never_ran(attempt.0 as usize);
+        }
         let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
         let Ended { outcome, body, report, stages } = ended;
         if let Some((handed, began)) = stages.filter(|_| outcome == Outcome::Ok) {
@@ -450,7 +451,7 @@
         let moot = open.answer.is_none() || open.tries.len() >= self.max_attempts || until <= now;
         let Some(address) = address.filter(|_| !moot) else {
             let progress = Progress::default();
-            open.tries.push(Try { endpoint, sent: now, may_have_run: false, cancel: None, progress });
+            open.tries.push(Try { endpoint, sent: now, cancel: None, progress });
             self.due.push_back(Event::AttemptEnded(AttemptEnded {
                 request: id,
                 attempt,
@@ -463,21 +464,13 @@
             return self.count(outcome_name(Outcome::Moot));
         };
         let (cancel, mut cancelled) = oneshot::channel();
-        // The module has decided in time, but a connection may take longer than what is left of a repeat's window.
-        let first = open.tries.iter().filter(|tried| tried.may_have_run).map(|tried| tried.sent).min();
-        let write_by = open.repeat_within.and_then(|window| Some(first? + window));
+        let window = open.window.clone().map(|window| (window, open.tries.len()));
         let progress = Progress::default();
-        let tried = Try {
-            endpoint,
-            sent: now,
-            may_have_run: true,
-            cancel: Some(cancel),
-            progress: progress.clone(),
-        };
+        let tried = Try { endpoint, sent: now, cancel: Some(cancel), progress: progress.clone() };
         open.tries.push(tried);
         open.out += 1;
         let attempted =
-            Attempt { forward: open.forward.clone(), until, write_by, never_twice: open.never_twice };
+            Attempt { forward: open.forward.clone(), until, window, never_twice: open.never_twice };
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
         spawn_local(async move {
             let exchange = timeout_at(until, outbound.attempt(endpoint, address, attempted, &progress));
--- a/crates/runtrack/src/net/outbound.rs
+++ b/crates/runtrack/src/net/outbound.rs
@@ -3,6 +3,7 @@
 use super::budget::{Budget, Holder, Permit};
 use super::rest::Rest;
 use super::socket::{Heard, Socket};
+use super::window::Window;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -203,8 +204,8 @@
     pub forward: Rc<Forward>,
     /// When it will be given up.
     pub until: Instant,
-    /// When it must have been written; none: at any time before.
-    pub write_by: Option<Instant>,
+    /// The window that it shares with the request's other attempts, and its number among them; none: no such bound.
+    pub window: Option<(Rc<Window>, usize)>,
     /// Where it may not be sent again once it may have run.
     pub never_twice: bool,
 }
@@ -248,12 +249,15 @@
         attempt: Attempt,
         progress: &Progress,
     ) -> Ended {
-        let Attempt { forward, until, write_by, never_twice } = attempt;
+        let Attempt { forward, until, window, never_twice } = attempt;
         self.pools.borrow_mut().entry(endpoint).or_default();
         // What comes ahead of an answer says nothing of when that will come.
         let ahead = Arc::new(AtomicBool::new(false));
         loop {
             progress.begun.set(false);
+            if let Some((window, number)) = &window {
+                window.never_ran(*number);
+            }
             let Some((mut link, fresh)) = self.link(endpoint, address).await else {
                 return Ended::bare(Outcome::ConnectFailed);
             };
@@ -266,6 +270,9 @@
                 }
                 continue;
             }
+            // Asked when there is a connection: that may have taken long, and another attempt may have begun meanwhile.
+            let write_by = || window.as_ref().and_then(|(window, number)| window.write_by(*number));
+            let write_by = if mutant("copy-unseen") { None } else { write_by() };
             if write_by.is_some_and(|by| Instant::now() >= by) {
                 if !fresh {
                     self.put_back(endpoint, link);
@@ -285,6 +292,9 @@
             link.heard.forget();
             link.heard.write_by(write_by);
             progress.begun.set(true);
+            if let Some((window, number)) = &window {
+                window.begin(*number);
+            }
             let handed = Instant::now();
             let exchange = async {
                 match link.sender.try_send_request(request).await {
@@ -355,8 +365,7 @@
         let uri = Uri::from_static("/-/load");
         let (method, headers, body) = (Method::GET, HeaderMap::new(), Bytes::new());
         let forward = Rc::new(Forward { method, uri, headers, body });
-        let attempt =
-            Attempt { forward, until: Instant::now() + PROBE, write_by: None, never_twice: false };
+        let attempt = Attempt { forward, until: Instant::now() + PROBE, window: None, never_twice: false };
         let progress = Progress::default();
         match timeout(PROBE, self.attempt(endpoint, address, attempt, &progress)).await {
             Ok(mut ended) => {
--- a/crates/runtrack/tests/orders_endpoints.rs
+++ b/crates/runtrack/tests/orders_endpoints.rs
@@ -5,8 +5,12 @@
 #[path = "support/node.rs"]
 mod support;
 
-use inside::Inside;
+use inside::{Gate, Inside};
+use runtrack::net::budget::Budget;
+use runtrack::net::config::Config;
+use runtrack::net::outbound::{Attempt, Forward, Outbound, Progress};
 use runtrack::net::socket::Socket as Noted;
+use runtrack::net::window::Window;
 use runtrack_net::{Came, Connection};
 use serde_json::json;
 use socket2::SockRef;
@@ -21,6 +25,8 @@
 use std::time::{Duration, Instant};
 use support::*;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::task::LocalSet;
+use weirwharf::{EndpointId, Outcome};
 
 const CLASSES: [&str; 3] = ["quote", "pay", "book"];
 
@@ -288,3 +294,55 @@
         assert!(taken.sends_at_once(), "one that we accept");
     });
 }
+
+/// How often an endpoint has seen a keyed request whose attempt there was chosen first and got its connection last, when
+/// a copy elsewhere had run and the window was over.
+fn seen_behind_a_copy(planted: Option<&str>) -> usize {
+    runtrack_net::plant(planted);
+    let (late, quick) = (Peer::serving("late"), Peer::serving("quick"));
+    let mut config = config(&[&late, &quick]);
+    config["settings"]["limits"]["connectTimeoutMs"] = json!(20_000.0);
+    let config = Config::parse(&config.to_string(), None, None, None).unwrap();
+    let (gate, budget) = (Gate::default(), Budget::new(config.sockets, config.memory_mb));
+    let outbound = Outbound::new(gate.network(), &config.settings, budget);
+    gate.hold(late.address);
+    let length = Duration::from_millis(50);
+    let window = Rc::new(Window::new(length));
+    let attempt = |number: usize| {
+        let mut headers = hyper::HeaderMap::new();
+        headers.insert("x-request-id", "r1".parse().unwrap());
+        let (method, uri, body) = (hyper::Method::POST, "/pay/x".parse().unwrap(), "body".into());
+        let forward = Rc::new(Forward { method, uri, headers, body });
+        let until = tokio::time::Instant::now() + PATIENCE;
+        Attempt { forward, until, window: Some((window.clone(), number)), never_twice: false }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let progress = [Progress::default(), Progress::default()];
+        let first = outbound.attempt(EndpointId(0), late.address, attempt(0), &progress[0]);
+        let copied = async {
+            while gate.waiting(late.address) == 0 {
+                tokio::task::yield_now().await;
+            }
+            let copy = outbound.attempt(EndpointId(1), quick.address, attempt(1), &progress[1]).await;
+            assert_eq!(copy.outcome, Outcome::Ok);
+            tokio::time::sleep(length).await;
+            gate.open(late.address);
+        };
+        let (first, ()) = tokio::join!(first, copied);
+        assert_eq!(
+            first.outcome == Outcome::ConnectFailed,
+            planted.is_none(),
+            "it proves that it never ran"
+        );
+    });
+    runtrack_net::plant(None);
+    assert_eq!(quick.count(), 1);
+    late.count()
+}
+
+#[test]
+fn what_was_chosen_first_and_comes_last_is_bound_by_the_copy_that_ran_meanwhile() {
+    assert_eq!(seen_behind_a_copy(None), 0);
+    assert_eq!(seen_behind_a_copy(Some("copy-unseen")), 1, "the check can fail");
+}
--- a/crates/runtrack/tests/support/inside.rs
+++ b/crates/runtrack/tests/support/inside.rs
@@ -40,6 +40,11 @@
         self.0.lock().unwrap().get(&to).copied().unwrap_or(0)
     }
 
+    /// The system's network behind this gate.
+    pub fn network(&self) -> Rc<dyn Network> {
+        Rc::new(Gated(self.clone()))
+    }
+
     fn add(&self, to: SocketAddr, change: isize) -> bool {
         let mut held = self.0.lock().unwrap();
         held.get_mut(&to).map(|count| *count = count.saturating_add_signed(change)).is_some()
@@ -106,7 +111,7 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             let ran = match Config::parse(&text, None, None, None) {
                 Ok(config) => {
-                    let run = sidecar::run(config, Rc::new(Gated(network)), Clock::start(), taken);
+                    let run = sidecar::run(config, network.network(), Clock::start(), taken);
                     LocalSet::new().block_on(&runtime, run)
                 }
                 Err(problem) => Err(problem.to_string()),
