--- a/crates/runtrack/tests/orders_lists.rs
+++ b/crates/runtrack/tests/orders_lists.rs
@@ -8,6 +8,7 @@
 
 use inside::Inside;
 use serde_json::{Value, json};
+use socket2::SockRef;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
@@ -214,3 +215,31 @@
         assert!(back.elapsed() < most, "{mode}: {:?}", back.elapsed());
     }
 }
+
+#[test]
+fn a_drain_behind_a_watch_that_was_reset_is_heard_from_the_next_one() {
+    for mode in ["subscribe", "automatic"] {
+        let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+        let discovery = Slow::new();
+        let sidecar = Inside::begin(&following(&[&old], discovery.address, mode), "");
+        let (_, mut watch) = discovery.next();
+        watch.write_all(WATCHED.as_bytes()).unwrap();
+        says(&mut watch, &list(8, false, &[target("s-new", new.address, "up")]));
+        wait_for("the listener", || sidecar.listens());
+        wait_for("the first list", || sidecar.client().ask("quote", "r1").body == b"new");
+        SockRef::from(&watch).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(watch);
+        let (call, mut again) = discovery.next();
+        assert_eq!(call, "/api/targets?watch=1&after=8", "{mode}");
+        again.write_all(WATCHED.as_bytes()).unwrap();
+        says(&mut again, &list(9, false, &[target("s-0", old.address, "draining")]));
+        wait_for("the drain", || {
+            (0..20).all(|n| sidecar.client().ask("quote", &format!("r{n}")).body == b"new")
+        });
+        let before = old.count();
+        for n in 0..20 {
+            assert_eq!(sidecar.client().ask("book", &format!("s{n}")).body, b"new", "{mode}");
+        }
+        assert_eq!(old.count(), before, "nothing new went there");
+    }
+}
