--- a/crates/runtrack/tests/orders_clients.rs
+++ b/crates/runtrack/tests/orders_clients.rs
@@ -243,3 +243,41 @@
     assert_eq!(again_by_the_same_id(""), 200);
     assert_eq!(again_by_the_same_id("RUNTRACK_MUTANT=end-unlooked-for"), 409, "the check can fail");
 }
+
+/// Whether a request was sent on whose client left while the only connection rested: a new one can't be made. None where
+/// the machine stood still for longer than a rest lasts, and the request was sent before its client could leave.
+fn sent_after_a_rest(planted: &'static str) -> Option<bool> {
+    let peer = Peer::new(|m| match m.header("x-request-id").starts_with("spoilt") {
+        true => Do::ServeAndWrite("ok", Duration::ZERO, "more than was asked".to_owned()),
+        false => Do::Serve("ok"),
+    });
+    let sidecar = Inside::start(&cancelling(&[&peer], false), planted);
+    // What comes behind answers makes the rest as long as it gets: 0.2 s.
+    for n in 0..6 {
+        sidecar.client().ask("quote", &format!("spoilt-{n}"));
+    }
+    assert_eq!(sidecar.client().ask("quote", "good").status(), 200);
+    let rested = Instant::now();
+    sidecar.gate.hold(peer.address);
+    let (before, mut client) = (peer.count(), sidecar.client());
+    client.send(&request("quote", "left", "10000m"));
+    wait_for("the request to wait, or to be sent", || sidecar.gauges().open == 1 || peer.count() > before);
+    let in_time = peer.count() == before && rested.elapsed() < Duration::from_millis(100);
+    drop(client);
+    if planted.is_empty() {
+        sidecar.at_rest();
+    }
+    // Long enough for any rest to end.
+    std::thread::sleep(GONE);
+    sidecar.gate.open(peer.address);
+    assert_eq!(sidecar.client().ask("quote", "marker").status(), 200);
+    let sent = peer.seen.lock().unwrap().iter().any(|m| m.header("x-request-id") == "left");
+    in_time.then_some(sent)
+}
+
+#[test]
+fn gone_while_the_connection_rests_nothing_is_sent() {
+    let once = |planted| (0..10).find_map(|_| sent_after_a_rest(planted)).expect("a machine that goes on");
+    assert!(!once(""));
+    assert!(once("sent-for-nobody"), "the check can fail");
+}
