Read over: one way to tell a connection, one list of requests in order, one length check

Read over: telling a connection to close and collecting requests in an order that is no hash's stood twice, as did the check of a watch's length and that of what has begun; linger kept a time that its future keeps itself; an answer looked at the shutdown twice, where the later look covers the first; the map of open ids held whole turns where what was heard is enough; a planted error that nothing uses (begun-unsaid) is gone. Behaviour as before.

--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -175,11 +175,8 @@
             let before = self.rev.get();
             let reason = self.follow().await;
             self.failed(&reason);
-            failures = match self.mode {
-                Watch::Agent => 0,
-                _ if self.rev.get() == before => failures + 1,
-                _ => 0,
-            };
+            let grows = self.mode != Watch::Agent && self.rev.get() == before;
+            failures = if grows { failures + 1 } else { 0 };
             let jitter = 0.5 + f64::from(self.draws.borrow_mut().next_u32()) / f64::from(u32::MAX);
             let doubled = BACKOFF * (1 << failures.min(BACKOFF_DOUBLES));
             tokio::time::sleep(doubled.mul_f64(jitter)).await;
@@ -212,13 +209,9 @@
                 Ok(Some(Ok(frame))) => text.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d)),
             }
             // A list ends with its line, but may be laid out over several.
-            if !text.contains(&b'\n') {
-                if text.len() > LIST_MOST {
-                    return "the watch brought too long a line".to_owned();
-                }
-                continue;
-            }
-            let (lists, rest) = match framing::whole(&text) {
+            let read =
+                if text.contains(&b'\n') { framing::whole(&text) } else { Ok((Vec::new(), text.len())) };
+            let (lists, rest) = match read {
                 Ok(read) => read,
                 // To skip a change would leave the list wrong for good: the watch begins again instead.
                 Err(e) => return format!("the watch brought what is no list: {e}"),
--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -241,9 +241,7 @@
             Input::List(news) => self.list(news),
             Input::Report(to) => drop(to.send(self.gauges())), // who asked may have gone
             Input::GiveUp => {
-                let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
-                let mut open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
-                open.sort_unstable(); // not in the order of a hash
+                let open = self.in_order(|open| open.answer.is_some());
                 log::info!("giving up {} requests", open.len());
                 for id in open {
                     if !mutant("given-up-alike") {
@@ -257,6 +255,14 @@
         }
     }
 
+    /// Such requests in the order of their coming, and not of a hash.
+    fn in_order(&self, such: impl Fn(&Open) -> bool) -> Vec<RequestId> {
+        let mut ids: Vec<RequestId> =
+            self.requests.iter().filter(|(_, open)| such(open)).map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
     fn gauges(&self) -> Gauges {
         Gauges {
             open: self.requests.len(),
@@ -376,13 +382,10 @@
         }
         // A connection may come up only after the grace: what waits for one goes elsewhere at once.
         if !withdrawn.is_empty() && !mutant("drain-waits") {
-            let waits = |tried: &Try| withdrawn.contains(&tried.endpoint) && !tried.progress.begun();
-            let open = self.requests.iter().filter(|(_, open)| open.tries.iter().any(waits));
-            let mut open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
-            open.sort_unstable(); // not in the order of a hash
-            for id in open {
+            let to = |tried: &Try| withdrawn.contains(&tried.endpoint);
+            for id in self.in_order(|open| open.tries.iter().any(to)) {
                 let tries = self.requests.get_mut(&id).into_iter().flat_map(|open| &mut open.tries);
-                tries.filter(|tried| waits(tried)).for_each(Try::withdraw);
+                tries.filter(|tried| to(tried)).for_each(Try::withdraw);
             }
         }
         self.listing.keep(|id| self.addresses.contains_key(&id));
--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -81,21 +81,21 @@
     /// The connections in the order of their coming.
     connections: RefCell<BTreeMap<u64, Rc<Turn>>>,
     /// The clients' own ids of the requests that are open, and the connections that they came on.
-    open: RefCell<HashMap<HeaderValue, Rc<Turn>>>,
+    open: RefCell<HashMap<HeaderValue, Rc<Heard>>>,
 }
 
 /// A request's own id while it is open: a second one by the same id would be taken for it.
 struct OpenId<'a> {
-    open: &'a RefCell<HashMap<HeaderValue, Rc<Turn>>>,
+    open: &'a RefCell<HashMap<HeaderValue, Rc<Heard>>>,
     id: HeaderValue,
-    turn: &'a Rc<Turn>,
+    on: &'a Rc<Heard>,
 }
 
 impl Drop for OpenId<'_> {
     fn drop(&mut self) {
         let mut open = self.open.borrow_mut();
         // Its client may have come again by the same id, and that one's is not for us to forget.
-        if open.get(&self.id).is_some_and(|turn| Rc::ptr_eq(turn, self.turn)) {
+        if open.get(&self.id).is_some_and(|on| Rc::ptr_eq(on, self.on)) {
             open.remove(&self.id);
         }
     }
@@ -288,10 +288,14 @@
     /// goes, or will as soon as its silence has lasted.
     fn make_room(&self) -> bool {
         let connections = self.connections.borrow();
-        if let Some(turn) = connections.values().find(|turn| turn.lingering.get() && !turn.closing.get()) {
+        let told = |turn: &Rc<Turn>| {
             turn.closing.set(true);
             turn.close.notify_one();
-            return true;
+            true
+        };
+        let mut lingering = connections.values().filter(|turn| turn.lingering.get() && !turn.closing.get());
+        if let Some(turn) = lingering.next() {
+            return told(turn);
         }
         let open = || connections.values().filter(|turn| !turn.closing.get() && !turn.lingering.get());
         let silent = open().find(|turn| turn.silent().is_some());
@@ -303,11 +307,7 @@
             idle.filter(|(time, _)| *time >= IDLE_LEAST).max_by_key(|(time, _)| *time).map(|(_, turn)| turn)
         };
         match silent.or_else(idle) {
-            Some(turn) => {
-                turn.closing.set(true);
-                turn.close.notify_one();
-                true
-            }
+            Some(turn) => told(turn),
             None => {
                 // One just used is likely to be used again at once, and a request that crosses our
                 // closing is lost, or sent twice: the next answer says that it is the last.
@@ -336,7 +336,6 @@
     async fn linger(&self, turn: &Turn) {
         turn.lingering.set(true);
         turn.closing.set(false);
-        let until = Instant::now() + LINGER;
         let mut lingered = pin!(turn.heard.linger(LINGER, LINGER_MOST));
         while !mutant("no-linger") {
             tokio::select! {
@@ -345,14 +344,14 @@
                 () = turn.close.notified() => {}
             }
             // What was told before belonged to the connection's life, not to its end.
-            if turn.closing.get() || Instant::now() >= until {
+            if turn.closing.get() {
                 return;
             }
         }
     }
 
     /// Serves a connection until its end.
-    async fn follow(&self, socket: Socket, shed: bool, turn: &Rc<Turn>) {
+    async fn follow(&self, socket: Socket, shed: bool, turn: &Turn) {
         let service = service_fn(|request| self.answer(request, shed, turn));
         let connection = http1::Builder::new()
             .keep_alive(!shed)
@@ -407,12 +406,12 @@
         &self,
         request: Request<Incoming>,
         shed: bool,
-        turn: &Rc<Turn>,
+        turn: &Turn,
     ) -> Result<Reply, Infallible> {
         turn.busy.set(true);
         // Who keeps a connection after the answer keeps it for 2 s at least: where those fill up, new
         // clients would find no room, while hardly anybody is being answered.
-        let mut last = self.shutting_down.get() || shed || self.budget.clients_crowd();
+        let mut last = shed || self.budget.clients_crowd();
         let mut reply = if request.uri().path() == "/-/ready" && request.body().is_end_stream() {
             // Who only asks this is no client yet: hundreds that then stayed would take the clients' room.
             last = true;
@@ -431,7 +430,7 @@
                 }
             }
         };
-        // It may have been told to end while the request was open.
+        // Asked now: it may have been told to end while the request was open.
         last |= self.shutting_down.get() && !mutant("end-unsaid");
         turn.busy.set(false);
         turn.answered.set(Some(Instant::now()));
@@ -455,7 +454,7 @@
         .await
     }
 
-    async fn serve_request(&self, request: Request<Incoming>, turn: &Rc<Turn>) -> Result<Reply, Bad> {
+    async fn serve_request(&self, request: Request<Incoming>, turn: &Turn) -> Result<Reply, Bad> {
         let (mut head, body) = request.into_parts();
         // Clients state a body's length. hyper would let chunks win over a length beside them, and take
         // what was hidden in that body for the next request.
@@ -470,7 +469,7 @@
             return Err(bad("a body where none goes"));
         }
         let id = head.headers.get("x-request-id").cloned().ok_or(bad("X-Request-ID is missing"))?;
-        let _open = self.open_id(id, turn)?;
+        let _open = self.open_id(id, &turn.heard)?;
         let mut body = pin!(Limited::new(body, BODY_MOST).collect());
         let mut read = timeout_at(turn.request_until(), body.as_mut()).await;
         if read.is_err() && turn.heard.came() == Came::Bytes {
@@ -531,15 +530,15 @@
 
     /// Notes a request's own id as open. A client that has left and come again at once may be read before the end of
     /// its old connection is: that one is looked at.
-    fn open_id<'a>(&'a self, id: HeaderValue, turn: &'a Rc<Turn>) -> Result<OpenId<'a>, Bad> {
+    fn open_id<'a>(&'a self, id: HeaderValue, on: &'a Rc<Heard>) -> Result<OpenId<'a>, Bad> {
         let mut open = self.open.borrow_mut();
         if let Some(other) = open.get(&id)
-            && (other.heard.came() != Came::End || mutant("end-unlooked-for"))
+            && (other.came() != Came::End || mutant("end-unlooked-for"))
         {
             return Err((StatusCode::CONFLICT, "a request of that id is open"));
         }
-        open.insert(id.clone(), turn.clone());
-        Ok(OpenId { open: &self.open, id, turn })
+        open.insert(id.clone(), on.clone());
+        Ok(OpenId { open: &self.open, id, on })
     }
 
     /// What the module is to know of a request, and the client's time.
--- a/crates/runtrack/src/net/outbound.rs
+++ b/crates/runtrack/src/net/outbound.rs
@@ -93,7 +93,7 @@
 impl Progress {
     /// Whether its first byte may have gone.
     pub fn begun(&self) -> bool {
-        self.begun.get() && !mutant("begun-unsaid")
+        self.begun.get()
     }
 
     /// The outcome of no longer waiting: a request not written whole proves that it never ran.
@@ -107,7 +107,7 @@
 
     /// The outcome of being stopped.
     pub fn stopped(&self) -> Outcome {
-        if self.begun.get() { Outcome::Cancelled } else { Outcome::Moot }
+        if self.begun() { Outcome::Cancelled } else { Outcome::Moot }
     }
 }
 
@@ -271,8 +271,8 @@
                 continue;
             }
             // Asked when there is a connection: that may have taken long, and another attempt may have begun meanwhile.
-            let write_by = || window.as_ref().and_then(|(window, number)| window.write_by(*number));
-            let write_by = if mutant("copy-unseen") { None } else { write_by() };
+            let write_by = window.as_ref().and_then(|(window, number)| window.write_by(*number));
+            let write_by = write_by.filter(|_| !mutant("copy-unseen"));
             if write_by.is_some_and(|by| Instant::now() >= by) {
                 if !fresh {
                     self.put_back(endpoint, link);
@@ -333,9 +333,10 @@
             match (progress.whole.get(), fresh) {
                 (true, _) if mutant("reset-never-ran") => return Ended::bare(Outcome::ConnectFailed),
                 (true, _) => return ended,
-                (false, true) => return Ended::bare(Outcome::ConnectFailed),
-                (false, false) if link.heard.refused() => return Ended::bare(Outcome::ConnectFailed),
-                (false, false) => {} // a kept connection says nothing of its endpoint: another one
+                (false, fresh) if fresh || link.heard.refused() => {
+                    return Ended::bare(Outcome::ConnectFailed);
+                }
+                (false, _) => {} // a kept connection says nothing of its endpoint: another one
             }
         }
     }
