What was not sent before its time was up is refused, whoever has the first turn

At that time two timers are due, the attempt's and the module's; where the driver has its turn first, the module counts the attempt as one that may have run, and fails the request, with no word on when to come again. Wrong: Driver::fire, which handed a timer on before the attempts of that time were heard, and GiveUp at the end of the process likewise.

The driver now ends what has not begun of overdue requests before it hands a timer on, and of all open ones before it gives them up; from then on it sends nothing.

A client gone while its attempt waits for a socket is a test again: its clients are told 100 Continue, so they are in the middle of requests and none is closed as silent. signals_before_the_configuration_is_read failed once here: its pipe had the name of the one before, whose writer wrote to it; each has a name of its own now, and its program ends with a failed test too.

--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -151,6 +151,8 @@
     listing: Rc<Listing>,
     calls: UnboundedSender<Call>,
     inbox: Inbox,
+    /// What was open has been given up, and nothing more is sent.
+    over: bool,
 }
 
 impl Driver {
@@ -179,6 +181,7 @@
             listing,
             calls,
             inbox,
+            over: false,
         }
     }
 
@@ -205,12 +208,34 @@
         }
     }
 
+    /// Ends what has not begun of requests whose time is up, before the module gives them up: an attempt tells its own end
+    /// only when its turn comes, and until then counts as one that may have run.
+    fn end_overdue(&mut self, now: Instant) {
+        if mutant("overdue-untold") {
+            return;
+        }
+        for id in self.in_order(|open| open.answer.is_some() && open.deadline <= now) {
+            self.end_unbegun(id, Outcome::ConnectFailed);
+        }
+    }
+
+    /// Ends a request's attempts that have not begun. None of their bytes has gone, and none goes from now on.
+    fn end_unbegun(&mut self, id: RequestId, outcome: Outcome) {
+        let tries = self.requests.get(&id).map_or(&[][..], |open| &open.tries);
+        let waits = |tried: &Try| tried.cancel.is_some() && !tried.progress.begun();
+        let unbegun: Vec<usize> = (0..tries.len()).filter(|&number| waits(&tries[number])).collect();
+        for number in unbegun {
+            self.attempt_ended(id, AttemptNo(number as u32), Ended::bare(outcome));
+        }
+    }
+
     fn fire(&mut self) {
         let now = Instant::now();
         while let Some(&Reverse((at, token))) = self.timers.peek()
             && at <= now
         {
             self.timers.pop();
+            self.end_overdue(now);
             self.handle(Event::Timer(TimerToken(token)));
         }
         if now >= self.summary_at {
@@ -243,8 +268,10 @@
             Input::GiveUp => {
                 let open = self.in_order(|open| open.answer.is_some());
                 log::info!("giving up {} requests", open.len());
+                self.over = !mutant("over-unsaid");
                 for id in open {
                     if !mutant("given-up-alike") {
+                        self.end_unbegun(id, Outcome::Moot);
                         self.handle(Event::GiveUp(id));
                     }
                     // The module's word on it has come; without one it has failed all the same.
@@ -451,7 +478,8 @@
         let (now, attempt) = (Instant::now(), AttemptNo(open.tries.len() as u32));
         let address = self.addresses.get(&endpoint).copied();
         let until = open.deadline.min(now + timeout);
-        let moot = open.answer.is_none() || open.tries.len() >= self.max_attempts || until <= now;
+        let moot =
+            self.over || open.answer.is_none() || open.tries.len() >= self.max_attempts || until <= now;
         let Some(address) = address.filter(|_| !moot) else {
             let progress = Progress::default();
             open.tries.push(Try { endpoint, sent: now, cancel: None, progress });
--- a/crates/runtrack/tests/orders_clients.rs
+++ b/crates/runtrack/tests/orders_clients.rs
@@ -9,6 +9,8 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 use std::net::Shutdown;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -122,6 +124,65 @@
     assert_eq!(peer.count(), 1);
 }
 
+/// Whether a request was sent on whose client left while the attempt waited for a socket of the budget.
+fn sent_once_a_socket_is_free(planted: &'static str) -> bool {
+    let free = Arc::new(AtomicBool::new(false));
+    let peers: Vec<Peer> = (0..6)
+        .map(|_| {
+            let held = free.clone();
+            Peer::new(move |_| {
+                wait_for("the endpoint's leave", || held.load(Ordering::SeqCst));
+                Do::Serve("ok")
+            })
+        })
+        .collect();
+    let mut config = cancelling(&peers.iter().collect::<Vec<_>>(), false);
+    // Sixteen sockets: ten for clients, six are left for their requests.
+    config["limits"]["sockets"] = json!(64);
+    let sidecar = Inside::start(&config, planted);
+    let mut clients: Vec<Client> = (0..10).map(|_| sidecar.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        // Who is told to go on has been taken in, and is no silent client that may be closed to make room.
+        let text = request("book", &format!("r{n}"), "20000m");
+        let (head, _) = text.split_once("\r\n\r\n").unwrap();
+        client.send(&format!("{head}\r\nExpect: 100-continue\r\n\r\n"));
+        assert_eq!(client.receive().map(|told| told.status()), Some(100));
+    }
+    let mut whole = |n: usize| {
+        clients[n].send("body");
+        sidecar.wait_open(n + 1);
+    };
+    (0..6).for_each(&mut whole);
+    let seen = || peers.iter().map(Peer::count).sum::<usize>();
+    wait_for("six attempts", || {
+        peers.iter().map(|p| p.connections.load(Ordering::SeqCst)).sum::<usize>() == 6
+    });
+    whole(6);
+    wait_for("the seventh attempt", || sidecar.gauges().attempts == 7);
+    drop(clients.remove(6));
+    if planted.is_empty() {
+        sidecar.wait_open(6);
+    } else {
+        std::thread::sleep(GONE); // it goes on waiting, whatever the time
+    }
+    free.store(true, Ordering::SeqCst);
+    for client in clients.iter_mut().take(6) {
+        assert_eq!(client.receive().map(|answer| answer.status()), Some(200));
+    }
+    if planted.is_empty() {
+        sidecar.at_rest();
+    } else {
+        wait_for("what was sent for nobody", || seen() == 7);
+    }
+    seen() == 7
+}
+
+#[test]
+fn gone_while_it_waits_for_a_socket_of_the_budget_nothing_is_sent() {
+    assert!(!sent_once_a_socket_is_free(""));
+    assert!(sent_once_a_socket_is_free("sent-for-nobody"), "the check can fail");
+}
+
 #[test]
 fn gone_after_it_was_written_it_is_cancelled_where_that_is_allowed_and_never_copied() {
     for class in ["quote", "pay", "book"] {
--- a/crates/runtrack/tests/orders_endpoints.rs
+++ b/crates/runtrack/tests/orders_endpoints.rs
@@ -70,6 +70,33 @@
     }
 }
 
+/// What a request is told whose time was up while the process stood still and its connection was coming up, where an
+/// attempt's end is read before that attempt has its turn; and whether it is told when to come again.
+fn told_behind_a_standstill(class: &str, planted: &'static str) -> (u16, bool) {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["settings"]["limits"]["connectTimeoutMs"] = json!(20_000.0);
+    let sidecar = Inside::start(&config, planted);
+    sidecar.gate.hold(peer.address);
+    let (mut over, mut other) = (sidecar.client(), sidecar.client());
+    over.send(&request(class, "over", "1000m"));
+    wait_for("the connection", || sidecar.gate.waiting(peer.address) == 1);
+    // The other one's attempt fails behind the first one's time: with its end the driver looks at the time.
+    sidecar.gate.stand_still(peer.address, Instant::now() + Duration::from_millis(1100));
+    other.send(&request("quote", "other", "10000m"));
+    let answer = over.receive().expect("an answer");
+    assert_eq!(peer.count(), 0);
+    (answer.status(), !answer.header("retry-after").is_empty())
+}
+
+#[test]
+fn what_was_not_sent_before_its_time_was_up_is_refused_whoever_has_the_first_turn() {
+    for class in CLASSES {
+        assert_eq!(told_behind_a_standstill(class, ""), (503, true), "{class}");
+    }
+    assert_eq!(told_behind_a_standstill("book", "overdue-untold").0, 502, "the check can fail");
+}
+
 /// An endpoint that reads whole requests, waits for its leave, writes this, and resets the connection; its address, and
 /// how many requests it has read.
 fn resetting(text: &'static str, free: Arc<AtomicBool>) -> (SocketAddr, Arc<AtomicUsize>) {
--- a/crates/runtrack/tests/orders_shutdown.rs
+++ b/crates/runtrack/tests/orders_shutdown.rs
@@ -12,7 +12,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -35,7 +35,10 @@
 
 impl Starting {
     fn new(planted: &str) -> Starting {
-        let name = format!("runtrack-fifo-{}-{planted}", std::process::id());
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        // A name of its own: who writes for the one before would write for this one too.
+        let number = STARTED.fetch_add(1, Ordering::SeqCst);
+        let name = format!("runtrack-fifo-{}-{number}", std::process::id());
         let fifo = std::env::temp_dir().join(name);
         let _ = std::fs::remove_file(&fifo);
         assert!(Command::new("mkfifo").arg(&fifo).status().unwrap().success());
@@ -44,16 +47,15 @@
             command.env_remove(name);
         }
         command.env("ROUTER_CONFIG", &fifo).env("RUNTRACK_MUTANT", planted).stderr(Stdio::null());
-        let child = command.spawn().unwrap();
+        let starting = Starting { child: command.spawn().unwrap(), fifo };
         // It sleeps only where it waits for the file to be written.
         let opens = |pid: u32| {
             let stack = std::fs::read_to_string(format!("/proc/{pid}/syscall")).unwrap_or_default();
             let word = stack.split(' ').next().unwrap_or_default().to_owned();
             word == libc_openat()
         };
-        let pid = child.id();
-        wait_for("the program to open its file", || opens(pid));
-        Starting { child, fifo }
+        wait_for("the program to open its file", || opens(starting.child.id()));
+        starting
     }
 
     fn signal(&self, signal: &str) {
@@ -268,24 +270,47 @@
     }
 }
 
-/// What a request that the module holds, with no attempt yet, is told at the end.
-fn held_to_the_end(planted: &'static str) -> (u16, bool) {
-    let mut config = config(&[]);
-    config["settings"]["classes"][1]["deadlineMs"] = json!(8000.0);
+/// What a request that was never sent on is told at the end: the module holds it, or its attempt waits for a connection.
+fn held_to_the_end(connecting: bool, class: &str, planted: &'static str) -> (u16, bool) {
+    let peer = Peer::serving("ok");
+    let listed = if connecting { vec![&peer] } else { Vec::new() };
+    let mut config = config(&listed);
+    for class in config["settings"]["classes"].as_array_mut().unwrap() {
+        class["deadlineMs"] = json!(8000.0);
+    }
+    config["settings"]["limits"]["connectTimeoutMs"] = json!(20_000.0);
     let sidecar = Inside::start(&config, planted);
+    sidecar.gate.hold(peer.address);
     let mut client = sidecar.client();
-    client.send(&request("book", "r1", "8000m"));
+    client.send(&request(class, "r1", "8000m"));
     sidecar.wait_open(1);
+    wait_for("the attempt", || sidecar.gate.waiting(peer.address) == usize::from(connecting));
     sidecar.drain();
     let answer = client.receive().expect("an answer before the end");
     assert_eq!(sidecar.ended(), Ok(()));
+    assert_eq!(peer.count(), 0);
     (answer.status(), !answer.header("retry-after").is_empty())
 }
 
 #[test]
 fn what_was_never_sent_on_is_refused_at_the_end_and_told_when_to_come_again() {
-    assert_eq!(held_to_the_end(""), (503, true));
-    assert_eq!(held_to_the_end("given-up-alike").0, 502, "the check can fail");
+    // Side by side: each takes until what is open is given up.
+    std::thread::scope(|all| {
+        for connecting in [false, true] {
+            for class in ["quote", "pay", "book"] {
+                all.spawn(move || {
+                    assert_eq!(held_to_the_end(connecting, class, ""), (503, true), "{class} {connecting}");
+                });
+            }
+            all.spawn(move || {
+                assert_eq!(
+                    held_to_the_end(connecting, "book", "given-up-alike").0,
+                    502,
+                    "the check can fail"
+                );
+            });
+        }
+    });
 }
 
 #[test]
--- a/crates/runtrack/tests/support/inside.rs
+++ b/crates/runtrack/tests/support/inside.rs
@@ -15,14 +15,17 @@
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
 /// Where connections are held back, and how many wait there.
 #[derive(Clone, Default)]
-pub struct Gate(Arc<Mutex<HashMap<SocketAddr, usize>>>);
+pub struct Gate(Arc<Mutex<HashMap<SocketAddr, usize>>>, Arc<Mutex<Option<Still>>>);
+
+/// The process stands still until then, as one attempt has its turn to wait for a connection to there.
+struct Still(SocketAddr, Instant);
 
 impl Gate {
     /// No connection to there comes up from now on.
@@ -40,6 +43,15 @@
         self.0.lock().unwrap().get(&to).copied().unwrap_or(0)
     }
 
+    /// The next connection that is made to there takes all of the process's time until then, and fails.
+    pub fn stand_still(&self, to: SocketAddr, until: Instant) {
+        *self.1.lock().unwrap() = Some(Still(to, until));
+    }
+
+    fn stands_still(&self, to: SocketAddr) -> Option<Instant> {
+        self.1.lock().unwrap().take_if(|still| still.0 == to).map(|Still(_, until)| until)
+    }
+
     /// The system's network behind this gate.
     pub fn network(&self) -> Rc<dyn Network> {
         Rc::new(Gated(self.clone()))
@@ -66,6 +78,11 @@
     fn connect(&self, to: SocketAddr) -> Connecting {
         let gate = self.0.clone();
         Box::pin(async move {
+            if let Some(until) = gate.stands_still(to) {
+                // Its thread is the whole process: nothing else has a turn meanwhile.
+                std::thread::sleep(until.saturating_duration_since(Instant::now()));
+                return Err(io::ErrorKind::ConnectionRefused.into());
+            }
             if gate.add(to, 1) {
                 let _waits = Waits(&gate, to);
                 while gate.add(to, 0) {
