The wait after failed calls to discovery is 6 s at most, and no longer 1.5 s

Calls that are refused after their wait take their part of discovery's time, so that too many that come again soon keep each other out for good.

--- a/crates/weirwharf/src/balance.rs
+++ b/crates/weirwharf/src/balance.rs
@@ -112,11 +112,12 @@
 const PATIENT_PART: f64 = 0.25;
 /// A tenant is over its share beyond this multiple of what the median tenant uses of its own.
 const SHARE_SLACK: f64 = 1.5;
-/// First wait before discovery is asked again after a failure, up to half of it sooner or later ...
+/// First wait before discovery is asked again after a failure, up to half of it sooner or later; doubles ...
 const ASK_BACKOFF: f64 = 0.5;
-/// ... and the longest: what discovery has to tell counts as told after 6 s (PROTOCOL, "Figures"), of which half goes
-/// into a call that is given up. The wait has a quarter at most, half as much again as this, the next call the last.
-const ASK_BACKOFF_MOST: f64 = 1.0;
+/// ... up to this: what discovery has to tell counts as told after 6 s (PROTOCOL, "Figures"), and with half as much
+/// again the wait is no longer. Nor much shorter: calls that are refused take their part of discovery's time, and
+/// where it has many callers, those that came again sooner would keep each other out for good.
+const ASK_BACKOFF_MOST: f64 = 4.0;
 
 /// What an attempt is known to have done.
 #[derive(Clone, Copy, PartialEq)]
