A whole list that falls silent in the middle is asked for anew in its answer's time

After a move the new server's whole list is asked for first. The connection had 0.5 s and the answer's head 1 s with an agent, and then the body 3 s of its own (Client::fetch): an answer that begins late and falls silent in the middle was asked for anew after 4.2 to 4.7 s, where what discovery has to tell counts as told 4 s after SIGHUP. Found by reading. Now connection, head and body have their time in one, 1.5 s with an agent and 4 s elsewhere, where it was 7. Test: a_whole_list_that_falls_silent_in_the_middle..., on a paused clock (4.4 s without the mend).

--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -232,17 +232,27 @@
     }
 
     async fn fetch(&self) -> Result<List, String> {
-        let (response, _connection) = self.call("/api/targets").await?;
-        let body = timeout(ANSWER, Limited::new(response.into_body(), LIST_MOST).collect()).await;
-        let body = body.map_err(|_| "the list never came".to_owned())?.map_err(|e| e.to_string())?;
+        let whole = async {
+            let (response, _connection) = self.call("/api/targets").await?;
+            Limited::new(response.into_body(), LIST_MOST).collect().await.map_err(|e| e.to_string())
+        };
+        // As long as for an answer's beginning: one that falls silent in the middle is asked for anew as soon.
+        let (connect, answer) = self.limits();
+        let body =
+            timeout(connect + answer, whole).await.map_err(|_| "the list never came".to_owned())??;
         serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("no list: {e}"))
     }
 
-    async fn call(&self, path: &str) -> Result<(Response<Incoming>, JoinSet<hyper::Result<()>>), String> {
-        let (connect, answer) = match self.mode {
+    /// How long a connection to discovery and its answer may take.
+    fn limits(&self) -> (Duration, Duration) {
+        match self.mode {
             Watch::Agent => (AGENT_CONNECT, AGENT_ANSWER),
             Watch::Kept | Watch::Asked => (CONNECT, ANSWER),
-        };
+        }
+    }
+
+    async fn call(&self, path: &str) -> Result<(Response<Incoming>, JoinSet<hyper::Result<()>>), String> {
+        let (connect, answer) = self.limits();
         let connect = timeout(connect, self.network.connect(self.address.get())).await;
         let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
--- a/crates/discovery/tests/silence.rs
+++ b/crates/discovery/tests/silence.rs
@@ -63,6 +63,10 @@
     Body(Vec<String>),
     /// The same, and an empty line every two seconds.
     Alive(Vec<String>),
+    /// The head comes after so long, with the first half of this.
+    LateAndHalf(Duration, String),
+    /// This comes as the whole body.
+    Whole(String),
 }
 
 /// Answers one connection after the other as the script says, the last one for ever.
@@ -100,6 +104,17 @@
     let _ = asked.send(line);
     let (pieces, alive) = match does {
         Does::Hangs | Does::Mute => return std::future::pending().await,
+        Does::Whole(text) => {
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+            let _ = stream.write_all(answer.as_bytes()).await;
+            return;
+        }
+        Does::LateAndHalf(wait, text) => {
+            sleep(wait).await;
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+            let _ = stream.write_all(format!("{head}{}", &text[..text.len() / 2]).as_bytes()).await;
+            return std::future::pending().await;
+        }
         Does::HeadAlone => (Vec::new(), false),
         Does::Body(pieces) => (pieces, false),
         Does::Alive(pieces) => (pieces, true),
@@ -249,3 +264,17 @@
     assert_eq!(asked[0], "GET /api/targets?watch=1&after=7 HTTP/1.1");
     assert_eq!(asked[1], "GET /api/targets HTTP/1.1", "{lists:?}");
 }
+
+/// With a new configuration discovery is at another address, where the whole list is asked for first. What that has to
+/// tell counts as told 4 s later, also where its first answer falls silent in the middle.
+#[test]
+fn a_whole_list_that_falls_silent_in_the_middle_is_asked_for_anew_in_time() {
+    for seed in 0..20 {
+        let half = Does::LateAndHalf(Duration::from_millis(900), line(9, true));
+        let script = vec![changes(3), half, Does::Whole(line(9, true)), Does::Alive(Vec::new())];
+        let (lists, asked) = told(Watch::Agent, script, seed, TOLD);
+        let nine = lists.iter().find(|(_, list)| list.rev == 9).expect("the whole list");
+        assert!(nine.0 < Duration::from_secs(4), "{seed}: {:?}", nine.0);
+        assert_eq!(asked[1..3], ["GET /api/targets HTTP/1.1", "GET /api/targets HTTP/1.1"]);
+    }
+}
