--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -806,34 +806,42 @@
             self.launch(place)?;
         }
         let end = Instant::now() + BACK;
-        let mut waits: BTreeMap<String, bool> = BTreeMap::new();
+        // What is waited for, whether it is so, and what is to be seen instead.
+        let mut waits: BTreeMap<String, (bool, String)> = BTreeMap::new();
         loop {
             let mut newest = 0;
             for place in 0..self.script.instances as usize {
                 let said = self.get(place, "/cluster").await.unwrap_or_default();
                 newest = newest.max(said["serial"].as_u64().unwrap_or(0));
-                waits.insert(format!("i{place} is in touch with a majority"), said["majority"] == true);
+                let seen = format!("serial {}, majority {}", said["serial"], said["majority"]);
+                waits.insert(
+                    format!("i{place} is in touch with a majority"),
+                    (said["majority"] == true, seen),
+                );
             }
             let drained = locked(&self.drained).len().min(ENDPOINTS - 2);
             for (n, proxy) in locked(&self.proxies).iter().enumerate() {
-                let (serial, ready) = proxy.proxy.with(|state| {
+                let (serial, ready, streams) = proxy.proxy.with(|state| {
                     let clusters = state.told.last().map(|told| told.clusters.clone()).unwrap_or_default();
-                    (clusters.iter().filter_map(|name| serial_of(name)).max(), state.ready("p").len())
+                    let serial = clusters.iter().filter_map(|name| serial_of(name)).max();
+                    (serial, state.ready("p").len(), state.streams)
                 });
                 // Commits go on meanwhile: a proxy may be one behind.
                 let current = serial.is_some_and(|serial| serial + 1 >= newest);
-                waits.insert(format!("p{n} has the newest version"), current);
-                waits.insert(
-                    format!("p{n} knows of all drains and no others"),
-                    ready == ENDPOINTS - drained,
-                );
-            }
-            if waits.values().all(|well| *well) || Instant::now() >= end {
+                let at = proxy.at;
+                let seen = format!("{serial:?} of {newest}, at i{at}, on its stream {streams}");
+                waits.insert(format!("p{n} has the newest version"), (current, seen));
+                let seen = format!("{ready} of {}, at i{at}", ENDPOINTS - drained);
+                let known = ready == ENDPOINTS - drained;
+                waits.insert(format!("p{n} knows of all drains and no others"), (known, seen));
+            }
+            if waits.values().all(|(well, _)| *well) || Instant::now() >= end {
                 break;
             }
             sleep(LOOK).await;
         }
-        for (what, well) in waits {
+        for (what, (well, seen)) in waits {
+            let what = if well { what } else { format!("{what}: {seen}") };
             self.history.now_that("rig", Did::Back { what, well });
         }
         Ok(())
