A crowd that says nothing does not cut off who waits behind it at the end

Found by reading: at the end the backlog counted as empty once nothing came out of it for 30 ms, but that time also held the wait for room. Where a crowd connects and says nothing while all clients' places are taken, room comes only when a silent one's 50 ms are over, so the listener was closed, and all that lay behind was reset, requests among it (serve, BACKLOG_EMPTY). And room came slowly: silent connections over the cap were closed one after another before the next was told off, though that makes no client's place (make_room); each lingered, and while ending was given 200 ms more as if it were about to write.

Now the 30 ms count only where there is room for one more; those over the cap make room for their like alone; who makes room by its silence neither lingers nor is waited for. Test: a_crowd_that_says_nothing..., 600 silent ones and a request behind them: refused, told when to come again; reset without the mend (planted: crowd-is-empty).

--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -17,6 +17,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -120,6 +121,8 @@
 struct Turn {
     heard: Rc<Heard>,
     accepted: Instant,
+    /// There was no room for it: it is only to be told so.
+    shed: bool,
     /// A request is being read or answered.
     busy: Cell<bool>,
     /// When the last answer was given; none on a new connection.
@@ -221,7 +224,8 @@
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + SHUTDOWN_SLACK;
         // What still waits in the backlog counts as taken: closing the listener would reset it.
-        while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&*listener)).await.is_ok() {}
+        // A wait for room says nothing of the backlog: behind a crowd that is let go there may be requests.
+        while let Ok(true) = timeout_at(until, self.accept_within(&*listener, BACKLOG_EMPTY)).await {}
         drop(listener);
         self.connections.borrow().values().for_each(|turn| turn.close.notify_one());
         if !mutant("lost-on-term") && timeout_at(until, self.all_gone()).await.is_err() {
@@ -241,17 +245,34 @@
     /// Accepts one connection, once there is room for it.
     async fn accept(self: &Rc<Self>, listener: &dyn Listener) {
         let permit = self.room().await;
-        match poll_fn(|cx| listener.poll_accept(cx)).await {
+        let accepted = poll_fn(|cx| listener.poll_accept(cx)).await;
+        self.take(accepted, permit).await;
+    }
+
+    /// The same, where one comes within this time of there being room; whether one did.
+    async fn accept_within(self: &Rc<Self>, listener: &dyn Listener, time: Duration) -> bool {
+        let wait = if mutant("crowd-is-empty") { time } else { Duration::MAX };
+        let Ok(permit) = timeout(wait, self.room()).await else { return false };
+        let Ok(accepted) = timeout(time, poll_fn(|cx| listener.poll_accept(cx))).await else {
+            return false;
+        };
+        self.take(accepted, permit).await;
+        true
+    }
+
+    /// Takes a connection in and serves it, or waits for a moment where there was none to take.
+    async fn take(self: &Rc<Self>, accepted: io::Result<Box<dyn Connection>>, permit: Option<Permit>) {
+        match accepted {
             Ok(stream) => {
                 self.failing.set(false);
                 let permit = permit.or_else(|| self.budget.take(Holder::Client));
                 let shed = permit.is_none();
                 let permit = permit.or_else(|| self.budget.take(Holder::Shed));
-                let (socket, turn, number) = self.take_in(stream);
+                let (socket, turn, number) = self.take_in(stream, shed);
                 let this = self.clone();
                 spawn_local(async move {
                     let _permit = permit;
-                    this.follow(socket, shed, &turn).await;
+                    this.follow(socket, &turn).await;
                     this.linger(&turn).await;
                     this.connections.borrow_mut().remove(&number);
                 });
@@ -273,11 +294,12 @@
             if let Some(permit) = self.budget.take(Holder::Client) {
                 return Some(permit);
             }
-            if !self.make_room()
-                && let Some(permit) = self.budget.take(Holder::Shed)
-            {
-                drop(permit);
-                return None;
+            if !self.make_room(false) {
+                if let Some(permit) = self.budget.take(Holder::Shed) {
+                    drop(permit);
+                    return None;
+                }
+                self.make_room(true);
             }
             let _ = timeout(ROOM_RECHECK, self.budget.freed()).await;
         }
@@ -285,19 +307,20 @@
 
     /// Closes the connection that is missed least: who has been silent longest, else who has been idle
     /// longest. Where there is none, somebody's next answer will be the connection's last. Whether one
-    /// goes, or will as soon as its silence has lasted.
-    fn make_room(&self) -> bool {
+    /// goes, or will as soon as its silence has lasted. Those over the cap make room for their like alone.
+    fn make_room(&self, shed: bool) -> bool {
         let connections = self.connections.borrow();
+        let alike = || connections.values().filter(|turn| turn.shed == shed || mutant("crowd-is-empty"));
         let told = |turn: &Rc<Turn>| {
             turn.closing.set(true);
             turn.close.notify_one();
             true
         };
-        let mut lingering = connections.values().filter(|turn| turn.lingering.get() && !turn.closing.get());
+        let mut lingering = alike().filter(|turn| turn.lingering.get() && !turn.closing.get());
         if let Some(turn) = lingering.next() {
             return told(turn);
         }
-        let open = || connections.values().filter(|turn| !turn.closing.get() && !turn.lingering.get());
+        let open = || alike().filter(|turn| !turn.closing.get() && !turn.lingering.get());
         let silent = open().find(|turn| turn.silent().is_some());
         if silent.is_some_and(|turn| turn.silent().is_some_and(|time| time < SILENT_LEAST)) {
             return true;
@@ -320,11 +343,11 @@
     }
 
     /// Notes a new connection, at once: what is told to all connections is told to it too.
-    fn take_in(&self, stream: Box<dyn Connection>) -> (Socket, Rc<Turn>, u64) {
+    fn take_in(&self, stream: Box<dyn Connection>, shed: bool) -> (Socket, Rc<Turn>, u64) {
         let (socket, heard) = Socket::new(stream);
         let (busy, answered, last, closing, lingering, close) = Default::default();
         let accepted = Instant::now();
-        let turn = Rc::new(Turn { heard, accepted, busy, answered, last, closing, lingering, close });
+        let turn = Rc::new(Turn { heard, accepted, shed, busy, answered, last, closing, lingering, close });
         let number = self.next.get();
         self.next.set(number + 1);
         self.connections.borrow_mut().insert(number, turn.clone());
@@ -334,8 +357,11 @@
     /// Waits, for a while, until the client has read what we have written and ends its side too. Where room is wanted
     /// this is cut short.
     async fn linger(&self, turn: &Turn) {
+        if turn.closing.replace(false) && turn.answered.get().is_none() && turn.heard.came() != Came::Bytes
+        {
+            return; // it made room by its silence: there is nothing that the close could take along
+        }
         turn.lingering.set(true);
-        turn.closing.set(false);
         let mut lingered = pin!(turn.heard.linger(LINGER, LINGER_MOST));
         while !mutant("no-linger") {
             tokio::select! {
@@ -351,10 +377,10 @@
     }
 
     /// Serves a connection until its end.
-    async fn follow(&self, socket: Socket, shed: bool, turn: &Turn) {
-        let service = service_fn(|request| self.answer(request, shed, turn));
+    async fn follow(&self, socket: Socket, turn: &Turn) {
+        let service = service_fn(|request| self.answer(request, turn));
         let connection = http1::Builder::new()
-            .keep_alive(!shed)
+            .keep_alive(!turn.shed)
             .max_buf_size(BUFFER_MOST)
             .serve_connection(TokioIo::new(socket), service);
         let mut connection = pin!(connection);
@@ -368,7 +394,7 @@
                 () = turn.close.notified() => {
                     if turn.busy.get() {
                         turn.last.set(true);
-                    } else if self.shutting_down.get() && turn.answered.get().is_none() {
+                    } else if self.shutting_down.get() && turn.answered.get().is_none() && !turn.closing.get() {
                         // The first request is as good as taken: to close now would lose what the
                         // client is just writing.
                         fresh_until = Some(Instant::now() + FRESH_WAIT);
@@ -402,23 +428,18 @@
         }
     }
 
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-        shed: bool,
-        turn: &Turn,
-    ) -> Result<Reply, Infallible> {
+    async fn answer(&self, request: Request<Incoming>, turn: &Turn) -> Result<Reply, Infallible> {
         turn.busy.set(true);
         // Who keeps a connection after the answer keeps it for 2 s at least: where those fill up, new
         // clients would find no room, while hardly anybody is being answered.
-        let mut last = shed || self.budget.clients_crowd();
+        let mut last = turn.shed || self.budget.clients_crowd();
         let mut reply = if request.uri().path() == "/-/ready" && request.body().is_end_stream() {
             // Who only asks this is no client yet: hundreds that then stayed would take the clients' room.
             last = true;
             let status =
                 if self.shutting_down.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
-        } else if shed {
+        } else if turn.shed {
             come_again("too many connections")
         } else {
             match self.serve_request(request, turn).await {
--- a/crates/runtrack/tests/orders_shutdown.rs
+++ b/crates/runtrack/tests/orders_shutdown.rs
@@ -270,6 +270,33 @@
     }
 }
 
+/// What is told a request that lies in the backlog behind a crowd that connects and says nothing, as the process ends.
+fn told_behind_a_crowd(planted: &'static str) -> Option<u16> {
+    let peer = Peer::new(|_| Do::Silence);
+    let mut config = config(&[&peer]);
+    // Sixteen sockets: ten for clients, all of whom wait for an answer.
+    config["limits"]["sockets"] = json!(64);
+    let sidecar = Inside::start(&config, planted);
+    let mut open: Vec<Client> = (0..10).map(|_| sidecar.client()).collect();
+    for (n, client) in open.iter_mut().enumerate() {
+        client.send(&request("book", &format!("open-{n}"), "20000m"));
+        sidecar.wait_open(n + 1);
+    }
+    sidecar.order_drain();
+    // Two dozen find room to be told that there is none; each is let go 50 ms later. New ones are looked for during
+    // 0.5 s, then the backlog is emptied, in which there are still hundreds, and one with a request behind them.
+    let _crowd: Vec<Client> = (0..600).map(|_| sidecar.client()).collect();
+    let mut late = sidecar.client();
+    late.send(&request("quote", "late", "20000m"));
+    late.receive().map(|answer| answer.status())
+}
+
+#[test]
+fn a_crowd_that_says_nothing_does_not_cut_off_who_waits_behind_it_at_the_end() {
+    assert_eq!(told_behind_a_crowd(""), Some(503));
+    assert_eq!(told_behind_a_crowd("crowd-is-empty"), None, "the check can fail");
+}
+
 /// What a request that was never sent on is told at the end: the module holds it, or its attempt waits for a connection.
 fn held_to_the_end(connecting: bool, class: &str, planted: &'static str) -> (u16, bool) {
     let peer = Peer::serving("ok");
