The control service opens its admin socket before its admin address

Whoever waits for the service by its address may now count on both. The order of two lines in serve; the test as it was passes, and is the guard where the machine is slow.

--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -79,14 +79,15 @@
     let mut agreed = shared.cluster.as_ref().map(Handle::watch);
     let listener = TcpListener::bind(settings.listen).await;
     let listener = listener.map_err(system(format!("listen: {}", settings.listen)))?;
-    if let Some(at) = settings.admin {
-        let admin = TcpListener::bind(at).await.map_err(system(format!("admin: {at}")))?;
-        tokio::spawn(admin::serve(admin, shared.clone()));
-    }
+    // The socket first: whoever finds the service at its address finds it there too.
     if let Some(at) = &settings.admin_socket {
         let socket = admin::bind_socket(at).map_err(system(format!("admin_socket: {}", at.display())))?;
         tokio::spawn(admin::serve(socket, shared.clone()));
     }
+    if let Some(at) = settings.admin {
+        let admin = TcpListener::bind(at).await.map_err(system(format!("admin: {at}")))?;
+        tokio::spawn(admin::serve(admin, shared.clone()));
+    }
     let mut server = server(&settings)?;
     let incoming = Incoming::new(listener, settings.limits.connections);
     let router = server
