Who finds no room is told when to come again as the settings allow

A refusal over the cap, and of what comes whole when all is over, said Retry-After: 0.5 whatever limits.retryAfter and limits.maxRetryAfterMs are: a default that won over the settings (come_again). Found by reading. Now it says nothing where clients are told nothing, and no more than they wait. Test: who_finds_no_room..., three settings; planted: retry-unasked.

--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -36,8 +36,8 @@
 const UNREAD_WAIT: Duration = Duration::from_millis(50);
 /// A connection is closed once it has been between requests for this long.
 const IDLE_MOST: Duration = Duration::from_secs(20);
-/// When a client that found no room is to come back, in seconds.
-const SHED_RETRY: &str = "0.5";
+/// When a client that found no room is to come back, where the settings let it be told and wait so long.
+const SHED_RETRY: Duration = Duration::from_millis(500);
 /// How often a connection looks whether its time is up.
 const TICK: Duration = Duration::from_millis(500);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
@@ -440,7 +440,7 @@
                 if self.shutting_down.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
         } else if turn.shed {
-            come_again("too many connections")
+            self.come_again("too many connections")
         } else {
             match self.serve_request(request, turn).await {
                 Ok(reply) => reply,
@@ -462,6 +462,13 @@
         Ok(reply)
     }
 
+    /// A refusal of what was never sent on, wherever it is tried next.
+    fn come_again(&self, why: &'static str) -> Reply {
+        let limits = &self.settings.limits;
+        let by_settings = limits.retry_after || mutant("retry-unasked");
+        refusal(why, by_settings.then(|| SHED_RETRY.min(limits.max_retry_after)))
+    }
+
     /// Waits for something that comes to the client's connection, or is refused because the client
     /// goes on sending: one request at a time is the rule, and what is behind it is no request of ours.
     async fn undisturbed<F: Future>(turn: &Turn, future: F) -> Result<F::Output, Bad> {
@@ -507,7 +514,7 @@
         };
         Self::undisturbed(turn, std::future::ready(())).await?;
         if self.over.get() && !mutant("over-unsaid") {
-            return Ok(come_again("ending"));
+            return Ok(self.come_again("ending"));
         }
         // The client counts from its last byte.
         let came = Instant::now();
@@ -535,15 +542,7 @@
         waiting.answered = answer.is_ok();
         Ok(match answer {
             Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
-            Ok(Ok(Answer::Refused(retry_after))) => {
-                let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-                if let Some(wait) = retry_after
-                    && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()))
-                {
-                    reply.headers_mut().insert(header::RETRY_AFTER, value);
-                }
-                reply
-            }
+            Ok(Ok(Answer::Refused(retry_after))) => refusal("refused", retry_after),
             Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
             Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
         })
@@ -636,10 +635,14 @@
     (StatusCode::BAD_REQUEST, problem)
 }
 
-/// A refusal of what was never sent on, wherever it is tried next.
-fn come_again(why: &'static str) -> Reply {
+/// A refusal, which may tell when to come again.
+fn refusal(why: &'static str, retry_after: Option<Duration>) -> Reply {
     let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, why);
-    reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(SHED_RETRY));
+    if let Some(wait) = retry_after
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()))
+    {
+        reply.headers_mut().insert(header::RETRY_AFTER, value);
+    }
     reply
 }
 
--- a/crates/runtrack/tests/orders_settings.rs
+++ b/crates/runtrack/tests/orders_settings.rs
@@ -234,3 +234,30 @@
     check_two(&Inside::start(&two(), ""));
     check_one(&Inside::start(&one(), ""));
 }
+
+/// What a client over the cap is told of when to come again, with these settings.
+fn told_over_the_cap(may: bool, most_ms: f64, planted: &'static str) -> String {
+    let peer = Peer::new(|_| Do::Silence);
+    let mut config = config(&[&peer]);
+    // Sixteen sockets: ten for clients, all of whom wait for an answer.
+    config["limits"]["sockets"] = json!(64);
+    config["settings"]["limits"]["retryAfter"] = json!(may);
+    config["settings"]["limits"]["maxRetryAfterMs"] = json!(most_ms);
+    let sidecar = Inside::start(&config, planted);
+    let mut open: Vec<Client> = (0..10).map(|_| sidecar.client()).collect();
+    for (n, client) in open.iter_mut().enumerate() {
+        client.send(&request("book", &format!("open-{n}"), "20000m"));
+        sidecar.wait_open(n + 1);
+    }
+    let answer = sidecar.client().ask("quote", "over");
+    assert_eq!(answer.status(), 503);
+    answer.header("retry-after").to_owned()
+}
+
+#[test]
+fn who_finds_no_room_is_told_when_to_come_again_as_the_settings_allow() {
+    assert_eq!(told_over_the_cap(true, 2000.0, ""), "0.500");
+    assert_eq!(told_over_the_cap(true, 200.0, ""), "0.200", "no longer than a client would wait");
+    assert_eq!(told_over_the_cap(false, 2000.0, ""), "", "clients are told nothing of it");
+    assert_eq!(told_over_the_cap(false, 2000.0, "retry-unasked"), "0.500", "the check can fail");
+}
