--- a/crates/control/tests/hostile.rs
+++ b/crates/control/tests/hostile.rs
@@ -125,9 +125,18 @@
     let channel = connect(control.xds).await;
     let mut client =
         csds::client_status_discovery_service_client::ClientStatusDiscoveryServiceClient::new(channel);
-    let good = client.fetch_client_status(of("good")).await.expect("served").into_inner();
-    let types: Vec<i32> = good.config[0].generic_xds_configs.iter().map(|c| c.config_status).collect();
-    assert_eq!((good.config.len(), types), (1, vec![csds::ConfigStatus::Synced as i32; 4]));
+    // It has taken the last change; its word that it has may still be on the way.
+    let end = Instant::now() + runtrack_testkit::PATIENCE;
+    loop {
+        let good = client.fetch_client_status(of("good")).await.expect("served").into_inner();
+        let types: Vec<i32> = good.config[0].generic_xds_configs.iter().map(|c| c.config_status).collect();
+        let synced = (good.config.len(), &types) == (1, &vec![csds::ConfigStatus::Synced as i32; 4]);
+        assert!(synced || Instant::now() < end, "{types:?}");
+        if synced {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
     let mute = client.fetch_client_status(of("mute0")).await.expect("served").into_inner();
     assert!(
         mute.config
