--- a/crates/runtrack/tests/orders_settings.rs
+++ b/crates/runtrack/tests/orders_settings.rs
@@ -244,11 +244,7 @@
     config["settings"]["limits"]["retryAfter"] = json!(may);
     config["settings"]["limits"]["maxRetryAfterMs"] = json!(most_ms);
     let sidecar = Inside::start(&config, planted);
-    let mut open: Vec<Client> = (0..10).map(|_| sidecar.client()).collect();
-    for (n, client) in open.iter_mut().enumerate() {
-        client.send(&request("book", &format!("open-{n}"), "20000m"));
-        sidecar.wait_open(n + 1);
-    }
+    let _open = sidecar.occupied_by(10);
     let answer = sidecar.client().ask("quote", "over");
     assert_eq!(answer.status(), 503);
     answer.header("retry-after").to_owned()
--- a/crates/runtrack/tests/orders_shutdown.rs
+++ b/crates/runtrack/tests/orders_shutdown.rs
@@ -277,11 +277,7 @@
     // Sixteen sockets: ten for clients, all of whom wait for an answer.
     config["limits"]["sockets"] = json!(64);
     let sidecar = Inside::start(&config, planted);
-    let mut open: Vec<Client> = (0..10).map(|_| sidecar.client()).collect();
-    for (n, client) in open.iter_mut().enumerate() {
-        client.send(&request("book", &format!("open-{n}"), "20000m"));
-        sidecar.wait_open(n + 1);
-    }
+    let _open = sidecar.occupied_by(10);
     sidecar.order_drain();
     // Two dozen find room to be told that there is none; each is let go 50 ms later. New ones are looked for during
     // 0.5 s, then the backlog is emptied, in which there are still hundreds, and one with a request behind them.
--- a/crates/runtrack/tests/support/inside.rs
+++ b/crates/runtrack/tests/support/inside.rs
@@ -151,6 +151,19 @@
         super::Client::connect(self.address).expect("the sidecar accepts")
     }
 
+    /// So many clients, each with a request that its endpoint never answers. Each sends as it connects: where that takes
+    /// the last place, one that says nothing is closed to make room.
+    pub fn occupied_by(&self, count: usize) -> Vec<super::Client> {
+        let mut open = Vec::new();
+        while open.len() < count {
+            let mut client = self.client();
+            client.send(&super::request("book", &format!("open-{}", open.len()), "20000m"));
+            self.wait_open(open.len() + 1);
+            open.push(client);
+        }
+        open
+    }
+
     /// How much is open.
     pub fn gauges(&self) -> Gauges {
         let (to, told) = oneshot::channel();
