--- a/crates/weirwharf/src/balance.rs
+++ b/crates/weirwharf/src/balance.rs
@@ -114,9 +114,9 @@
 const SHARE_SLACK: f64 = 1.5;
 /// First wait before discovery is asked again after a failure, up to half of it sooner or later; doubles ...
 const ASK_BACKOFF: f64 = 0.5;
-/// ... up to this: what discovery has to tell counts as told after 6 s (PROTOCOL, "Figures"), and with half as
-/// much again the wait is no longer. Nor much shorter: calls that are refused take their part of discovery's
-/// time, and where it has many callers, those that came again sooner would keep each other out for good.
+/// ... up to this: what discovery has to tell counts as told after 6 s (PROTOCOL, "Figures"), and with half
+/// as much again the wait is no longer. Nor much shorter: calls that are refused take their part of
+/// discovery's time, and many callers that came again sooner would keep each other out for good.
 const ASK_BACKOFF_MOST: f64 = 4.0;
 
 /// What an attempt is known to have done.
