Read over: one word on Retry-After, overdue attempts ended once a turn, one held endpoint

What a refusal may say of when to come back was reckoned by the module and, a second time, by the network code: Limits::advice serves both. The driver looked through all open requests for each timer that was due, at one and the same time: now once, before the first. The module's wait after failures is bounded without a value that stands for none.

--- a/crates/runtrack/src/net/driver.rs
+++ b/crates/runtrack/src/net/driver.rs
@@ -231,11 +231,13 @@
 
     fn fire(&mut self) {
         let now = Instant::now();
+        if self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            self.end_overdue(now);
+        }
         while let Some(&Reverse((at, token))) = self.timers.peek()
             && at <= now
         {
             self.timers.pop();
-            self.end_overdue(now);
             self.handle(Event::Timer(TimerToken(token)));
         }
         if now >= self.summary_at {
--- a/crates/runtrack/src/net/inbound.rs
+++ b/crates/runtrack/src/net/inbound.rs
@@ -464,9 +464,8 @@
 
     /// A refusal of what was never sent on, wherever it is tried next.
     fn come_again(&self, why: &'static str) -> Reply {
-        let limits = &self.settings.limits;
-        let by_settings = limits.retry_after || mutant("retry-unasked");
-        refusal(why, by_settings.then(|| SHED_RETRY.min(limits.max_retry_after)))
+        let by_settings = self.settings.limits.advice(SHED_RETRY);
+        refusal(why, if mutant("retry-unasked") { Some(SHED_RETRY) } else { by_settings })
     }
 
     /// Waits for something that comes to the client's connection, or is refused because the client
--- a/crates/runtrack/tests/orders_clients.rs
+++ b/crates/runtrack/tests/orders_clients.rs
@@ -127,15 +127,7 @@
 /// Whether a request was sent on whose client left while the attempt waited for a socket of the budget.
 fn sent_once_a_socket_is_free(planted: &'static str) -> bool {
     let free = Arc::new(AtomicBool::new(false));
-    let peers: Vec<Peer> = (0..6)
-        .map(|_| {
-            let held = free.clone();
-            Peer::new(move |_| {
-                wait_for("the endpoint's leave", || held.load(Ordering::SeqCst));
-                Do::Serve("ok")
-            })
-        })
-        .collect();
+    let peers: Vec<Peer> = (0..6).map(|_| Peer::held(&free, "ok")).collect();
     let mut config = cancelling(&peers.iter().collect::<Vec<_>>(), false);
     // Sixteen sockets: ten for clients, six are left for their requests.
     config["limits"]["sockets"] = json!(64);
--- a/crates/runtrack/tests/orders_shutdown.rs
+++ b/crates/runtrack/tests/orders_shutdown.rs
@@ -19,12 +19,7 @@
 /// An endpoint that serves this body once it is let go.
 fn held(body: &'static str) -> (Peer, Arc<AtomicBool>) {
     let free = Arc::new(AtomicBool::new(false));
-    let held = free.clone();
-    let peer = Peer::new(move |_| {
-        wait_for("the endpoint's leave", || held.load(Ordering::SeqCst));
-        Do::Serve(body)
-    });
-    (peer, free)
+    (Peer::held(&free, body), free)
 }
 
 /// A program that reads its configuration from a pipe, and so stands still until that is written.
--- a/crates/runtrack/tests/support/node.rs
+++ b/crates/runtrack/tests/support/node.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus};
-use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -112,6 +112,15 @@
         Peer::new(move |_| Do::Serve(body))
     }
 
+    /// One that serves everything with this body once it is let go.
+    pub fn held(free: &Arc<AtomicBool>, body: &'static str) -> Peer {
+        let free = free.clone();
+        Peer::new(move |_| {
+            wait_for("the endpoint's leave", || free.load(Ordering::SeqCst));
+            Do::Serve(body)
+        })
+    }
+
     pub fn new(script: impl Fn(&Message) -> Do + Send + Sync + 'static) -> Peer {
         Peer::told(move |message, _| script(message))
     }
--- a/crates/weirwharf/src/balance.rs
+++ b/crates/weirwharf/src/balance.rs
@@ -397,9 +397,8 @@
                     // Jittered, so that instances refused together do not return together. After a call that
                     // failed a list counts as good for four times `ask_within` (WIRE, `askWithinMs`).
                     let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(4));
-                    let stated =
-                        Some(self.settings.rules.ask_within.as_secs_f64()).filter(|time| *time > 0.0);
-                    let most = ASK_BACKOFF_MOST.min(stated.unwrap_or(f64::MAX));
+                    let stated = self.settings.rules.ask_within.as_secs_f64();
+                    let most = if stated > 0.0 { ASK_BACKOFF_MOST.min(stated) } else { ASK_BACKOFF_MOST };
                     let wait = doubled.min(most) * (0.5 + self.draws.uniform());
                     self.ask_failures += 1;
                     self.set_timer(now + Duration::from_secs_f64(wait), Timer::Ask);
@@ -842,8 +841,7 @@
         };
         // The time in which a place comes free.
         let usual = Duration::from_secs_f64(self.latency[pending.class].mean()).max(HOLD_RECHECK);
-        let limits = &self.settings.limits;
-        let retry_after = limits.retry_after.then(|| usual.min(limits.max_retry_after));
+        let retry_after = self.settings.limits.advice(usual);
         out.push(if harmless {
             Action::Refuse { request: id, retry_after }
         } else {
--- a/crates/weirwharf/src/types.rs
+++ b/crates/weirwharf/src/types.rs
@@ -174,6 +174,13 @@
     pub cpu_per_request: Duration,
 }
 
+impl Limits {
+    /// What a refusal may say of when to come back, where this long would be of use.
+    pub fn advice(&self, wait: Duration) -> Option<Duration> {
+        self.retry_after.then(|| wait.min(self.max_retry_after))
+    }
+}
+
 /// Figures of the four rules.
 #[derive(Clone, Debug)]
 pub struct Rules {
