--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,124 @@
+//! The agent: the one link of an edge machine to the control members, and the proxy's feed over loopback.
+//!
+//! It keeps a copy of the fleet's state ([`Hub`]) and decides nothing. Either process of the machine may be killed
+//! alone: a restarted proxy gets all from its agent, a restarted agent gets all from its proxy.
+
+use runtrack_fleetconfig::Node;
+use runtrack_link::{Hub, Signals, dial_for_ever, json_logger, listen};
+use runtrack_message::{Hello, Member, Role, WIRE_VERSION};
+use runtrack_ring::Ring;
+use slog::info;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+/// Members that an agent is linked to: its watchers. With five or fewer members these are all of them.
+const WATCHERS: usize = 5;
+/// How often the links are looked at.
+const TICK: Duration = Duration::from_millis(250);
+/// Where no watcher answers for this long, the seeds are asked as well.
+const SEEDS_AFTER: Duration = Duration::from_millis(1500);
+/// The agent outlives its proxy at the end, and ends this long before it would be killed.
+const END_EARLY: Duration = Duration::from_millis(400);
+
+/// Where an agent feeds the proxy of its machine.
+pub fn feed_address(first_port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, first_port + 1)
+}
+
+/// The links that an agent keeps up.
+struct Links {
+    hub: Rc<Hub>,
+    name: String,
+    seeds: BTreeSet<SocketAddrV4>,
+    dials: BTreeMap<SocketAddrV4, JoinHandle<()>>,
+    answered: Instant,
+}
+
+impl Links {
+    fn wanted(&self) -> BTreeSet<SocketAddrV4> {
+        let members: BTreeSet<SocketAddrV4> =
+            self.hub.replica().members().set.iter().map(Member::address).collect();
+        let lost = members.is_empty() || self.answered.elapsed() > SEEDS_AFTER;
+        let ring = Ring::new(members, |member| member.to_string().into_bytes());
+        let mut wanted: BTreeSet<SocketAddrV4> =
+            ring.successors(self.name.as_bytes(), WATCHERS).into_iter().collect();
+        if lost {
+            wanted.extend(&self.seeds);
+        }
+        wanted
+    }
+
+    /// Dials who is wanted, and drops who is not.
+    fn look(&mut self) {
+        if !self.hub.peers(Role::Controller).is_empty() {
+            self.answered = Instant::now();
+        }
+        let wanted = self.wanted();
+        self.dials.retain(|address, dial| {
+            let keep = wanted.contains(address);
+            if !keep {
+                dial.abort();
+            }
+            keep
+        });
+        for address in wanted {
+            let hub = &self.hub;
+            self.dials.entry(address).or_insert_with(|| spawn_local(dial_for_ever(hub.clone(), address)));
+        }
+    }
+}
+
+fn seeds_of(node: &Node) -> BTreeSet<SocketAddrV4> {
+    node.seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), node.first_port)).collect()
+}
+
+/// Runs an agent until SIGTERM.
+pub async fn run(node: Node, mut signals: Signals) -> Result<(), String> {
+    let logger = json_logger("agent", &node.name);
+    info!(logger, "agent.start"; "first_boot" => node.first_boot);
+    let hello = Hello {
+        wire: WIRE_VERSION,
+        role: Role::Agent,
+        node: node.name.as_str().into(),
+        member: Member::none(),
+    };
+    let hub = Hub::new(hello, node.heartbeat, logger.clone(), Box::new(()));
+    let feed = feed_address(node.first_port);
+    listen(hub.clone(), feed).await.map_err(|error| format!("listen: {feed}: {error}"))?;
+    spawn_local(hub.clone().run());
+    let mut links = Links {
+        hub: hub.clone(),
+        name: node.name.clone(),
+        seeds: seeds_of(&node),
+        dials: BTreeMap::new(),
+        answered: Instant::now(),
+    };
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut changes = hub.changes();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => links.look(),
+            _ = changes.changed() => links.look(),
+            _ = signals.terminate.recv() => break,
+            _ = signals.hangup.recv() => match Node::from_env() {
+                Ok(node) => links.seeds = seeds_of(&node),
+                Err(problem) => info!(logger, "settings.refused"; "problem" => %problem),
+            },
+        }
+    }
+    info!(logger, "agent.terminate");
+    let _ = timeout(node.bounds.grace.saturating_sub(END_EARLY), proxy_gone(&hub)).await;
+    Ok(())
+}
+
+/// Waits until the proxy has ended.
+async fn proxy_gone(hub: &Hub) {
+    while !hub.peers(Role::Proxy).is_empty() {
+        sleep(TICK).await;
+    }
+}
--- /dev/null
+++ b/crates/controller/src/api.rs
@@ -0,0 +1,258 @@
+//! The outer interfaces over HTTP/1.1: `api/operator.yaml` and `api/endpoints.yaml`.
+
+use crate::endpoints::Endpoints;
+use crate::proposer::{Ordered, Proposer};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use miniserde::{Deserialize, json};
+use runtrack_fleetconfig::{CONFIG_MOST, FleetConfig, order_digest};
+use runtrack_link::Hub;
+use runtrack_message::{Endpoint, EndpointState, Model};
+use runtrack_register::{Order, OrderAnswer};
+use slog::info;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+const INSTANCES: &str = "/runtrack/instances/";
+const REPLACE: &str = "/runtrack/config/replace";
+const READ: &str = "/runtrack/config/read";
+/// Bytes of an endpoint's call.
+const CALL_MOST: usize = 64 << 10;
+/// A connection may be between calls for this long, and a head take so long.
+const IDLE_MOST: Duration = Duration::from_secs(10);
+/// A body must have come by then.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A heartbeat on the wire.
+#[derive(Deserialize)]
+struct HeartbeatWire {
+    service: String,
+    address: String,
+    zone: Option<String>,
+    capacity: Option<u32>,
+    state: String,
+    #[serde(rename = "coldLeftMs")]
+    cold_left_ms: Option<f64>,
+    #[serde(rename = "callSeq")]
+    call_seq: Option<u64>,
+    models: Option<Vec<ModelWire>>,
+}
+
+#[derive(Deserialize)]
+struct ModelWire {
+    name: String,
+    version: Option<u64>,
+}
+
+/// What a deregistration may carry.
+#[derive(Default, Deserialize)]
+struct DeregisterWire {
+    #[serde(rename = "callSeq")]
+    call_seq: Option<u64>,
+}
+
+type Reply = Response<Full<Bytes>>;
+
+/// Serves the outer interfaces.
+pub struct Api {
+    hub: Rc<Hub>,
+    proposer: Rc<Proposer>,
+    endpoints: Rc<Endpoints>,
+}
+
+impl Api {
+    /// Serves with these.
+    pub fn new(hub: Rc<Hub>, proposer: Rc<Proposer>, endpoints: Rc<Endpoints>) -> Rc<Self> {
+        Rc::new(Api { hub, proposer, endpoints })
+    }
+
+    /// Takes calls until the task is aborted.
+    pub async fn listen(self: Rc<Self>, at: SocketAddrV4) -> io::Result<JoinHandle<()>> {
+        let listener = TcpListener::bind(at).await?;
+        Ok(spawn_local(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nodelay(true); // without it answers only come later
+                        let api = self.clone();
+                        let service = service_fn(move |request| {
+                            let api = api.clone();
+                            async move { Ok::<_, Infallible>(api.answer(request).await) }
+                        });
+                        let serving = http1::Builder::new()
+                            .timer(TokioTimer::new())
+                            .header_read_timeout(IDLE_MOST)
+                            .serve_connection(TokioIo::new(stream), service);
+                        spawn_local(async move {
+                            let _ = serving.await; // who called has gone
+                        });
+                    }
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                }
+            }
+        }))
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        if path == READ {
+            return if head.method == Method::GET { self.read().await } else { not_allowed() };
+        }
+        if head.method != Method::POST {
+            return not_allowed();
+        }
+        let most = if path == REPLACE { CONFIG_MOST } else { CALL_MOST };
+        let body = match timeout(BODY_TIME, Limited::new(body, most).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                return text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+            }
+            _ => return text(StatusCode::BAD_REQUEST, "the body did not come whole"),
+        };
+        if path == REPLACE {
+            let base = head
+                .headers
+                .get("x-base-version")
+                .and_then(|value| value.to_str().ok()?.trim().parse().ok());
+            return match base {
+                Some(base) => self.replace(base, body).await,
+                None => text(StatusCode::BAD_REQUEST, "X-Base-Version: is missing or no number"),
+            };
+        }
+        match path.strip_prefix(INSTANCES).and_then(|rest| rest.split_once('/')) {
+            Some((id, "heartbeat")) if !id.is_empty() => self.heartbeat(id, &body).await,
+            Some((id, "deregister")) if !id.is_empty() => self.deregister(id, &body).await,
+            _ => text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    async fn read(&self) -> Reply {
+        match self.proposer.read().await {
+            Ok(Some(value)) if value.version > 0 => {
+                json_reply(StatusCode::OK, Bytes::copy_from_slice(value.config.as_slice()))
+            }
+            Ok(_) => text(StatusCode::NOT_FOUND, "there is no configuration yet"),
+            Err(()) => text(StatusCode::SERVICE_UNAVAILABLE, "no majority of the members can be reached"),
+        }
+    }
+
+    async fn replace(self: Rc<Self>, base: u64, body: Bytes) -> Reply {
+        let version = match FleetConfig::read(&body) {
+            Ok(config) => config.version,
+            Err(problem) => {
+                info!(self.hub.logger(), "order.invalid"; "problem" => %problem);
+                return text(StatusCode::BAD_REQUEST, &problem.to_string());
+            }
+        };
+        let order = Order { base, version, digest: order_digest(base, &body), body: body.to_vec() };
+        // It goes on where the caller gives up: what has begun should end.
+        let this = self.clone();
+        let ordered = spawn_local(async move { this.proposer.order(&order).await }).await;
+        let ordered = ordered.unwrap_or(Ordered::Unknown);
+        info!(self.hub.logger(), "order.answered"; "base" => base, "version" => version, "answer" => ?ordered);
+        match ordered {
+            Ordered::Sure(OrderAnswer::Taken) => json_reply(StatusCode::OK, Bytes::from_static(b"{}")),
+            Ordered::Sure(OrderAnswer::Conflict(current)) => {
+                text(StatusCode::PRECONDITION_FAILED, &format!("version {current} is current"))
+            }
+            Ordered::Sure(OrderAnswer::NotAbove(current)) => {
+                text(StatusCode::CONFLICT, &format!("version: {version} is not above {current}"))
+            }
+            Ordered::Unknown => {
+                text(StatusCode::SERVICE_UNAVAILABLE, "it is not known whether it will be taken")
+            }
+        }
+    }
+
+    async fn heartbeat(&self, id: &str, body: &[u8]) -> Reply {
+        let Some(record) = heartbeat_record(id, body) else {
+            return text(StatusCode::BAD_REQUEST, "the heartbeat can't be read");
+        };
+        self.acknowledge(record).await
+    }
+
+    async fn deregister(&self, id: &str, body: &[u8]) -> Reply {
+        let wire: DeregisterWire =
+            std::str::from_utf8(body).ok().and_then(|body| json::from_str(body).ok()).unwrap_or_default();
+        let known = self.hub.replica().registry().get(runtrack_registry::key_of(id)).cloned();
+        let record = known.unwrap_or(Endpoint {
+            id: id.into(),
+            service: "".into(),
+            ip: 0,
+            port: 0,
+            zone: "".into(),
+            capacity: 0,
+            state: EndpointState::Gone,
+            cold_left_ms: 0,
+            call_seq: 0,
+            models: Vec::new().into(),
+        });
+        let call_seq = wire.call_seq.unwrap_or(record.call_seq + 1);
+        self.acknowledge(Endpoint { state: EndpointState::Gone, call_seq, ..record }).await
+    }
+
+    async fn acknowledge(&self, record: Endpoint) -> Reply {
+        if self.endpoints.called(record).await {
+            json_reply(StatusCode::OK, Bytes::from_static(b"{}"))
+        } else {
+            text(StatusCode::SERVICE_UNAVAILABLE, "no majority of the members can be reached")
+        }
+    }
+}
+
+fn heartbeat_record(id: &str, body: &[u8]) -> Option<Endpoint> {
+    let wire: HeartbeatWire = json::from_str(std::str::from_utf8(body).ok()?).ok()?;
+    let address: SocketAddrV4 = wire.address.parse().ok()?;
+    let state = match wire.state.as_str() {
+        "ready" => EndpointState::Ready,
+        "draining" => EndpointState::Draining,
+        _ => return None,
+    };
+    let models = wire.models.unwrap_or_default().into_iter();
+    let models =
+        models.map(|model| Model { name: model.name.as_str().into(), version: model.version.unwrap_or(0) });
+    Some(Endpoint {
+        id: id.into(),
+        service: wire.service.as_str().into(),
+        ip: (*address.ip()).into(),
+        port: address.port(),
+        zone: wire.zone.unwrap_or_default().as_str().into(),
+        capacity: wire.capacity.unwrap_or(1),
+        state,
+        cold_left_ms: wire.cold_left_ms.unwrap_or(0.0) as u32,
+        call_seq: wire.call_seq.unwrap_or(0),
+        models: models.collect::<Vec<_>>().into(),
+    })
+}
+
+fn json_reply(status: StatusCode, body: Bytes) -> Reply {
+    let mut reply = Response::new(Full::new(body));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+}
+
+/// A refusal, with its reason.
+fn text(status: StatusCode, problem: &str) -> Reply {
+    let body = format!("{{\"error\":{}}}", json::to_string(&problem.to_owned()));
+    json_reply(status, body.into())
+}
+
+fn not_allowed() -> Reply {
+    text(StatusCode::METHOD_NOT_ALLOWED, "not this method")
+}
--- /dev/null
+++ b/crates/controller/src/endpoints.rs
@@ -0,0 +1,115 @@
+//! Endpoints' calls: who is there, who leaves, and who has fallen silent.
+
+use runtrack_link::{Hub, Session};
+use runtrack_message::{Endpoint, EndpointState, Message, Role};
+use runtrack_register::majority_of;
+use runtrack_registry::key_of;
+use slog::info;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+
+/// An endpoint waits a second for its acknowledgement.
+const CONFIRM_MOST: Duration = Duration::from_millis(800);
+
+/// Takes endpoints' calls.
+pub struct Endpoints {
+    hub: Rc<Hub>,
+    next: Cell<u64>,
+    waiting: RefCell<HashMap<u64, UnboundedSender<SocketAddrV4>>>,
+    /// Heard here since the last report.
+    heard: RefCell<BTreeSet<u64>>,
+    /// Heard by other members since the last report.
+    relayed: RefCell<BTreeSet<u64>>,
+}
+
+impl Endpoints {
+    /// Nobody has called yet.
+    pub fn new(hub: Rc<Hub>) -> Rc<Self> {
+        Rc::new(Endpoints {
+            hub,
+            next: Cell::new(0),
+            waiting: RefCell::default(),
+            heard: RefCell::default(),
+            relayed: RefCell::default(),
+        })
+    }
+
+    /// Takes a call; whether it may be acknowledged. One that leaves is acknowledged once a majority of the members
+    /// know, so that every proxy in touch hears of it whichever members it is linked to.
+    pub async fn called(&self, record: Endpoint) -> bool {
+        let id = record.id.as_string();
+        let key = key_of(&id);
+        let leaving = record.state != EndpointState::Ready;
+        self.heard.borrow_mut().insert(key);
+        self.hub.note_heard(&[key]);
+        if self.hub.merge(vec![record.clone()], None) {
+            info!(self.hub.logger(), "endpoint.changed"; "id" => &id, "state" => ?record.state);
+        }
+        !leaving || self.confirm(record).await
+    }
+
+    /// Waits until a majority of the members have merged a record.
+    async fn confirm(&self, record: Endpoint) -> bool {
+        let members: BTreeSet<SocketAddrV4> =
+            self.hub.replica().members().set.iter().map(|member| member.address()).collect();
+        let me = self.hub.me().member.address();
+        let mut confirmed: BTreeSet<SocketAddrV4> =
+            members.iter().copied().filter(|member| *member == me).collect();
+        let needed = majority_of(members.len());
+        let number = self.next.get() + 1;
+        self.next.set(number);
+        let (confirms, mut came) = unbounded_channel();
+        self.waiting.borrow_mut().insert(number, confirms);
+        let message = Message::Confirm(number, vec![record].into());
+        for session in self.hub.peers(Role::Controller) {
+            if session.dialled.is_some_and(|address| members.contains(&address)) {
+                session.send(&message);
+            }
+        }
+        let until = Instant::now() + CONFIRM_MOST;
+        while confirmed.len() < needed
+            && let Ok(Some(from)) = timeout_at(until, came.recv()).await
+        {
+            confirmed.insert(from);
+        }
+        self.waiting.borrow_mut().remove(&number);
+        confirmed.len() >= needed
+    }
+
+    /// A member has merged the record of this number.
+    pub fn confirmed(&self, number: u64, session: &Session) {
+        if let (Some(waiting), Some(from)) = (self.waiting.borrow().get(&number), session.dialled) {
+            let _ = waiting.send(from); // the wait may be over
+        }
+    }
+
+    /// Another member heard of these.
+    pub fn relayed(&self, keys: &[u64]) {
+        self.hub.note_heard(keys);
+        self.relayed.borrow_mut().extend(keys);
+    }
+
+    /// Tells members what was heard here, and agents what was heard anywhere.
+    pub async fn run(self: Rc<Self>, heartbeat: Duration) {
+        let mut ticks = interval(heartbeat);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let mut keys = self.heard.take();
+            let own: Vec<u64> = keys.iter().copied().collect();
+            if !own.is_empty() {
+                self.hub.broadcast_to(Role::Controller, &Message::Relayed(own.into()));
+            }
+            keys.append(&mut self.relayed.borrow_mut());
+            if !keys.is_empty() {
+                let all: Vec<u64> = keys.into_iter().collect();
+                self.hub.broadcast_to(Role::Agent, &Message::Heard(all.into()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,122 @@
+//! A control member: the operator's API and the endpoints' on one side, links to agents and other members on the
+//! other, the register and its disk within.
+
+mod api;
+mod disk;
+mod endpoints;
+mod member;
+mod membership;
+mod proposer;
+
+use crate::api::Api;
+use crate::disk::Disk;
+use crate::endpoints::Endpoints;
+use crate::member::MemberTask;
+use crate::membership::Membership;
+use crate::proposer::Proposer;
+use runtrack_fleetconfig::Node;
+use runtrack_link::{Hub, Outside, Session, Signals, json_logger, listen};
+use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
+use slog::info;
+use std::cell::OnceCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Calls that are under way at SIGTERM get so long.
+const LAST_CALLS: Duration = Duration::from_millis(300);
+
+/// What messages of the register and of the membership go to.
+#[derive(Default)]
+struct Parts {
+    member: OnceCell<Rc<MemberTask>>,
+    proposer: OnceCell<Rc<Proposer>>,
+    membership: OnceCell<Rc<Membership>>,
+    endpoints: OnceCell<Rc<Endpoints>>,
+}
+
+struct Routing(Rc<Parts>);
+
+impl Outside for Routing {
+    fn message(&self, hub: &Rc<Hub>, session: &Rc<Session>, message: Message) {
+        let parts = &self.0;
+        let (Some(member), Some(proposer), Some(membership), Some(endpoints)) =
+            (parts.member.get(), parts.proposer.get(), parts.membership.get(), parts.endpoints.get())
+        else {
+            return;
+        };
+        match message {
+            Message::Request(number, request) => {
+                let session = session.clone();
+                member.ask(request, move |reply| session.send(&Message::Reply(number, reply)));
+            }
+            Message::Reply(number, reply) => proposer.replied(number, reply),
+            Message::Learn(ballot) => proposer.told_chosen(ballot),
+            Message::Join(joiner) => membership.asked_to_join(joiner),
+            Message::Leave(leaver) => membership.asked_to_leave(leaver),
+            Message::Confirm(number, records) => {
+                hub.merge(records.into_vec(), Some(session.key));
+                session.send(&Message::Confirmed(number));
+            }
+            Message::Confirmed(number) => endpoints.confirmed(number, session),
+            Message::Relayed(keys) => endpoints.relayed(keys.items()),
+            _ => {}
+        }
+    }
+}
+
+/// Where a machine's own links come in.
+fn peer_address(control: SocketAddrV4, first_port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(*control.ip(), first_port)
+}
+
+/// Runs a control member until SIGTERM.
+pub async fn run(node: Node, mut signals: Signals) -> Result<(), String> {
+    let logger = json_logger("controller", &node.name);
+    let control = node.control.ok_or("listen.control: is missing")?;
+    let address = SocketAddrV4::new(node.ip, node.first_port);
+    let seeds: BTreeSet<SocketAddrV4> =
+        node.seeds.iter().map(|seed| peer_address(*seed, node.first_port)).collect();
+    let (disk, acceptor) = Disk::open(&node, seeds.contains(&address), &logger)?;
+    let me = Member::new(address, acceptor.incarnation());
+    info!(logger, "controller.start"; "member" => %address, "incarnation" => me.incarnation,
+        "first_boot" => node.first_boot, "recovered" => acceptor.accepted().is_some());
+    let parts = Rc::new(Parts::default());
+    let hello =
+        Hello { wire: WIRE_VERSION, role: Role::Controller, node: node.name.as_str().into(), member: me };
+    let hub = Hub::new(hello, node.heartbeat, logger.clone(), Box::new(Routing(parts.clone())));
+    let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
+    let member = MemberTask::start(acceptor, disk, logger.clone());
+    let proposer = Proposer::new(hub.clone(), member.clone(), me, first);
+    let membership = Membership::new(hub.clone(), proposer.clone(), me, seeds, node.tolerance.machines);
+    let endpoints = Endpoints::new(hub.clone());
+    let _ = parts.member.set(member);
+    let _ = parts.proposer.set(proposer.clone());
+    let _ = parts.membership.set(membership.clone());
+    let _ = parts.endpoints.set(endpoints.clone());
+    listen(hub.clone(), address).await.map_err(|error| format!("listen: {address}: {error}"))?;
+    let api = Api::new(hub.clone(), proposer.clone(), endpoints.clone());
+    let calls = api.listen(control).await.map_err(|error| format!("listen: {control}: {error}"))?;
+    spawn_local(hub.clone().run());
+    spawn_local(proposer.clone().run());
+    spawn_local(membership.clone().run());
+    spawn_local(endpoints.run(node.heartbeat));
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => break,
+            _ = signals.hangup.recv() => match Node::from_env() {
+                Ok(node) => membership
+                    .set_seeds(node.seeds.iter().map(|seed| peer_address(*seed, node.first_port)).collect()),
+                Err(problem) => info!(logger, "settings.refused"; "problem" => %problem),
+            },
+        }
+    }
+    info!(logger, "controller.terminate");
+    calls.abort();
+    membership.leave_if_spare().await;
+    sleep(LAST_CALLS).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/controller/src/membership.rs
@@ -0,0 +1,234 @@
+//! Who the members are: dialling them, taking in who asks to join, removing who is gone.
+
+use crate::proposer::Proposer;
+use runtrack_link::{Hub, dial_for_ever};
+use runtrack_message::{Member, Message, Role, Value};
+use runtrack_register::{Decision, Outcome, finish_membership, is_joint, members_of, replace_members};
+use runtrack_ring::{hash, rendezvous};
+use slog::info;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+
+/// How often the membership is looked at.
+const TICK: Duration = Duration::from_millis(200);
+/// A request to join counts for this long.
+const JOIN_FOR: Duration = Duration::from_millis(1500);
+/// It is repeated this often.
+const JOIN_AGAIN: Duration = Duration::from_millis(400);
+/// A member without a link for this long is taken for gone, where another one can take its place.
+const GONE_AFTER: Duration = Duration::from_millis(2500);
+/// A change of the membership gets so long.
+const CHANGE_MOST: Duration = Duration::from_millis(1500);
+/// A member that leaves gets so long to say so in the register.
+const LEAVE_MOST: Duration = Duration::from_millis(1500);
+/// The duty of changing the membership, as a key of rendezvous hashing.
+const DUTY: &[u8] = b"membership";
+
+/// Who the members are, and who wants to be.
+pub struct Membership {
+    hub: Rc<Hub>,
+    proposer: Rc<Proposer>,
+    me: Member,
+    seeds: RefCell<BTreeSet<SocketAddrV4>>,
+    /// Members that are wanted: as many as bear the loss that is to be borne.
+    wanted: usize,
+    joiners: RefCell<BTreeMap<Member, Instant>>,
+    leavers: RefCell<BTreeSet<Member>>,
+    seen: RefCell<BTreeMap<SocketAddrV4, Instant>>,
+    dials: RefCell<BTreeMap<SocketAddrV4, JoinHandle<()>>>,
+    asked: Cell<Option<Instant>>,
+    started: Instant,
+}
+
+impl Membership {
+    /// Knows the seeds alone.
+    pub fn new(
+        hub: Rc<Hub>,
+        proposer: Rc<Proposer>,
+        me: Member,
+        seeds: BTreeSet<SocketAddrV4>,
+        tolerance: u32,
+    ) -> Rc<Self> {
+        Rc::new(Membership {
+            hub,
+            proposer,
+            me,
+            seeds: RefCell::new(seeds),
+            wanted: 2 * tolerance as usize + 1,
+            joiners: RefCell::default(),
+            leavers: RefCell::default(),
+            seen: RefCell::default(),
+            dials: RefCell::default(),
+            asked: Cell::new(None),
+            started: Instant::now(),
+        })
+    }
+
+    /// The settings name other seeds now.
+    pub fn set_seeds(&self, seeds: BTreeSet<SocketAddrV4>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
+    /// A process asks to become a member.
+    pub fn asked_to_join(&self, joiner: Member) {
+        self.joiners.borrow_mut().insert(joiner, Instant::now());
+    }
+
+    /// A member is about to end, and there are members to spare.
+    pub fn asked_to_leave(&self, leaver: Member) {
+        self.leavers.borrow_mut().insert(leaver);
+    }
+
+    fn members(&self) -> BTreeSet<Member> {
+        self.hub.replica().members().set.clone()
+    }
+
+    /// Keeps links to members, seeds and joiners up.
+    fn dial(&self) {
+        let mut wanted: BTreeSet<SocketAddrV4> = self.members().iter().map(Member::address).collect();
+        if let Some((_, value)) = self.proposer.known() {
+            // While the membership changes, members of both sets.
+            wanted.extend(value.sets.items().iter().flat_map(|set| set.items()).map(Member::address));
+        }
+        wanted.extend(self.seeds.borrow().iter());
+        wanted.extend(self.joiners.borrow().keys().map(Member::address));
+        wanted.remove(&self.me.address());
+        let mut dials = self.dials.borrow_mut();
+        dials.retain(|address, dial| {
+            let keep = wanted.contains(address);
+            if !keep {
+                dial.abort();
+            }
+            keep
+        });
+        for address in wanted {
+            dials.entry(address).or_insert_with(|| spawn_local(dial_for_ever(self.hub.clone(), address)));
+        }
+    }
+
+    fn note_seen(&self) {
+        let now = Instant::now();
+        let mut seen = self.seen.borrow_mut();
+        for session in self.hub.peers(Role::Controller) {
+            let peer = session.peer.borrow().as_ref().map(|peer| peer.member.address());
+            if let Some(address) = session.dialled.filter(|address| Some(*address) == peer) {
+                seen.insert(address, now);
+            }
+        }
+        self.joiners.borrow_mut().retain(|_, at| at.elapsed() < JOIN_FOR);
+    }
+
+    fn is_gone(&self, member: &Member) -> bool {
+        let since = self.seen.borrow().get(&member.address()).copied().unwrap_or(self.started);
+        *member != self.me && since.elapsed() > GONE_AFTER
+    }
+
+    /// Whether this process has the duty: one of those that are alive, the same one for all who see the same.
+    fn on_duty(&self, members: &BTreeSet<Member>) -> bool {
+        let alive = members.iter().filter(|member| !self.is_gone(member));
+        let names = alive.map(|member| hash(member.address().to_string().as_bytes()));
+        rendezvous(hash(DUTY), names) == Some(hash(self.me.address().to_string().as_bytes()))
+    }
+
+    /// The members that there should be.
+    fn next(&self, current: &BTreeSet<Member>) -> BTreeSet<Member> {
+        let mut next = current.clone();
+        let joiners: Vec<Member> = self.joiners.borrow().keys().copied().collect();
+        for joiner in joiners.into_iter().filter(|joiner| !current.contains(joiner)) {
+            // Another incarnation at the same address has lost its disk, and is no member any more.
+            let before = next.iter().find(|member| member.address() == joiner.address()).copied();
+            let gone = before.or_else(|| next.iter().find(|member| self.is_gone(member)).copied());
+            match gone {
+                Some(gone) => {
+                    next.remove(&gone);
+                    next.insert(joiner);
+                }
+                None if next.len() <= self.wanted => {
+                    next.insert(joiner);
+                }
+                None => {}
+            }
+        }
+        let leaving: BTreeSet<Member> = self.leavers.borrow().clone();
+        for member in current {
+            if next.len() > self.wanted && (self.is_gone(member) || leaving.contains(member)) {
+                next.remove(member);
+            }
+        }
+        next
+    }
+
+    fn ask_to_join(&self) {
+        if self.asked.get().is_some_and(|at| at.elapsed() < JOIN_AGAIN) {
+            return;
+        }
+        self.asked.set(Some(Instant::now()));
+        self.hub.broadcast_to(Role::Controller, &Message::Join(self.me));
+    }
+
+    /// Carries one change through: the joint sets, then the new one alone.
+    async fn change(&self) {
+        let until = Instant::now() + CHANGE_MOST;
+        let outcome = self.proposer.decide(until, &mut |current| self.step(current)).await;
+        let Some(Outcome::Written(_, value)) = outcome else { return };
+        if is_joint(&value) {
+            let finish = |current: Option<&Value>| current.map_or(Decision::Keep, finish_membership);
+            self.proposer.decide(until, &mut { finish }).await;
+        }
+        let names: Vec<String> =
+            members_of(&value).iter().map(|member| member.address().to_string()).collect();
+        info!(self.hub.logger(), "members.changed"; "sequence" => value.sequence, "members" => names.join(" "));
+    }
+
+    fn step(&self, current: Option<&Value>) -> Decision {
+        match current {
+            Some(value) => replace_members(value, &self.next(&members_of(value))),
+            None => Decision::Keep,
+        }
+    }
+
+    /// Looks after the membership for as long as the process runs.
+    pub async fn run(self: Rc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.note_seen();
+            self.dial();
+            let Some((_, value)) = self.proposer.known() else {
+                if self.hub.replica().members().sequence > 0 {
+                    self.ask_to_join_unless_member();
+                }
+                continue;
+            };
+            let members = members_of(&value);
+            if !members.contains(&self.me) {
+                self.ask_to_join();
+            } else if self.on_duty(&members) && (is_joint(&value) || self.next(&members) != members) {
+                self.change().await;
+            }
+        }
+    }
+
+    fn ask_to_join_unless_member(&self) {
+        if !self.members().contains(&self.me) {
+            self.ask_to_join();
+        }
+    }
+
+    /// Leaves the register before the process ends, where others bear the loss without it.
+    pub async fn leave_if_spare(&self) {
+        let members = self.members();
+        if !members.contains(&self.me) || members.len() <= self.wanted {
+            return;
+        }
+        self.hub.broadcast_to(Role::Controller, &Message::Leave(self.me));
+        self.leavers.borrow_mut().insert(self.me);
+        let _ = timeout(LEAVE_MOST, self.change()).await;
+    }
+}
--- /dev/null
+++ b/crates/controller/src/proposer.rs
@@ -0,0 +1,243 @@
+//! Rounds of the register on behalf of the operator, of readers and of the membership.
+
+use crate::member::MemberTask;
+use runtrack_link::Hub;
+use runtrack_message::{Ballot, Member, Message, RegisterReply, RegisterRequest, Role, Value};
+use runtrack_register::{Decision, Order, OrderAnswer, Outcome, Progress, Round, Send, members_of};
+use slog::info;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::{Mutex, Notify};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// A round that hears nothing new for so long is given up: some reply is lost, and another round asks again.
+const QUIET_MOST: Duration = Duration::from_millis(450);
+/// Wait after a round that a higher ballot got in the way of, times the tries so far, and up to as much more.
+const BACK_OFF: Duration = Duration::from_millis(8);
+const BACK_OFF_TRIES: u32 = 8;
+/// An order or a read that has not come through by then gets no clear answer.
+const ANSWER_MOST: Duration = Duration::from_millis(2500);
+/// A value that was accepted here and not heard to be chosen is settled by a round of our own after this, and up to as
+/// much more.
+const SETTLE: Duration = Duration::from_millis(250);
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// It is certain.
+    Sure(OrderAnswer),
+    /// It may or may not come into force.
+    Unknown,
+}
+
+type Replies = UnboundedSender<(Member, RegisterReply)>;
+
+/// Runs rounds, one at a time.
+pub struct Proposer {
+    hub: Rc<Hub>,
+    member: Rc<MemberTask>,
+    me: Member,
+    /// Members before the first value.
+    first: BTreeSet<Member>,
+    boot: u64,
+    round: Cell<u64>,
+    known: RefCell<Option<(Ballot, Rc<Value>)>>,
+    /// A round has come to its end since the start: what is chosen is known.
+    informed: Cell<bool>,
+    next: Cell<u64>,
+    waiting: RefCell<HashMap<u64, (Member, Replies)>>,
+    turn: Mutex<()>,
+    unsettled: Notify,
+}
+
+impl Proposer {
+    /// A proposer that knows of no value.
+    pub fn new(hub: Rc<Hub>, member: Rc<MemberTask>, me: Member, first: BTreeSet<Member>) -> Rc<Self> {
+        Rc::new(Proposer {
+            hub,
+            member,
+            me,
+            first,
+            boot: fastrand::u64(1..),
+            round: Cell::new(0),
+            known: RefCell::default(),
+            informed: Cell::new(false),
+            next: Cell::new(0),
+            waiting: RefCell::default(),
+            turn: Mutex::new(()),
+            unsettled: Notify::new(),
+        })
+    }
+
+    /// The newest value that is known to be chosen.
+    pub fn known(&self) -> Option<(Ballot, Rc<Value>)> {
+        self.known.borrow().clone()
+    }
+
+    /// A member replied to a request of this number.
+    pub fn replied(&self, number: u64, reply: RegisterReply) {
+        if let Some((from, replies)) = self.waiting.borrow_mut().remove(&number) {
+            let _ = replies.send((from, reply)); // the round may be over
+        }
+    }
+
+    /// Another member says that the value of this ballot is chosen.
+    pub fn told_chosen(&self, ballot: Ballot) {
+        if self.known.borrow().as_ref().is_some_and(|(known, _)| *known >= ballot) {
+            return;
+        }
+        match self.member.accepted() {
+            Some(accepted) if accepted.ballot == ballot => self.learn(ballot, accepted.value),
+            _ => self.unsettled.notify_one(),
+        }
+    }
+
+    fn learn(&self, ballot: Ballot, value: Rc<Value>) {
+        let newer = self.known.borrow().as_ref().is_none_or(|(known, _)| *known < ballot);
+        if !newer {
+            return;
+        }
+        self.round.set(self.round.get().max(ballot.round));
+        *self.known.borrow_mut() = Some((ballot, value.clone()));
+        self.hub.take_members(value.sequence, members_of(&value));
+        if value.version > 0 && value.version > self.hub.replica().version() {
+            self.hub.take_config(value.version, value.config.as_slice().to_vec());
+        }
+    }
+
+    /// The sets of members to begin with: what the newest value says, whoever told.
+    fn sets(&self) -> Vec<BTreeSet<Member>> {
+        let replica = self.hub.replica();
+        let members = replica.members();
+        if members.sequence > 0 { vec![members.set.clone()] } else { vec![self.first.clone()] }
+    }
+
+    fn send(&self, sends: Vec<Send>, replies: &Replies) {
+        let sessions = self.hub.peers(Role::Controller);
+        for (to, request) in sends {
+            if to == self.me {
+                self.ask_self(request, replies.clone());
+                continue;
+            }
+            let address = to.address();
+            let session = sessions.iter().find(|session| session.dialled == Some(address));
+            if let Some(session) = session {
+                let number = self.next.get() + 1;
+                self.next.set(number);
+                self.waiting.borrow_mut().insert(number, (to, replies.clone()));
+                session.send(&Message::Request(number, request));
+            }
+        }
+    }
+
+    fn ask_self(&self, request: RegisterRequest, replies: Replies) {
+        let me = self.me;
+        self.member.ask(request, move |reply| {
+            let _ = replies.send((me, reply)); // the round may be over
+        });
+    }
+
+    /// One round; nothing where it fell silent.
+    async fn round(&self, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Option<Outcome> {
+        let ballot = Ballot { round: self.round.get() + 1, boot: self.boot };
+        self.round.set(ballot.round);
+        let (mut round, sends) = Round::new(ballot, self.sets(), self.known());
+        let (replies, mut came) = unbounded_channel();
+        self.waiting.borrow_mut().clear(); // of a round that was given up half-way
+        self.send(sends, &replies);
+        let outcome = loop {
+            let Ok(Some((from, reply))) = timeout(QUIET_MOST, came.recv()).await else { break None };
+            match round.reply(from, reply, decide) {
+                Progress::Send(sends) => self.send(sends, &replies),
+                Progress::Done(outcome) => break Some(outcome),
+            }
+        };
+        match &outcome {
+            Some(Outcome::Kept(ballot, value) | Outcome::Written(ballot, value)) => {
+                let before = self.known.borrow().as_ref().map(|(known, _)| *known);
+                self.learn(*ballot, value.clone());
+                if before != Some(*ballot) {
+                    self.hub.broadcast_to(Role::Controller, &Message::Learn(*ballot));
+                }
+                self.informed.set(true);
+            }
+            Some(Outcome::Empty) => self.informed.set(true),
+            Some(Outcome::Preempted(highest)) => self.round.set(self.round.get().max(highest.round)),
+            None => {}
+        }
+        outcome
+    }
+
+    /// Rounds until one comes to an end that is certain, or time is up.
+    pub async fn decide(
+        &self,
+        until: Instant,
+        decide: &mut dyn FnMut(Option<&Value>) -> Decision,
+    ) -> Option<Outcome> {
+        let _turn = timeout_at(until, self.turn.lock()).await.ok()?;
+        for tries in 1.. {
+            match timeout_at(until, self.round(decide)).await.ok()? {
+                Some(Outcome::Preempted(_)) => {
+                    sleep(BACK_OFF * tries.min(BACK_OFF_TRIES) * fastrand::u32(100..200) / 100).await;
+                }
+                Some(outcome) => return Some(outcome),
+                None => {}
+            }
+            if Instant::now() >= until {
+                break;
+            }
+        }
+        None
+    }
+
+    /// Puts an operator's order through.
+    pub async fn order(&self, order: &Order) -> Ordered {
+        let first = vec![self.first.clone()];
+        let mut answer = None;
+        let outcome = self
+            .decide(Instant::now() + ANSWER_MOST, &mut |current| {
+                let (decision, found) = order.decide(current, &first);
+                answer = Some(found);
+                decision
+            })
+            .await;
+        match (outcome, answer) {
+            (Some(Outcome::Empty), Some(answer))
+            | (Some(Outcome::Kept(..) | Outcome::Written(..)), Some(answer)) => Ordered::Sure(answer),
+            _ => Ordered::Unknown,
+        }
+    }
+
+    /// The newest value, as of a moment after this call; `Err` where that can't be known now.
+    pub async fn read(&self) -> Result<Option<Rc<Value>>, ()> {
+        match self.decide(Instant::now() + ANSWER_MOST, &mut |_| Decision::Keep).await {
+            Some(Outcome::Kept(_, value) | Outcome::Written(_, value)) => Ok(Some(value)),
+            Some(Outcome::Empty) => Ok(None),
+            _ => Err(()),
+        }
+    }
+
+    /// Finds out what is chosen: at the start, and where others or this member's own disk know of more.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let jitter = SETTLE.mul_f64(1.0 + fastrand::f64());
+            let _ = timeout(jitter, self.unsettled.notified()).await;
+            let accepted = self.member.accepted().map(|accepted| accepted.ballot);
+            let known = self.known.borrow().as_ref().map(|(ballot, _)| *ballot);
+            let behind = self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence)
+                < self.hub.replica().members().sequence;
+            if self.informed.get() && accepted <= known && !behind {
+                continue;
+            }
+            // It may still be on its way.
+            sleep(SETTLE.mul_f64(fastrand::f64())).await;
+            if self.read().await.is_ok() {
+                info!(self.hub.logger(), "register.settled";
+                    "sequence" => self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleetconfig/src/check.rs
@@ -0,0 +1,183 @@
+//! Checks a configuration as a whole and makes it the fleet's.
+
+use crate::Finding;
+use crate::fleet::{
+    ConfigWire, Engine, FleetConfig, Limits, LimitsWire, Route, RouteKind, RouteWire, Service, ServiceWire,
+    Share,
+};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Beyond this a time is no time: a day.
+const TIME_MOST_MS: f64 = 86_400_000.0;
+
+struct Findings(Vec<Finding>);
+
+impl Findings {
+    fn add(&mut self, place: impl Into<String>, problem: impl Into<String>) {
+        self.0.push(Finding { place: place.into(), problem: problem.into() });
+    }
+
+    fn time(&mut self, place: impl Into<String>, ms: f64) -> Duration {
+        if ms.is_finite() && (0.0..=TIME_MOST_MS).contains(&ms) {
+            return Duration::from_micros((ms * 1000.0) as u64);
+        }
+        self.add(place, format!("{ms} is no time in milliseconds"));
+        Duration::ZERO
+    }
+}
+
+pub(crate) fn check(wire: ConfigWire) -> Result<FleetConfig, Vec<Finding>> {
+    let mut findings = Findings(Vec::new());
+    if wire.version == 0 {
+        findings.add("version", "0 is the version before the first configuration");
+    }
+    let (services, by_name) = services(wire.services, &mut findings);
+    let mut places = HashMap::new();
+    let mut routes = Vec::with_capacity(wire.routes.len());
+    for (index, route) in wire.routes.into_iter().enumerate() {
+        let route = check_route(index, route, &by_name, &mut findings);
+        if let Some(other) = places.insert((route.host.clone(), route.path_prefix.clone()), index) {
+            findings.add(
+                format!("routes[{index}].pathPrefix"),
+                format!("routes[{other}] has the same host and prefix"),
+            );
+        }
+        routes.push(route);
+    }
+    let limits = limits(wire.limits, &mut findings);
+    if findings.0.is_empty() {
+        Ok(FleetConfig { version: wire.version, routes, services, limits })
+    } else {
+        Err(findings.0)
+    }
+}
+
+fn services(wire: Vec<ServiceWire>, findings: &mut Findings) -> (Vec<Service>, HashMap<String, usize>) {
+    let mut by_name = HashMap::new();
+    let mut services = Vec::with_capacity(wire.len());
+    for (index, service) in wire.into_iter().enumerate() {
+        if service.name.is_empty() {
+            findings.add(format!("services[{index}].name"), "is empty");
+        }
+        if let Some(other) = by_name.insert(service.name.clone(), index) {
+            findings.add(format!("services[{index}].name"), format!("services[{other}] has the same name"));
+        }
+        let whole = |number: Option<f64>| number.filter(|n| *n >= 1.0).map(|n| n as u64);
+        services.push(Service {
+            name: service.name,
+            connection_limit: whole(service.conn_limit).map_or(u32::MAX, |n| n.min(u32::MAX.into()) as u32),
+            engine: service.engine.map(|engine| Engine {
+                capacity: whole(engine.capacity).unwrap_or(1) as u32,
+                kv_tokens: whole(engine.kv_capacity).unwrap_or(0),
+            }),
+        });
+    }
+    (services, by_name)
+}
+
+fn check_route(
+    index: usize,
+    wire: RouteWire,
+    services: &HashMap<String, usize>,
+    findings: &mut Findings,
+) -> Route {
+    let place = |field: &str| format!("routes[{index}].{field}");
+    if wire.host.is_empty() {
+        findings.add(place("host"), "is empty");
+    }
+    if !wire.path_prefix.starts_with('/') || !wire.path_prefix.ends_with('/') {
+        findings.add(place("pathPrefix"), "does not begin and end with a slash");
+    }
+    let kind = match wire.kind.as_str() {
+        "idempotent" => RouteKind::Idempotent,
+        "streaming" => RouteKind::Streaming,
+        "non_idempotent" => RouteKind::NonIdempotent,
+        other => {
+            findings
+                .add(place("kind"), format!("{other:?} is none of idempotent, non_idempotent, streaming"));
+            RouteKind::NonIdempotent
+        }
+    };
+    let timeout = findings.time(place("timeoutMs"), wire.timeout_ms);
+    if timeout.is_zero() {
+        findings.add(place("timeoutMs"), "is 0");
+    }
+    let shares = shares(index, wire.service, wire.split, services, findings);
+    Route {
+        name: wire.name.unwrap_or_default(),
+        host: wire.host.to_ascii_lowercase(),
+        path_prefix: wire.path_prefix,
+        kind,
+        timeout,
+        objective: wire.setpoint_ms.map_or(timeout, |ms| findings.time(place("setpointMs"), ms)),
+        priority: wire.priority.unwrap_or(0.0).clamp(0.0, 9.0) as u8,
+        shares,
+        max_tries: wire.max_tries.unwrap_or(1.0).clamp(1.0, 100.0) as u32,
+        pinned: wire.pinned.unwrap_or(false),
+        resumable: wire.resumable.unwrap_or(false),
+        pause: wire.gap_aim_ms.map(|ms| findings.time(place("gap_aim_ms"), ms)),
+    }
+}
+
+fn shares(
+    index: usize,
+    service: Option<String>,
+    split: Option<Vec<crate::fleet::ShareWire>>,
+    services: &HashMap<String, usize>,
+    findings: &mut Findings,
+) -> Vec<Share> {
+    let mut find = |name: &str, place: String| match services.get(name) {
+        Some(service) => *service,
+        None => {
+            findings.add(place, format!("there is no service {name:?}"));
+            0
+        }
+    };
+    let split = match (service, split) {
+        (_, Some(split)) if !split.is_empty() => split,
+        (Some(service), _) => {
+            return vec![Share {
+                service: find(&service, format!("routes[{index}].service")),
+                weight: 1.0,
+            }];
+        }
+        (None, _) => {
+            findings.add(format!("routes[{index}].service"), "is missing, and there is no split");
+            return Vec::new();
+        }
+    };
+    let mut shares = Vec::with_capacity(split.len());
+    for (part, share) in split.iter().enumerate() {
+        let service = find(&share.service, format!("routes[{index}].split[{part}].service"));
+        shares.push(Share { service, weight: share.weight });
+    }
+    for (part, share) in shares.iter().enumerate() {
+        if !share.weight.is_finite() || share.weight < 0.0 {
+            findings.add(
+                format!("routes[{index}].split[{part}].weight"),
+                format!("{} is no weight", share.weight),
+            );
+        }
+    }
+    if shares.iter().map(|share| share.weight).sum::<f64>() <= 0.0 {
+        findings.add(format!("routes[{index}].split"), "the weights add up to 0");
+    }
+    shares
+}
+
+fn limits(wire: Option<LimitsWire>, findings: &mut Findings) -> Limits {
+    let mut limits = Limits::default();
+    let Some(wire) = wire else { return limits };
+    let bytes =
+        |given: Option<f64>, other: usize| given.filter(|n| *n >= 1.0).map_or(other, |n| n as usize);
+    limits.header_bytes = bytes(wire.header_bytes, limits.header_bytes);
+    limits.body_bytes = bytes(wire.body_bytes, limits.body_bytes);
+    if let Some(ms) = wire.header_ms {
+        limits.header_time = findings.time("limits.headerMs", ms);
+    }
+    if let Some(ms) = wire.idle_ms {
+        limits.idle = findings.time("limits.idleMs", ms);
+    }
+    limits
+}
--- /dev/null
+++ b/crates/fleetconfig/src/fleet.rs
@@ -0,0 +1,213 @@
+//! The operator's configuration as the fleet works with it.
+
+use crate::{CONFIG_MOST, Finding, check};
+use miniserde::{Deserialize, json};
+use quick_error::quick_error;
+use std::time::Duration;
+
+quick_error! {
+    /// A configuration that is refused.
+    #[derive(Debug, PartialEq, Eq)]
+    pub enum ConfigError {
+        /// It is larger than [`CONFIG_MOST`].
+        TooLarge(bytes: usize) {
+            display("the configuration has {bytes} bytes; {CONFIG_MOST} is the most")
+        }
+        /// It can't be read whole.
+        Unreadable {
+            display("the configuration can't be read: it is cut short, or a field is missing or of another type")
+        }
+        /// It makes no sense; all that was found.
+        Invalid(findings: Vec<Finding>) {
+            display("{}", findings.iter().map(Finding::to_string).collect::<Vec<_>>().join("; "))
+        }
+    }
+}
+
+/// What a repeat of a route's requests may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// It may run more than once.
+    Idempotent,
+    /// It runs at most once for each try.
+    NonIdempotent,
+    /// A stream of events; runs at most once unless the route says that it may be resumed.
+    Streaming,
+}
+
+/// A part of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    /// Index into [`FleetConfig::services`].
+    pub service: usize,
+    /// Its weight among the route's shares.
+    pub weight: f64,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// Host, in lower case.
+    pub host: String,
+    /// Prefix of the path, which begins and ends with a slash.
+    pub path_prefix: String,
+    /// What a repeat may do.
+    pub kind: RouteKind,
+    /// The longest that a request is held.
+    pub timeout: Duration,
+    /// Within it an answer earns its full worth.
+    pub objective: Duration,
+    /// Rank; 0 is highest.
+    pub priority: u8,
+    /// Where its requests go.
+    pub shares: Vec<Share>,
+    /// Endpoints that one try may be sent to.
+    pub max_tries: u32,
+    /// Requests with the same parts of a prompt belong together.
+    pub pinned: bool,
+    /// A stream may go on at another endpoint.
+    pub resumable: bool,
+    /// The longest pause between events for which an answer stays in time.
+    pub pause: Option<Duration>,
+}
+
+impl Route {
+    /// Whether a request may run twice.
+    pub fn repeatable(&self) -> bool {
+        self.kind == RouteKind::Idempotent || (self.kind == RouteKind::Streaming && self.resumable)
+    }
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Connections that one endpoint accepts from all callers together.
+    pub connection_limit: u32,
+    /// What a model endpoint can hold; none for other services.
+    pub engine: Option<Engine>,
+}
+
+/// A model endpoint's size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests in one batch.
+    pub capacity: u32,
+    /// Tokens of KV cache.
+    pub kv_tokens: u64,
+}
+
+/// What a client may send and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// A head must have come whole within this.
+    pub header_time: Duration,
+    /// A connection may be between requests for this long.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A configuration that has been checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetConfig {
+    /// Its version.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Limits of clients.
+    pub limits: Limits,
+}
+
+impl FleetConfig {
+    /// Reads and checks a configuration as the operator sends it.
+    pub fn read(body: &[u8]) -> Result<Self, ConfigError> {
+        if body.len() > CONFIG_MOST {
+            return Err(ConfigError::TooLarge(body.len()));
+        }
+        let text = std::str::from_utf8(body).map_err(|_| ConfigError::Unreadable)?;
+        let wire: ConfigWire = json::from_str(text).map_err(|_| ConfigError::Unreadable)?;
+        check::check(wire).map_err(ConfigError::Invalid)
+    }
+}
+
+/// A configuration on the wire (`api/operator.yaml`).
+#[derive(Deserialize)]
+pub(crate) struct ConfigWire {
+    pub version: u64,
+    pub routes: Vec<RouteWire>,
+    pub services: Vec<ServiceWire>,
+    pub limits: Option<LimitsWire>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct RouteWire {
+    pub name: Option<String>,
+    pub host: String,
+    #[serde(rename = "pathPrefix")]
+    pub path_prefix: String,
+    pub kind: String,
+    #[serde(rename = "timeoutMs")]
+    pub timeout_ms: f64,
+    #[serde(rename = "setpointMs")]
+    pub setpoint_ms: Option<f64>,
+    pub priority: Option<f64>,
+    pub service: Option<String>,
+    pub split: Option<Vec<ShareWire>>,
+    #[serde(rename = "maxTries")]
+    pub max_tries: Option<f64>,
+    pub pinned: Option<bool>,
+    pub resumable: Option<bool>,
+    pub gap_aim_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ShareWire {
+    pub service: String,
+    pub weight: f64,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ServiceWire {
+    pub name: String,
+    #[serde(rename = "connLimit")]
+    pub conn_limit: Option<f64>,
+    pub engine: Option<EngineWire>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct EngineWire {
+    pub capacity: Option<f64>,
+    #[serde(rename = "kvCapacity")]
+    pub kv_capacity: Option<f64>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct LimitsWire {
+    #[serde(rename = "maxHeaderBytes")]
+    pub header_bytes: Option<f64>,
+    #[serde(rename = "maxBodyBytes")]
+    pub body_bytes: Option<f64>,
+    #[serde(rename = "headerMs")]
+    pub header_ms: Option<f64>,
+    #[serde(rename = "idleMs")]
+    pub idle_ms: Option<f64>,
+}
--- /dev/null
+++ b/crates/link/src/hub.rs
@@ -0,0 +1,305 @@
+//! Keeps the copies of linked processes alike.
+
+use crate::session::Session;
+use runtrack_message::{Endpoint, Hello, Message, Notice, Role, encode};
+use runtrack_registry::{Heard, Replica, StoredConfig};
+use slog::{Logger, info, warn};
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+/// What copies say of themselves without a cause goes out this often: it mends what was lost.
+const REPEAT: Duration = Duration::from_millis(1000);
+/// A configuration that was asked for and has not come by then is asked for elsewhere.
+const FETCH_MOST: Duration = Duration::from_millis(400);
+/// How often that is looked at.
+const TICK: Duration = Duration::from_millis(200);
+
+/// What a program does with messages that are not about the copies.
+pub trait Outside {
+    /// A message that the hub does not take itself.
+    fn message(&self, hub: &Rc<Hub>, session: &Rc<Session>, message: Message);
+    /// A link came up and its other side said who it is.
+    fn up(&self, _hub: &Rc<Hub>, _session: &Rc<Session>) {}
+    /// A link is down.
+    fn down(&self, _hub: &Rc<Hub>, _session: &Rc<Session>) {}
+}
+
+/// For programs that take nothing else.
+impl Outside for () {
+    fn message(&self, _: &Rc<Hub>, _: &Rc<Session>, _: Message) {}
+}
+
+/// The copy of this process and its links.
+pub struct Hub {
+    me: Hello,
+    logger: Logger,
+    heartbeat: Duration,
+    born: Instant,
+    replica: RefCell<Replica>,
+    heard: RefCell<Heard>,
+    sessions: RefCell<Vec<Rc<Session>>>,
+    next: Cell<usize>,
+    fetching: Cell<Option<(u64, Instant)>>,
+    changes: watch::Sender<u64>,
+    outside: Box<dyn Outside>,
+}
+
+impl Hub {
+    /// A copy with nothing in it and no links.
+    pub fn new(me: Hello, heartbeat: Duration, logger: Logger, outside: Box<dyn Outside>) -> Rc<Self> {
+        Rc::new(Hub {
+            me,
+            logger,
+            heartbeat,
+            born: Instant::now(),
+            replica: RefCell::default(),
+            heard: RefCell::default(),
+            sessions: RefCell::default(),
+            next: Cell::new(0),
+            fetching: Cell::new(None),
+            changes: watch::channel(0).0,
+            outside,
+        })
+    }
+
+    /// Who this process is.
+    pub fn me(&self) -> &Hello {
+        &self.me
+    }
+
+    /// Its log.
+    pub fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// The copy, to read.
+    pub fn replica(&self) -> Ref<'_, Replica> {
+        self.replica.borrow()
+    }
+
+    /// Tells of each change of the copy.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Links that are up, in the order of their coming.
+    pub fn sessions(&self) -> Vec<Rc<Session>> {
+        self.sessions.borrow().clone()
+    }
+
+    /// Links whose other side has this role.
+    pub fn peers(&self, role: Role) -> Vec<Rc<Session>> {
+        let such =
+            |session: &&Rc<Session>| session.peer.borrow().as_ref().is_some_and(|peer| peer.role == role);
+        self.sessions.borrow().iter().filter(such).cloned().collect()
+    }
+
+    /// Live proxies: agents linked here, or as many as the best informed neighbour counts.
+    pub fn proxies(&self) -> u32 {
+        let agents = self.peers(Role::Agent);
+        let names: BTreeSet<String> = (agents.iter())
+            .filter_map(|session| session.peer.borrow().as_ref().map(|peer| peer.node.as_string()))
+            .collect();
+        let told = self.sessions.borrow().iter().map(|session| session.proxies.get()).max().unwrap_or(0);
+        (names.len() as u32).max(if self.me.role == Role::Controller { 0 } else { told })
+    }
+
+    /// Time on this hub's clock.
+    pub fn now(&self) -> Duration {
+        self.born.elapsed()
+    }
+
+    /// Whether an endpoint has been silent for so many heartbeats while others were heard.
+    pub fn is_stale(&self, key: u64, beats: u32) -> bool {
+        self.heard.borrow().is_stale(self.now(), self.heartbeat, beats, key)
+    }
+
+    /// These endpoints were heard of.
+    pub fn note_heard(&self, keys: &[u64]) {
+        self.heard.borrow_mut().note(self.now(), self.heartbeat, keys.iter().copied());
+    }
+
+    /// Sends to all links but one.
+    pub fn broadcast(&self, message: &Message, except: Option<usize>) {
+        let Ok(payload) = encode(message) else { return };
+        let payload = bytes::Bytes::from(payload);
+        for session in self.sessions.borrow().iter().filter(|session| Some(session.key) != except) {
+            session.send_encoded(payload.clone());
+        }
+    }
+
+    /// Merges records and tells the other links what is new; whether anything was.
+    pub fn merge(&self, records: Vec<Endpoint>, from: Option<usize>) -> bool {
+        let new = self.replica.borrow_mut().merge(records);
+        if new.is_empty() {
+            return false;
+        }
+        let keys: Vec<u64> =
+            new.iter().map(|record| runtrack_registry::key_of(&record.id.as_string())).collect();
+        self.heard.borrow_mut().note(self.now(), self.heartbeat, keys);
+        self.broadcast(&Message::Records(new.into()), from);
+        self.changed();
+        true
+    }
+
+    /// Takes a configuration that is chosen.
+    pub fn take_config(&self, version: u64, body: Vec<u8>) -> bool {
+        if !self.replica.borrow_mut().take_config(version, body) {
+            return false;
+        }
+        info!(self.logger, "config.taken"; "version" => version);
+        self.announce();
+        self.changed();
+        true
+    }
+
+    /// Takes members that are chosen.
+    pub fn take_members(&self, sequence: u64, set: BTreeSet<runtrack_message::Member>) -> bool {
+        if !self.replica.borrow_mut().take_members(sequence, set) {
+            return false;
+        }
+        self.announce();
+        self.changed();
+        true
+    }
+
+    fn announce(&self) {
+        let notice = self.replica.borrow().notice(self.proxies());
+        self.broadcast(&notice, None);
+    }
+
+    fn changed(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    pub(crate) fn enter(&self, make: impl FnOnce(usize) -> Session) -> Rc<Session> {
+        let key = self.next.get();
+        self.next.set(key + 1);
+        let session = Rc::new(make(key));
+        self.sessions.borrow_mut().push(session.clone());
+        session
+    }
+
+    pub(crate) fn greet(&self, session: &Session) {
+        session.send(&Message::Hello(self.me.clone()));
+        self.tell(session);
+    }
+
+    fn tell(&self, session: &Session) {
+        let replica = self.replica.borrow();
+        session.send(&replica.have());
+        session.send(&replica.notice(self.proxies()));
+    }
+
+    pub(crate) fn leave(self: &Rc<Self>, session: &Rc<Session>) {
+        self.sessions.borrow_mut().retain(|other| other.key != session.key);
+        if session.peer.borrow().is_some() {
+            self.outside.down(self, session);
+        }
+        self.changed();
+    }
+
+    pub(crate) fn log_broken(&self, session: &Session, problem: &str) {
+        warn!(self.logger, "link.broken"; "session" => session.key, "problem" => problem);
+    }
+
+    pub(crate) fn take(self: &Rc<Self>, session: &Rc<Session>, message: Message) {
+        match message {
+            Message::Hello(hello) => {
+                *session.peer.borrow_mut() = Some(hello);
+                self.outside.up(self, session);
+                self.changed();
+            }
+            Message::Have(have) => {
+                let answer = self.replica.borrow().answer_have(&have);
+                if let Some(answer) = answer {
+                    session.send(&answer);
+                }
+                if have.version < self.replica.borrow().version() {
+                    session.send(&self.replica.borrow().notice(self.proxies()));
+                }
+            }
+            Message::Notice(notice) => self.noticed(session, notice),
+            Message::Fetch(than) => {
+                if let Some(answer) = self.replica.borrow().answer_fetch(than) {
+                    session.send(&answer);
+                }
+            }
+            Message::Config(config) => {
+                self.take_config(config.version, config.body.into_vec());
+            }
+            Message::Records(records) => {
+                self.merge(records.into_vec(), Some(session.key));
+            }
+            Message::Heard(keys) => {
+                self.note_heard(keys.items());
+                if self.me.role == Role::Agent {
+                    self.broadcast_to(Role::Proxy, &Message::Heard(keys));
+                }
+            }
+            Message::Ping => {}
+            other => self.outside.message(self, session, other),
+        }
+    }
+
+    /// Sends to all links whose other side has this role.
+    pub fn broadcast_to(&self, role: Role, message: &Message) {
+        let Ok(payload) = encode(message) else { return };
+        let payload = bytes::Bytes::from(payload);
+        self.peers(role).iter().for_each(|session| session.send_encoded(payload.clone()));
+    }
+
+    fn noticed(&self, session: &Rc<Session>, notice: Notice) {
+        session.noticed.set(notice.version);
+        if session.proxies.replace(notice.proxies) != notice.proxies {
+            self.changed();
+        }
+        // Only what is chosen is ever told.
+        self.take_members(notice.sequence, notice.members.into_vec().into_iter().collect());
+        self.fetch();
+    }
+
+    /// Asks for a newer configuration, one link at a time.
+    fn fetch(&self) {
+        let version = self.replica.borrow().version();
+        let newest = self.sessions.borrow().iter().map(|session| session.noticed.get()).max().unwrap_or(0);
+        if newest <= version {
+            return;
+        }
+        let asked = self.fetching.get();
+        if asked.is_some_and(|(what, at)| what >= newest && at.elapsed() < FETCH_MOST) {
+            return;
+        }
+        let sessions = self.sessions.borrow();
+        let having: Vec<&Rc<Session>> =
+            sessions.iter().filter(|session| session.noticed.get() == newest).collect();
+        if let Some(session) = fastrand::choice(&having) {
+            session.send(&Message::Fetch(version));
+            self.fetching.set(Some((newest, Instant::now())));
+        }
+    }
+
+    /// Repeats what mends losses, for as long as the process runs.
+    pub async fn run(self: Rc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut told = Instant::now();
+        loop {
+            ticks.tick().await;
+            self.fetch();
+            if told.elapsed() >= REPEAT {
+                told = Instant::now();
+                self.sessions().iter().for_each(|session| self.tell(session));
+            }
+        }
+    }
+
+    /// The configuration of the copy.
+    pub fn config(&self) -> Option<Rc<StoredConfig>> {
+        self.replica.borrow().config().cloned()
+    }
+}
--- /dev/null
+++ b/crates/link/src/session.rs
@@ -0,0 +1,183 @@
+//! One link to another process.
+
+use crate::hub::Hub;
+use bytes::{Bytes, BytesMut};
+use runtrack_message::{FRAME_MOST, Hello, Message, decode, encode};
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddrV4;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, interval, sleep, timeout};
+use tokio_util::codec::{Encoder, LengthDelimitedCodec};
+
+/// A sign of life goes out this often.
+pub const PING: Duration = Duration::from_millis(400);
+/// A link on which nothing has come for this long is given up.
+pub const SILENT_MOST: Duration = Duration::from_millis(1400);
+/// A connection that has not come up by then is given up.
+pub const CONNECT_MOST: Duration = Duration::from_millis(700);
+/// Wait before a link is dialled again, and up to as much more.
+const REDIAL: Duration = Duration::from_millis(150);
+/// Bytes that may wait for a peer that reads slowly: one configuration of the largest size and some change.
+const QUEUE_MOST: usize = 2 * FRAME_MOST;
+/// Bytes read at once.
+const READ: usize = 16 << 10;
+
+/// A link that is up.
+pub struct Session {
+    /// Its place in the hub.
+    pub key: usize,
+    /// Where it was dialled; none for one that came in.
+    pub dialled: Option<SocketAddrV4>,
+    /// Who is on the other side, once it has said so.
+    pub peer: RefCell<Option<Hello>>,
+    /// Newest version that the other side has told of.
+    pub noticed: Cell<u64>,
+    /// Live proxies as the other side counts them.
+    pub proxies: Cell<u32>,
+    queue: UnboundedSender<Bytes>,
+    queued: Rc<Cell<usize>>,
+    heard: Cell<Instant>,
+}
+
+impl Session {
+    /// Sends a message, as long as the peer keeps up; a link that does not is given up by its silence.
+    pub fn send(&self, message: &Message) {
+        if let Ok(payload) = encode(message) {
+            self.send_encoded(payload.into());
+        }
+    }
+
+    /// Sends a message that was encoded once for many.
+    pub fn send_encoded(&self, payload: Bytes) {
+        if self.queued.get() + payload.len() > QUEUE_MOST {
+            return; // what it misses is found by the next digests
+        }
+        self.queued.set(self.queued.get() + payload.len());
+        let _ = self.queue.send(payload); // fails only while the link ends
+    }
+
+    /// When the other side was last heard.
+    pub fn heard(&self) -> Instant {
+        self.heard.get()
+    }
+
+    /// Runs a link until it breaks, falls silent or says nonsense.
+    pub(crate) async fn run(hub: &Rc<Hub>, stream: TcpStream, dialled: Option<SocketAddrV4>) {
+        let _ = stream.set_nodelay(true); // without it messages only come later
+        let (queue, waiting) = unbounded_channel();
+        let queued = Rc::new(Cell::new(0));
+        let session = hub.enter(|key| Session {
+            key,
+            dialled,
+            peer: RefCell::default(),
+            noticed: Cell::new(0),
+            proxies: Cell::new(0),
+            queue,
+            queued: queued.clone(),
+            heard: Cell::new(Instant::now()),
+        });
+        let (reader, writer) = stream.into_split();
+        hub.greet(&session);
+        tokio::select! {
+            () = read(hub, &session, reader) => {}
+            () = write(writer, waiting, &queued) => {}
+            () = watch(&session) => {}
+        }
+        hub.leave(&session);
+    }
+}
+
+/// Ends once the other side has been silent for too long; sends signs of life until then.
+async fn watch(session: &Session) {
+    let mut ticks = interval(PING);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while session.heard.get().elapsed() < SILENT_MOST {
+        ticks.tick().await;
+        session.send(&Message::Ping);
+    }
+}
+
+async fn read(hub: &Rc<Hub>, session: &Rc<Session>, mut reader: tokio::net::tcp::OwnedReadHalf) {
+    use tokio_util::codec::Decoder;
+    let mut codec =
+        LengthDelimitedCodec::builder().max_frame_length(FRAME_MOST).little_endian().new_codec();
+    let mut buffer = BytesMut::with_capacity(READ);
+    loop {
+        match codec.decode(&mut buffer) {
+            Ok(Some(frame)) => match decode(&frame) {
+                Ok(message) => hub.take(session, message),
+                Err(problem) => return hub.log_broken(session, &problem.to_string()),
+            },
+            Ok(None) => {
+                buffer.reserve(READ);
+                match reader.read_buf(&mut buffer).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(_) => session.heard.set(Instant::now()),
+                }
+            }
+            Err(problem) => return hub.log_broken(session, &problem.to_string()),
+        }
+    }
+}
+
+async fn write(
+    mut writer: tokio::net::tcp::OwnedWriteHalf,
+    mut waiting: UnboundedReceiver<Bytes>,
+    queued: &Cell<usize>,
+) {
+    let mut codec =
+        LengthDelimitedCodec::builder().max_frame_length(FRAME_MOST).little_endian().new_codec();
+    let mut buffer = BytesMut::new();
+    while let Some(first) = waiting.recv().await {
+        let mut next = Some(first);
+        while let Some(payload) = next {
+            queued.set(queued.get().saturating_sub(payload.len()));
+            if codec.encode(payload, &mut buffer).is_err() {
+                return;
+            }
+            next = waiting.try_recv().ok();
+        }
+        if writer.write_all_buf(&mut buffer).await.is_err() {
+            return;
+        }
+        if buffer.capacity() > 4 * READ {
+            buffer = BytesMut::new(); // one large message must not be remembered in memory
+        }
+    }
+}
+
+/// Keeps a link to an address up until the caller drops this.
+pub async fn dial_for_ever(hub: Rc<Hub>, to: SocketAddrV4) {
+    loop {
+        if let Ok(Ok(stream)) = timeout(CONNECT_MOST, TcpStream::connect(to)).await {
+            Session::run(&hub, stream, Some(to)).await;
+        }
+        sleep(REDIAL + REDIAL.mul_f64(fastrand::f64())).await;
+    }
+}
+
+/// Takes links in at an address.
+pub async fn listen(hub: Rc<Hub>, at: SocketAddrV4) -> io::Result<()> {
+    let listener = TcpListener::bind(at).await?;
+    spawn_local(async move {
+        loop {
+            match poll_fn(|cx| Pin::new(&listener).poll_accept(cx)).await {
+                Ok((stream, _)) => {
+                    let hub = hub.clone();
+                    spawn_local(async move { Session::run(&hub, stream, None).await });
+                }
+                // Out of descriptors it would fail again at once, and spin.
+                Err(_) => sleep(REDIAL).await,
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/message/src/lib.rs
@@ -0,0 +1,268 @@
+//! The fleet's own wire. Each frame on a link is one [`Message`], encoded by `deku`, little-endian, behind a length
+//! that the link bounds before it allocates anything. Every list inside states its length and is bounded too.
+//!
+//! A link begins with a [`Hello`] in both directions, which carries [`WIRE_VERSION`]. A process reads messages of its
+//! own version and of the one before; unknown kinds are skipped by the reader (see [`decode`]).
+
+mod endpoint;
+mod register;
+
+pub use endpoint::{Endpoint, EndpointState, Model};
+pub use register::{
+    Ballot, Member, MemberSet, MemberSets, RegisterReply, RegisterRequest, Taken, TakenList, Value,
+};
+
+use deku::prelude::*;
+use quick_error::quick_error;
+
+/// Version of the messages.
+pub const WIRE_VERSION: u16 = 1;
+/// The longest frame that is read or written: a configuration of some ten thousand routes.
+pub const FRAME_MOST: usize = 16 << 20;
+/// The longest text in a message.
+pub const TEXT_MOST: u16 = 4096;
+/// The longest list in a message.
+pub const LIST_MOST: u32 = 65_536;
+
+quick_error! {
+    /// A frame that can't be read.
+    #[derive(Debug)]
+    pub enum MessageError {
+        /// It is not a message of a known version.
+        Malformed(error: DekuError) {
+            from()
+            display("malformed message: {error}")
+        }
+        /// Bytes follow the message.
+        Trailing(count: usize) {
+            display("{count} bytes behind the message")
+        }
+    }
+}
+
+/// A text of at most [`TEXT_MOST`] bytes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Text {
+    #[deku(assert = "*len <= TEXT_MOST")]
+    len: u16,
+    #[deku(count = "len")]
+    bytes: Vec<u8>,
+}
+
+impl From<&str> for Text {
+    /// Cuts off what is beyond the bound, at a character's edge.
+    fn from(text: &str) -> Self {
+        let mut end = text.len().min(TEXT_MOST as usize);
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        Text { len: end as u16, bytes: text.as_bytes()[..end].to_vec() }
+    }
+}
+
+impl Text {
+    /// The text, with what is not UTF-8 replaced.
+    pub fn as_string(&self) -> String {
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+}
+
+/// Bytes with their length before them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Blob {
+    #[deku(assert = "*len as usize <= FRAME_MOST")]
+    len: u32,
+    #[deku(count = "len")]
+    bytes: Vec<u8>,
+}
+
+impl From<Vec<u8>> for Blob {
+    fn from(bytes: Vec<u8>) -> Self {
+        Blob { len: bytes.len() as u32, bytes }
+    }
+}
+
+impl Blob {
+    /// The bytes.
+    pub fn as_slice(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// The bytes, without a copy.
+    pub fn into_vec(self) -> Vec<u8> {
+        self.bytes
+    }
+}
+
+/// A list with its length before it.
+macro_rules! list {
+    ($(#[$doc:meta])* $name:ident of $item:ty) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+        #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+        pub struct $name {
+            #[deku(assert = "*len <= crate::LIST_MOST")]
+            len: u32,
+            #[deku(count = "len")]
+            items: Vec<$item>,
+        }
+
+        impl From<Vec<$item>> for $name {
+            fn from(items: Vec<$item>) -> Self {
+                $name { len: items.len() as u32, items }
+            }
+        }
+
+        impl $name {
+            /// The items.
+            pub fn items(&self) -> &[$item] {
+                &self.items
+            }
+
+            /// The items, without a copy.
+            pub fn into_vec(self) -> Vec<$item> {
+                self.items
+            }
+        }
+    };
+}
+pub(crate) use list;
+
+list! {
+    /// Endpoint records.
+    Endpoints of Endpoint
+}
+list! {
+    /// Hashes: digests of ranges, or short names of endpoints.
+    Hashes of u64
+}
+
+/// What kind of process speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub enum Role {
+    /// A control member, or one that asks to become a member.
+    #[deku(id = "1")]
+    Controller,
+    /// The agent of an edge machine.
+    #[deku(id = "2")]
+    Agent,
+    /// The proxy of an edge machine.
+    #[deku(id = "3")]
+    Proxy,
+}
+
+/// The first message in each direction.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Hello {
+    /// [`WIRE_VERSION`] of who speaks.
+    pub wire: u16,
+    /// What it is.
+    pub role: Role,
+    /// Its name in logs.
+    pub node: Text,
+    /// As a member; zeros for others.
+    pub member: Member,
+}
+
+/// What a process has, so that the other side sends what differs and nothing else.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Have {
+    /// Version of the configuration it has; 0 for none.
+    pub version: u64,
+    /// Digests over ranges of its endpoint records.
+    pub digests: Hashes,
+}
+
+/// There is a configuration, and these are the members.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Notice {
+    /// Version of the configuration; 0 for none.
+    pub version: u64,
+    /// Sequence number of the register's value that the members are of.
+    pub sequence: u64,
+    /// The register's members.
+    pub members: MemberSet,
+    /// Proxies that are alive, as the speaker counts them.
+    pub proxies: u32,
+}
+
+/// A configuration, whole.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Config {
+    /// Its version.
+    pub version: u64,
+    /// As the operator sent it.
+    pub body: Blob,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8", endian = "little")]
+pub enum Message {
+    /// Who speaks.
+    #[deku(id = "1")]
+    Hello(Hello),
+    /// What it has.
+    #[deku(id = "2")]
+    Have(Have),
+    /// What there is.
+    #[deku(id = "3")]
+    Notice(Notice),
+    /// Asks for the configuration, if it is newer than this version.
+    #[deku(id = "4")]
+    Fetch(u64),
+    /// The configuration.
+    #[deku(id = "5")]
+    Config(Config),
+    /// Records that changed or that the other side may lack.
+    #[deku(id = "6")]
+    Records(Endpoints),
+    /// Records that must be acknowledged by this number: an endpoint waits for it.
+    #[deku(id = "7")]
+    Confirm(u64, Endpoints),
+    /// The records of that number are merged.
+    #[deku(id = "8")]
+    Confirmed(u64),
+    /// Endpoints that a member has heard of lately, by the hash of their id.
+    #[deku(id = "9")]
+    Heard(Hashes),
+    /// A request to a member of the register, with the number that its reply carries.
+    #[deku(id = "10")]
+    Request(u64, RegisterRequest),
+    /// Its reply.
+    #[deku(id = "11")]
+    Reply(u64, RegisterReply),
+    /// The value accepted under this ballot is chosen.
+    #[deku(id = "12")]
+    Learn(Ballot),
+    /// The speaker asks to become a member.
+    #[deku(id = "13")]
+    Join(Member),
+    /// The speaker is about to leave for good.
+    #[deku(id = "14")]
+    Leave(Member),
+    /// Nothing but a sign of life.
+    #[deku(id = "15")]
+    Ping,
+    /// Endpoints that the speaking member has heard itself, for the other members.
+    #[deku(id = "16")]
+    Relayed(Hashes),
+}
+
+/// A message as the payload of a frame.
+pub fn encode(message: &Message) -> Result<Vec<u8>, MessageError> {
+    Ok(message.to_bytes()?)
+}
+
+/// The message in a frame.
+pub fn decode(frame: &[u8]) -> Result<Message, MessageError> {
+    let ((rest, _), message) = Message::from_bytes((frame, 0))?;
+    if rest.is_empty() { Ok(message) } else { Err(MessageError::Trailing(rest.len())) }
+}
--- /dev/null
+++ b/crates/proxy/src/attempt.rs
@@ -0,0 +1,152 @@
+//! One attempt: a request on its way to one endpoint, up to the head of its answer.
+
+use crate::headers::{ATTEMPT_ID, NOT_EXECUTED, PRIORITY, TARGET, TIME_BUDGET};
+use crate::pool::{Connection, Connections, NoConnection};
+use crate::state::{State, Target};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+use weirwharf::Outcome;
+
+/// Kept back from the time that an endpoint gets, for its answer to come back.
+const WAY_BACK: Duration = Duration::from_millis(25);
+
+/// A request as it goes on.
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers, without what concerns one connection only.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// The client's id of this try.
+    pub id: Option<HeaderValue>,
+    /// Rank of its route.
+    pub priority: u8,
+    /// It may run twice.
+    pub repeatable: bool,
+    /// When its answer must have come.
+    pub deadline: Instant,
+}
+
+/// An answer that has begun.
+pub struct Begun {
+    /// Its head and what comes of its body.
+    pub response: Response<Incoming>,
+    /// The connection that it comes on.
+    pub connection: Connection,
+}
+
+/// How an attempt ended that brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failed {
+    /// For the module.
+    pub outcome: Outcome,
+    /// The endpoint has seen the request, whether it ran it or not.
+    pub arrived: bool,
+}
+
+impl Failed {
+    fn unsent(outcome: Outcome) -> Self {
+        Failed { outcome, arrived: false }
+    }
+
+    fn sent(outcome: Outcome) -> Self {
+        Failed { outcome, arrived: true }
+    }
+
+    /// Whether it is certain that the request did not run there, and never will.
+    pub fn never_ran(&self) -> bool {
+        self.outcome.never_ran()
+    }
+}
+
+/// Sends a request to an endpoint and waits for the head of its answer.
+pub async fn attempt(
+    state: &Rc<State>,
+    connections: &Connections,
+    target: &Target,
+    limit: u32,
+    outgoing: &Outgoing,
+    extra: &[(hyper::header::HeaderName, HeaderValue)],
+) -> Result<Begun, Failed> {
+    loop {
+        let proxies = state.router().proxies();
+        let taken = connections.take(target, outgoing.repeatable, limit, proxies, outgoing.deadline).await;
+        let mut connection = taken.map_err(|none| {
+            Failed::unsent(match none {
+                NoConnection::Full => Outcome::Full,
+                NoConnection::Failed => Outcome::ConnectFailed,
+            })
+        })?;
+        // The connection may have taken its time to come up.
+        if !state.is_ready(target.key) {
+            return Err(Failed::unsent(Outcome::Moot));
+        }
+        let Some(request) = request(target, outgoing, extra) else {
+            return Err(Failed::unsent(Outcome::Moot));
+        };
+        let sent = timeout_at(outgoing.deadline, connection.sender.try_send_request(request)).await;
+        return match sent {
+            Err(_) => Err(Failed::sent(Outcome::TimedOut)),
+            // Handed back: nothing of it was written. A kept connection says nothing of its endpoint.
+            Ok(Err(error)) if error.message().is_some() => {
+                if connection.fresh {
+                    return Err(Failed::unsent(Outcome::ConnectFailed));
+                }
+                continue;
+            }
+            Ok(Err(_)) => Err(Failed::sent(Outcome::Reset)),
+            Ok(Ok(response)) => judge(outgoing, response, connection),
+        };
+    }
+}
+
+fn request(
+    target: &Target,
+    outgoing: &Outgoing,
+    extra: &[(hyper::header::HeaderName, HeaderValue)],
+) -> Option<Request<Full<Bytes>>> {
+    let left = outgoing.deadline.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK);
+    if left.as_millis() == 0 {
+        return None;
+    }
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    let mut headers = outgoing.headers.clone();
+    headers.insert(TIME_BUDGET, HeaderValue::from(left.as_millis() as u64));
+    headers.insert(TARGET, HeaderValue::from_str(&target.id).ok()?);
+    headers.insert(PRIORITY, HeaderValue::from(u16::from(outgoing.priority)));
+    for (name, value) in extra {
+        headers.insert(name, value.clone());
+    }
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Whether an answer is this request's, and is one to be passed on.
+fn judge(
+    outgoing: &Outgoing,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Result<Begun, Failed> {
+    let headers = response.headers();
+    // A surplus answer in the place of the next one: what became of this request is not known.
+    if let (Some(own), Some(theirs)) = (&outgoing.id, headers.get(ATTEMPT_ID))
+        && own != theirs
+    {
+        return Err(Failed::sent(Outcome::Reset));
+    }
+    if headers.contains_key(NOT_EXECUTED) || response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failed::sent(Outcome::Full));
+    }
+    Ok(Begun { response, connection })
+}
--- /dev/null
+++ b/crates/proxy/src/front.rs
@@ -0,0 +1,162 @@
+//! Clients' connections and the platform's readiness checks, up to graceful shutdown.
+
+use crate::forward::{Forwarder, Reply, text};
+use crate::state::State;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::info;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddrV4;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, sleep, timeout_at};
+
+const READINESS: &str = "/runtrack/readiness";
+/// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// The platform asks once a second and takes a sidecar out after two misses: new connections come for so long.
+const STILL_CHOSEN: Duration = Duration::from_millis(2600);
+/// What is open is cut so long before the process would be killed.
+const END_EARLY: Duration = Duration::from_millis(500);
+/// Bytes that a connection buffers at most.
+const BUFFER_MOST: usize = 64 << 10;
+
+/// The clients' side.
+pub struct Front {
+    state: Rc<State>,
+    forwarder: Rc<Forwarder>,
+    grace: Duration,
+    ending: Cell<bool>,
+    connections: Cell<usize>,
+    /// Idle connections are to close.
+    closing: watch::Sender<bool>,
+    fewer: Notify,
+    accepting: Cell<Option<JoinHandle<()>>>,
+}
+
+impl Front {
+    /// Nobody is connected.
+    pub fn new(state: Rc<State>, forwarder: Rc<Forwarder>, grace: Duration) -> Rc<Self> {
+        Rc::new(Front {
+            state,
+            forwarder,
+            grace,
+            ending: Cell::new(false),
+            connections: Cell::new(0),
+            closing: watch::channel(false).0,
+            fewer: Notify::new(),
+            accepting: Cell::new(None),
+        })
+    }
+
+    /// Tells the platform whether clients may be sent here.
+    pub async fn serve_readiness(self: Rc<Self>, at: SocketAddrV4) -> io::Result<()> {
+        let listener = TcpListener::bind(at).await?;
+        spawn_local(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => {
+                        let this = self.clone();
+                        let service = service_fn(move |request: Request<Incoming>| {
+                            let status = this.readiness(request.uri().path());
+                            async move { Ok::<_, Infallible>(text(status, "")) }
+                        });
+                        let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                        spawn_local(async move {
+                            let _ = serving.await; // who asked has gone
+                        });
+                    }
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                }
+            }
+        });
+        Ok(())
+    }
+
+    fn readiness(&self, path: &str) -> StatusCode {
+        match path {
+            READINESS if self.ending.get() || !self.state.can_serve() => StatusCode::SERVICE_UNAVAILABLE,
+            READINESS => StatusCode::OK,
+            _ => StatusCode::NOT_FOUND,
+        }
+    }
+
+    /// Takes clients' connections.
+    pub async fn serve_clients(self: Rc<Self>, at: SocketAddrV4) -> io::Result<()> {
+        let listener = TcpListener::bind(at).await?;
+        let this = self.clone();
+        let accepting = spawn_local(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => {
+                        let this = this.clone();
+                        spawn_local(async move { this.serve(stream).await });
+                    }
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                }
+            }
+        });
+        self.accepting.set(Some(accepting));
+        Ok(())
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true); // without it events only come later
+        self.connections.set(self.connections.get() + 1);
+        let this = self.clone();
+        let service = service_fn(move |request| {
+            let this = this.clone();
+            async move { Ok::<_, Infallible>(this.answer(request).await) }
+        });
+        let limits = self.state.routes().map(|table| table.config().limits).unwrap_or_default();
+        let serving = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle.max(limits.header_time))
+            .max_buf_size(BUFFER_MOST)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut serving = pin!(serving);
+        let mut closing = self.closing.subscribe();
+        tokio::select! {
+            _ = serving.as_mut() => {}
+            _ = closing.wait_for(|closing| *closing) => {
+                serving.as_mut().graceful_shutdown();
+                let _ = serving.await; // the client may have gone
+            }
+        }
+        self.connections.set(self.connections.get() - 1);
+        self.fewer.notify_one();
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Reply {
+        let mut reply = self.forwarder.clone().answer(request).await;
+        if self.ending.get() {
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+
+    /// Graceful shutdown: not ready any more, then each answer the last of its connection, then idle connections
+    /// closed, and an end once nothing is open.
+    pub async fn shut_down(&self) {
+        let asked = Instant::now();
+        self.ending.set(true);
+        info!(self.state.logger(), "proxy.terminate"; "connections" => self.connections.get());
+        sleep(STILL_CHOSEN.min(self.grace / 3)).await;
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+        }
+        let _ = self.closing.send(true); // nobody may be connected
+        let until = asked + self.grace.saturating_sub(END_EARLY);
+        while self.connections.get() > 0 && timeout_at(until, self.fewer.notified()).await.is_ok() {}
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,63 @@
+//! The fleet's proxy: clients' requests come in at the front, each goes to an endpoint that the module chooses
+//! (`weirwharf::fleet`), and its answer goes back as it comes.
+//!
+//! The agent of the machine feeds it: routes, endpoints and the size of the fleet (`runtrack_link::Hub`). It decides
+//! nothing that the module decides, and keeps what must hold whatever is decided: what is not idempotent is sent once,
+//! a refusal is given only for what never ran, an answer that was cut short looks cut short.
+
+mod attempt;
+mod events;
+mod forward;
+mod front;
+mod headers;
+mod pool;
+mod prompt;
+mod relay;
+mod state;
+
+pub use events::EventTracker;
+pub use prompt::prompt_of;
+
+use crate::forward::Forwarder;
+use crate::front::Front;
+use crate::state::State;
+use runtrack_fleetconfig::Node;
+use runtrack_link::{Hub, Signals, dial_for_ever, json_logger};
+use runtrack_message::{Hello, Member, Role, WIRE_VERSION};
+use slog::info;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use tokio::task::spawn_local;
+
+/// Runs a proxy until SIGTERM, and then until what it has taken is answered.
+pub async fn run(node: Node, mut signals: Signals) -> Result<(), String> {
+    let logger = json_logger("proxy", &node.name);
+    let front = node.front.ok_or("listen.front: is missing")?;
+    let ready = node.ready.ok_or("listen.ready: is missing")?;
+    info!(logger, "proxy.start"; "front" => %front);
+    let hello = Hello {
+        wire: WIRE_VERSION,
+        role: Role::Proxy,
+        node: node.name.as_str().into(),
+        member: Member::none(),
+    };
+    let hub = Hub::new(hello, node.heartbeat, logger.clone(), Box::new(()));
+    let feed = SocketAddrV4::new(Ipv4Addr::LOCALHOST, node.first_port + 1);
+    spawn_local(dial_for_ever(hub.clone(), feed));
+    spawn_local(hub.clone().run());
+    let state = State::new(hub, &node);
+    spawn_local(state.clone().run());
+    let forwarder = Forwarder::new(state.clone());
+    spawn_local(forwarder.clone().sweep());
+    let front_end = Front::new(state, forwarder, node.bounds.grace);
+    front_end.clone().serve_readiness(ready).await.map_err(|error| format!("listen: {ready}: {error}"))?;
+    front_end.clone().serve_clients(front).await.map_err(|error| format!("listen: {front}: {error}"))?;
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => break,
+            _ = signals.hangup.recv() => info!(logger, "settings.unchanged"),
+        }
+    }
+    front_end.shut_down().await;
+    info!(logger, "proxy.end");
+    Ok(())
+}
--- /dev/null
+++ b/crates/register/src/acceptor.rs
@@ -0,0 +1,134 @@
+//! What a member has promised and accepted.
+
+use deku::prelude::*;
+use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
+use std::rc::Rc;
+
+/// A value that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accepted {
+    /// Under this ballot.
+    pub ballot: Ballot,
+    /// The value.
+    pub value: Rc<Value>,
+}
+
+/// A promise as it is kept on disk.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "little")]
+pub struct PromiseRecord {
+    /// Who promised.
+    pub incarnation: u64,
+    /// What.
+    pub promised: Ballot,
+}
+
+/// An accepted value as it is kept on disk.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "little")]
+pub struct ValueRecord {
+    /// Who accepted it.
+    pub incarnation: u64,
+    /// Under which ballot.
+    pub ballot: Ballot,
+    /// The value.
+    pub value: Value,
+}
+
+/// What must be on disk before the reply goes out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Durable {
+    /// A promise.
+    Promise(Ballot),
+    /// An accepted value.
+    Value(Accepted),
+}
+
+/// One incarnation of a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Acceptor {
+    incarnation: u64,
+    promised: Ballot,
+    accepted: Option<Accepted>,
+}
+
+impl Acceptor {
+    /// A member that has neither promised nor accepted anything.
+    pub fn new(incarnation: u64) -> Self {
+        Acceptor { incarnation, promised: Ballot::default(), accepted: None }
+    }
+
+    /// The member that these records are of; none where there are none.
+    pub fn recover(promise: Option<PromiseRecord>, value: Option<ValueRecord>) -> Option<Self> {
+        let incarnation = match (&promise, &value) {
+            (Some(promise), _) => promise.incarnation,
+            (None, Some(value)) => value.incarnation,
+            (None, None) => return None,
+        };
+        let value = value.filter(|value| value.incarnation == incarnation);
+        let promised = promise.map(|promise| promise.promised).unwrap_or_default();
+        let accepted = value.map(|v| Accepted { ballot: v.ballot, value: Rc::new(v.value) });
+        let promised = promised.max(accepted.as_ref().map(|a| a.ballot).unwrap_or_default());
+        Some(Acceptor { incarnation, promised, accepted })
+    }
+
+    /// Its incarnation.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// What it has accepted last.
+    pub fn accepted(&self) -> Option<&Accepted> {
+        self.accepted.as_ref()
+    }
+
+    /// The highest ballot that it has promised.
+    pub fn promised(&self) -> Ballot {
+        self.promised
+    }
+
+    /// Its reply, and what must be kept before that goes out. Where it can't be kept, the caller puts the acceptor
+    /// back as it was and says nothing.
+    pub fn handle(&mut self, request: &RegisterRequest) -> (RegisterReply, Option<Durable>) {
+        match request {
+            RegisterRequest::Prepare { to, ballot, have } if *to == self.incarnation => {
+                self.prepare(*ballot, *have)
+            }
+            RegisterRequest::Accept { to, ballot, value } if *to == self.incarnation => {
+                self.accept(*ballot, value)
+            }
+            _ => (RegisterReply::Stranger, None),
+        }
+    }
+
+    fn prepare(&mut self, ballot: Ballot, have: Ballot) -> (RegisterReply, Option<Durable>) {
+        if ballot < self.promised {
+            return (RegisterReply::Rejected { ballot, promised: self.promised }, None);
+        }
+        let durable = (ballot > self.promised).then_some(Durable::Promise(ballot));
+        self.promised = ballot;
+        let reply = match &self.accepted {
+            None => RegisterReply::Promised { ballot, accepted: Ballot::default() },
+            Some(Accepted { ballot: accepted, .. }) if *accepted == have => {
+                RegisterReply::Promised { ballot, accepted: have }
+            }
+            Some(Accepted { ballot: accepted, value }) => {
+                RegisterReply::PromisedWith { ballot, accepted: *accepted, value: (**value).clone() }
+            }
+        };
+        (reply, durable)
+    }
+
+    fn accept(&mut self, ballot: Ballot, value: &Value) -> (RegisterReply, Option<Durable>) {
+        if ballot < self.promised {
+            return (RegisterReply::Rejected { ballot, promised: self.promised }, None);
+        }
+        if self.accepted.as_ref().is_some_and(|accepted| accepted.ballot == ballot) {
+            return (RegisterReply::Accepted { ballot }, None);
+        }
+        self.promised = ballot;
+        let accepted = Accepted { ballot, value: Rc::new(value.clone()) };
+        self.accepted = Some(accepted.clone());
+        (RegisterReply::Accepted { ballot }, Some(Durable::Value(accepted)))
+    }
+}
--- /dev/null
+++ b/crates/register/src/change.rs
@@ -0,0 +1,118 @@
+//! Changes of the value: the operator's orders and the membership.
+
+use crate::round::Decision;
+use runtrack_message::{Member, MemberSet, Taken, Value};
+use std::collections::BTreeSet;
+
+/// Orders that are remembered as taken, so that one that comes again is acknowledged again.
+const TAKEN_MOST: usize = 512;
+
+/// An operator's order: a whole configuration on top of a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The version that it builds on; 0 for the first.
+    pub base: u64,
+    /// Its own version.
+    pub version: u64,
+    /// Digest of its body and its base.
+    pub digest: u64,
+    /// As it came.
+    pub body: Vec<u8>,
+}
+
+/// What a round found out about an order. It may be told once the round has ended well, not before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is, or was, in force.
+    Taken,
+    /// Another version is current.
+    Conflict(u64),
+    /// Its version is not above the current one.
+    NotAbove(u64),
+}
+
+/// What a round on behalf of an order does with the value that it found.
+pub type Step = (Decision, OrderAnswer);
+
+impl Order {
+    /// Decides on the value that was found; `first` are the members before the first value.
+    pub fn decide(&self, current: Option<&Value>, first: &[BTreeSet<Member>]) -> Step {
+        let taken = Taken { version: self.version, digest: self.digest };
+        let version = current.map_or(0, |value| value.version);
+        if current.is_some_and(|value| value.taken.items().contains(&taken)) {
+            return (Decision::Keep, OrderAnswer::Taken);
+        }
+        if version != self.base {
+            return (Decision::Keep, OrderAnswer::Conflict(version));
+        }
+        if self.version <= version {
+            return (Decision::Keep, OrderAnswer::NotAbove(version));
+        }
+        let mut list = current.map(|value| value.taken.items().to_vec()).unwrap_or_default();
+        list.push(taken);
+        let surplus = list.len().saturating_sub(TAKEN_MOST);
+        list.drain(..surplus);
+        let value = Value {
+            sequence: current.map_or(1, |value| value.sequence + 1),
+            version: self.version,
+            sets: current.map_or_else(|| wire_sets(first), |value| value.sets.clone()),
+            taken: list.into(),
+            config: self.body.clone().into(),
+        };
+        (Decision::Write(value), OrderAnswer::Taken)
+    }
+}
+
+/// The sets of a value.
+pub(crate) fn sets_of(value: &Value) -> Vec<BTreeSet<Member>> {
+    value.sets.items().iter().map(|set| set.items().iter().copied().collect()).collect()
+}
+
+fn wire_sets(sets: &[BTreeSet<Member>]) -> runtrack_message::MemberSets {
+    let wire = |set: &BTreeSet<Member>| MemberSet::from(set.iter().copied().collect::<Vec<_>>());
+    sets.iter().map(wire).collect::<Vec<_>>().into()
+}
+
+/// Whether more than half of a set is such.
+pub(crate) fn has_majority(set: &BTreeSet<Member>, such: impl Fn(&Member) -> bool) -> bool {
+    set.iter().filter(|member| such(member)).count() >= majority_of(set.len())
+}
+
+/// How many of so many members are a majority.
+pub fn majority_of(members: usize) -> usize {
+    members / 2 + 1
+}
+
+/// The members that are in force after a value: of its last set.
+pub fn members_of(value: &Value) -> BTreeSet<Member> {
+    sets_of(value).pop().unwrap_or_default()
+}
+
+/// Whether a change of membership has begun and is not over.
+pub fn is_joint(value: &Value) -> bool {
+    value.sets.items().len() > 1
+}
+
+fn with_sets(value: &Value, sets: &[BTreeSet<Member>]) -> Value {
+    Value { sequence: value.sequence + 1, sets: wire_sets(sets), ..value.clone() }
+}
+
+/// The second half of a change of membership: the new set alone.
+pub fn finish_membership(current: &Value) -> Decision {
+    if !is_joint(current) {
+        return Decision::Keep;
+    }
+    Decision::Write(with_sets(current, &[members_of(current)]))
+}
+
+/// The first half of a change of membership. Where the change of another is under way, that is finished first.
+pub fn replace_members(current: &Value, next: &BTreeSet<Member>) -> Decision {
+    if is_joint(current) {
+        return finish_membership(current);
+    }
+    let before = members_of(current);
+    if before == *next || next.is_empty() {
+        return Decision::Keep;
+    }
+    Decision::Write(with_sets(current, &[before, next.clone()]))
+}
--- /dev/null
+++ b/crates/register/src/lib.rs
@@ -0,0 +1,21 @@
+//! A compare-and-set register in two rounds at a majority (CASPaxos: Rystsov, 2018), with its own membership in the
+//! value. No I/O and no clock: an [`Acceptor`] takes requests and says what must be on disk before its reply may go
+//! out; a [`Round`] takes replies and says what to send next.
+//!
+//! Membership changes by joint sets (Ongaro's thesis, 4.3, on a register): a value names the sets of members at each
+//! of which a majority must accept. A change first writes a value with the old set and the new one, then one with the
+//! new set alone. A round whose promises show a value with sets that it has not asked asks these too, so a proposer
+//! with an old view finds the way to the newest value.
+//!
+//! A round that wants to answer without writing still makes sure that what it saw is chosen, by accepting it again
+//! unless a majority already has it under one ballot. Without that a refused order could come into force later.
+
+mod acceptor;
+mod change;
+mod round;
+
+pub use acceptor::{Accepted, Acceptor, Durable, PromiseRecord, ValueRecord};
+pub use change::{
+    Order, OrderAnswer, Step, finish_membership, is_joint, majority_of, members_of, replace_members,
+};
+pub use round::{Decision, Outcome, Progress, Round, Send};
--- /dev/null
+++ b/crates/register/src/round.rs
@@ -0,0 +1,210 @@
+//! One try of a proposer: prepare, decide on what was found, accept.
+
+use crate::change::{has_majority, sets_of};
+use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// What is to be done with the value that was found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Nothing, but it must be chosen for sure.
+    Keep,
+    /// This one takes its place.
+    Write(Value),
+}
+
+/// How a round ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Nothing was ever written, as of this round.
+    Empty,
+    /// This value is chosen and was not this round's own.
+    Kept(Ballot, Rc<Value>),
+    /// This round's own value is chosen.
+    Written(Ballot, Rc<Value>),
+    /// A higher ballot is about. Where values had been sent out, it is not known whether they will be chosen.
+    Preempted(Ballot),
+}
+
+/// A request for a member.
+pub type Send = (Member, RegisterRequest);
+
+/// What a reply brought about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Send these, and wait for replies.
+    Send(Vec<Send>),
+    /// It is over.
+    Done(Outcome),
+}
+
+enum Phase {
+    Preparing,
+    Accepting { value: Rc<Value>, own: bool, sets: Vec<BTreeSet<Member>>, accepted: BTreeSet<Member> },
+}
+
+/// One try of a proposer.
+pub struct Round {
+    ballot: Ballot,
+    known: Option<(Ballot, Rc<Value>)>,
+    sets: Vec<BTreeSet<Member>>,
+    promises: BTreeMap<Member, Ballot>,
+    refused: BTreeSet<Member>,
+    highest: Ballot,
+    best: Option<(Ballot, Rc<Value>)>,
+    phase: Phase,
+}
+
+impl Round {
+    /// A round under this ballot, for who believes that these sets are in force and has this value.
+    pub fn new(
+        ballot: Ballot,
+        sets: Vec<BTreeSet<Member>>,
+        known: Option<(Ballot, Rc<Value>)>,
+    ) -> (Self, Vec<Send>) {
+        let mut round = Round {
+            ballot,
+            known,
+            sets: Vec::new(),
+            promises: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            highest: ballot,
+            best: None,
+            phase: Phase::Preparing,
+        };
+        let sends = round.ask(sets);
+        (round, sends)
+    }
+
+    /// Its ballot.
+    pub fn ballot(&self) -> Ballot {
+        self.ballot
+    }
+
+    /// Whether a value of its own has been sent out: then it may be chosen, whatever becomes of the round.
+    pub fn may_write(&self) -> bool {
+        matches!(self.phase, Phase::Accepting { own: true, .. })
+    }
+
+    /// Prepares at members that have not been asked yet.
+    fn ask(&mut self, sets: Vec<BTreeSet<Member>>) -> Vec<Send> {
+        let asked: BTreeSet<Member> = self.sets.iter().flatten().copied().collect();
+        let new: BTreeSet<Member> = sets.iter().flatten().copied().filter(|m| !asked.contains(m)).collect();
+        self.sets.extend(sets);
+        let have = self.known.as_ref().map(|(ballot, _)| *ballot).unwrap_or_default();
+        let ballot = self.ballot;
+        let prepare = |m: Member| (m, RegisterRequest::Prepare { to: m.incarnation, ballot, have });
+        new.into_iter().map(prepare).collect()
+    }
+
+    /// Takes a member's reply. `decide` is asked once, with the value that counts.
+    pub fn reply(
+        &mut self,
+        from: Member,
+        reply: RegisterReply,
+        decide: &mut dyn FnMut(Option<&Value>) -> Decision,
+    ) -> Progress {
+        match reply {
+            RegisterReply::Promised { ballot, accepted } if ballot == self.ballot => {
+                let value =
+                    self.known.as_ref().filter(|(known, _)| *known == accepted).map(|(_, v)| v.clone());
+                self.promised(from, accepted, value, decide)
+            }
+            RegisterReply::PromisedWith { ballot, accepted, value } if ballot == self.ballot => {
+                self.promised(from, accepted, Some(Rc::new(value)), decide)
+            }
+            RegisterReply::Accepted { ballot } if ballot == self.ballot => self.accepted(from),
+            RegisterReply::Rejected { ballot, promised } if ballot == self.ballot => {
+                self.highest = self.highest.max(promised);
+                self.refused(from)
+            }
+            RegisterReply::Stranger => self.refused(from),
+            _ => Progress::Send(Vec::new()),
+        }
+    }
+
+    fn promised(
+        &mut self,
+        from: Member,
+        accepted: Ballot,
+        value: Option<Rc<Value>>,
+        decide: &mut dyn FnMut(Option<&Value>) -> Decision,
+    ) -> Progress {
+        if !matches!(self.phase, Phase::Preparing) {
+            return Progress::Send(Vec::new());
+        }
+        if accepted > Ballot::default() && value.is_none() {
+            return self.refused(from); // it says that we have what we don't
+        }
+        self.promises.insert(from, accepted);
+        if let Some(value) = value
+            && self.best.as_ref().is_none_or(|(best, _)| *best < accepted)
+        {
+            self.best = Some((accepted, value));
+        }
+        if !self.sets.iter().all(|set| has_majority(set, |m| self.promises.contains_key(m))) {
+            return Progress::Send(Vec::new());
+        }
+        // A value that stands under other sets: nothing is known before a majority of these has promised too.
+        let named = self.best.as_ref().map(|(_, value)| sets_of(value)).unwrap_or_default();
+        let unasked: Vec<_> = named.into_iter().filter(|set| !self.sets.contains(set)).collect();
+        if !unasked.is_empty() {
+            return Progress::Send(self.ask(unasked));
+        }
+        self.decided(decide)
+    }
+
+    fn decided(&mut self, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Progress {
+        let decision = decide(self.best.as_ref().map(|(_, value)| &**value));
+        let (value, own) = match (decision, &self.best) {
+            (Decision::Keep, None) => return Progress::Done(Outcome::Empty),
+            (Decision::Keep, Some((ballot, value))) => {
+                let chosen = |m: &Member| self.promises.get(m) == Some(ballot);
+                if sets_of(value).iter().all(|set| has_majority(set, chosen)) {
+                    return Progress::Done(Outcome::Kept(*ballot, value.clone()));
+                }
+                (value.clone(), false)
+            }
+            (Decision::Write(value), _) => (Rc::new(value), true),
+        };
+        let mut sets = match &self.best {
+            Some((_, best)) => sets_of(best),
+            None => self.sets.clone(),
+        };
+        sets.extend(sets_of(&value));
+        let members: BTreeSet<Member> = sets.iter().flatten().copied().collect();
+        let accept = |m: Member| {
+            (m, RegisterRequest::Accept { to: m.incarnation, ballot: self.ballot, value: (*value).clone() })
+        };
+        let sends = members.into_iter().map(accept).collect();
+        self.refused.clear();
+        self.phase = Phase::Accepting { value, own, sets, accepted: BTreeSet::new() };
+        Progress::Send(sends)
+    }
+
+    fn accepted(&mut self, from: Member) -> Progress {
+        let Phase::Accepting { value, own, sets, accepted } = &mut self.phase else {
+            return Progress::Send(Vec::new());
+        };
+        accepted.insert(from);
+        if !sets.iter().all(|set| has_majority(set, |m| accepted.contains(m))) {
+            return Progress::Send(Vec::new());
+        }
+        let (ballot, value) = (self.ballot, value.clone());
+        Progress::Done(if *own { Outcome::Written(ballot, value) } else { Outcome::Kept(ballot, value) })
+    }
+
+    fn refused(&mut self, from: Member) -> Progress {
+        self.refused.insert(from);
+        let sets = match &self.phase {
+            Phase::Preparing => &self.sets,
+            Phase::Accepting { sets, .. } => sets,
+        };
+        let hopeless = |set: &BTreeSet<Member>| !has_majority(set, |m| !self.refused.contains(m));
+        if sets.iter().any(hopeless) {
+            return Progress::Done(Outcome::Preempted(self.highest));
+        }
+        Progress::Send(Vec::new())
+    }
+}
--- /dev/null
+++ b/crates/registry/src/lib.rs
@@ -0,0 +1,124 @@
+//! What the fleet knows of endpoints, and the copy that each process keeps. No I/O and no clock.
+//!
+//! An endpoint's incarnation only goes from ready over draining to gone: copies are merged by maximum, so late words
+//! and repeated ones change nothing. Copies are compared by digests over ranges of ids, and only the ranges that
+//! differ are sent.
+
+mod heard;
+mod replica;
+
+pub use heard::Heard;
+pub use replica::{Members, Replica, StoredConfig};
+
+use runtrack_message::{Endpoint, EndpointState};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Ranges of ids that have a digest each.
+pub const RANGES: usize = 16;
+/// Ended incarnations that are remembered; of more, some are forgotten.
+const GONE_MOST: usize = 16_384;
+
+/// Short name of an endpoint: the hash of its id.
+pub fn key_of(id: &str) -> u64 {
+    xxh3_64(id.as_bytes())
+}
+
+fn range_of(key: u64) -> usize {
+    (key >> 32) as usize % RANGES
+}
+
+/// Where an endpoint listens.
+pub fn address_of(endpoint: &Endpoint) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(endpoint.ip), endpoint.port)
+}
+
+/// All incarnations of endpoints that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    records: HashMap<u64, Endpoint>,
+    digests: [u64; RANGES],
+    gone: usize,
+}
+
+/// What both copies must agree on: id and state.
+fn digest(key: u64, state: EndpointState) -> u64 {
+    let mut bytes = [0; 9];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8] = state as u8;
+    xxh3_64(&bytes)
+}
+
+impl Registry {
+    /// Merges a record; whether others should hear of it.
+    pub fn merge(&mut self, new: Endpoint) -> bool {
+        let key = key_of(&new.id.as_string());
+        let range = &mut self.digests[range_of(key)];
+        match self.records.get_mut(&key) {
+            None => {
+                *range ^= digest(key, new.state);
+                self.gone += usize::from(new.state == EndpointState::Gone);
+                self.records.insert(key, new);
+                self.forget_surplus(key);
+                true
+            }
+            Some(old) => {
+                let (before, state) = (old.state, old.state.max(new.state));
+                if new.call_seq > old.call_seq && new.port != 0 {
+                    *old = new;
+                }
+                old.state = state;
+                if state == before {
+                    return false;
+                }
+                *range ^= digest(key, before) ^ digest(key, state);
+                self.gone += usize::from(state == EndpointState::Gone);
+                true
+            }
+        }
+    }
+
+    /// Keeps the number of ended incarnations within bounds; the one that was just merged stays.
+    fn forget_surplus(&mut self, merged: u64) {
+        if self.gone <= GONE_MOST {
+            return;
+        }
+        let gone = self.records.iter().find(|(key, r)| r.state == EndpointState::Gone && **key != merged);
+        let Some(key) = gone.map(|(key, _)| *key) else { return };
+        self.records.remove(&key);
+        self.digests[range_of(key)] ^= digest(key, EndpointState::Gone);
+        self.gone -= 1;
+    }
+
+    /// A record by its short name.
+    pub fn get(&self, key: u64) -> Option<&Endpoint> {
+        self.records.get(&key)
+    }
+
+    /// All records, by short name.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Endpoint)> {
+        self.records.iter().map(|(key, record)| (*key, record))
+    }
+
+    /// How many records there are.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Digest of each range.
+    pub fn digests(&self) -> Vec<u64> {
+        self.digests.to_vec()
+    }
+
+    /// The records of all ranges in which another copy differs.
+    pub fn differing(&self, theirs: &[u64]) -> Vec<Endpoint> {
+        let differs = |range: usize| theirs.get(range) != Some(&self.digests[range]);
+        self.iter().filter(|(key, _)| differs(range_of(*key))).map(|(_, record)| record.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/ring/src/lib.rs
@@ -0,0 +1,69 @@
+//! Who does what, by hashing alone: every process that knows the same members names the same ones, and where one
+//! comes or goes only its share moves. No I/O.
+//!
+//! [`Ring`] is consistent hashing (Karger and others, 1997) with several points a member: it names the watchers of a
+//! process. [`rendezvous`] is highest-random-weight hashing (Thaler and Ravishankar, 1998): it names the owner of a
+//! key, such as the home of a prompt's parts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Points of each member on the ring: enough that shares differ by a third at most, as a rule.
+const POINTS: u64 = 32;
+
+/// Hash of a name.
+pub fn hash(name: &[u8]) -> u64 {
+    xxh3_64_with_seed(name, 0)
+}
+
+/// Weight of a key at a member; the highest owns it.
+pub fn weight(key: u64, member: u64) -> u64 {
+    xxh3_64_with_seed(&key.to_le_bytes(), member)
+}
+
+/// The owner of a key among these members.
+pub fn rendezvous(key: u64, members: impl IntoIterator<Item = u64>) -> Option<u64> {
+    members.into_iter().max_by_key(|member| (weight(key, *member), *member))
+}
+
+/// Members at places that follow from their names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ring<M> {
+    points: BTreeMap<u64, M>,
+    members: BTreeSet<M>,
+}
+
+impl<M: Clone + Ord> Ring<M> {
+    /// A ring of these members; `name` gives the bytes that a member is placed by.
+    pub fn new(members: impl IntoIterator<Item = M>, name: impl Fn(&M) -> Vec<u8>) -> Self {
+        let mut ring = Ring { points: BTreeMap::new(), members: BTreeSet::new() };
+        for member in members {
+            let place = hash(&name(&member));
+            for point in 0..POINTS {
+                ring.points.insert(weight(point, place), member.clone());
+            }
+            ring.members.insert(member);
+        }
+        ring
+    }
+
+    /// The members in order.
+    pub fn members(&self) -> impl Iterator<Item = &M> {
+        self.members.iter()
+    }
+
+    /// The first `count` different members clockwise from a key's place.
+    pub fn successors(&self, key: &[u8], count: usize) -> Vec<M> {
+        let start = hash(key);
+        let mut found: Vec<M> = Vec::new();
+        for (_, member) in self.points.range(start..).chain(self.points.range(..start)) {
+            if found.len() == count.min(self.members.len()) {
+                break;
+            }
+            if !found.contains(member) {
+                found.push(member.clone());
+            }
+        }
+        found
+    }
+}
--- /dev/null
+++ b/crates/weirwharf/src/fleet.rs
@@ -0,0 +1,287 @@
+//! Decisions of the fleet's proxy for one call: which endpoint, whether another one may be tried, when to come back.
+//!
+//! The ordinary path is SQ(d), as in `balance.rs`: [`CHOICES`] ready endpoints drawn at random, the one with the fewest
+//! of this proxy's own calls in flight, ties at random. Two things add to an endpoint's occupancy, and neither is a
+//! second chooser:
+//!
+//! - **Prompts.** A prompt whose shared parts an endpoint has read before is read faster there, and nobody says what an
+//!   endpoint keeps. So rendezvous hashing of the shared parts names a home and a second home, the same for all proxies
+//!   without a word between them; both join the sample, and any other endpoint counts as fuller by what reading the
+//!   shared parts again takes. For prompts without shared parts nothing changes.
+//! - **Failures.** A recent failure counts as calls in flight, and an endpoint that could not be reached is left out
+//!   for a time that doubles: quick errors would keep its count low. Where this would leave out every one, none is.
+
+use crate::stats::{Draws, Fading};
+use crate::types::{EndpointId, Outcome};
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// Endpoints drawn for a call: the paper's d.
+const CHOICES: usize = 2;
+/// Homes of a prompt that join the sample.
+const HOMES: usize = 2;
+/// Tokens that must be read again weigh as one call in flight: what a call's own prompt takes to read, within a half.
+const TOKENS_A_CALL: f64 = 2048.0;
+/// The second home of a prompt may have it or not.
+const SECOND_HOME: f64 = 0.5;
+/// A failure weighs like this many calls in flight.
+const FAILURE_HEAT: f64 = 2.0;
+/// Failures weigh no more than this together.
+const HEAT_MOST: f64 = 12.0;
+/// Seconds in which the weight of failures falls to a third.
+const HEAT_SECONDS: f64 = 3.0;
+/// An endpoint that could not be reached, or fell silent, is left out for this long; doubles each time ...
+const EJECT_FIRST: Duration = Duration::from_millis(600);
+/// ... up to this.
+const EJECT_MOST: Duration = Duration::from_secs(5);
+/// Second sends stay below this part of what the fleet may make: members come and go, and counts are late.
+const BUDGET_PART: f64 = 0.5;
+/// When a client is to come back, at the least, and up to as much more: a crowd that was refused together must not
+/// come back together.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// What the fleet may do in second sends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SecondSends {
+    /// For each request of a service.
+    pub ratio: f64,
+    /// Over the whole fleet beyond that.
+    pub slack: f64,
+    /// The window in which both are counted.
+    pub window: Duration,
+}
+
+/// The parts of a prompt that others share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// Names them all together.
+    pub key: u64,
+    /// Tokens of them.
+    pub shared_tokens: u32,
+}
+
+/// A request that wants an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Now, on the caller's clock.
+    pub now: Duration,
+    /// The service's ready endpoints.
+    pub ready: &'a [EndpointId],
+    /// Endpoints that this request has tried.
+    pub tried: &'a [EndpointId],
+    /// Its prompt, where it has one with shared parts.
+    pub prompt: Option<Prompt>,
+}
+
+#[derive(Default)]
+struct Load {
+    in_flight: u32,
+    heat: Fading,
+    ejected_until: Duration,
+    ejected_for: Duration,
+}
+
+/// Sends and requests of a service within the window.
+#[derive(Default)]
+struct Sends {
+    requests: VecDeque<Duration>,
+    seconds: VecDeque<Duration>,
+}
+
+impl Sends {
+    fn forget(&mut self, before: Duration) {
+        for times in [&mut self.requests, &mut self.seconds] {
+            while times.front().is_some_and(|at| *at < before) {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+/// The decisions of one proxy.
+pub struct Router {
+    draws: Draws,
+    loads: HashMap<EndpointId, Load>,
+    sends: HashMap<u64, Sends>,
+    second: SecondSends,
+    proxies: u32,
+}
+
+impl Router {
+    /// A router that has sent nothing yet. Until it is told, it takes the fleet for `proxies` large.
+    pub fn new(seed: u64, second: SecondSends, proxies: u32) -> Self {
+        Router { draws: Draws::new(seed), loads: HashMap::new(), sends: HashMap::new(), second, proxies }
+    }
+
+    /// How many proxies share what the fleet may do.
+    pub fn set_proxies(&mut self, proxies: u32) {
+        self.proxies = proxies.max(1);
+    }
+
+    /// How many proxies share what the fleet may do.
+    pub fn proxies(&self) -> u32 {
+        self.proxies
+    }
+
+    /// An even draw from 0 to below 1.
+    pub fn draw(&mut self) -> f64 {
+        self.draws.uniform()
+    }
+
+    /// Counts a request of a service.
+    pub fn arrived(&mut self, now: Duration, service: u64) {
+        let sends = self.sends.entry(service).or_default();
+        sends.forget(now.saturating_sub(self.second.window));
+        sends.requests.push_back(now);
+    }
+
+    /// Whether a request of a service may be sent to a second endpoint; counts it if so.
+    pub fn may_send_again(&mut self, now: Duration, service: u64) -> bool {
+        let share = self.second.slack / f64::from(self.proxies.max(1));
+        let sends = self.sends.entry(service).or_default();
+        sends.forget(now.saturating_sub(self.second.window));
+        let most = (sends.requests.len() as f64 * self.second.ratio + share) * BUDGET_PART;
+        let may = (sends.seconds.len() as f64) + 1.0 <= most;
+        if may {
+            sends.seconds.push_back(now);
+        }
+        may
+    }
+
+    /// When a client that is refused is to come back.
+    pub fn retry_after(&mut self) -> Duration {
+        RETRY_AFTER.mul_f64(1.0 + self.draws.uniform())
+    }
+
+    /// Own calls in flight at an endpoint.
+    pub fn in_flight(&self, endpoint: EndpointId) -> u32 {
+        self.loads.get(&endpoint).map_or(0, |load| load.in_flight)
+    }
+
+    /// The endpoint to send to; none where there is none that was not tried.
+    pub fn choose(&mut self, ask: Ask<'_>) -> Option<EndpointId> {
+        let untried = || ask.ready.iter().copied().filter(|id| !ask.tried.contains(id));
+        let in_service =
+            |id: &EndpointId| self.loads.get(id).is_none_or(|load| load.ejected_until <= ask.now);
+        let mut eligible: Vec<EndpointId> = untried().filter(in_service).collect();
+        if eligible.is_empty() {
+            eligible = untried().collect();
+        }
+        let homes = ask.prompt.map_or([None; HOMES], |prompt| homes(prompt.key, &eligible));
+        let mut best: Option<(f64, EndpointId)> = None;
+        let mut ties = 0;
+        let sample = self.sample(&eligible);
+        let joined = homes.iter().flatten().copied().filter(|home| !sample.contains(home));
+        for id in sample.iter().copied().chain(joined.collect::<Vec<_>>()) {
+            let occupancy = self.occupancy(ask.now, id) + reading(ask.prompt, &homes, id);
+            match best {
+                Some((least, _)) if occupancy > least => {}
+                Some((least, _)) if occupancy == least => {
+                    ties += 1;
+                    if self.draws.below(ties + 1) == 0 {
+                        best = Some((occupancy, id));
+                    }
+                }
+                _ => (best, ties) = (Some((occupancy, id)), 0),
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    /// Draws without replacement.
+    fn sample(&mut self, eligible: &[EndpointId]) -> Vec<EndpointId> {
+        let mut sample = Vec::with_capacity(CHOICES + HOMES);
+        while sample.len() < CHOICES.min(eligible.len()) {
+            let drawn = eligible[self.draws.below(eligible.len())];
+            if !sample.contains(&drawn) {
+                sample.push(drawn);
+            }
+        }
+        sample
+    }
+
+    fn occupancy(&self, now: Duration, id: EndpointId) -> f64 {
+        let Some(load) = self.loads.get(&id) else { return 0.0 };
+        f64::from(load.in_flight) + load.heat.read(now, HEAT_SECONDS)
+    }
+
+    /// A call goes to an endpoint.
+    pub fn sent(&mut self, id: EndpointId) {
+        self.loads.entry(id).or_default().in_flight += 1;
+    }
+
+    /// A call that was sent has ended.
+    pub fn ended(&mut self, now: Duration, id: EndpointId, outcome: Outcome) {
+        let load = self.loads.entry(id).or_default();
+        load.in_flight = load.in_flight.saturating_sub(1);
+        match outcome {
+            Outcome::Ok => load.ejected_for = Duration::ZERO,
+            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Full | Outcome::Error => load.fail(now),
+            Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut => {
+                load.fail(now);
+                load.eject(now);
+            }
+        }
+    }
+
+    /// An endpoint that works on calls of ours has said nothing for too long.
+    pub fn silent(&mut self, now: Duration, id: EndpointId) {
+        self.loads.entry(id).or_default().eject(now);
+    }
+
+    /// Forgets an endpoint that has ended.
+    pub fn forget(&mut self, id: EndpointId) {
+        if self.loads.get(&id).is_some_and(|load| load.in_flight == 0) {
+            self.loads.remove(&id);
+        }
+    }
+}
+
+impl Load {
+    fn fail(&mut self, now: Duration) {
+        let heat = self.heat.read(now, HEAT_SECONDS) + FAILURE_HEAT;
+        self.heat.set(now, heat.min(HEAT_MOST));
+    }
+
+    fn eject(&mut self, now: Duration) {
+        if self.ejected_until > now {
+            return; // several calls tell of one failure
+        }
+        self.ejected_for = (self.ejected_for * 2).clamp(EJECT_FIRST, EJECT_MOST);
+        self.ejected_until = now + self.ejected_for;
+    }
+}
+
+/// The endpoints with the highest weights for a key.
+fn homes(key: u64, eligible: &[EndpointId]) -> [Option<EndpointId>; HOMES] {
+    let mut best: [Option<(u64, EndpointId)>; HOMES] = [None; HOMES];
+    for id in eligible.iter().copied() {
+        let mut next = Some((mix(key ^ mix(id.0)), id));
+        for place in &mut best {
+            if next > *place {
+                std::mem::swap(place, &mut next);
+            }
+        }
+    }
+    best.map(|home| home.map(|(_, id)| id))
+}
+
+/// What reading a prompt's shared parts at an endpoint weighs.
+fn reading(prompt: Option<Prompt>, homes: &[Option<EndpointId>; HOMES], id: EndpointId) -> f64 {
+    let Some(prompt) = prompt else { return 0.0 };
+    let calls = f64::from(prompt.shared_tokens) / TOKENS_A_CALL;
+    match homes.iter().position(|home| *home == Some(id)) {
+        Some(0) => 0.0,
+        Some(_) => calls * SECOND_HOME,
+        None => calls,
+    }
+}
+
+/// Spreads the bits of a number (the finalizer of splitmix64).
+fn mix(number: u64) -> u64 {
+    let mut mixed = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/weirwharf/src/lib.rs
+++ b/crates/weirwharf/src/lib.rs
@@ -23,6 +23,7 @@
 struct Readme;
 
 mod balance;
+pub mod fleet;
 mod ring;
 mod stats;
 mod types;
