--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -118,5 +118,6 @@
     calls.abort();
     membership.leave_if_spare().await;
     sleep(LAST_CALLS).await;
+    info!(logger, "controller.end");
     Ok(())
 }
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -42,7 +42,8 @@
     seen: RefCell<BTreeMap<SocketAddrV4, Instant>>,
     dials: RefCell<BTreeMap<SocketAddrV4, JoinHandle<()>>>,
     asked: Cell<Option<Instant>>,
-    started: Instant,
+    /// This process is about to end, and asks for nothing any more.
+    ending: Cell<bool>,
 }
 
 impl Membership {
@@ -65,7 +66,7 @@
             seen: RefCell::default(),
             dials: RefCell::default(),
             asked: Cell::new(None),
-            started: Instant::now(),
+            ending: Cell::new(false),
         })
     }
 
@@ -76,11 +77,14 @@
 
     /// A process asks to become a member.
     pub fn asked_to_join(&self, joiner: Member) {
-        self.joiners.borrow_mut().insert(joiner, Instant::now());
+        if !self.leavers.borrow().contains(&joiner) {
+            self.joiners.borrow_mut().insert(joiner, Instant::now());
+        }
     }
 
     /// A member is about to end, and there are members to spare.
     pub fn asked_to_leave(&self, leaver: Member) {
+        self.joiners.borrow_mut().remove(&leaver);
         self.leavers.borrow_mut().insert(leaver);
     }
 
@@ -113,19 +117,27 @@
 
     fn note_seen(&self) {
         let now = Instant::now();
+        let members = self.members();
+        self.joiners.borrow_mut().retain(|_, at| at.elapsed() < JOIN_FOR);
+        let joiners: BTreeSet<Member> = self.joiners.borrow().keys().copied().collect();
         let mut seen = self.seen.borrow_mut();
+        // Who has just become a member has had no time to be silent.
+        let addresses: BTreeSet<SocketAddrV4> = members.union(&joiners).map(Member::address).collect();
+        seen.retain(|address, _| addresses.contains(address));
+        for address in addresses {
+            seen.entry(address).or_insert(now);
+        }
         for session in self.hub.peers(Role::Controller) {
             let peer = session.peer.borrow().as_ref().map(|peer| peer.member.address());
             if let Some(address) = session.dialled.filter(|address| Some(*address) == peer) {
                 seen.insert(address, now);
             }
         }
-        self.joiners.borrow_mut().retain(|_, at| at.elapsed() < JOIN_FOR);
     }
 
     fn is_gone(&self, member: &Member) -> bool {
-        let since = self.seen.borrow().get(&member.address()).copied().unwrap_or(self.started);
-        *member != self.me && since.elapsed() > GONE_AFTER
+        let silent = self.seen.borrow().get(&member.address()).is_some_and(|at| at.elapsed() > GONE_AFTER);
+        *member != self.me && silent
     }
 
     /// Whether this process has the duty: one of those that are alive, the same one for all who see the same.
@@ -164,7 +176,7 @@
     }
 
     fn ask_to_join(&self) {
-        if self.asked.get().is_some_and(|at| at.elapsed() < JOIN_AGAIN) {
+        if self.ending.get() || self.asked.get().is_some_and(|at| at.elapsed() < JOIN_AGAIN) {
             return;
         }
         self.asked.set(Some(Instant::now()));
@@ -223,6 +235,7 @@
 
     /// Leaves the register before the process ends, where others bear the loss without it.
     pub async fn leave_if_spare(&self) {
+        self.ending.set(true);
         let members = self.members();
         if !members.contains(&self.me) || members.len() <= self.wanted {
             return;
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -143,14 +143,15 @@
         {
             self.best = Some((accepted, value));
         }
-        if !self.sets.iter().all(|set| has_majority(set, |m| self.promises.contains_key(m))) {
-            return Progress::Send(Vec::new());
-        }
         // A value that stands under other sets: nothing is known before a majority of these has promised too.
         let named = self.best.as_ref().map(|(_, value)| sets_of(value)).unwrap_or_default();
         let unasked: Vec<_> = named.into_iter().filter(|set| !self.sets.contains(set)).collect();
-        if !unasked.is_empty() {
-            return Progress::Send(self.ask(unasked));
+        let sends = self.ask(unasked);
+        // Whose members had all been asked before may have promised by now.
+        if !sends.is_empty()
+            || !self.sets.iter().all(|set| has_majority(set, |m| self.promises.contains_key(m)))
+        {
+            return Progress::Send(sends);
         }
         self.decided(decide)
     }
