--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -91,7 +91,8 @@
     let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
     let member = MemberTask::start(acceptor, disk, logger.clone());
     let proposer = Proposer::new(hub.clone(), member.clone(), me, first);
-    let membership = Membership::new(hub.clone(), proposer.clone(), me, seeds, node.tolerance.machines);
+    let membership =
+        Membership::new(hub.clone(), proposer.clone(), member.clone(), me, seeds, node.tolerance.machines);
     let endpoints = Endpoints::new(hub.clone());
     let _ = parts.member.set(member);
     let _ = parts.proposer.set(proposer.clone());
--- a/crates/controller/src/member.rs
+++ b/crates/controller/src/member.rs
@@ -2,12 +2,17 @@
 
 use crate::disk::Disk;
 use runtrack_message::{RegisterReply, RegisterRequest};
-use runtrack_register::{Accepted, Acceptor};
+use runtrack_register::{Accepted, Acceptor, Durable};
 use slog::{Logger, info};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Wait before a disk that refused is tried again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 
 type Asked = (RegisterRequest, Box<dyn FnOnce(RegisterReply)>);
 
@@ -15,13 +20,15 @@
 pub struct MemberTask {
     acceptor: RefCell<Acceptor>,
     queue: UnboundedSender<Asked>,
+    durable: Cell<bool>,
 }
 
 impl MemberTask {
     /// Starts to take requests.
     pub fn start(acceptor: Acceptor, disk: Disk, logger: Logger) -> Rc<Self> {
         let (queue, asked) = unbounded_channel();
-        let task = Rc::new(MemberTask { acceptor: RefCell::new(acceptor), queue });
+        let task =
+            Rc::new(MemberTask { acceptor: RefCell::new(acceptor), queue, durable: Cell::new(false) });
         spawn_local(task.clone().run(disk, asked, logger));
         task
     }
@@ -31,12 +38,24 @@
         let _ = self.queue.send((request, Box::new(reply))); // fails only while the process ends
     }
 
+    /// Whether its incarnation is on disk: before that it must not become a member, since it would be another one after
+    /// a restart.
+    pub fn is_durable(&self) -> bool {
+        self.durable.get()
+    }
+
     /// What it has accepted last.
     pub fn accepted(&self) -> Option<Accepted> {
         self.acceptor.borrow().accepted().cloned()
     }
 
     async fn run(self: Rc<Self>, disk: Disk, mut asked: UnboundedReceiver<Asked>, logger: Logger) {
+        let (incarnation, promised) =
+            (self.acceptor.borrow().incarnation(), self.acceptor.borrow().promised());
+        while !disk.keep(incarnation, Durable::Promise(promised)).await {
+            sleep(REFUSED_PAUSE).await;
+        }
+        self.durable.set(true);
         while let Some((request, reply)) = asked.recv().await {
             let before = self.acceptor.borrow().clone();
             let (answer, durable) = self.acceptor.borrow_mut().handle(&request);
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -1,5 +1,6 @@
 //! Who the members are: dialling them, taking in who asks to join, removing who is gone.
 
+use crate::member::MemberTask;
 use crate::proposer::Proposer;
 use runtrack_link::{Hub, dial_for_ever};
 use runtrack_message::{Member, Message, Role, Value};
@@ -33,13 +34,17 @@
 pub struct Membership {
     hub: Rc<Hub>,
     proposer: Rc<Proposer>,
+    member: Rc<MemberTask>,
     me: Member,
     seeds: RefCell<BTreeSet<SocketAddrV4>>,
     /// Members that are wanted: as many as bear the loss that is to be borne.
     wanted: usize,
     joiners: RefCell<BTreeMap<Member, Instant>>,
     leavers: RefCell<BTreeSet<Member>>,
-    seen: RefCell<BTreeMap<SocketAddrV4, Instant>>,
+    /// When each member had a link last, as itself and no other incarnation.
+    seen: RefCell<BTreeMap<Member, Instant>>,
+    /// Who is at an address now, as far as links show.
+    present: RefCell<BTreeMap<SocketAddrV4, Member>>,
     dials: RefCell<BTreeMap<SocketAddrV4, JoinHandle<()>>>,
     asked: Cell<Option<Instant>>,
     /// This process is about to end, and asks for nothing any more.
@@ -51,6 +56,7 @@
     pub fn new(
         hub: Rc<Hub>,
         proposer: Rc<Proposer>,
+        member: Rc<MemberTask>,
         me: Member,
         seeds: BTreeSet<SocketAddrV4>,
         tolerance: u32,
@@ -58,12 +64,14 @@
         Rc::new(Membership {
             hub,
             proposer,
+            member,
             me,
             seeds: RefCell::new(seeds),
             wanted: 2 * tolerance as usize + 1,
             joiners: RefCell::default(),
             leavers: RefCell::default(),
             seen: RefCell::default(),
+            present: RefCell::default(),
             dials: RefCell::default(),
             asked: Cell::new(None),
             ending: Cell::new(false),
@@ -121,23 +129,29 @@
         self.joiners.borrow_mut().retain(|_, at| at.elapsed() < JOIN_FOR);
         let joiners: BTreeSet<Member> = self.joiners.borrow().keys().copied().collect();
         let mut seen = self.seen.borrow_mut();
+        let mut present = self.present.borrow_mut();
         // Who has just become a member has had no time to be silent.
-        let addresses: BTreeSet<SocketAddrV4> = members.union(&joiners).map(Member::address).collect();
-        seen.retain(|address, _| addresses.contains(address));
-        for address in addresses {
-            seen.entry(address).or_insert(now);
+        let known: BTreeSet<Member> = members.union(&joiners).copied().collect();
+        seen.retain(|member, _| known.contains(member));
+        for member in known {
+            seen.entry(member).or_insert(now);
         }
+        present.clear();
         for session in self.hub.peers(Role::Controller) {
-            let peer = session.peer.borrow().as_ref().map(|peer| peer.member.address());
-            if let Some(address) = session.dialled.filter(|address| Some(*address) == peer) {
-                seen.insert(address, now);
+            let peer = session.peer.borrow().as_ref().map(|peer| peer.member);
+            if let Some(member) = peer.filter(|member| session.dialled == Some(member.address())) {
+                present.insert(member.address(), member);
+                seen.insert(member, now);
             }
         }
     }
 
+    /// Whether a member has no link for too long, or another incarnation is in its place.
     fn is_gone(&self, member: &Member) -> bool {
-        let silent = self.seen.borrow().get(&member.address()).is_some_and(|at| at.elapsed() > GONE_AFTER);
-        *member != self.me && silent
+        let replaced =
+            self.present.borrow().get(&member.address()).is_some_and(|present| present != member);
+        let silent = self.seen.borrow().get(member).is_some_and(|at| at.elapsed() > GONE_AFTER);
+        *member != self.me && (replaced || silent)
     }
 
     /// Whether this process has the duty: one of those that are alive, the same one for all who see the same.
@@ -176,7 +190,8 @@
     }
 
     fn ask_to_join(&self) {
-        if self.ending.get() || self.asked.get().is_some_and(|at| at.elapsed() < JOIN_AGAIN) {
+        let unable = self.ending.get() || !self.member.is_durable();
+        if unable || self.asked.get().is_some_and(|at| at.elapsed() < JOIN_AGAIN) {
             return;
         }
         self.asked.set(Some(Instant::now()));
