--- /dev/null
+++ b/crates/register/tests/support/mod.rs
@@ -0,0 +1,208 @@
+//! Members in memory whose messages arrive at once, unless they are cut off.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
+use runtrack_register::{
+    Acceptor, Decision, Durable, Order, OrderAnswer, Outcome, Progress, PromiseRecord, Round, Send,
+    ValueRecord, finish_membership, is_joint, members_of, replace_members,
+};
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// A member by number and incarnation.
+pub fn member(at: u8, incarnation: u64) -> Member {
+    Member::new(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, at + 1), 7000), incarnation)
+}
+
+/// An order by its versions.
+pub fn order(base: u64, version: u64) -> Order {
+    Order { base, version, digest: base * 1000 + version, body: format!("config {version}").into_bytes() }
+}
+
+struct Node {
+    member: Member,
+    acceptor: Acceptor,
+    promise: Option<PromiseRecord>,
+    value: Option<ValueRecord>,
+    cut: bool,
+}
+
+/// A round that sleeps between its two halves.
+pub struct Sleeping {
+    round: Round,
+    accepts: Vec<Send>,
+}
+
+/// Members and what they remember.
+pub struct Cluster {
+    nodes: Vec<Node>,
+    view: Vec<BTreeSet<Member>>,
+    rounds: u64,
+}
+
+impl Cluster {
+    pub fn new(members: u8) -> Self {
+        let mut cluster = Cluster { nodes: Vec::new(), view: Vec::new(), rounds: 0 };
+        for at in 0..members {
+            cluster.add(member(at, 0));
+        }
+        cluster.view = vec![cluster.nodes.iter().map(|node| node.member).collect()];
+        cluster
+    }
+
+    pub fn add(&mut self, member: Member) -> usize {
+        let acceptor = Acceptor::new(member.incarnation);
+        self.nodes.push(Node { member, acceptor, promise: None, value: None, cut: false });
+        self.nodes.len() - 1
+    }
+
+    pub fn view(&self) -> Vec<BTreeSet<Member>> {
+        self.view.clone()
+    }
+
+    pub fn cut(&mut self, at: usize, cut: bool) {
+        self.nodes[at].cut = cut;
+    }
+
+    /// Starts a member again from what is on its disk.
+    pub fn restart(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.acceptor = Acceptor::recover(node.promise.clone(), node.value.clone()).expect("a record");
+    }
+
+    fn deliver(&mut self, to: Member, request: &RegisterRequest) -> Option<RegisterReply> {
+        let node = self.nodes.iter_mut().find(|node| node.member == to && !node.cut)?;
+        let (reply, durable) = node.acceptor.handle(request);
+        let incarnation = node.member.incarnation;
+        match durable {
+            Some(Durable::Promise(promised)) => {
+                node.promise = Some(PromiseRecord { incarnation, promised })
+            }
+            Some(Durable::Value(accepted)) => {
+                let value = (*accepted.value).clone();
+                node.value = Some(ValueRecord { incarnation, ballot: accepted.ballot, value });
+            }
+            None => {}
+        }
+        Some(reply)
+    }
+
+    fn ballot(&mut self, boot: usize) -> Ballot {
+        self.rounds += 1;
+        Ballot { round: self.rounds, boot: boot as u64 + 1 }
+    }
+
+    /// A whole round; nothing where it falls silent.
+    pub fn round(
+        &mut self,
+        at: usize,
+        view: Vec<BTreeSet<Member>>,
+        decide: &mut dyn FnMut(Option<&Value>) -> Decision,
+    ) -> Option<Outcome> {
+        let ballot = self.ballot(at);
+        let (mut round, mut sends) = Round::new(ballot, view, None);
+        while !sends.is_empty() {
+            let mut next = Vec::new();
+            for (to, request) in sends {
+                let Some(reply) = self.deliver(to, &request) else { continue };
+                match round.reply(to, reply, decide) {
+                    Progress::Send(more) => next.extend(more),
+                    Progress::Done(outcome) => return Some(outcome),
+                }
+            }
+            sends = next;
+        }
+        None
+    }
+
+    fn decide(&mut self, at: usize, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Option<Outcome> {
+        let view = self.view.clone();
+        let outcome = self.round(at, view, decide);
+        if let Some(Outcome::Kept(_, value) | Outcome::Written(_, value)) = &outcome {
+            self.view = vec![members_of(value)];
+        }
+        outcome
+    }
+
+    pub fn order(&mut self, at: usize, order: &Order) -> Option<OrderAnswer> {
+        let first = self.view.clone();
+        let mut answer = None;
+        let outcome = self.decide(at, &mut |current| {
+            let (decision, found) = order.decide(current, &first);
+            answer = Some(found);
+            decision
+        });
+        match outcome? {
+            Outcome::Preempted(_) => None,
+            _ => answer,
+        }
+    }
+
+    /// Prepares for an order, and stops before it is sent out.
+    pub fn prepared(&mut self, at: usize, order: &Order) -> Sleeping {
+        let ballot = self.ballot(at);
+        let first = self.view.clone();
+        let (mut round, prepares) = Round::new(ballot, first.clone(), None);
+        for (to, request) in prepares {
+            let Some(reply) = self.deliver(to, &request) else { continue };
+            let progress = round.reply(to, reply, &mut |current| order.decide(current, &first).0);
+            match progress {
+                Progress::Send(accepts) if !accepts.is_empty() => return Sleeping { round, accepts },
+                Progress::Send(_) => {}
+                Progress::Done(outcome) => panic!("{outcome:?}"),
+            }
+        }
+        panic!("no majority");
+    }
+
+    /// Sends out what a round had decided before it slept.
+    pub fn wake(&mut self, sleeping: &mut Sleeping) -> Option<Outcome> {
+        for (to, request) in std::mem::take(&mut sleeping.accepts) {
+            let Some(reply) = self.deliver(to, &request) else { continue };
+            if let Progress::Done(outcome) = sleeping.round.reply(to, reply, &mut |_| Decision::Keep) {
+                return Some(outcome);
+            }
+        }
+        None
+    }
+
+    /// An order whose accepts reach these members alone; its proposer hears nothing more.
+    pub fn order_reaching(&mut self, at: usize, order: &Order, reached: &[usize]) {
+        let sleeping = self.prepared(at, order);
+        let reached: Vec<Member> = reached.iter().map(|at| self.nodes[*at].member).collect();
+        for (to, request) in sleeping.accepts.into_iter().filter(|(to, _)| reached.contains(to)) {
+            let reply = self.deliver(to, &request);
+            assert!(matches!(reply, Some(RegisterReply::Accepted { .. })), "{reply:?}");
+        }
+    }
+
+    pub fn try_read(&mut self, at: usize) -> Option<Value> {
+        match self.decide(at, &mut |_| Decision::Keep)? {
+            Outcome::Kept(_, value) | Outcome::Written(_, value) => Some((*value).clone()),
+            _ => None,
+        }
+    }
+
+    pub fn read(&mut self, at: usize) -> Value {
+        self.try_read(at).expect("a value")
+    }
+
+    /// The first half of a change of members.
+    pub fn begin_replace(&mut self, at: usize, next: &[Member]) -> bool {
+        let next: BTreeSet<Member> = next.iter().copied().collect();
+        let view = self.view.clone();
+        let outcome = self.round(at, view, &mut |current| match current {
+            Some(value) => replace_members(value, &next),
+            None => Decision::Keep,
+        });
+        matches!(outcome, Some(Outcome::Written(_, value)) if is_joint(&value))
+    }
+
+    pub fn replace(&mut self, at: usize, next: &[Member]) -> bool {
+        self.begin_replace(at, next)
+            && matches!(
+                self.decide(at, &mut |current| current.map_or(Decision::Keep, finish_membership)),
+                Some(Outcome::Written(..))
+            )
+    }
+}
