--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -156,7 +156,11 @@
             }
         };
         match &outcome {
-            Some(Outcome::Kept(ballot, value) | Outcome::Written(ballot, value)) => {
+            Some(
+                Outcome::Kept(ballot, value)
+                | Outcome::Written(ballot, value)
+                | Outcome::Settled(ballot, value),
+            ) => {
                 let before = self.known.borrow().as_ref().map(|(known, _)| *known);
                 self.learn(*ballot, value.clone());
                 if before != Some(*ballot) {
@@ -183,8 +187,8 @@
                 Some(Outcome::Preempted(_)) => {
                     sleep(BACK_OFF * tries.min(BACK_OFF_TRIES) * fastrand::u32(100..200) / 100).await;
                 }
+                Some(Outcome::Settled(..)) | None => {}
                 Some(outcome) => return Some(outcome),
-                None => {}
             }
             if Instant::now() >= until {
                 break;
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -5,7 +5,9 @@
 //! Membership changes by joint sets (Ongaro's thesis, 4.3, on a register): a value names the sets of members at each
 //! of which a majority must accept. A change first writes a value with the old set and the new one, then one with the
 //! new set alone. A round whose promises show a value with sets that it has not asked asks these too, so a proposer
-//! with an old view finds the way to the newest value.
+//! with an old view finds the way to the newest value. The second half is written only on top of a first half that is
+//! known to be chosen: a round that finds joint sets which may not be chosen makes sure of them and decides nothing
+//! ([`Outcome::Settled`]).
 //!
 //! A round that wants to answer without writing still makes sure that what it saw is chosen, by accepting it again
 //! unless a majority already has it under one ballot. Without that a refused order could come into force later.
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -1,6 +1,6 @@
 //! One try of a proposer: prepare, decide on what was found, accept.
 
-use crate::change::{has_majority, sets_of};
+use crate::change::{has_majority, is_joint, sets_of};
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -23,6 +23,8 @@
     Kept(Ballot, Rc<Value>),
     /// This round's own value is chosen.
     Written(Ballot, Rc<Value>),
+    /// A change of membership was under way and is chosen now; nothing was decided on it. The next round can.
+    Settled(Ballot, Rc<Value>),
     /// A higher ballot is about. Where values had been sent out, it is not known whether they will be chosen.
     Preempted(Ballot),
 }
@@ -39,9 +41,20 @@
     Done(Outcome),
 }
 
+/// Why a value is sent out.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// It is this round's own.
+    Own,
+    /// It was found, and an answer depends on its being chosen.
+    Found,
+    /// It was found and changes the membership: it must be chosen before anything is decided.
+    Settling,
+}
+
 enum Phase {
     Preparing,
-    Accepting { value: Rc<Value>, own: bool, sets: Vec<BTreeSet<Member>>, accepted: BTreeSet<Member> },
+    Accepting { value: Rc<Value>, kind: Kind, sets: Vec<BTreeSet<Member>>, accepted: BTreeSet<Member> },
 }
 
 /// One try of a proposer.
@@ -84,7 +97,7 @@
 
     /// Whether a value of its own has been sent out: then it may be chosen, whatever becomes of the round.
     pub fn may_write(&self) -> bool {
-        matches!(self.phase, Phase::Accepting { own: true, .. })
+        matches!(self.phase, Phase::Accepting { kind: Kind::Own, .. })
     }
 
     /// Prepares at members that have not been asked yet.
@@ -157,35 +170,36 @@
     }
 
     fn decided(&mut self, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Progress {
-        let decision = decide(self.best.as_ref().map(|(_, value)| &**value));
-        let (value, own) = match (decision, &self.best) {
-            (Decision::Keep, None) => return Progress::Done(Outcome::Empty),
-            (Decision::Keep, Some((ballot, value))) => {
-                let chosen = |m: &Member| self.promises.get(m) == Some(ballot);
-                if sets_of(value).iter().all(|set| has_majority(set, chosen)) {
+        let chosen = self.best.as_ref().is_some_and(|(ballot, value)| {
+            let accepted = |member: &Member| self.promises.get(member) == Some(ballot);
+            sets_of(value).iter().all(|set| has_majority(set, accepted))
+        });
+        let (value, kind) = match &self.best {
+            // The new set alone must never be written on top of joint sets that may not be chosen: it would count as
+            // chosen at a majority of the new set, while the old one could still choose something else.
+            Some((_, best)) if is_joint(best) && !chosen => (best.clone(), Kind::Settling),
+            best => match (decide(best.as_ref().map(|(_, value)| &**value)), best) {
+                (Decision::Keep, None) => return Progress::Done(Outcome::Empty),
+                (Decision::Keep, Some((ballot, value))) if chosen => {
                     return Progress::Done(Outcome::Kept(*ballot, value.clone()));
                 }
-                (value.clone(), false)
-            }
-            (Decision::Write(value), _) => (Rc::new(value), true),
-        };
-        let mut sets = match &self.best {
-            Some((_, best)) => sets_of(best),
-            None => self.sets.clone(),
+                (Decision::Keep, Some((_, value))) => (value.clone(), Kind::Found),
+                (Decision::Write(value), _) => (Rc::new(value), Kind::Own),
+            },
         };
-        sets.extend(sets_of(&value));
+        let sets = sets_of(&value);
         let members: BTreeSet<Member> = sets.iter().flatten().copied().collect();
         let accept = |m: Member| {
             (m, RegisterRequest::Accept { to: m.incarnation, ballot: self.ballot, value: (*value).clone() })
         };
         let sends = members.into_iter().map(accept).collect();
         self.refused.clear();
-        self.phase = Phase::Accepting { value, own, sets, accepted: BTreeSet::new() };
+        self.phase = Phase::Accepting { value, kind, sets, accepted: BTreeSet::new() };
         Progress::Send(sends)
     }
 
     fn accepted(&mut self, from: Member) -> Progress {
-        let Phase::Accepting { value, own, sets, accepted } = &mut self.phase else {
+        let Phase::Accepting { value, kind, sets, accepted } = &mut self.phase else {
             return Progress::Send(Vec::new());
         };
         accepted.insert(from);
@@ -193,7 +207,11 @@
             return Progress::Send(Vec::new());
         }
         let (ballot, value) = (self.ballot, value.clone());
-        Progress::Done(if *own { Outcome::Written(ballot, value) } else { Outcome::Kept(ballot, value) })
+        Progress::Done(match kind {
+            Kind::Own => Outcome::Written(ballot, value),
+            Kind::Found => Outcome::Kept(ballot, value),
+            Kind::Settling => Outcome::Settled(ballot, value),
+        })
     }
 
     fn refused(&mut self, from: Member) -> Progress {
--- a/crates/register/tests/rounds.rs
+++ b/crates/register/tests/rounds.rs
@@ -183,6 +183,20 @@
     assert_eq!(members_of(&next), four.into_iter().collect());
 }
 
+#[test]
+fn the_second_half_of_a_change_waits_until_the_first_is_chosen() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    let new = cluster.add(member(3, 9));
+    let next = [member(0, 0), member(1, 0), member(3, 9)];
+    // The first half reaches member 1 and the new one: no majority of the old members.
+    cluster.begin_replace_reaching(0, &next, &[1, new]);
+    let view = cluster.view();
+    let outcome = cluster
+        .round(1, view, &mut |_| panic!("nothing may be decided on joint sets that may not be chosen"));
+    assert!(matches!(outcome, Some(Outcome::Settled(..))), "{outcome:?}");
+}
+
 #[test]
 fn what_was_taken_is_remembered_within_bounds() {
     let mut cluster = Cluster::new(1);
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! Members in memory whose messages arrive at once, unless they are cut off.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod checker;
+pub mod world;
+
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
 use runtrack_register::{
     Acceptor, Decision, Durable, Order, OrderAnswer, Outcome, Progress, PromiseRecord, Round, Send,
@@ -116,8 +119,10 @@
     }
 
     fn decide(&mut self, at: usize, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Option<Outcome> {
-        let view = self.view.clone();
-        let outcome = self.round(at, view, decide);
+        let mut outcome = self.round(at, self.view.clone(), decide);
+        if matches!(outcome, Some(Outcome::Settled(..))) {
+            outcome = self.round(at, self.view.clone(), decide);
+        }
         if let Some(Outcome::Kept(_, value) | Outcome::Written(_, value)) = &outcome {
             self.view = vec![members_of(value)];
         }
@@ -140,13 +145,17 @@
 
     /// Prepares for an order, and stops before it is sent out.
     pub fn prepared(&mut self, at: usize, order: &Order) -> Sleeping {
+        let first = self.view.clone();
+        self.prepared_for(at, &mut |current| order.decide(current, &first).0)
+    }
+
+    fn prepared_for(&mut self, at: usize, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Sleeping {
         let ballot = self.ballot(at);
         let first = self.view.clone();
-        let (mut round, prepares) = Round::new(ballot, first.clone(), None);
+        let (mut round, prepares) = Round::new(ballot, first, None);
         for (to, request) in prepares {
             let Some(reply) = self.deliver(to, &request) else { continue };
-            let progress = round.reply(to, reply, &mut |current| order.decide(current, &first).0);
-            match progress {
+            match round.reply(to, reply, decide) {
                 Progress::Send(accepts) if !accepts.is_empty() => return Sleeping { round, accepts },
                 Progress::Send(_) => {}
                 Progress::Done(outcome) => panic!("{outcome:?}"),
@@ -169,6 +178,18 @@
     /// An order whose accepts reach these members alone; its proposer hears nothing more.
     pub fn order_reaching(&mut self, at: usize, order: &Order, reached: &[usize]) {
         let sleeping = self.prepared(at, order);
+        self.reach(sleeping, reached);
+    }
+
+    /// The first half of a change of members that reaches these alone.
+    pub fn begin_replace_reaching(&mut self, at: usize, next: &[Member], reached: &[usize]) {
+        let next: BTreeSet<Member> = next.iter().copied().collect();
+        let sleeping =
+            self.prepared_for(at, &mut |current| replace_members(current.expect("a value"), &next));
+        self.reach(sleeping, reached);
+    }
+
+    fn reach(&mut self, sleeping: Sleeping, reached: &[usize]) {
         let reached: Vec<Member> = reached.iter().map(|at| self.nodes[*at].member).collect();
         for (to, request) in sleeping.accepts.into_iter().filter(|(to, _)| reached.contains(to)) {
             let reply = self.deliver(to, &request);
