--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -3,7 +3,9 @@
 use crate::member::MemberTask;
 use runtrack_link::Hub;
 use runtrack_message::{Ballot, Member, Message, RegisterReply, RegisterRequest, Role, Value};
-use runtrack_register::{Decision, Order, OrderAnswer, Outcome, Progress, Round, Send, members_of};
+use runtrack_register::{
+    Decision, Order, OrderAnswer, Outcome, Progress, Round, Send, members_of, sets_of,
+};
 use slog::info;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -108,11 +110,16 @@
         }
     }
 
-    /// The sets of members to begin with: what the newest value says, whoever told.
+    /// The sets of members to begin with: of what is told to be chosen, or of what this member has accepted, whichever
+    /// is newer. After the end of all processes there is nobody to tell.
     fn sets(&self) -> Vec<BTreeSet<Member>> {
         let replica = self.hub.replica();
-        let members = replica.members();
-        if members.sequence > 0 { vec![members.set.clone()] } else { vec![self.first.clone()] }
+        let told = replica.members();
+        match self.member.accepted() {
+            Some(accepted) if accepted.value.sequence > told.sequence => sets_of(&accepted.value),
+            _ if told.sequence > 0 => vec![told.set.clone()],
+            _ => vec![self.first.clone()],
+        }
     }
 
     fn send(&self, sends: Vec<Send>, replies: &Replies) {
--- a/crates/register/src/change.rs
+++ b/crates/register/src/change.rs
@@ -63,8 +63,9 @@
     }
 }
 
-/// The sets of a value.
-pub(crate) fn sets_of(value: &Value) -> Vec<BTreeSet<Member>> {
+/// The sets of a value. Who has accepted a value and knows no more may begin a round at all of its sets: a single set is
+/// only ever written once the change to it is chosen.
+pub fn sets_of(value: &Value) -> Vec<BTreeSet<Member>> {
     value.sets.items().iter().map(|set| set.items().iter().copied().collect()).collect()
 }
 
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -19,5 +19,6 @@
 pub use acceptor::{Accepted, Acceptor, Durable, PromiseRecord, ValueRecord};
 pub use change::{
     Order, OrderAnswer, Step, finish_membership, is_joint, majority_of, members_of, replace_members,
+    sets_of,
 };
 pub use round::{Decision, Outcome, Progress, Round, Send};
--- a/crates/register/tests/support/world.rs
+++ b/crates/register/tests/support/world.rs
@@ -8,7 +8,7 @@
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
 use runtrack_register::{
     Accepted, Acceptor, Decision, Durable, Order, OrderAnswer, Outcome, Progress, PromiseRecord, Round,
-    Send, ValueRecord, finish_membership, is_joint, members_of, replace_members,
+    Send, ValueRecord, finish_membership, is_joint, members_of, replace_members, sets_of,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -81,7 +81,7 @@
     boot: u64,
     round: u64,
     known: Option<(Ballot, Rc<Value>)>,
-    view: (u64, BTreeSet<Member>),
+    view: (u64, Vec<BTreeSet<Member>>),
 }
 
 /// The world.
@@ -121,7 +121,7 @@
             boot: if shared { 1 } else { u64::from(at) + 1 },
             round: 0,
             known: None,
-            view: (0, first.clone()),
+            view: (0, vec![first.clone()]),
         };
         World {
             rng: Rng::with_seed(seed),
@@ -171,7 +171,7 @@
 
     fn newest_view(&self) -> BTreeSet<Member> {
         let newest = self.proposers.iter().max_by_key(|proposer| proposer.view.0);
-        newest.map(|proposer| proposer.view.1.clone()).unwrap_or_default()
+        newest.and_then(|proposer| proposer.view.1.last().cloned()).unwrap_or_default()
     }
 
     fn start_order(&mut self) {
@@ -222,7 +222,7 @@
         let proposer = &mut self.proposers[operation.at];
         proposer.round += 1;
         let ballot = Ballot { round: proposer.round, boot: proposer.boot };
-        let (round, sends) = Round::new(ballot, vec![proposer.view.1.clone()], proposer.known.clone());
+        let (round, sends) = Round::new(ballot, proposer.view.1.clone(), proposer.known.clone());
         operation.round = Some(round);
         self.send(id, ballot, sends);
     }
@@ -367,12 +367,12 @@
         proposer.round = proposer.round.max(ballot.round);
         if proposer.known.as_ref().is_none_or(|(known, _)| *known < ballot) {
             proposer.known = Some((ballot, value.clone()));
-            proposer.view = (value.sequence, members_of(value));
+            proposer.view = (value.sequence, vec![members_of(value)]);
         }
         // What is chosen is told to all, sooner or later.
         for other in &mut self.proposers {
             if self.rng.bool() && other.view.0 < value.sequence {
-                other.view = (value.sequence, members_of(value));
+                other.view = (value.sequence, vec![members_of(value)]);
             }
         }
     }
@@ -510,7 +510,9 @@
         let reused = self.planted == Planted::BallotReused;
         let boot = self.proposers[at].boot;
         let boot = if reused || self.planted == Planted::BallotsShared { boot } else { self.rng.u64(10..) };
-        let view = self.proposers[at].view.clone();
+        // It knows only what the member of its process has accepted.
+        let accepted = self.nodes[at].acceptor.accepted().map(|a| (a.value.sequence, sets_of(&a.value)));
+        let view = accepted.unwrap_or_else(|| (0, vec![self.first.clone()]));
         // It knows the round that it was in, as from a counter on disk, and not that it had used it.
         let round = if reused { self.proposers[at].round.saturating_sub(1) } else { 0 };
         self.proposers[at] = Proposer { boot, round, known: None, view };
