--- a/crates/fleetconfig/src/node.rs
+++ b/crates/fleetconfig/src/node.rs
@@ -146,8 +146,9 @@
     pub fn read(text: &str) -> Result<Self, SettingsError> {
         let options = ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
         let file = Ini::load_from_str_opt(text, options).map_err(|error| {
-            let place = format!("line {}", error.line + 1);
-            SettingsError::Invalid(vec![Finding { place, problem: error.msg.into_owned() }])
+            let (place, problem) =
+                (format!("line {}", error.line), "is no setting of the form a.b=value".to_owned());
+            SettingsError::Invalid(vec![Finding { place, problem }])
         })?;
         let mut reader = Reader { file: &file, findings: Vec::new() };
         let node = reader.node();
--- /dev/null
+++ b/crates/message/tests/wire.rs
@@ -0,0 +1,116 @@
+//! Messages on the wire: what is written is read, and nothing that comes can do harm.
+
+use proptest::prelude::*;
+use runtrack_message::*;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn member(last: u8) -> Member {
+    Member::new(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7660), 42)
+}
+
+fn endpoint() -> Endpoint {
+    Endpoint {
+        id: "i-7f3a91c2".into(),
+        service: "huvo11a".into(),
+        ip: u32::from(Ipv4Addr::new(10, 128, 0, 9)),
+        port: 8080,
+        zone: "tan-binh".into(),
+        capacity: 64,
+        state: EndpointState::Draining,
+        cold_left_ms: 0,
+        call_seq: 4,
+        models: vec![Model { name: "m".into(), version: 1 }].into(),
+    }
+}
+
+fn value() -> Value {
+    let set = |members: &[u8]| MemberSet::from(members.iter().map(|at| member(*at)).collect::<Vec<_>>());
+    Value {
+        sequence: 7,
+        version: 12,
+        sets: vec![set(&[1, 2, 3]), set(&[1, 2, 4])].into(),
+        taken: vec![Taken { version: 12, digest: 99 }].into(),
+        config: b"{}".to_vec().into(),
+    }
+}
+
+fn samples() -> Vec<Message> {
+    let ballot = Ballot { round: 3, boot: 9 };
+    let hello =
+        Hello { wire: WIRE_VERSION, role: Role::Agent, node: "edge-1".into(), member: Member::none() };
+    let notice = Notice { version: 3, sequence: 4, members: vec![member(1)].into(), proxies: 8 };
+    vec![
+        Message::Hello(hello),
+        Message::Have(Have { version: 3, digests: vec![1, 2, 3].into() }),
+        Message::Notice(notice),
+        Message::Fetch(3),
+        Message::Config(Config { version: 3, body: b"{}".to_vec().into() }),
+        Message::Records(vec![endpoint()].into()),
+        Message::Confirm(1, vec![endpoint(), endpoint()].into()),
+        Message::Confirmed(1),
+        Message::Heard(vec![7, 8].into()),
+        Message::Request(5, RegisterRequest::Prepare { to: 1, ballot, have: Ballot::default() }),
+        Message::Request(6, RegisterRequest::Accept { to: 1, ballot, value: value() }),
+        Message::Reply(5, RegisterReply::Promised { ballot, accepted: ballot }),
+        Message::Reply(5, RegisterReply::PromisedWith { ballot, accepted: ballot, value: value() }),
+        Message::Reply(6, RegisterReply::Accepted { ballot }),
+        Message::Reply(6, RegisterReply::Rejected { ballot, promised: ballot }),
+        Message::Reply(6, RegisterReply::Stranger),
+        Message::Learn(ballot),
+        Message::Join(member(4)),
+        Message::Leave(member(4)),
+        Message::Ping,
+        Message::Relayed(vec![7].into()),
+    ]
+}
+
+#[test]
+fn what_is_written_is_read() {
+    for message in samples() {
+        let bytes = encode(&message).expect("it can be written");
+        assert_eq!(decode(&bytes).expect("it can be read"), message);
+    }
+}
+
+#[test]
+fn a_message_that_was_cut_short_or_goes_on_is_refused() {
+    for message in samples() {
+        let bytes = encode(&message).expect("it can be written");
+        for end in 0..bytes.len() {
+            assert!(decode(&bytes[..end]).is_err(), "{message:?} up to {end}");
+        }
+        let longer = [bytes, vec![0]].concat();
+        assert!(matches!(decode(&longer), Err(MessageError::Trailing(1))), "{message:?}");
+    }
+}
+
+#[test]
+fn a_length_beyond_its_bound_is_refused_before_anything_is_allocated() {
+    // Records (6) that are said to be four billion.
+    assert!(decode(&[6, 0xff, 0xff, 0xff, 0xff]).is_err());
+    // A configuration (5) of four gigabytes.
+    assert!(decode(&[[5; 1].as_slice(), &[0; 8], &[0xff; 4]].concat()).is_err());
+}
+
+#[test]
+fn a_text_is_cut_at_the_edge_of_a_character() {
+    let long = "é".repeat(5000);
+    let kept = Text::from(long.as_str()).as_string();
+    assert!(kept.len() <= TEXT_MOST as usize);
+    assert!(kept.chars().all(|letter| letter == 'é'));
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_do_harm(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode(&bytes);
+    }
+
+    #[test]
+    fn a_spoilt_message_does_no_harm(which in 0..21usize, at in any::<prop::sample::Index>(), with in any::<u8>()) {
+        let mut bytes = encode(&samples()[which]).expect("it can be written");
+        let at = at.index(bytes.len());
+        bytes[at] = with;
+        let _ = decode(&bytes);
+    }
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a request on its way to one endpoint, up to the head of its answer.
 
-use crate::headers::{ATTEMPT_ID, NOT_EXECUTED, PRIORITY, TARGET, TIME_BUDGET};
+use crate::headers::{ATTEMPT_ID, LAST_EVENT_ID, NOT_EXECUTED, PRIORITY, TARGET, TIME_BUDGET};
 use crate::pool::{Connection, Connections, NoConnection};
 use crate::state::{State, Target};
 use bytes::Bytes;
@@ -68,14 +68,14 @@
     }
 }
 
-/// Sends a request to an endpoint and waits for the head of its answer.
+/// Sends a request to an endpoint and waits for the head of its answer. A stream goes on behind the event `after`.
 pub async fn attempt(
     state: &Rc<State>,
     connections: &Connections,
     target: &Target,
     limit: u32,
     outgoing: &Outgoing,
-    extra: &[(hyper::header::HeaderName, HeaderValue)],
+    after: Option<&HeaderValue>,
 ) -> Result<Begun, Failed> {
     loop {
         let proxies = state.router().proxies();
@@ -90,7 +90,7 @@
         if !state.is_ready(target.key) {
             return Err(Failed::unsent(Outcome::Moot));
         }
-        let Some(request) = request(target, outgoing, extra) else {
+        let Some(request) = request(target, outgoing, after) else {
             return Err(Failed::unsent(Outcome::Moot));
         };
         let sent = timeout_at(outgoing.deadline, connection.sender.try_send_request(request)).await;
@@ -112,7 +112,7 @@
 fn request(
     target: &Target,
     outgoing: &Outgoing,
-    extra: &[(hyper::header::HeaderName, HeaderValue)],
+    after: Option<&HeaderValue>,
 ) -> Option<Request<Full<Bytes>>> {
     let left = outgoing.deadline.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK);
     if left.as_millis() == 0 {
@@ -125,8 +125,8 @@
     headers.insert(TIME_BUDGET, HeaderValue::from(left.as_millis() as u64));
     headers.insert(TARGET, HeaderValue::from_str(&target.id).ok()?);
     headers.insert(PRIORITY, HeaderValue::from(u16::from(outgoing.priority)));
-    for (name, value) in extra {
-        headers.insert(name, value.clone());
+    if let Some(after) = after {
+        headers.insert(LAST_EVENT_ID, after.clone());
     }
     *request.headers_mut() = headers;
     Some(request)
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,31 +1,25 @@
 //! A request from its head to its final answer: the route, the attempts, the way back.
 
 use crate::attempt::{Begun, Failed, Outgoing, attempt};
-use crate::events::EventTracker;
-use crate::headers::{
-    ATTEMPT_ID, LAST_EVENT_ID, PROMPT_PREFIX, TIME_BUDGET, closes, keep_alive, remove_hop_headers,
-};
-use crate::pool::{Connection, Connections};
+use crate::headers::{ATTEMPT_ID, PROMPT_PREFIX, TIME_BUDGET, remove_hop_headers};
+use crate::pool::Connections;
 use crate::prompt::prompt_of;
-use crate::relay::{CutShort, ReplyBody, StreamSender, next_bytes, stream, whole};
+use crate::relay::{ReplyBody, whole};
 use crate::state::{State, Target, service_key};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Either, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use runtrack_fleetconfig::{Route, RouteKind};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
-use tokio::time::{Instant, interval, timeout, timeout_at};
+use tokio::time::{Instant, interval, timeout_at};
 use weirwharf::fleet::{Ask, Prompt};
 use weirwharf::{EndpointId, Outcome};
 
 /// Connections that come up badly are not counted as tries of the route, but there is an end to them.
 const CONNECT_TRIES: usize = 5;
-/// Bytes of an answer that is read whole before it goes on; a longer one goes on as it comes.
-const WHOLE_MOST: u64 = 256 << 10;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
 /// A stream that is under way and says nothing for so many of the longest pauses it may make, or for this long at the
@@ -38,33 +32,37 @@
 
 /// Forwards requests.
 pub struct Forwarder {
-    state: Rc<State>,
-    connections: Rc<Connections>,
+    pub(crate) state: Rc<State>,
+    pub(crate) connections: Rc<Connections>,
 }
 
-/// A request with its route.
-struct Call {
-    outgoing: Outgoing,
+/// A request with what its route says of it.
+pub(crate) struct Call {
+    pub(crate) outgoing: Outgoing,
     service: String,
-    limit: u32,
+    connection_limit: u32,
     max_tries: u32,
-    resumable: bool,
+    pub(crate) resumable: bool,
     streaming: bool,
-    silent_after: Duration,
+    /// A stream that pauses for longer speaks against its endpoint.
+    pub(crate) silent_after: Duration,
     prompt: Option<Prompt>,
 }
 
 /// What has become of a call so far.
-#[derive(Default)]
-struct Tries {
+#[derive(Clone, Default)]
+pub(crate) struct Tries {
     tried: Vec<EndpointId>,
     arrived: u32,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     unconnected: usize,
 }
 
+/// The answer broke off before any of it went on.
+pub(crate) struct Broken;
+
 /// Why a call was given up.
-enum GivenUp {
+pub(crate) enum GivenUp {
     /// It never ran.
     Refused,
     /// Its time is up, and it may have run.
@@ -74,10 +72,10 @@
 }
 
 /// Takes an attempt off the counts, whatever way it ends.
-struct Counted {
+pub(crate) struct Counted {
     state: Rc<State>,
-    key: EndpointId,
-    outcome: Outcome,
+    pub(crate) key: EndpointId,
+    pub(crate) outcome: Outcome,
 }
 
 impl Drop for Counted {
@@ -88,9 +86,9 @@
 }
 
 /// An answer that is going on to the client.
-struct Running {
-    begun: Begun,
-    counted: Counted,
+pub(crate) struct Running {
+    pub(crate) begun: Begun,
+    pub(crate) counted: Counted,
 }
 
 impl Forwarder {
@@ -153,78 +151,46 @@
         let call = Call {
             outgoing,
             service: service.name,
-            limit: service.connection_limit,
+            connection_limit: service.connection_limit,
             max_tries: route.max_tries,
             resumable: route.resumable,
             streaming: route.kind == RouteKind::Streaming,
             silent_after: silent_after(&route),
             prompt,
         };
-        self.serve(call).await
+        self.serve(Rc::new(call)).await
     }
 
-    async fn serve(self: Rc<Self>, call: Call) -> Reply {
+    async fn serve(self: Rc<Self>, call: Rc<Call>) -> Reply {
         let mut tries = Tries::default();
         loop {
-            let running = match self.begin(&call, &mut tries, &[]).await {
+            let running = match self.begin(&call, &mut tries, None).await {
                 Ok(running) => running,
                 Err(given_up) => return self.given_up(given_up),
             };
-            let status = running.begun.response.status();
-            if !call.streaming || !status.is_success() {
-                match self.read_whole(&call, running).await {
-                    Ok(reply) => {
-                        let again = reply.status().is_server_error() && call.outgoing.repeatable;
-                        if !again || !self.may_go_on(&call, &mut tries) {
-                            return reply;
-                        }
-                    }
-                    Err(()) => {
-                        tries.may_have_run = true;
-                        if !call.outgoing.repeatable || !self.may_go_on(&call, &mut tries) {
-                            return self.given_up(self.end_of(&call, &tries));
-                        }
-                    }
+            let passed_on = if call.streaming && running.begun.response.status().is_success() {
+                self.clone().pass_on_stream(&call, running, &tries).await
+            } else {
+                self.clone().pass_on_whole(&call, running, &tries).await
+            };
+            match passed_on {
+                Ok(reply) if !reply.status().is_server_error() || !call.outgoing.repeatable => {
+                    return reply;
                 }
-                continue;
-            }
-            match self.clone().start_stream(call, running, tries).await {
-                Ok(reply) => return reply,
-                Err(back) => {
-                    let (back_call, back_tries) = *back;
-                    if !back_call.outgoing.repeatable {
-                        return self.given_up(self.end_of(&back_call, &back_tries));
+                Ok(reply) if !self.may_go_on(&call, &tries) => return reply,
+                Ok(_) => {}
+                Err(Broken) => {
+                    tries.may_have_run = true;
+                    if !call.outgoing.repeatable || !self.may_go_on(&call, &tries) {
+                        return self.given_up(end_of(&call, &tries));
                     }
-                    (tries, _) = (back_tries, ());
-                    return self.serve_again(back_call, tries).await;
-                }
-            }
-        }
-    }
-
-    /// Goes on with a stream that broke before its first event.
-    async fn serve_again(self: Rc<Self>, call: Call, mut tries: Tries) -> Reply {
-        if !self.may_go_on(&call, &mut tries) {
-            return self.given_up(self.end_of(&call, &tries));
-        }
-        match self.begin(&call, &mut tries, &[]).await {
-            Ok(running) if running.begun.response.status().is_success() => {
-                let this = self.clone();
-                match this.start_stream(call, running, tries).await {
-                    Ok(reply) => reply,
-                    Err(back) => self.given_up(self.end_of(&back.0, &back.1)),
                 }
             }
-            Ok(running) => match self.read_whole(&call, running).await {
-                Ok(reply) => reply,
-                Err(()) => self.given_up(GivenUp::Failed),
-            },
-            Err(given_up) => self.given_up(given_up),
         }
     }
 
     /// Whether a call that has arrived at an endpoint may be sent to another one.
-    fn may_go_on(&self, call: &Call, tries: &mut Tries) -> bool {
+    pub(crate) fn may_go_on(&self, call: &Call, tries: &Tries) -> bool {
         if tries.arrived >= call.max_tries || Instant::now() >= call.outgoing.deadline {
             return false;
         }
@@ -232,14 +198,6 @@
         self.state.router().may_send_again(now, service_key(&call.service))
     }
 
-    fn end_of(&self, call: &Call, tries: &Tries) -> GivenUp {
-        match tries.may_have_run {
-            false => GivenUp::Refused,
-            true if Instant::now() >= call.outgoing.deadline => GivenUp::TimedOut,
-            true => GivenUp::Failed,
-        }
-    }
-
     fn choose(&self, call: &Call, tries: &Tries) -> Option<Target> {
         let pool = self.state.pool(&call.service);
         let ask =
@@ -249,19 +207,26 @@
     }
 
     /// Tries endpoints until one begins to answer.
-    async fn begin(
+    pub(crate) async fn begin(
         &self,
         call: &Call,
         tries: &mut Tries,
-        extra: &[(HeaderName, HeaderValue)],
+        after: Option<&HeaderValue>,
     ) -> Result<Running, GivenUp> {
         loop {
-            let Some(target) = self.choose(call, tries) else { return Err(self.end_of(call, tries)) };
+            let Some(target) = self.choose(call, tries) else { return Err(end_of(call, tries)) };
             self.state.router().sent(target.key);
             let mut counted =
                 Counted { state: self.state.clone(), key: target.key, outcome: Outcome::Cancelled };
-            let sent =
-                attempt(&self.state, &self.connections, &target, call.limit, &call.outgoing, extra).await;
+            let sent = attempt(
+                &self.state,
+                &self.connections,
+                &target,
+                call.connection_limit,
+                &call.outgoing,
+                after,
+            )
+            .await;
             tries.tried.push(target.key);
             let failed = match sent {
                 Ok(begun) => {
@@ -276,7 +241,7 @@
                 self.connections.close_idle(target.key);
             }
             if !self.after_failure(call, tries, failed) {
-                return Err(self.end_of(call, tries));
+                return Err(end_of(call, tries));
             }
         }
     }
@@ -296,172 +261,6 @@
         self.may_go_on(call, tries)
     }
 
-    /// Reads an answer whole, so that one that breaks off can be asked for again, or goes on as a failure.
-    async fn read_whole(&self, call: &Call, running: Running) -> Result<Reply, ()> {
-        let Running { begun, mut counted } = running;
-        let (head, body) = begun.response.into_parts();
-        let read =
-            timeout_at(call.outgoing.deadline, Limited::new(body, WHOLE_MOST as usize).collect()).await;
-        let body = match read {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
-                counted.outcome = Outcome::Reset;
-                return Err(());
-            }
-            Err(_) => {
-                counted.outcome = Outcome::TimedOut;
-                return Err(());
-            }
-        };
-        counted.outcome = if head.status.is_server_error() { Outcome::Error } else { Outcome::Ok };
-        self.keep(counted.key, begun.connection, &head.headers);
-        let mut reply = Response::new(whole(body));
-        *reply.status_mut() = head.status;
-        *reply.headers_mut() = head.headers;
-        remove_hop_headers(reply.headers_mut());
-        Ok(reply)
-    }
-
-    fn keep(&self, key: EndpointId, connection: Connection, headers: &HeaderMap) {
-        if !closes(headers) {
-            self.connections.put_back(key, connection, keep_alive(headers));
-        }
-    }
-
-    /// Passes a stream on from its first bytes; hands the call back where it breaks before them.
-    async fn start_stream(
-        self: Rc<Self>,
-        call: Call,
-        mut running: Running,
-        mut tries: Tries,
-    ) -> Result<Reply, Box<(Call, Tries)>> {
-        let mut events = EventTracker::default();
-        let first = loop {
-            let body = running.begun.response.body_mut();
-            match timeout_at(call.outgoing.deadline, next_bytes(body)).await {
-                Ok(Some(Ok(bytes))) if call.resumable => match events.take(&bytes) {
-                    Some(whole) => break Some(Bytes::from(whole)),
-                    None => {}
-                },
-                Ok(Some(Ok(bytes))) => break Some(bytes),
-                Ok(None) => break None,
-                Ok(Some(Err(_))) | Err(_) => {
-                    running.counted.outcome = Outcome::Reset;
-                    tries.may_have_run = true;
-                    return Err(Box::new((call, tries)));
-                }
-            }
-        };
-        let (sender, body) = stream();
-        let mut reply = Response::new(Either::Right(body));
-        *reply.status_mut() = running.begun.response.status();
-        *reply.headers_mut() = running.begun.response.headers().clone();
-        remove_hop_headers(reply.headers_mut());
-        match first {
-            Some(bytes) => {
-                // There is room for the first one.
-                let _ = sender.try_send(Ok(bytes));
-                spawn_local(self.relay(call, running, tries, events, sender));
-            }
-            None => self.end_stream(running),
-        }
-        Ok(reply)
-    }
-
-    fn end_stream(&self, mut running: Running) {
-        running.counted.outcome = Outcome::Ok;
-        let headers = running.begun.response.headers().clone();
-        self.keep(running.counted.key, running.begun.connection, &headers);
-    }
-
-    /// Passes a stream on to its end, over several endpoints if need be.
-    async fn relay(
-        self: Rc<Self>,
-        call: Call,
-        mut running: Running,
-        mut tries: Tries,
-        mut events: EventTracker,
-        sender: StreamSender,
-    ) {
-        loop {
-            let done = tokio::select! {
-                done = self.relay_one(&call, &mut running, &mut events, &sender) => done,
-                () = sender.closed() => return, // the client has gone
-            };
-            match done {
-                Ok(()) => {
-                    if call.resumable && !events.partial().is_empty() {
-                        let _ = sender.send(Ok(Bytes::copy_from_slice(events.partial()))).await;
-                    }
-                    return self.end_stream(running);
-                }
-                Err(outcome) => running.counted.outcome = outcome,
-            }
-            let (counted, begun) = (running.counted, running.begun);
-            self.connections.close_idle(counted.key);
-            drop((counted, begun));
-            match self.resume(&call, &mut tries, &mut events).await {
-                Some(next) => running = next,
-                None => {
-                    let _ = sender.send(Err(CutShort)).await; // the client may have gone
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Another endpoint that goes on with a stream after its last whole event.
-    async fn resume(&self, call: &Call, tries: &mut Tries, events: &mut EventTracker) -> Option<Running> {
-        tries.may_have_run = true;
-        if !call.resumable || events.last_id().is_none() || !self.may_go_on(call, tries) {
-            return None;
-        }
-        events.drop_partial();
-        let last = HeaderValue::from_str(events.last_id()?).ok()?;
-        let running = self.begin(call, tries, &[(LAST_EVENT_ID, last)]).await.ok()?;
-        running.begun.response.status().is_success().then_some(running)
-    }
-
-    /// Passes on what comes from one endpoint; how it ended if it did not end well.
-    async fn relay_one(
-        &self,
-        call: &Call,
-        running: &mut Running,
-        events: &mut EventTracker,
-        sender: &StreamSender,
-    ) -> Result<(), Outcome> {
-        let body = running.begun.response.body_mut();
-        loop {
-            let next = match timeout(call.silent_after, next_bytes(body)).await {
-                Ok(next) => next,
-                Err(_) if Instant::now() >= call.outgoing.deadline => return Err(Outcome::TimedOut),
-                Err(_) => {
-                    let now = self.state.now();
-                    self.state.router().silent(now, running.counted.key);
-                    if call.resumable {
-                        return Err(Outcome::TimedOut);
-                    }
-                    match timeout_at(call.outgoing.deadline, next_bytes(body)).await {
-                        Ok(next) => next,
-                        Err(_) => return Err(Outcome::TimedOut),
-                    }
-                }
-            };
-            let bytes = match next {
-                None => return Ok(()),
-                Some(Err(_)) => return Err(Outcome::Reset),
-                Some(Ok(bytes)) if call.resumable => match events.take(&bytes) {
-                    Some(whole) => Bytes::from(whole),
-                    None => continue,
-                },
-                Some(Ok(bytes)) => bytes,
-            };
-            if sender.send(Ok(bytes)).await.is_err() {
-                return Err(Outcome::Cancelled);
-            }
-        }
-    }
-
     fn refusal(&self, why: &'static str) -> Reply {
         let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, why);
         let wait = self.state.router().retry_after();
@@ -480,6 +279,14 @@
     }
 }
 
+fn end_of(call: &Call, tries: &Tries) -> GivenUp {
+    match tries.may_have_run {
+        false => GivenUp::Refused,
+        true if Instant::now() >= call.outgoing.deadline => GivenUp::TimedOut,
+        true => GivenUp::Failed,
+    }
+}
+
 fn silent_after(route: &Route) -> Duration {
     route.pause.map_or(SILENT_LEAST, |pause| (pause * SILENT_PAUSES).max(SILENT_LEAST))
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod prompt;
 mod relay;
 mod state;
+mod streaming;
 
 pub use events::EventTracker;
 pub use prompt::prompt_of;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -98,6 +98,12 @@
         self.router.borrow_mut()
     }
 
+    /// An endpoint that works on calls of ours has said nothing for too long.
+    pub fn silent(&self, key: EndpointId) {
+        let now = self.now();
+        self.router().silent(now, key);
+    }
+
     /// The routes in force; a request keeps them to its end.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
--- /dev/null
+++ b/crates/proxy/src/streaming.rs
@@ -0,0 +1,223 @@
+//! Answers on their way back: whole ones, and streams from their first bytes to their end, over several endpoints if
+//! need be.
+
+use crate::events::EventTracker;
+use crate::forward::{Broken, Call, Forwarder, Reply, Running, Tries};
+use crate::headers::{closes, keep_alive, remove_hop_headers};
+use crate::pool::Connection;
+use crate::relay::{CutShort, StreamSender, next_bytes, stream, whole};
+use bytes::{Bytes, BytesMut};
+use http_body_util::Either;
+use hyper::Response;
+use hyper::header::{HeaderMap, HeaderValue};
+use std::rc::Rc;
+use tokio::task::spawn_local;
+use tokio::time::{timeout, timeout_at};
+use weirwharf::{EndpointId, Outcome};
+
+/// Bytes of an answer that is read whole before any of it goes on; a longer one goes on as it comes.
+const WHOLE_MOST: usize = 256 << 10;
+
+impl Forwarder {
+    /// Reads an answer whole before it goes on, so that one that breaks off can be asked for again or fails cleanly.
+    pub(crate) async fn pass_on_whole(
+        self: Rc<Self>,
+        call: &Rc<Call>,
+        mut running: Running,
+        tries: &Tries,
+    ) -> Result<Reply, Broken> {
+        let mut read = BytesMut::new();
+        loop {
+            let next =
+                timeout_at(call.outgoing.deadline, next_bytes(running.begun.response.body_mut())).await;
+            match next {
+                Ok(Some(Ok(bytes))) => read.extend_from_slice(&bytes),
+                Ok(None) => break,
+                Ok(Some(Err(CutShort))) => {
+                    running.counted.outcome = Outcome::Reset;
+                    return Err(Broken);
+                }
+                Err(_) => {
+                    running.counted.outcome = Outcome::TimedOut;
+                    return Err(Broken);
+                }
+            }
+            if read.len() > WHOLE_MOST {
+                return Ok(self.relay_from(call, running, tries, EventTracker::default(), read.freeze()));
+            }
+        }
+        let head = reply_head(&running);
+        let failed = running.begun.response.status().is_server_error();
+        running.counted.outcome = if failed { Outcome::Error } else { Outcome::Ok };
+        let headers = std::mem::take(running.begun.response.headers_mut());
+        self.keep(running.counted.key, running.begun.connection, &headers);
+        Ok(head.map(|()| whole(read.freeze())))
+    }
+
+    fn keep(&self, key: EndpointId, connection: Connection, headers: &HeaderMap) {
+        if !closes(headers) {
+            self.connections.put_back(key, connection, keep_alive(headers));
+        }
+    }
+
+    /// Passes a stream on from its first bytes. Before these its head is held back: a stream that breaks before its
+    /// first event can fail as a whole, or be asked for elsewhere.
+    pub(crate) async fn pass_on_stream(
+        self: Rc<Self>,
+        call: &Rc<Call>,
+        mut running: Running,
+        tries: &Tries,
+    ) -> Result<Reply, Broken> {
+        let mut events = EventTracker::default();
+        loop {
+            let next =
+                timeout_at(call.outgoing.deadline, next_bytes(running.begun.response.body_mut())).await;
+            match next {
+                Ok(Some(Ok(bytes))) => {
+                    if let Some(ready) = ready_bytes(call, &mut events, bytes) {
+                        return Ok(self.relay_from(call, running, tries, events, ready));
+                    }
+                }
+                Ok(None) => {
+                    let head = reply_head(&running);
+                    self.end_stream(running);
+                    return Ok(head.map(|()| whole(Bytes::new())));
+                }
+                Ok(Some(Err(CutShort))) | Err(_) => {
+                    running.counted.outcome = Outcome::Reset;
+                    return Err(Broken);
+                }
+            }
+        }
+    }
+
+    fn relay_from(
+        self: Rc<Self>,
+        call: &Rc<Call>,
+        running: Running,
+        tries: &Tries,
+        events: EventTracker,
+        first: Bytes,
+    ) -> Reply {
+        let (sender, body) = stream();
+        let reply = reply_head(&running).map(|()| Either::Right(body));
+        let _ = sender.try_send(Ok(first)); // there is room for the first one
+        spawn_local(self.relay(call.clone(), running, tries.clone(), events, sender));
+        reply
+    }
+
+    fn end_stream(&self, mut running: Running) {
+        running.counted.outcome = Outcome::Ok;
+        let headers = std::mem::take(running.begun.response.headers_mut());
+        self.keep(running.counted.key, running.begun.connection, &headers);
+    }
+
+    /// Passes a stream on to its end, over several endpoints if need be.
+    async fn relay(
+        self: Rc<Self>,
+        call: Rc<Call>,
+        mut running: Running,
+        mut tries: Tries,
+        mut events: EventTracker,
+        sender: StreamSender,
+    ) {
+        loop {
+            let done = tokio::select! {
+                done = self.relay_one(&call, &mut running, &mut events, &sender) => done,
+                () = sender.closed() => return, // the client has gone
+            };
+            match done {
+                Ok(()) => {
+                    if !events.partial().is_empty() {
+                        // Whatever it is, it is what the endpoint ended its answer with.
+                        let _ = sender.send(Ok(Bytes::copy_from_slice(events.partial()))).await;
+                    }
+                    return self.end_stream(running);
+                }
+                Err(outcome) => running.counted.outcome = outcome,
+            }
+            self.connections.close_idle(running.counted.key);
+            drop(running);
+            match self.resume(&call, &mut tries, &mut events).await {
+                Some(next) => running = next,
+                None => {
+                    let _ = sender.send(Err(CutShort)).await; // the client may have gone
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Another endpoint that goes on with a stream after its last whole event.
+    async fn resume(&self, call: &Call, tries: &mut Tries, events: &mut EventTracker) -> Option<Running> {
+        tries.may_have_run = true;
+        if !call.resumable || !self.may_go_on(call, tries) {
+            return None;
+        }
+        let last = HeaderValue::from_str(events.last_id()?).ok()?;
+        events.drop_partial();
+        let running = self.begin(call, tries, Some(&last)).await.ok()?;
+        running.begun.response.status().is_success().then_some(running)
+    }
+
+    /// Passes on what comes from one endpoint; how it ended if it did not end well.
+    async fn relay_one(
+        &self,
+        call: &Call,
+        running: &mut Running,
+        events: &mut EventTracker,
+        sender: &StreamSender,
+    ) -> Result<(), Outcome> {
+        loop {
+            let bytes = match self.next_of_stream(call, running).await? {
+                None => return Ok(()),
+                Some(bytes) => bytes,
+            };
+            if let Some(ready) = ready_bytes(call, events, bytes)
+                && sender.send(Ok(ready)).await.is_err()
+            {
+                return Err(Outcome::Cancelled);
+            }
+        }
+    }
+
+    /// The next bytes of a stream. One that pauses for too long speaks against its endpoint, and a stream that may be
+    /// resumed goes on elsewhere then.
+    async fn next_of_stream(&self, call: &Call, running: &mut Running) -> Result<Option<Bytes>, Outcome> {
+        let (body, key) = (running.begun.response.body_mut(), running.counted.key);
+        let next = match timeout_at(call.outgoing.deadline, timeout(call.silent_after, next_bytes(body)))
+            .await
+        {
+            // It was still at work when the time was up, which says nothing against it.
+            Err(_) => return Err(Outcome::Cancelled),
+            Ok(Ok(next)) => next,
+            Ok(Err(_)) => {
+                self.state.silent(key);
+                if call.resumable {
+                    return Err(Outcome::TimedOut);
+                }
+                timeout_at(call.outgoing.deadline, next_bytes(body)).await.map_err(|_| Outcome::TimedOut)?
+            }
+        };
+        match next {
+            None => Ok(None),
+            Some(Ok(bytes)) => Ok(Some(bytes)),
+            Some(Err(CutShort)) => Err(Outcome::Reset),
+        }
+    }
+}
+
+/// What may go on to the client: of a stream that may be resumed only whole events.
+fn ready_bytes(call: &Call, events: &mut EventTracker, bytes: Bytes) -> Option<Bytes> {
+    if call.resumable { events.take(&bytes).map(Bytes::from) } else { Some(bytes) }
+}
+
+/// Status and headers of an answer, without what concerns its connection only.
+fn reply_head(running: &Running) -> Response<()> {
+    let response = &running.begun.response;
+    let mut head = Response::new(());
+    *head.status_mut() = response.status();
+    *head.headers_mut() = response.headers().clone();
+    remove_hop_headers(head.headers_mut());
+    head
+}
