--- a/crates/link/src/hub.rs
+++ b/crates/link/src/hub.rs
@@ -98,14 +98,18 @@
         self.sessions.borrow().iter().filter(such).cloned().collect()
     }
 
-    /// Live proxies: agents linked here, or as many as the best informed neighbour counts.
+    /// Live proxies. A control member counts the agents that are linked to it; others go by who is nearer to the
+    /// control members than they are, and by the largest count.
     pub fn proxies(&self) -> u32 {
-        let agents = self.peers(Role::Agent);
-        let names: BTreeSet<String> = (agents.iter())
-            .filter_map(|session| session.peer.borrow().as_ref().map(|peer| peer.node.as_string()))
-            .collect();
-        let told = self.sessions.borrow().iter().map(|session| session.proxies.get()).max().unwrap_or(0);
-        (names.len() as u32).max(if self.me.role == Role::Controller { 0 } else { told })
+        let nearer = match self.me.role {
+            Role::Controller => {
+                let names = self.peers(Role::Agent).into_iter().filter_map(|session| session.peer_name());
+                return names.collect::<BTreeSet<String>>().len() as u32;
+            }
+            Role::Agent => Role::Controller,
+            Role::Proxy => Role::Agent,
+        };
+        self.peers(nearer).iter().map(|session| session.proxies.get()).max().unwrap_or(0)
     }
 
     /// Time on this hub's clock.
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -64,6 +64,11 @@
         let _ = self.queue.send(payload); // fails only while the link ends
     }
 
+    /// The name of the other side, once it has said it.
+    pub fn peer_name(&self) -> Option<String> {
+        self.peer.borrow().as_ref().map(|peer| peer.node.as_string())
+    }
+
     /// When the other side was last heard.
     pub fn heard(&self) -> Instant {
         self.heard.get()
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -56,6 +56,8 @@
     version: Cell<u64>,
     pools: RefCell<HashMap<String, Rc<Pool>>>,
     router: RefCell<Router>,
+    /// Ready endpoints of all services.
+    ready: Cell<usize>,
     born: Instant,
 }
 
@@ -79,6 +81,7 @@
             version: Cell::new(0),
             pools: RefCell::default(),
             router: RefCell::new(Router::new(fastrand::u64(..), second, PROXIES_AT_FIRST)),
+            ready: Cell::new(0),
             born: Instant::now(),
         })
     }
@@ -161,6 +164,10 @@
             // Where most seem to be silent, the silence is rather on our side.
             pool.ready = if fresh.len() * 2 > ready.len() { fresh } else { ready };
         }
+        let ready = pools.values().map(|pool| pool.ready.len()).sum();
+        if self.ready.replace(ready) != ready {
+            info!(self.logger, "endpoints.ready"; "count" => ready);
+        }
         *self.pools.borrow_mut() = pools.into_iter().map(|(name, pool)| (name, Rc::new(pool))).collect();
     }
 
