--- a/crates/weirwharf/src/fleet.rs
+++ b/crates/weirwharf/src/fleet.rs
@@ -28,6 +28,8 @@
 const FAILURE_HEAT: f64 = 2.0;
 /// Failures weigh no more than this together.
 const HEAT_MOST: f64 = 12.0;
+/// Less heat than this is none: a trace of it would lose every tie and bar an idle endpoint for good.
+const HEAT_LEAST: f64 = 0.25;
 /// Seconds in which the weight of failures falls to a third.
 const HEAT_SECONDS: f64 = 3.0;
 /// An endpoint that could not be reached, or fell silent, is left out for this long; doubles each time ...
@@ -202,7 +204,8 @@
 
     fn occupancy(&self, now: Duration, id: EndpointId) -> f64 {
         let Some(load) = self.loads.get(&id) else { return 0.0 };
-        f64::from(load.in_flight) + load.heat.read(now, HEAT_SECONDS)
+        let heat = load.heat.read(now, HEAT_SECONDS);
+        f64::from(load.in_flight) + if heat < HEAT_LEAST { 0.0 } else { heat }
     }
 
     /// A call goes to an endpoint.
