--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -49,6 +49,8 @@
     asked: Cell<Option<Instant>>,
     /// This process is about to end, and asks for nothing any more.
     ending: Cell<bool>,
+    /// It is a member and has said so in the log.
+    joined: Cell<bool>,
 }
 
 impl Membership {
@@ -75,6 +77,7 @@
             dials: RefCell::default(),
             asked: Cell::new(None),
             ending: Cell::new(false),
+            joined: Cell::new(false),
         })
     }
 
@@ -154,6 +157,10 @@
         *member != self.me && (replaced || silent)
     }
 
+    fn is_present(&self, member: &Member) -> bool {
+        *member == self.me || self.present.borrow().get(&member.address()) == Some(member)
+    }
+
     /// Whether this process has the duty: one of those that are alive, the same one for all who see the same.
     fn on_duty(&self, members: &BTreeSet<Member>) -> bool {
         let alive = members.iter().filter(|member| !self.is_gone(member));
@@ -174,7 +181,11 @@
                     next.remove(&gone);
                     next.insert(joiner);
                 }
-                None if next.len() <= self.wanted => {
+                // Beside one that can't be reached a further member would only raise what a majority is: wait until
+                // that one is back, or gone and to be replaced.
+                None if next.len() <= self.wanted
+                    && current.iter().all(|member| self.is_present(member)) =>
+                {
                     next.insert(joiner);
                 }
                 None => {}
@@ -234,6 +245,10 @@
                 continue;
             };
             let members = members_of(&value);
+            let joined = members.contains(&self.me) && !is_joint(&value);
+            if joined && !self.joined.replace(true) {
+                info!(self.hub.logger(), "member.joined"; "sequence" => value.sequence);
+            }
             if !members.contains(&self.me) {
                 self.ask_to_join();
             } else if self.on_duty(&members) && (is_joint(&value) || self.next(&members) != members) {
--- a/crates/link/src/hub.rs
+++ b/crates/link/src/hub.rs
@@ -163,9 +163,15 @@
 
     /// Takes members that are chosen.
     pub fn take_members(&self, sequence: u64, set: BTreeSet<runtrack_message::Member>) -> bool {
+        let before = self.replica.borrow().members().set.clone();
         if !self.replica.borrow_mut().take_members(sequence, set) {
             return false;
         }
+        let members = self.replica.borrow().members().set.clone();
+        if members != before && self.me.role != Role::Proxy {
+            let names: Vec<String> = members.iter().map(|member| member.address().to_string()).collect();
+            info!(self.logger, "members.known"; "sequence" => sequence, "members" => names.join(" "));
+        }
         self.announce();
         self.changed();
         true
