--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -25,6 +25,33 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
+/// An operation of the outer interfaces, as `api/*.yaml` describe it. Every answer is held against this table where
+/// debug assertions are on, and the table against the files by a test.
+pub struct Operation {
+    /// Method.
+    pub method: Method,
+    /// Path, with `{id}` for an endpoint's id.
+    pub path: &'static str,
+    /// The statuses that it answers.
+    pub statuses: &'static [u16],
+}
+
+/// All operations of the outer interfaces.
+pub const OPERATIONS: [Operation; 4] = [
+    Operation { method: Method::POST, path: REPLACE, statuses: &[200, 400, 409, 412, 413, 503] },
+    Operation { method: Method::GET, path: READ, statuses: &[200, 404, 503] },
+    Operation {
+        method: Method::POST,
+        path: "/runtrack/instances/{id}/heartbeat",
+        statuses: &[200, 400, 413, 503],
+    },
+    Operation {
+        method: Method::POST,
+        path: "/runtrack/instances/{id}/deregister",
+        statuses: &[200, 413, 503],
+    },
+];
+
 const INSTANCES: &str = "/runtrack/instances/";
 const REPLACE: &str = "/runtrack/config/replace";
 const READ: &str = "/runtrack/config/read";
@@ -68,7 +95,7 @@
 type Reply = Response<Full<Bytes>>;
 
 /// Serves the outer interfaces.
-pub struct Api {
+pub(crate) struct Api {
     hub: Rc<Hub>,
     proposer: Rc<Proposer>,
     endpoints: Rc<Endpoints>,
@@ -108,15 +135,30 @@
     }
 
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let Some(operation) = OPERATIONS.iter().find(|operation| operation.serves(request.uri().path()))
+        else {
+            return text(StatusCode::NOT_FOUND, "no such path");
+        };
+        if operation.method != *request.method() {
+            return text(StatusCode::METHOD_NOT_ALLOWED, "not this method");
+        }
+        let reply = self.carry_out(operation, request).await;
+        debug_assert!(
+            operation.statuses.contains(&reply.status().as_u16()),
+            "{} {}",
+            operation.path,
+            reply.status()
+        );
+        reply
+    }
+
+    async fn carry_out(self: Rc<Self>, operation: &Operation, request: Request<Incoming>) -> Reply {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
-        if path == READ {
-            return if head.method == Method::GET { self.read().await } else { not_allowed() };
-        }
-        if head.method != Method::POST {
-            return not_allowed();
+        if operation.path == READ {
+            return self.read().await;
         }
-        let most = if path == REPLACE { CONFIG_MOST } else { CALL_MOST };
+        let most = if operation.path == REPLACE { CONFIG_MOST } else { CALL_MOST };
         let body = match timeout(BODY_TIME, Limited::new(body, most).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
@@ -124,7 +166,7 @@
             }
             _ => return text(StatusCode::BAD_REQUEST, "the body did not come whole"),
         };
-        if path == REPLACE {
+        if operation.path == REPLACE {
             let base = head
                 .headers
                 .get("x-base-version")
@@ -134,10 +176,10 @@
                 None => text(StatusCode::BAD_REQUEST, "X-Base-Version: is missing or no number"),
             };
         }
-        match path.strip_prefix(INSTANCES).and_then(|rest| rest.split_once('/')) {
-            Some((id, "heartbeat")) if !id.is_empty() => self.heartbeat(id, &body).await,
-            Some((id, "deregister")) if !id.is_empty() => self.deregister(id, &body).await,
-            _ => text(StatusCode::NOT_FOUND, "no such path"),
+        match endpoint_call(path) {
+            Some((id, "heartbeat")) => self.heartbeat(id, &body).await,
+            Some((id, _)) => self.deregister(id, &body).await,
+            None => text(StatusCode::BAD_REQUEST, "no endpoint"),
         }
     }
 
@@ -215,6 +257,24 @@
     }
 }
 
+impl Operation {
+    fn serves(&self, path: &str) -> bool {
+        match endpoint_call(path) {
+            Some((_, call)) => self
+                .path
+                .strip_prefix(INSTANCES)
+                .and_then(|rest| rest.split_once('/'))
+                .is_some_and(|(_, own)| own == call),
+            None => self.path == path,
+        }
+    }
+}
+
+/// An endpoint's id and what it calls for.
+fn endpoint_call(path: &str) -> Option<(&str, &str)> {
+    path.strip_prefix(INSTANCES)?.split_once('/').filter(|(id, _)| !id.is_empty())
+}
+
 fn heartbeat_record(id: &str, body: &[u8]) -> Option<Endpoint> {
     let wire: HeartbeatWire = json::from_str(std::str::from_utf8(body).ok()?).ok()?;
     let address: SocketAddrV4 = wire.address.parse().ok()?;
@@ -252,7 +312,3 @@
     let body = format!("{{\"error\":{}}}", json::to_string(&problem.to_owned()));
     json_reply(status, body.into())
 }
-
-fn not_allowed() -> Reply {
-    text(StatusCode::METHOD_NOT_ALLOWED, "not this method")
-}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,7 +1,7 @@
 //! A control member: the operator's API and the endpoints' on one side, links to agents and other members on the
 //! other, the register and its disk within.
 
-mod api;
+pub mod api;
 mod disk;
 mod endpoints;
 mod member;
