Scale: a small fleet to look at and runs of several sizes; design notes, operators' page, API test of events

runtrack-scale demo starts three control members, two proxies with agents and four endpoints on loopback and prints what clients see; runtrack-scale sizes plays real members under hollow agents and endpoints.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,7 +9,7 @@
 use runtrack_ring::Ring;
 use slog::info;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{JoinHandle, spawn_local};
@@ -24,11 +24,6 @@
 /// The agent outlives its proxy at the end, and ends this long before it would be killed.
 const END_EARLY: Duration = Duration::from_millis(400);
 
-/// Where an agent feeds the proxy of its machine.
-pub fn feed_address(first_port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, first_port + 1)
-}
-
 /// The links that an agent keeps up.
 struct Links {
     hub: Rc<Hub>,
@@ -87,8 +82,7 @@
         member: Member::none(),
     };
     let hub = Hub::new(hello, node.heartbeat, logger.clone(), Box::new(()));
-    let feed = feed_address(node.first_port);
-    listen(hub.clone(), feed).await.map_err(|error| format!("listen: {feed}: {error}"))?;
+    listen(hub.clone(), node.feed).await.map_err(|error| format!("listen.feed: {}: {error}", node.feed))?;
     spawn_local(hub.clone().run());
     let mut links = Links {
         hub: hub.clone(),
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -26,6 +26,9 @@
 /// much more.
 const SETTLE: Duration = Duration::from_millis(250);
 
+/// Until it is known after the start what is chosen, it is asked for this often, and up to twice as seldom.
+const ASK_AT_START: Duration = Duration::from_millis(40);
+
 /// What came of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ordered {
@@ -234,8 +237,8 @@
     /// Finds out what is chosen: at the start, and where others or this member's own disk know of more.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let jitter = SETTLE.mul_f64(1.0 + fastrand::f64());
-            let _ = timeout(jitter, self.unsettled.notified()).await;
+            let pause = if self.informed.get() { SETTLE } else { ASK_AT_START };
+            let _ = timeout(pause.mul_f64(1.0 + fastrand::f64()), self.unsettled.notified()).await;
             let accepted = self.member.accepted().map(|accepted| accepted.ballot);
             let known = self.known.borrow().as_ref().map(|(ballot, _)| *ballot);
             let behind = self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence)
@@ -243,8 +246,10 @@
             if self.informed.get() && accepted <= known && !behind {
                 continue;
             }
-            // It may still be on its way.
-            sleep(SETTLE.mul_f64(fastrand::f64())).await;
+            if self.informed.get() {
+                // Word of it may still be on its way.
+                sleep(SETTLE.mul_f64(fastrand::f64())).await;
+            }
             if self.read().await.is_ok() {
                 info!(self.hub.logger(), "register.settled";
                     "sequence" => self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence));
--- a/crates/fleetconfig/src/node.rs
+++ b/crates/fleetconfig/src/node.rs
@@ -70,6 +70,8 @@
     pub ready: Option<SocketAddrV4>,
     /// Where the operator and endpoints come in.
     pub control: Option<SocketAddrV4>,
+    /// Where agent and proxy of this machine meet.
+    pub feed: SocketAddrV4,
     /// First port for what the fleet's processes say to each other.
     pub first_port: u16,
     /// Control addresses of some control members.
@@ -160,7 +162,7 @@
     fn node(&mut self) -> Node {
         let ports = self.text("portRange").unwrap_or_default().to_owned();
         let first_port = ports.split(',').next().unwrap_or_default().to_owned();
-        let first_port = self.parsed("portRange", &first_port).unwrap_or_default();
+        let first_port: u16 = self.parsed("portRange", &first_port).unwrap_or_default();
         let seeds = self.text("seeds").unwrap_or_default().to_owned();
         let seeds = seeds.split(',').filter(|seed| !seed.trim().is_empty());
         let seeds = seeds.filter_map(|seed| self.parsed("seeds", seed)).collect();
@@ -171,6 +173,8 @@
             front: self.optional("listen.front"),
             ready: self.optional("listen.ready"),
             control: self.optional("listen.control"),
+            feed: self
+                .or("listen.feed", SocketAddrV4::new(Ipv4Addr::LOCALHOST, first_port.saturating_add(1))),
             first_port,
             seeds,
             first_boot: self.or("firstBoot", false),
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -22,9 +22,9 @@
 /// A link on which nothing has come for this long is given up.
 pub const SILENT_MOST: Duration = Duration::from_millis(1400);
 /// A connection that has not come up by then is given up.
-pub const CONNECT_MOST: Duration = Duration::from_millis(700);
+pub const CONNECT_MOST: Duration = Duration::from_millis(400);
 /// Wait before a link is dialled again, and up to as much more.
-const REDIAL: Duration = Duration::from_millis(150);
+const REDIAL: Duration = Duration::from_millis(100);
 /// Bytes that may wait for a peer that reads slowly: one configuration of the largest size and some change.
 const QUEUE_MOST: usize = 2 * FRAME_MOST;
 /// Bytes read at once.
--- /dev/null
+++ b/crates/link/tests/events.rs
@@ -0,0 +1,37 @@
+//! Each event that the fleet's programs log stands on the operators' page, and the page names no other.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+const PAGE: &str = include_str!("../../../docs/operators/fleet.md");
+
+/// Event names in the sources of these crates: the first text of a logging macro.
+fn logged() -> BTreeSet<String> {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut events = BTreeSet::new();
+    for name in ["agent", "controller", "link", "proxy"] {
+        for entry in std::fs::read_dir(crates.join(name).join("src")).expect("the sources") {
+            let source = std::fs::read_to_string(entry.expect("a file").path()).expect("it can be read");
+            for macro_name in ["info!(", "warn!(", "error!("] {
+                for call in source.split(macro_name).skip(1) {
+                    let text = call.split('"').nth(1).expect("an event's name");
+                    events.insert(text.to_owned());
+                }
+            }
+        }
+    }
+    events
+}
+
+#[test]
+fn every_event_stands_on_the_operators_page() {
+    let table = PAGE.split("| event |").nth(1).expect("a table of events");
+    let names =
+        table.lines().filter(|line| line.starts_with("| `")).filter_map(|line| line.split('|').nth(1));
+    let named: BTreeSet<String> = names
+        .flat_map(|cell| cell.split('`'))
+        .filter(|part| part.contains('.'))
+        .map(str::to_owned)
+        .collect();
+    assert_eq!(named, logged());
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,7 +26,6 @@
 use runtrack_link::{Hub, Signals, dial_for_ever, json_logger};
 use runtrack_message::{Hello, Member, Role, WIRE_VERSION};
 use slog::info;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use tokio::task::spawn_local;
 
 /// Runs a proxy until SIGTERM, and then until what it has taken is answered.
@@ -42,8 +41,7 @@
         member: Member::none(),
     };
     let hub = Hub::new(hello, node.heartbeat, logger.clone(), Box::new(()));
-    let feed = SocketAddrV4::new(Ipv4Addr::LOCALHOST, node.first_port + 1);
-    spawn_local(dial_for_ever(hub.clone(), feed));
+    spawn_local(dial_for_ever(hub.clone(), node.feed));
     spawn_local(hub.clone().run());
     let state = State::new(hub, &node);
     spawn_local(state.clone().run());
--- /dev/null
+++ b/crates/scale/src/demo.rs
@@ -0,0 +1,152 @@
+//! A small fleet that serves streams, with visible output.
+
+use crate::endpoints::serve;
+use crate::machines::{Machines, Process, Program};
+use crate::operator::{config, connect, order};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, interval, sleep, timeout};
+
+const MEMBERS: usize = 3;
+const EDGES: usize = 2;
+const ENDPOINTS: usize = 4;
+/// A stream that takes longer has failed.
+const STREAM_MOST: Duration = Duration::from_secs(8);
+/// The fleet is given up if it does not serve by then.
+const START_MOST: Duration = Duration::from_secs(20);
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What clients saw in a second.
+struct Second {
+    asked: u32,
+    whole: u32,
+    failed: u32,
+    first_event: Histogram<u64>,
+}
+
+impl Second {
+    fn new() -> Result<Self, String> {
+        let first_event = Histogram::new(3).map_err(|error| format!("{error:?}"))?;
+        Ok(Second { asked: 0, whole: 0, failed: 0, first_event })
+    }
+}
+
+/// Runs the fleet, and says what happens.
+pub async fn run(seconds: u64, rate: f64) -> Result<(), String> {
+    let machines = Machines::new(MEMBERS)?;
+    let controls: Vec<SocketAddrV4> = (0..MEMBERS).map(|member| machines.control(member)).collect();
+    let mut members: Vec<Option<Process>> = Vec::new();
+    for member in 0..MEMBERS {
+        members.push(Some(machines.start(Program::Controller, member, true)?));
+    }
+    let mut edges = Vec::new();
+    for edge in 0..EDGES {
+        edges.push((
+            machines.start(Program::Agent, edge, true)?,
+            machines.start(Program::Proxy, edge, true)?,
+        ));
+    }
+    println!("{MEMBERS} control members, {EDGES} proxies with their agents, {ENDPOINTS} endpoints");
+    let status = order(&controls, 0, &config(1, 0)).await?;
+    println!("configuration 1: {status}");
+    for number in 0..ENDPOINTS {
+        serve(format!("i-{}", number + 1), controls.clone()).await?;
+    }
+    let fronts: Vec<SocketAddrV4> = (0..EDGES).map(|edge| machines.front(edge)).collect();
+    let began = Instant::now();
+    while stream(fronts[0], 0).await.is_none() || stream(fronts[1], 0).await.is_none() {
+        if began.elapsed() > START_MOST {
+            return Err(format!("the fleet does not serve after {} s", START_MOST.as_secs()));
+        }
+        sleep(AGAIN).await;
+    }
+    println!(
+        "it serves {:.1} s after its start\n\nsecond  asked  whole  failed  first event p50/p99 ms",
+        began.elapsed().as_secs_f64()
+    );
+    let current = Rc::new(RefCell::new(Second::new()?));
+    spawn_local(load(fronts, rate, current.clone()));
+    let mut ticks = interval(Duration::from_secs(1));
+    ticks.tick().await;
+    for second in 1..=seconds {
+        ticks.tick().await;
+        let Second { asked, whole, failed, first_event } = current.replace(Second::new()?);
+        let ms = |quantile| first_event.value_at_quantile(quantile) as f64 / 1000.0;
+        println!("{second:6} {asked:6} {whole:6} {failed:7}  {:.1}/{:.1}", ms(0.5), ms(0.99));
+        if second == seconds / 3 {
+            let status = order(&controls, 1, &config(2, 20)).await?;
+            println!("        configuration 2, with 20 more routes: {status}");
+        }
+        if second == seconds * 2 / 3 {
+            members[0] = None;
+            println!("        control member 1 is killed");
+            let status = order(&controls[1..], 2, &config(3, 0)).await?;
+            println!("        configuration 3, at the other two: {status}");
+        }
+    }
+    edges.iter().for_each(|(agent, proxy)| {
+        proxy.terminate();
+        agent.terminate();
+    });
+    println!("\nended");
+    Ok(())
+}
+
+/// Requests at this rate, whatever becomes of those before (open loop).
+async fn load(fronts: Vec<SocketAddrV4>, rate: f64, current: Rc<RefCell<Second>>) {
+    let mut next = Instant::now();
+    for number in 1u64.. {
+        next += Duration::from_secs_f64(-fastrand::f64().max(1e-9).ln() / rate);
+        tokio::time::sleep_until(next).await;
+        let (front, current) = (fronts[fastrand::usize(..fronts.len())], current.clone());
+        current.borrow_mut().asked += 1;
+        spawn_local(async move {
+            let first = stream(front, number).await;
+            let mut second = current.borrow_mut();
+            match first {
+                Some(first) => {
+                    second.whole += 1;
+                    let _ = second.first_event.record(first.as_micros() as u64); // it grows as it must
+                }
+                None => second.failed += 1,
+            }
+        });
+    }
+}
+
+/// Asks for a stream; the time to its first event where it comes whole.
+async fn stream(front: SocketAddrV4, number: u64) -> Option<Duration> {
+    let began = Instant::now();
+    let mut sender = connect(front).await?;
+    let shared = number % 7;
+    let request = Request::post("/chat/1")
+        .header("host", "chat.example")
+        .header("x-attempt-id", format!("{number:016x}"))
+        .header("x-model", "m")
+        .header("x-token-count", "4000,60")
+        .header("x-prompt-prefix", format!("{shared:08x}:3000,{number:08x}:1000"))
+        .header("x-time-budget-ms", STREAM_MOST.as_millis().to_string())
+        .body(Full::new(Bytes::from_static(b"a prompt")))
+        .ok()?;
+    let answer = async {
+        let response = sender.send_request(request).await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let mut body = response.into_body();
+        let mut first = None;
+        while let Some(frame) = body.frame().await {
+            frame.ok()?;
+            first = first.or(Some(began.elapsed()));
+        }
+        first
+    };
+    timeout(STREAM_MOST, answer).await.ok()?
+}
--- /dev/null
+++ b/crates/scale/src/machines.rs
@@ -0,0 +1,159 @@
+//! Real processes, each on a loopback address of its own.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::time::Duration;
+
+const CONTROL: u16 = 8146;
+const FRONT: u16 = 8144;
+const READY: u16 = 8140;
+const FIRST_PORT: u16 = 7660;
+/// Ticks of the kernel's clock in a second, as `/proc` counts processor time (`proc(5)`, USER_HZ).
+const TICKS: f64 = 100.0;
+
+/// A program of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Program {
+    Controller,
+    Agent,
+    Proxy,
+}
+
+impl Program {
+    fn binary(self) -> &'static str {
+        match self {
+            Program::Controller => "runtrack-controller",
+            Program::Agent => "runtrack-agent",
+            Program::Proxy => "runtrack-proxy",
+        }
+    }
+}
+
+/// A running process.
+pub struct Process {
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill(); // it may have ended
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Processor time so far.
+    pub fn processor_time(&self) -> io::Result<Duration> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        // Fields behind the name, which is in brackets: state is the first, user and system time the 12th and 13th.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks = |at: usize| fields.get(at).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
+        Ok(Duration::from_secs_f64((ticks(11) + ticks(12)) / TICKS))
+    }
+
+    /// The most memory that it has had, in bytes.
+    pub fn peak_memory(&self) -> io::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        Ok(kilobytes.unwrap_or(0) * 1024)
+    }
+
+    /// Tells it to end.
+    pub fn terminate(&self) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, Signal::TERM); // it may have ended
+        }
+    }
+}
+
+/// Where processes live.
+pub struct Machines {
+    folder: PathBuf,
+    binaries: PathBuf,
+    members: usize,
+}
+
+impl Drop for Machines {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Machines {
+    /// A folder for so many members; their programs lie beside this one.
+    pub fn new(members: usize) -> Result<Self, String> {
+        let folder = std::env::temp_dir().join(format!("runtrack-scale-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+        let own = std::env::current_exe().map_err(|error| error.to_string())?;
+        let binaries = own.parent().unwrap_or(Path::new(".")).to_owned();
+        Ok(Machines { folder, binaries, members })
+    }
+
+    fn member_ip(&self, member: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, 90, (std::process::id() & 0x7f) as u8, member as u8 + 1)
+    }
+
+    fn edge_ip(&self, edge: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, 91, (std::process::id() & 0x7f) as u8, edge as u8 + 1)
+    }
+
+    /// Where operators and endpoints call a member.
+    pub fn control(&self, member: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.member_ip(member), CONTROL)
+    }
+
+    /// Where agents link to a member.
+    pub fn links(&self, member: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.member_ip(member), FIRST_PORT)
+    }
+
+    /// Where clients call a proxy.
+    pub fn front(&self, edge: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.edge_ip(edge), FRONT)
+    }
+
+    /// Starts a program on a machine of its class.
+    pub fn start(&self, program: Program, number: usize, first_boot: bool) -> Result<Process, String> {
+        let ip = if program == Program::Controller { self.member_ip(number) } else { self.edge_ip(number) };
+        let name = format!("{}-{}", program.binary(), number + 1);
+        let data = self.folder.join(format!("{name}-data"));
+        std::fs::create_dir_all(&data).map_err(|error| format!("{}: {error}", data.display()))?;
+        let seeds: Vec<String> =
+            (0..self.members.min(3)).map(|seed| self.control(seed).to_string()).collect();
+        let listens = match program {
+            Program::Controller => {
+                format!("listen.control={}\ndataDir={}\n", self.control(number), data.display())
+            }
+            _ => format!(
+                "listen.front={ip}:{FRONT}\nlisten.ready={ip}:{READY}\nlisten.feed={ip}:{}\n",
+                FIRST_PORT + 1
+            ),
+        };
+        let settings = format!(
+            "node={name}\nip={ip}\nzone=here\nportRange={FIRST_PORT},{}\nseeds={}\nfirstBoot={first_boot}\n{listens}\
+             beatPeriodMs=1200\ntolerance.machines={}\nbounds.graceS=8\nbounds.retryRatio=0.2\nbounds.retryWindowS=10\n\
+             bounds.retrySlack=56\n",
+            FIRST_PORT + 15,
+            seeds.join(","),
+            (self.members - 1) / 2,
+        );
+        let path = self.folder.join(format!("{name}.conf"));
+        std::fs::write(&path, settings).map_err(|error| format!("{}: {error}", path.display()))?;
+        let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
+        let log = log.map_err(|error| format!("{name}.log: {error}"))?;
+        let binary = self.binaries.join(program.binary());
+        let child = Command::new(&binary).env("RUNTRACK_NODE_FILE", &path).stderr(log).spawn();
+        let child = child.map_err(|error| {
+            format!(
+                "{}: {error} (build the fleet's programs first, with the same profile)",
+                binary.display()
+            )
+        })?;
+        Ok(Process { child })
+    }
+}
--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,57 @@
+//! `runtrack-scale`: the fleet on one machine, over loopback.
+
+mod demo;
+mod endpoints;
+mod machines;
+mod operator;
+mod sizes;
+mod slope;
+
+use bpaf::Bpaf;
+use runtrack_link::run_single_threaded;
+use std::process::ExitCode;
+
+/// The router fleet on one machine, over loopback, with stand-ins for endpoints and clients
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Arguments {
+    /// A small fleet that serves streams: prints what clients see, second by second, while a configuration changes and a
+    /// control member is killed
+    #[bpaf(command)]
+    Demo {
+        /// Seconds to run
+        #[bpaf(argument("SECONDS"), fallback(12))]
+        seconds: u64,
+        /// Requests a second
+        #[bpaf(argument("RATE"), fallback(40.0))]
+        rate: f64,
+    },
+    /// Real control members under hollow agents and endpoints of several sizes: times to the last agent, processor time and
+    /// memory of the members, and how they grow
+    #[bpaf(command)]
+    Sizes {
+        /// Agents at the whole size
+        #[bpaf(argument("COUNT"), fallback(410))]
+        agents: usize,
+        /// Endpoints at the whole size
+        #[bpaf(argument("COUNT"), fallback(12_000))]
+        endpoints: usize,
+        /// Control members
+        #[bpaf(argument("COUNT"), fallback(3))]
+        members: usize,
+        /// Seconds at each size
+        #[bpaf(argument("SECONDS"), fallback(8))]
+        seconds: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    match arguments().run() {
+        Arguments::Demo { seconds, rate } => {
+            run_single_threaded("runtrack-scale", demo::run(seconds, rate))
+        }
+        Arguments::Sizes { agents, endpoints, members, seconds } => {
+            run_single_threaded("runtrack-scale", sizes::run(agents, endpoints, members, seconds))
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/sizes.rs
@@ -0,0 +1,188 @@
+//! Real control members under hollow agents and endpoints of several sizes.
+
+use crate::endpoints::{HEARTBEAT, beat_for_ever, heartbeat, path};
+use crate::machines::{Machines, Process, Program};
+use crate::operator::{config, connect, order, post};
+use crate::slope;
+use hdrhistogram::Histogram;
+use runtrack_link::slog::{Discard, Logger, o};
+use runtrack_link::{Hub, dial_for_ever};
+use runtrack_message::{EndpointState, Hello, Member, Role, WIRE_VERSION};
+use runtrack_registry::key_of;
+use std::cell::Cell;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Parts of the whole size that are played, as divisors.
+const PARTS: [usize; 5] = [16, 8, 4, 2, 1];
+/// Endpoints whose heartbeats share a connection.
+const BUNDLE: usize = 50;
+/// Whatever takes longer has failed.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Routes of the configuration that changes.
+const ROUTES: usize = 100;
+
+/// What was measured at one size.
+struct Measured {
+    agents: usize,
+    endpoints: usize,
+    change: Histogram<u64>,
+    drain: Histogram<u64>,
+    /// Of one member, in cores.
+    processor: f64,
+    /// Of one member, in bytes.
+    memory: u64,
+    acknowledged: f64,
+}
+
+/// Plays all sizes and prints how the figures grow.
+pub async fn run(agents: usize, endpoints: usize, members: usize, seconds: u64) -> Result<(), String> {
+    println!(
+        "agents endpoints  change p50/p99/most ms  drain p50/p99/most ms  a member: cores  MiB  heartbeats/s"
+    );
+    let mut all = Vec::new();
+    for part in PARTS {
+        let measured = play((agents / part).max(1), (endpoints / part).max(1), members, seconds).await?;
+        let times = |h: &Histogram<u64>| {
+            let ms = |micros: u64| micros as f64 / 1000.0;
+            format!(
+                "{:.1}/{:.1}/{:.1}",
+                ms(h.value_at_quantile(0.5)),
+                ms(h.value_at_quantile(0.99)),
+                ms(h.max())
+            )
+        };
+        println!(
+            "{:6} {:9}  {:>22}  {:>21}  {:>15.3} {:>5.1} {:>8.0}",
+            measured.agents,
+            measured.endpoints,
+            times(&measured.change),
+            times(&measured.drain),
+            measured.processor,
+            measured.memory as f64 / 1_048_576.0,
+            measured.acknowledged,
+        );
+        all.push(measured);
+    }
+    let by_endpoints = |figure: fn(&Measured) -> f64| -> Vec<(f64, f64)> {
+        all.iter().map(|measured| (measured.endpoints as f64, figure(measured))).collect()
+    };
+    slope::print("processor of a member", "cores", "endpoint", &by_endpoints(|m| m.processor));
+    slope::print("memory of a member", "MiB", "endpoint", &by_endpoints(|m| m.memory as f64 / 1_048_576.0));
+    let by_agents: Vec<(f64, f64)> =
+        all.iter().map(|m| (m.agents as f64, m.change.max() as f64 / 1000.0)).collect();
+    slope::print("a change at the last agent", "ms", "agent", &by_agents);
+    Ok(())
+}
+
+struct Agent {
+    hub: Rc<Hub>,
+    /// Its links and its repeats; they end with it.
+    _tasks: JoinSet<()>,
+}
+
+fn hollow_agent(machines: &Machines, members: usize, number: usize) -> Agent {
+    let hello = Hello {
+        wire: WIRE_VERSION,
+        role: Role::Agent,
+        node: format!("hollow-{number}").as_str().into(),
+        member: Member::none(),
+    };
+    let hub = Hub::new(hello, HEARTBEAT, Logger::root(Discard, o!()), Box::new(()));
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(hub.clone().run());
+    for member in 0..members.min(5) {
+        tasks.spawn_local(dial_for_ever(hub.clone(), machines.links(member)));
+    }
+    Agent { hub, _tasks: tasks }
+}
+
+/// Waits until each agent's copy is such; the time that each took.
+async fn reached(
+    agents: &[Agent],
+    such: impl Fn(&Hub) -> bool + Clone + 'static,
+) -> Result<Histogram<u64>, String> {
+    let began = Instant::now();
+    let mut waits = JoinSet::new();
+    for agent in agents {
+        let (hub, such) = (agent.hub.clone(), such.clone());
+        waits.spawn_local(async move {
+            let mut changes = hub.changes();
+            while !such(&hub) {
+                if changes.changed().await.is_err() {
+                    return None;
+                }
+            }
+            Some(began.elapsed())
+        });
+    }
+    let mut times = Histogram::<u64>::new(3).map_err(|error| format!("{error:?}"))?;
+    let gather = async {
+        while let Some(time) = waits.join_next().await {
+            if let Ok(Some(time)) = time {
+                let _ = times.record(time.as_micros() as u64); // it grows as it must
+            }
+        }
+    };
+    timeout(PATIENCE, gather).await.map_err(|_| "not all agents were reached".to_owned())?;
+    Ok(times)
+}
+
+async fn play(agents: usize, endpoints: usize, members: usize, seconds: u64) -> Result<Measured, String> {
+    let machines = Machines::new(members)?;
+    let processes: Vec<Process> = (0..members)
+        .map(|member| machines.start(Program::Controller, member, true))
+        .collect::<Result<_, _>>()?;
+    let controls: Vec<SocketAddrV4> = (0..members).map(|member| machines.control(member)).collect();
+    order(&controls, 0, &config(1, ROUTES)).await?;
+    let hollow: Vec<Agent> = (0..agents).map(|number| hollow_agent(&machines, members, number)).collect();
+    let acknowledged = Rc::new(Cell::new(0));
+    let mut beats = JoinSet::new();
+    for first in (0..endpoints).step_by(BUNDLE) {
+        let count = BUNDLE.min(endpoints - first);
+        beats.spawn_local(beat_for_ever(controls.clone(), first, count, acknowledged.clone()));
+    }
+    reached(&hollow, move |hub| {
+        hub.replica().registry().len() >= endpoints && hub.replica().version() == 1
+    })
+    .await?;
+    // A quiet stretch, for what the members spend at rest.
+    let (began, before, told) = (Instant::now(), processor(&processes)?, acknowledged.get());
+    sleep(Duration::from_secs(seconds)).await;
+    let rest = began.elapsed().as_secs_f64();
+    let processor_at_rest = (processor(&processes)? - before).as_secs_f64() / rest / members as f64;
+    let rate = (acknowledged.get() - told) as f64 / rest;
+    let second = config(2, ROUTES);
+    let (change, _) =
+        tokio::join!(reached(&hollow, |hub| hub.replica().version() == 2), order(&controls, 1, &second));
+    let leaving = key_of("i-0");
+    let drained = move |hub: &Hub| {
+        hub.replica().registry().get(leaving).is_some_and(|record| record.state == EndpointState::Draining)
+    };
+    let (drain, _) = tokio::join!(reached(&hollow, drained), drain_first(controls[0]));
+    let memory = processes.iter().filter_map(|process| process.peak_memory().ok()).max().unwrap_or(0);
+    processes.iter().for_each(Process::terminate);
+    Ok(Measured {
+        agents,
+        endpoints,
+        change: change?,
+        drain: drain?,
+        processor: processor_at_rest,
+        memory,
+        acknowledged: rate,
+    })
+}
+
+fn processor(processes: &[Process]) -> Result<Duration, String> {
+    processes.iter().map(|process| process.processor_time().map_err(|error| error.to_string())).sum()
+}
+
+async fn drain_first(control: SocketAddrV4) {
+    let address = SocketAddrV4::new(Ipv4Addr::from(0x0a80_0000), 8080);
+    if let Some(mut sender) = connect(control).await {
+        let _ = post(&mut sender, &path("i-0"), None, heartbeat(address, "draining", u64::MAX)).await; // told by the agents
+    }
+}
