--- a/crates/link/src/hub.rs
+++ b/crates/link/src/hub.rs
@@ -15,6 +15,8 @@
 const REPEAT: Duration = Duration::from_millis(1000);
 /// A configuration that was asked for and has not come by then is asked for elsewhere.
 const FETCH_MOST: Duration = Duration::from_millis(400);
+/// A change has reached those that are linked by then, or is lost.
+const IN_FLIGHT: Duration = Duration::from_millis(800);
 /// How often that is looked at.
 const TICK: Duration = Duration::from_millis(200);
 
@@ -44,6 +46,8 @@
     sessions: RefCell<Vec<Rc<Session>>>,
     next: Cell<usize>,
     fetching: Cell<Option<(u64, Instant)>>,
+    /// When records changed last.
+    changed_at: Cell<Instant>,
     changes: watch::Sender<u64>,
     outside: Box<dyn Outside>,
 }
@@ -61,6 +65,7 @@
             sessions: RefCell::default(),
             next: Cell::new(0),
             fetching: Cell::new(None),
+            changed_at: Cell::new(Instant::now()),
             changes: watch::channel(0).0,
             outside,
         })
@@ -146,6 +151,7 @@
             new.iter().map(|record| runtrack_registry::key_of(&record.id.as_string())).collect();
         self.heard.borrow_mut().note(self.now(), self.heartbeat, keys);
         self.broadcast(&Message::Records(new.into()), from);
+        self.changed_at.set(Instant::now());
         self.changed();
         true
     }
@@ -225,7 +231,10 @@
                 self.changed();
             }
             Message::Have(have) => {
-                let answer = self.replica.borrow().answer_have(&have);
+                // Right behind a change the other side may only not have heard yet; not so on a new link.
+                let first = !session.compared.replace(true);
+                let settled = self.changed_at.get().elapsed() >= IN_FLIGHT;
+                let answer = self.replica.borrow().answer_have(&have).filter(|_| first || settled);
                 if let Some(answer) = answer {
                     session.send(&answer);
                 }
@@ -233,6 +242,11 @@
                     session.send(&self.replica.borrow().notice(self.proxies()));
                 }
             }
+            Message::Ranges(ranges) => {
+                if let Some(answer) = self.replica.borrow().answer_ranges(ranges.items()) {
+                    session.send(&answer);
+                }
+            }
             Message::Notice(notice) => self.noticed(session, notice),
             Message::Fetch(than) => {
                 if let Some(answer) = self.replica.borrow().answer_fetch(than) {
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -38,6 +38,8 @@
     pub dialled: Option<SocketAddrV4>,
     /// Who is on the other side, once it has said so.
     pub peer: RefCell<Option<Hello>>,
+    /// The copies on both sides have been compared once.
+    pub(crate) compared: Cell<bool>,
     /// Newest version that the other side has told of.
     pub noticed: Cell<u64>,
     /// Live proxies as the other side counts them.
@@ -83,6 +85,7 @@
             key,
             dialled,
             peer: RefCell::default(),
+            compared: Cell::new(false),
             noticed: Cell::new(0),
             proxies: Cell::new(0),
             queue,
--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -174,8 +174,8 @@
 pub struct Have {
     /// Version of the configuration it has; 0 for none.
     pub version: u64,
-    /// Digests over ranges of its endpoint records.
-    pub digests: Hashes,
+    /// Digest of all its endpoint records.
+    pub digest: u64,
 }
 
 /// There is a configuration, and these are the members.
@@ -254,6 +254,9 @@
     /// Endpoints that the speaking member has heard itself, for the other members.
     #[deku(id = "16")]
     Relayed(Hashes),
+    /// Digests over ranges of the speaker's endpoint records: the other side's digest of all was another one.
+    #[deku(id = "17")]
+    Ranges(Hashes),
 }
 
 /// A message as the payload of a frame.
--- a/crates/message/tests/wire.rs
+++ b/crates/message/tests/wire.rs
@@ -41,7 +41,8 @@
     let notice = Notice { version: 3, sequence: 4, members: vec![member(1)].into(), proxies: 8 };
     vec![
         Message::Hello(hello),
-        Message::Have(Have { version: 3, digests: vec![1, 2, 3].into() }),
+        Message::Have(Have { version: 3, digest: 9 }),
+        Message::Ranges(vec![1, 2, 3].into()),
         Message::Notice(notice),
         Message::Fetch(3),
         Message::Config(Config { version: 3, body: b"{}".to_vec().into() }),
@@ -107,7 +108,7 @@
     }
 
     #[test]
-    fn a_spoilt_message_does_no_harm(which in 0..21usize, at in any::<prop::sample::Index>(), with in any::<u8>()) {
+    fn a_spoilt_message_does_no_harm(which in 0..22usize, at in any::<prop::sample::Index>(), with in any::<u8>()) {
         let mut bytes = encode(&samples()[which]).expect("it can be written");
         let at = at.index(bytes.len());
         bytes[at] = with;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,8 +1,8 @@
 //! What the fleet knows of endpoints, and the copy that each process keeps. No I/O and no clock.
 //!
 //! An endpoint's incarnation only goes from ready over draining to gone: copies are merged by maximum, so late words
-//! and repeated ones change nothing. Copies are compared by digests over ranges of ids, and only the ranges that
-//! differ are sent.
+//! and repeated ones change nothing. Copies are compared by one digest, where that differs by digests over
+//! ranges of ids, and only the ranges that differ are sent.
 
 mod heard;
 mod replica;
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Ranges of ids that have a digest each.
-pub const RANGES: usize = 16;
+pub const RANGES: usize = 256;
 /// Ended incarnations that are remembered; of more, some are forgotten.
 const GONE_MOST: usize = 16_384;
 
@@ -35,13 +35,19 @@
 }
 
 /// All incarnations of endpoints that are known.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Registry {
     records: HashMap<u64, Endpoint>,
     digests: [u64; RANGES],
     gone: usize,
 }
 
+impl Default for Registry {
+    fn default() -> Self {
+        Registry { records: HashMap::new(), digests: [0; RANGES], gone: 0 }
+    }
+}
+
 /// What both copies must agree on: id and state.
 fn digest(key: u64, state: EndpointState) -> u64 {
     let mut bytes = [0; 9];
@@ -111,6 +117,12 @@
         self.records.is_empty()
     }
 
+    /// Digest of all records.
+    pub fn digest(&self) -> u64 {
+        let bytes: Vec<u8> = self.digests.iter().flat_map(|digest| digest.to_le_bytes()).collect();
+        xxh3_64(&bytes)
+    }
+
     /// Digest of each range.
     pub fn digests(&self) -> Vec<u64> {
         self.digests.to_vec()
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -78,7 +78,7 @@
 
     /// What this copy has, for another to send what differs.
     pub fn have(&self) -> Message {
-        Message::Have(Have { version: self.version(), digests: self.registry.digests().into() })
+        Message::Have(Have { version: self.version(), digest: self.registry.digest() })
     }
 
     /// That there is a configuration, and who the members are.
@@ -97,9 +97,14 @@
         Some(Message::Config(Config { version: config.version, body: config.body.clone().into() }))
     }
 
-    /// What another copy lacks, or may lack.
+    /// The ranges of this copy, where another one is not like it.
     pub fn answer_have(&self, have: &Have) -> Option<Message> {
-        let records = self.registry.differing(have.digests.items());
+        (have.digest != self.registry.digest()).then(|| Message::Ranges(self.registry.digests().into()))
+    }
+
+    /// What another copy with these ranges lacks, or may lack.
+    pub fn answer_ranges(&self, ranges: &[u64]) -> Option<Message> {
+        let records = self.registry.differing(ranges);
         (!records.is_empty()).then(|| Message::Records(records.into()))
     }
 }
