--- a/crates/weirwharf/src/fleet.rs
+++ b/crates/weirwharf/src/fleet.rs
@@ -26,8 +26,7 @@
 /// Tokens that must be read again weigh as one call in flight: what a call's own prompt takes to read, within a half.
 const TOKENS_A_CALL: f64 = 2048.0;
 /// Tokens that are read again weigh this many times tokens that wait to be read: they take the place of parts that are
-/// kept, which are then read again in turn. Measured from 1 to 16: at 1 a fifth more is read again than is gained, at 16
-/// requests wait at crowded homes.
+/// kept, which are then read again in turn. Measured from 1 to 16 (`docs/design/model-routing.md`).
 const READ_AGAIN: f64 = 8.0;
 /// The second home of a prompt may have it or not.
 const SECOND_HOME: f64 = 0.5;
