Members tell agents who is silent, not who was heard

Agents are now told the endpoints that no member has heard of for three heartbeats, which is nearly always an empty list. An endpoint is taken for silent where all linked members say so.

--- a/crates/controller/src/endpoints.rs
+++ b/crates/controller/src/endpoints.rs
@@ -16,6 +16,9 @@
 /// An endpoint waits a second for its acknowledgement.
 const CONFIRM_MOST: Duration = Duration::from_millis(800);
 
+/// An endpoint that has missed so many heartbeats, while others were heard, is silent.
+const SILENT_BEATS: u32 = 3;
+
 /// Takes endpoints' calls.
 pub struct Endpoints {
     hub: Rc<Hub>,
@@ -23,8 +26,6 @@
     waiting: RefCell<HashMap<u64, UnboundedSender<SocketAddrV4>>>,
     /// Heard here since the last report.
     heard: RefCell<BTreeSet<u64>>,
-    /// Heard by other members since the last report.
-    relayed: RefCell<BTreeSet<u64>>,
 }
 
 impl Endpoints {
@@ -35,7 +36,6 @@
             next: Cell::new(0),
             waiting: RefCell::default(),
             heard: RefCell::default(),
-            relayed: RefCell::default(),
         })
     }
 
@@ -91,25 +91,26 @@
     /// Another member heard of these.
     pub fn relayed(&self, keys: &[u64]) {
         self.hub.note_heard(keys);
-        self.relayed.borrow_mut().extend(keys);
     }
 
-    /// Tells members what was heard here, and agents what was heard anywhere.
+    /// Endpoints that no member has heard of for too long.
+    fn silent(&self) -> Vec<u64> {
+        let replica = self.hub.replica();
+        let ready = replica.registry().iter().filter(|(_, record)| record.state == EndpointState::Ready);
+        ready.map(|(key, _)| key).filter(|key| self.hub.is_stale(*key, SILENT_BEATS)).collect()
+    }
+
+    /// Tells members what was heard here, and agents what was not heard anywhere.
     pub async fn run(self: Rc<Self>, heartbeat: Duration) {
-        let mut ticks = interval(heartbeat);
+        let mut ticks = interval(heartbeat / 2);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            let mut keys = self.heard.take();
-            let own: Vec<u64> = keys.iter().copied().collect();
-            if !own.is_empty() {
-                self.hub.broadcast_to(Role::Controller, &Message::Relayed(own.into()));
-            }
-            keys.append(&mut self.relayed.borrow_mut());
-            if !keys.is_empty() {
-                let all: Vec<u64> = keys.into_iter().collect();
-                self.hub.broadcast_to(Role::Agent, &Message::Heard(all.into()));
+            let heard: Vec<u64> = self.heard.take().into_iter().collect();
+            if !heard.is_empty() {
+                self.hub.broadcast_to(Role::Controller, &Message::Relayed(heard.into()));
             }
+            self.hub.broadcast_to(Role::Agent, &Message::Silent(self.silent().into()));
         }
     }
 }
--- a/crates/controller/tests/processes.rs
+++ b/crates/controller/tests/processes.rs
@@ -84,6 +84,8 @@
     cluster.start(3, false);
     let members = [0, 1, 3].map(|machine| cluster.member(machine)).join(" ");
     cluster.logged(3, "members.known", &members);
+    // Only now both halves of the change are through, and the next loss may be borne.
+    cluster.logged(3, "member.joined", "");
     assert_eq!(cluster.order(3, 3, 4), 200);
     // The seeds are out of date now: one is gone for good, another one loses its disk.
     cluster.kill(1);
--- a/crates/link/src/hub.rs
+++ b/crates/link/src/hub.rs
@@ -5,7 +5,7 @@
 use runtrack_registry::{Heard, Replica, StoredConfig};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, Ref, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -43,6 +43,8 @@
     born: Instant,
     replica: RefCell<Replica>,
     heard: RefCell<Heard>,
+    /// Endpoints that are silent, as told.
+    silent: RefCell<HashSet<u64>>,
     sessions: RefCell<Vec<Rc<Session>>>,
     next: Cell<usize>,
     fetching: Cell<Option<(u64, Instant)>>,
@@ -62,6 +64,7 @@
             born: Instant::now(),
             replica: RefCell::default(),
             heard: RefCell::default(),
+            silent: RefCell::default(),
             sessions: RefCell::default(),
             next: Cell::new(0),
             fetching: Cell::new(None),
@@ -122,11 +125,29 @@
         self.born.elapsed()
     }
 
-    /// Whether an endpoint has been silent for so many heartbeats while others were heard.
+    /// Whether an endpoint has been silent for so many heartbeats while others were heard, as this member knows.
     pub fn is_stale(&self, key: u64, beats: u32) -> bool {
         self.heard.borrow().is_stale(self.now(), self.heartbeat, beats, key)
     }
 
+    /// Whether an endpoint is silent as far as every neighbour that is nearer to the endpoints says so.
+    pub fn is_silent(&self, key: u64) -> bool {
+        self.silent.borrow().contains(&key)
+    }
+
+    /// What all those say who are nearer; nothing where none is linked.
+    fn note_silent(&self) {
+        let nearer = if self.me.role == Role::Agent { Role::Controller } else { Role::Agent };
+        let sessions = self.peers(nearer);
+        let mut told = sessions.iter().filter_map(|session| session.silent.borrow().clone());
+        let first = told.next().unwrap_or_default();
+        let all: HashSet<u64> = told.fold(first, |all, next| all.intersection(&next).copied().collect());
+        if *self.silent.borrow() != all {
+            *self.silent.borrow_mut() = all;
+            self.changed();
+        }
+    }
+
     /// These endpoints were heard of.
     pub fn note_heard(&self, keys: &[u64]) {
         self.heard.borrow_mut().note(self.now(), self.heartbeat, keys.iter().copied());
@@ -216,6 +237,9 @@
         if session.peer.borrow().is_some() {
             self.outside.down(self, session);
         }
+        if self.me.role != Role::Controller {
+            self.note_silent();
+        }
         self.changed();
     }
 
@@ -259,10 +283,12 @@
             Message::Records(records) => {
                 self.merge(records.into_vec(), Some(session.key));
             }
-            Message::Heard(keys) => {
-                self.note_heard(keys.items());
+            Message::Silent(keys) => {
+                *session.silent.borrow_mut() = Some(keys.into_vec().into_iter().collect());
+                self.note_silent();
                 if self.me.role == Role::Agent {
-                    self.broadcast_to(Role::Proxy, &Message::Heard(keys));
+                    let silent: Vec<u64> = self.silent.borrow().iter().copied().collect();
+                    self.broadcast_to(Role::Proxy, &Message::Silent(silent.into()));
                 }
             }
             Message::Ping => {}
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -4,6 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use runtrack_message::{FRAME_MOST, Hello, Message, decode, encode};
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddrV4;
@@ -40,6 +41,8 @@
     pub peer: RefCell<Option<Hello>>,
     /// The copies on both sides have been compared once.
     pub(crate) compared: Cell<bool>,
+    /// Endpoints that the other side takes for silent; none before it has told.
+    pub(crate) silent: RefCell<Option<HashSet<u64>>>,
     /// Newest version that the other side has told of.
     pub noticed: Cell<u64>,
     /// Live proxies as the other side counts them.
@@ -86,6 +89,7 @@
             dialled,
             peer: RefCell::default(),
             compared: Cell::new(false),
+            silent: RefCell::default(),
             noticed: Cell::new(0),
             proxies: Cell::new(0),
             queue,
--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -245,9 +245,9 @@
     /// The records of that number are merged.
     #[deku(id = "8")]
     Confirmed(u64),
-    /// Endpoints that a member has heard of lately, by the hash of their id.
+    /// Endpoints that no member has heard of for too long, by the hash of their id: all of them, at the moment.
     #[deku(id = "9")]
-    Heard(Hashes),
+    Silent(Hashes),
     /// A request to a member of the register, with the number that its reply carries.
     #[deku(id = "10")]
     Request(u64, RegisterRequest),
--- a/crates/message/tests/wire.rs
+++ b/crates/message/tests/wire.rs
@@ -51,7 +51,7 @@
         Message::Records(vec![endpoint()].into()),
         Message::Confirm(1, vec![endpoint(), endpoint()].into()),
         Message::Confirmed(1),
-        Message::Heard(vec![7, 8].into()),
+        Message::Silent(vec![7, 8].into()),
         Message::Request(5, RegisterRequest::Prepare { to: 1, ballot, have: Ballot::default() }),
         Message::Request(6, RegisterRequest::Accept { to: 1, ballot, value: value() }),
         Message::Reply(5, RegisterReply::Promised { ballot, accepted: ballot }),
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -16,8 +16,6 @@
 use weirwharf::fleet::{Router, SecondSends};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// An endpoint that has missed so many heartbeats, while others were heard, gets nothing new.
-const STALE_BEATS: u32 = 3;
 /// Least time between two words on what endpoints have to read.
 const TELL_PAUSE: Duration = Duration::from_millis(50);
 /// While they have anything to read it is told again after this: what is old is forgotten.
@@ -170,7 +168,7 @@
         for pool in pools.values_mut() {
             let mut ready: Vec<EndpointId> = pool.targets.keys().copied().collect();
             ready.sort_unstable();
-            let heard = |key: &EndpointId| !self.hub.is_stale(key.0, STALE_BEATS);
+            let heard = |key: &EndpointId| !self.hub.is_silent(key.0);
             let fresh: Vec<EndpointId> = ready.iter().copied().filter(heard).collect();
             // Where most seem to be silent, the silence is rather on our side.
             pool.ready = if fresh.len() * 2 > ready.len() { fresh } else { ready };
--- a/crates/proxy/tests/attempts.rs
+++ b/crates/proxy/tests/attempts.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use hyper::StatusCode;
-use runtrack_message::EndpointState;
+use runtrack_message::{EndpointState, Message};
 use std::rc::Rc;
 use support::{Act, Fleet, Stand, answer, answer_with, not_executed, route, run};
 use tokio::sync::Notify;
@@ -320,3 +320,32 @@
         assert!(ended.expect("it ran").success());
     });
 }
+
+#[test]
+fn an_endpoint_that_fell_silent_gets_nothing_new_until_it_is_heard_again() {
+    run(async {
+        let stands = [
+            Stand::start("i-1", vec![]).await,
+            Stand::start("i-2", vec![]).await,
+            Stand::start("i-3", vec![]).await,
+        ];
+        let fleet = Fleet::start(&routes(), &[&stands[0], &stands[1], &stands[2]]).await;
+        let silent = |ids: &[&str]| {
+            let keys: Vec<u64> = ids.iter().map(|id| runtrack_registry::key_of(id)).collect();
+            fleet.hub.broadcast(&Message::Silent(keys.into()), None);
+        };
+        silent(&["i-1"]);
+        fleet.logged("endpoints.ready", "\"count\":2").await;
+        for number in 0..8 {
+            assert!(fleet.ask(AGAIN, &format!("a{number}"), &[], "x").await.status.is_success());
+        }
+        assert_eq!(stands[0].seen.borrow().len(), 0);
+        silent(&[]);
+        fleet.logged("endpoints.ready", "\"count\":3").await;
+        // Where most are said to be silent, the silence is rather on this side.
+        silent(&["i-1", "i-2"]);
+        assert!(fleet.ask(AGAIN, "b", &[], "x").await.status.is_success());
+        silent(&["i-1"]);
+        fleet.logged("endpoints.ready", "\"count\":2").await;
+    });
+}
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,5 +1,6 @@
 //! `runtrack-scale`: the fleet on one machine, over loopback.
 
+mod choices;
 mod demo;
 mod endpoints;
 mod machines;
@@ -43,10 +44,27 @@
         #[bpaf(argument("SECONDS"), fallback(8))]
         seconds: u64,
     },
+    /// The choice of an endpoint alone, without a network: the load that requests find by the size of each proxy's subset
+    #[bpaf(command)]
+    Choices {
+        /// Proxies
+        #[bpaf(argument("COUNT"), fallback(410))]
+        proxies: usize,
+        /// Endpoints
+        #[bpaf(argument("COUNT"), fallback(12_000))]
+        endpoints: usize,
+        /// Requests in flight at each endpoint, on the mean
+        #[bpaf(argument("LOAD"), fallback(2.8))]
+        load: f64,
+    },
 }
 
 fn main() -> ExitCode {
     match arguments().run() {
+        Arguments::Choices { proxies, endpoints, load } => {
+            choices::run(proxies, endpoints, load);
+            ExitCode::SUCCESS
+        }
         Arguments::Demo { seconds, rate } => {
             run_single_threaded("runtrack-scale", demo::run(seconds, rate))
         }
