--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -30,6 +30,10 @@
 struct Relay;
 
 impl Outside for Relay {
+    fn up(&self, hub: &Rc<Hub>, session: &Rc<Session>) {
+        greet(hub, session);
+    }
+
     fn message(&self, hub: &Rc<Hub>, session: &Rc<Session>, message: Message) {
         let member = backlog_member(hub);
         match message {
@@ -47,6 +51,13 @@
     }
 }
 
+/// Tells a new proxy who is silent.
+fn greet(hub: &Hub, session: &Session) {
+    if session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Proxy) {
+        session.send(&Message::Silent(hub.silent().into()));
+    }
+}
+
 /// The member that sums backlogs up: the same one for all agents that are linked to the same members.
 fn backlog_member(hub: &Hub) -> Option<Rc<Session>> {
     let name =
--- a/crates/controller/src/endpoints.rs
+++ b/crates/controller/src/endpoints.rs
@@ -26,6 +26,8 @@
     waiting: RefCell<HashMap<u64, UnboundedSender<SocketAddrV4>>>,
     /// Heard here since the last report.
     heard: RefCell<BTreeSet<u64>>,
+    /// Who is silent, as agents were told last.
+    told: RefCell<Vec<u64>>,
 }
 
 impl Endpoints {
@@ -36,6 +38,7 @@
             next: Cell::new(0),
             waiting: RefCell::default(),
             heard: RefCell::default(),
+            told: RefCell::default(),
         })
     }
 
@@ -97,7 +100,10 @@
     fn silent(&self) -> Vec<u64> {
         let replica = self.hub.replica();
         let ready = replica.registry().iter().filter(|(_, record)| record.state == EndpointState::Ready);
-        ready.map(|(key, _)| key).filter(|key| self.hub.is_stale(*key, SILENT_BEATS)).collect()
+        let mut silent: Vec<u64> =
+            ready.map(|(key, _)| key).filter(|key| self.hub.is_stale(*key, SILENT_BEATS)).collect();
+        silent.sort_unstable();
+        silent
     }
 
     /// Tells members what was heard here, and agents what was not heard anywhere.
@@ -110,7 +116,16 @@
             if !heard.is_empty() {
                 self.hub.broadcast_to(Role::Controller, &Message::Relayed(heard.into()));
             }
-            self.hub.broadcast_to(Role::Agent, &Message::Silent(self.silent().into()));
+            let silent = self.silent();
+            if *self.told.borrow() != silent {
+                self.hub.broadcast_to(Role::Agent, &Message::Silent(silent.clone().into()));
+                *self.told.borrow_mut() = silent;
+            }
         }
     }
+
+    /// Tells a new agent who is silent.
+    pub fn greet(&self, session: &Session) {
+        session.send(&Message::Silent(self.told.borrow().clone().into()));
+    }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    fn up(&self, _: &Rc<Hub>, session: &Rc<Session>) {
+        let agent = session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Agent);
+        if let Some(endpoints) = self.0.endpoints.get().filter(|_| agent) {
+            endpoints.greet(session);
+        }
+    }
+
     fn down(&self, _: &Rc<Hub>, session: &Rc<Session>) {
         if let Some(backlogs) = self.0.backlogs.get() {
             backlogs.forget(session);
--- a/crates/link/src/hub.rs
+++ b/crates/link/src/hub.rs
@@ -142,10 +142,19 @@
         let mut told = sessions.iter().filter_map(|session| session.silent.borrow().clone());
         let first = told.next().unwrap_or_default();
         let all: HashSet<u64> = told.fold(first, |all, next| all.intersection(&next).copied().collect());
-        if *self.silent.borrow() != all {
-            *self.silent.borrow_mut() = all;
-            self.changed();
+        if *self.silent.borrow() == all {
+            return;
         }
+        *self.silent.borrow_mut() = all;
+        if self.me.role == Role::Agent {
+            self.broadcast_to(Role::Proxy, &Message::Silent(self.silent().into()));
+        }
+        self.changed();
+    }
+
+    /// Endpoints that are silent, as told.
+    pub fn silent(&self) -> Vec<u64> {
+        self.silent.borrow().iter().copied().collect()
     }
 
     /// These endpoints were heard of.
@@ -286,10 +295,6 @@
             Message::Silent(keys) => {
                 *session.silent.borrow_mut() = Some(keys.into_vec().into_iter().collect());
                 self.note_silent();
-                if self.me.role == Role::Agent {
-                    let silent: Vec<u64> = self.silent.borrow().iter().copied().collect();
-                    self.broadcast_to(Role::Proxy, &Message::Silent(silent.into()));
-                }
             }
             Message::Ping => {}
             other => self.outside.message(self, session, other),
