One start for the fleet's programs; what runtrackctl's commands share has a module of its own

Cause: the three programs' main files were the same but for names, and the cli crate's modules main, run and cluster used each other in a circle.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,28 +1,10 @@
 //! `runtrack-agent`: the agent beside a proxy on an edge machine.
 
-use bpaf::Bpaf;
-use runtrack_agent::run;
-use runtrack_fleetconfig::Node;
-use runtrack_link::{Signals, run_single_threaded};
 use std::process::ExitCode;
 
-/// The agent beside a proxy: links to the control members and feeds the proxy over loopback. Its settings are in the
-/// file that RUNTRACK_NODE_FILE names.
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
-struct Arguments {
-    /// Read and check the settings, print what is wrong, and end
-    check: bool,
-}
+const ABOUT: &str =
+    "The agent beside a proxy: links to the control members and feeds the proxy over loopback.";
 
 fn main() -> ExitCode {
-    let Arguments { check } = arguments().run();
-    run_single_threaded("runtrack-agent", async move {
-        let signals = Signals::new().map_err(|error| error.to_string())?;
-        let node = Node::from_env().map_err(|error| error.to_string())?;
-        if check {
-            return Ok(());
-        }
-        run(node, signals).await
-    })
+    runtrack_link::program("runtrack-agent", ABOUT, runtrack_agent::run)
 }
--- a/crates/cli/src/cluster.rs
+++ b/crates/cli/src/cluster.rs
@@ -1,7 +1,7 @@
 //! A cluster of control instances: its beginning, its members, and its versions as any instance gives them.
 
+use crate::common::{Done, Place, now_ms, print_json, random};
 use crate::failure::Failure;
-use crate::run::{Done, Place, now_ms, print_json, random};
 use crate::service::send;
 use clap::Subcommand;
 use hyper::{Method, StatusCode};
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `runtrackctl`: what a person types to change a fleet: plan, look, apply, and back.
 
 mod cluster;
+mod common;
 mod failure;
 mod run;
 mod service;
@@ -49,7 +50,7 @@
         /// The wanted fleet (TOML).
         file: PathBuf,
         #[command(flatten)]
-        made: Made,
+        made: common::Made,
         /// Exit with 2 where there is something to change.
         #[arg(long)]
         detailed_exitcode: bool,
@@ -90,7 +91,7 @@
         /// The version.
         serial: u64,
         #[command(flatten)]
-        made: Made,
+        made: common::Made,
     },
     /// Finish a roll-out in stages, either way.
     #[command(subcommand)]
@@ -141,39 +142,6 @@
     Man,
 }
 
-/// How a plan is made and where it goes.
-#[derive(clap::Args)]
-struct Made {
-    /// Where the plan is written; without it nothing can be applied.
-    #[arg(short, long, value_name = "FILE")]
-    out: Option<PathBuf>,
-    /// What the fleet carries now (TOML), for the risks' figures.
-    #[arg(long, value_name = "FILE")]
-    load: Option<PathBuf>,
-    /// Why, for the history.
-    #[arg(long, default_value = "", value_name = "TEXT")]
-    reason: String,
-    /// Parts of the proxies that get the change one after the other, such as 10%,50%: the rest follows.
-    #[arg(long, value_name = "PARTS", value_delimiter = ',', value_parser = part)]
-    stages: Vec<u32>,
-    /// Least time between two stages.
-    #[arg(long, value_name = "TIME", default_value = "30s", value_parser = humantime::parse_duration)]
-    pause: Duration,
-    /// For how long the plan may be applied.
-    #[arg(long, value_name = "TIME", default_value = "1h", value_parser = humantime::parse_duration)]
-    life: Duration,
-    /// As JSON.
-    #[arg(long)]
-    json: bool,
-}
-
-/// A part of the proxies, in 10,000.
-fn part(text: &str) -> Result<u32, String> {
-    let number = text.strip_suffix('%').and_then(|number| number.parse::<f64>().ok());
-    let part = number.map(|number| (number * 100.0).round()).filter(|part| (1.0..=10_000.0).contains(part));
-    part.map(|part| part as u32).ok_or_else(|| format!("`{text}` is no part: 0.01% to 100%"))
-}
-
 #[derive(Subcommand)]
 enum Rollout {
     /// Go on with one that has halted.
@@ -217,7 +185,7 @@
             return if problem.use_stderr() { ExitCode::FAILURE } else { ExitCode::SUCCESS };
         }
     };
-    let place = run::Place { folder: cli.state, cluster: cli.cluster, author: cli.author };
+    let place = common::Place { folder: cli.state, cluster: cli.cluster, author: cli.author };
     let done = match cli.command {
         Command::Validate { file } => run::validate(&file),
         Command::Init => place.init(),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,41 +1,21 @@
 //! The commands on files and on a state's folder.
 
-use crate::Made;
 use crate::cluster::Cluster;
+use crate::common::{Done, Made, Place, now_ms, print_json, random};
 use crate::failure::Failure;
 use crate::{service, show};
 use runtrack_model::Fleet;
 use runtrack_plan::{Applied, Load, Plan, Request, Versions, apply, current};
 use runtrack_store::{Entry, Folder, Lock, Store};
 use std::collections::BTreeSet;
-use std::hash::{BuildHasher, RandomState};
-use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
-/// The exit code, where there is no failure.
-pub type Done = Result<u8, Failure>;
+use std::path::Path;
+use std::time::Duration;
 
 /// All proxies, in 10,000.
 const ALL: u32 = 10_000;
 /// `plan --detailed-exitcode` has found changes.
 const CHANGES: u8 = 2;
 
-/// Where a state is kept, and who acts on it.
-pub struct Place {
-    /// Its folder; or ...
-    pub folder: PathBuf,
-    /// ... the admin addresses of a cluster that keeps it.
-    pub cluster: Vec<String>,
-    /// Who.
-    pub author: String,
-}
-
-/// Unix time in milliseconds.
-pub fn now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn read(file: &Path) -> Result<String, Failure> {
     std::fs::read_to_string(file).map_err(Failure::file(file))
 }
@@ -59,18 +39,6 @@
     Plan::read(&bytes).map_err(|problem| Failure::Plan { file: file.to_owned(), problem })
 }
 
-/// A random number that no other command has.
-pub fn random() -> String {
-    let one = || RandomState::new().hash_one(now_ms());
-    format!("{:016x}{:016x}", one(), one())
-}
-
-/// Prints what other programs read.
-pub fn print_json(value: &impl serde::Serialize) {
-    // Fails only for maps with keys that are no text, which nothing here has.
-    anstream::println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
-}
-
 /// `validate`.
 pub fn validate(file: &Path) -> Done {
     println!("{}", fleet(file)?.hash());
--- a/crates/cli/src/service.rs
+++ b/crates/cli/src/service.rs
@@ -1,7 +1,7 @@
 //! A running control service, asked at its admin address or its Unix socket.
 
+use crate::common::Done;
 use crate::failure::Failure;
-use crate::run::Done;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -1,28 +1,10 @@
 //! `runtrack-controller`: a control member on a core machine.
 
-use bpaf::Bpaf;
-use runtrack_controller::run;
-use runtrack_fleetconfig::Node;
-use runtrack_link::{Signals, run_single_threaded};
 use std::process::ExitCode;
 
-/// A control member of the router fleet: endpoints and the operator call it, agents link to it. Its settings are in
-/// the file that RUNTRACK_NODE_FILE names.
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
-struct Arguments {
-    /// Read and check the settings, print what is wrong, and end
-    check: bool,
-}
+const ABOUT: &str =
+    "A control member of the router fleet: endpoints and the operator call it, agents link to it.";
 
 fn main() -> ExitCode {
-    let Arguments { check } = arguments().run();
-    run_single_threaded("runtrack-controller", async move {
-        let signals = Signals::new().map_err(|error| error.to_string())?;
-        let node = Node::from_env().map_err(|error| error.to_string())?;
-        if check {
-            return Ok(());
-        }
-        run(node, signals).await
-    })
+    runtrack_link::program("runtrack-controller", ABOUT, runtrack_controller::run)
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use hub::{Hub, Outside};
 pub use logs::json_logger;
-pub use process::{Signals, run_single_threaded};
+pub use process::{Signals, program, run_single_threaded};
 pub use session::{CONNECT_MOST, PING, SILENT_MOST, Session, dial_for_ever, listen};
 pub use slog::{self, Logger};
