--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use weirwharf::EndpointId;
 use weirwharf::fleet::{Router, SecondSends};
 use xxhash_rust::xxh3::xxh3_64;
@@ -20,8 +20,6 @@
 const TELL_PAUSE: Duration = Duration::from_millis(50);
 /// While they have anything to read it is told again after this: what is old is forgotten.
 const TELL_AGAIN: Duration = Duration::from_millis(400);
-/// How often that is looked at.
-const TICK: Duration = Duration::from_millis(300);
 /// Proxies that a fleet is taken to have until somebody counts them.
 const PROXIES_AT_FIRST: u32 = 16;
 
@@ -217,19 +215,16 @@
     /// Follows the feed for as long as the process runs.
     pub async fn run(self: Rc<Self>) {
         let mut changes = self.hub.changes();
-        let mut ticks = interval(TICK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
-                _ = changes.changed() => {}
-                _ = ticks.tick() => {}
-            }
             self.take_routes();
             self.take_endpoints();
             let proxies = self.hub.proxies();
             if proxies > 0 {
                 self.router.borrow_mut().set_proxies(proxies);
             }
+            if changes.changed().await.is_err() {
+                return; // the hub has ended
+            }
         }
     }
 }
