--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,10 +1,10 @@
 //! The agent: the one link of an edge machine to the control members, and the proxy's feed over loopback.
 //!
-//! It keeps a copy of the fleet's state ([`Hub`]) and decides nothing. Either process of the machine may be killed
+//! It keeps a copy of the fleet's state ([`Gossip`]) and decides nothing. Either process of the machine may be killed
 //! alone: a restarted proxy gets all from its agent, a restarted agent gets all from its proxy.
 
 use runtrack_fleetconfig::Node;
-use runtrack_link::{Hub, Outside, Session, Signals, dial_for_ever, json_logger, listen};
+use runtrack_link::{Gossip, MessageHandler, Session, Signals, dial_for_ever, json_logger, listen};
 use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
 use runtrack_ring::{Ring, hash, rendezvous};
 use slog::info;
@@ -29,13 +29,13 @@
 /// Passes on what endpoints have to read: the proxy's part to the member that sums it up, the sum to the proxy.
 struct Relay;
 
-impl Outside for Relay {
-    fn up(&self, hub: &Rc<Hub>, session: &Rc<Session>) {
-        greet(hub, session);
+impl MessageHandler for Relay {
+    fn on_connect(&self, gossip: &Rc<Gossip>, session: &Rc<Session>) {
+        greet(gossip, session);
     }
 
-    fn message(&self, hub: &Rc<Hub>, session: &Rc<Session>, message: Message) {
-        let member = backlog_member(hub);
+    fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
+        let member = backlog_member(gossip);
         match message {
             Message::OwnBacklog(_) => {
                 if let Some(member) = member {
@@ -44,7 +44,7 @@
             }
             // One that summed up before its links changed has only a part.
             Message::FleetBacklog(_) if member.is_some_and(|member| member.key == session.key) => {
-                hub.broadcast_to(Role::Proxy, &message);
+                gossip.broadcast_to(Role::Proxy, &message);
             }
             _ => {}
         }
@@ -52,24 +52,24 @@
 }
 
 /// Tells a new proxy who is silent.
-fn greet(hub: &Hub, session: &Session) {
+fn greet(gossip: &Gossip, session: &Session) {
     if session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Proxy) {
-        session.send(&Message::Silent(hub.silent().into()));
+        session.send(&Message::Suspects(gossip.silent().into()));
     }
 }
 
 /// The member that sums backlogs up: the same one for all agents that are linked to the same members.
-fn backlog_member(hub: &Hub) -> Option<Rc<Session>> {
+fn backlog_member(gossip: &Gossip) -> Option<Rc<Session>> {
     let name =
         |session: &Rc<Session>| session.dialled.map_or(0, |address| hash(address.to_string().as_bytes()));
-    let sessions = hub.peers(Role::Controller);
+    let sessions = gossip.peers(Role::Controller);
     let chosen = rendezvous(hash(BACKLOG), sessions.iter().map(name))?;
     sessions.into_iter().find(|session| name(session) == chosen)
 }
 
 /// The links that an agent keeps up.
 struct Links {
-    hub: Rc<Hub>,
+    gossip: Rc<Gossip>,
     name: String,
     seeds: BTreeSet<SocketAddrV4>,
     dials: BTreeMap<SocketAddrV4, JoinHandle<()>>,
@@ -79,7 +79,7 @@
 impl Links {
     fn wanted(&self) -> BTreeSet<SocketAddrV4> {
         let members: BTreeSet<SocketAddrV4> =
-            self.hub.replica().members().set.iter().map(Member::address).collect();
+            self.gossip.replica().members().set.iter().map(Member::address).collect();
         let lost = members.is_empty() || self.answered.elapsed() > SEEDS_AFTER;
         let ring = Ring::new(members, |member| member.to_string().into_bytes());
         let mut wanted: BTreeSet<SocketAddrV4> =
@@ -92,7 +92,7 @@
 
     /// Dials who is wanted, and drops who is not.
     fn look(&mut self) {
-        if !self.hub.peers(Role::Controller).is_empty() {
+        if !self.gossip.peers(Role::Controller).is_empty() {
             self.answered = Instant::now();
         }
         let wanted = self.wanted();
@@ -104,8 +104,10 @@
             keep
         });
         for address in wanted {
-            let hub = &self.hub;
-            self.dials.entry(address).or_insert_with(|| spawn_local(dial_for_ever(hub.clone(), address)));
+            let gossip = &self.gossip;
+            self.dials
+                .entry(address)
+                .or_insert_with(|| spawn_local(dial_for_ever(gossip.clone(), address)));
         }
     }
 }
@@ -124,11 +126,13 @@
         node: node.name.as_str().into(),
         member: Member::none(),
     };
-    let hub = Hub::new(hello, node.heartbeat, logger.clone(), Box::new(Relay));
-    listen(hub.clone(), node.feed).await.map_err(|error| format!("listen.feed: {}: {error}", node.feed))?;
-    spawn_local(hub.clone().run());
+    let gossip = Gossip::new(hello, node.heartbeat, logger.clone(), Box::new(Relay));
+    listen(gossip.clone(), node.feed)
+        .await
+        .map_err(|error| format!("listen.feed: {}: {error}", node.feed))?;
+    spawn_local(gossip.clone().run());
     let mut links = Links {
-        hub: hub.clone(),
+        gossip: gossip.clone(),
         name: node.name.clone(),
         seeds: seeds_of(&node),
         dials: BTreeMap::new(),
@@ -136,7 +140,7 @@
     };
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut changes = hub.changes();
+    let mut changes = gossip.changes();
     loop {
         tokio::select! {
             _ = ticks.tick() => links.look(),
@@ -149,13 +153,13 @@
         }
     }
     info!(logger, "agent.terminate");
-    let _ = timeout(node.bounds.grace.saturating_sub(END_EARLY), proxy_gone(&hub)).await;
+    let _ = timeout(node.bounds.grace.saturating_sub(END_EARLY), proxy_gone(&gossip)).await;
     Ok(())
 }
 
 /// Waits until the proxy has ended.
-async fn proxy_gone(hub: &Hub) {
-    while !hub.peers(Role::Proxy).is_empty() {
+async fn proxy_gone(gossip: &Gossip) {
+    while !gossip.peers(Role::Proxy).is_empty() {
         sleep(TICK).await;
     }
 }
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -1,7 +1,7 @@
 //! The outer interfaces over HTTP/1.1: `api/operator.yaml` and `api/endpoints.yaml`.
 
 use crate::endpoints::Endpoints;
-use crate::proposer::{Ordered, Proposer};
+use crate::proposer::{Proposer, ReplaceOutcome};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -11,10 +11,10 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use miniserde::{Deserialize, json};
-use runtrack_fleetconfig::{CONFIG_MOST, FleetConfig, order_digest};
-use runtrack_link::Hub;
+use runtrack_fleetconfig::{FleetConfig, MAX_CONFIG, order_digest};
+use runtrack_link::Gossip;
 use runtrack_message::{Endpoint, EndpointState, Model};
-use runtrack_register::{Order, OrderAnswer};
+use runtrack_register::{ReplaceAnswer, ReplaceConfig};
 use slog::info;
 use std::convert::Infallible;
 use std::io;
@@ -56,11 +56,11 @@
 const REPLACE: &str = "/runtrack/config/replace";
 const READ: &str = "/runtrack/config/read";
 /// Bytes of an endpoint's call.
-const CALL_MOST: usize = 64 << 10;
+const MAX_CALL: usize = 64 << 10;
 /// A connection may be between calls for this long, and a head take so long.
-const IDLE_MOST: Duration = Duration::from_secs(10);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// A body must have come by then.
-const BODY_TIME: Duration = Duration::from_secs(10);
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -96,15 +96,15 @@
 
 /// Serves the outer interfaces.
 pub(crate) struct Api {
-    hub: Rc<Hub>,
+    gossip: Rc<Gossip>,
     proposer: Rc<Proposer>,
     endpoints: Rc<Endpoints>,
 }
 
 impl Api {
     /// Serves with these.
-    pub fn new(hub: Rc<Hub>, proposer: Rc<Proposer>, endpoints: Rc<Endpoints>) -> Rc<Self> {
-        Rc::new(Api { hub, proposer, endpoints })
+    pub fn new(gossip: Rc<Gossip>, proposer: Rc<Proposer>, endpoints: Rc<Endpoints>) -> Rc<Self> {
+        Rc::new(Api { gossip, proposer, endpoints })
     }
 
     /// Takes calls until the task is aborted.
@@ -122,7 +122,7 @@
                         });
                         let serving = http1::Builder::new()
                             .timer(TokioTimer::new())
-                            .header_read_timeout(IDLE_MOST)
+                            .header_read_timeout(IDLE_TIMEOUT)
                             .serve_connection(TokioIo::new(stream), service);
                         spawn_local(async move {
                             let _ = serving.await; // who called has gone
@@ -158,8 +158,8 @@
         if operation.path == READ {
             return self.read().await;
         }
-        let most = if operation.path == REPLACE { CONFIG_MOST } else { CALL_MOST };
-        let body = match timeout(BODY_TIME, Limited::new(body, most).collect()).await {
+        let most = if operation.path == REPLACE { MAX_CONFIG } else { MAX_CALL };
+        let body = match timeout(BODY_TIMEOUT, Limited::new(body, most).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
                 return text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
@@ -197,25 +197,27 @@
         let version = match FleetConfig::read(&body) {
             Ok(config) => config.version,
             Err(problem) => {
-                info!(self.hub.logger(), "order.invalid"; "problem" => %problem);
+                info!(self.gossip.logger(), "config_replace.invalid"; "problem" => %problem);
                 return text(StatusCode::BAD_REQUEST, &problem.to_string());
             }
         };
-        let order = Order { base, version, digest: order_digest(base, &body), body: body.to_vec() };
+        let order = ReplaceConfig { base, version, digest: order_digest(base, &body), body: body.to_vec() };
         // It goes on where the caller gives up: what has begun should end.
         let this = self.clone();
-        let ordered = spawn_local(async move { this.proposer.order(&order).await }).await;
-        let ordered = ordered.unwrap_or(Ordered::Unknown);
-        info!(self.hub.logger(), "order.answered"; "base" => base, "version" => version, "answer" => ?ordered);
+        let ordered = spawn_local(async move { this.proposer.replace_config(&order).await }).await;
+        let ordered = ordered.unwrap_or(ReplaceOutcome::Indeterminate);
+        info!(self.gossip.logger(), "config_replace.answered"; "base" => base, "version" => version, "answer" => ?ordered);
         match ordered {
-            Ordered::Sure(OrderAnswer::Taken) => json_reply(StatusCode::OK, Bytes::from_static(b"{}")),
-            Ordered::Sure(OrderAnswer::Conflict(current)) => {
+            ReplaceOutcome::Definite(ReplaceAnswer::Applied) => {
+                json_reply(StatusCode::OK, Bytes::from_static(b"{}"))
+            }
+            ReplaceOutcome::Definite(ReplaceAnswer::VersionMismatch(current)) => {
                 text(StatusCode::PRECONDITION_FAILED, &format!("version {current} is current"))
             }
-            Ordered::Sure(OrderAnswer::NotAbove(current)) => {
+            ReplaceOutcome::Definite(ReplaceAnswer::VersionNotIncreasing(current)) => {
                 text(StatusCode::CONFLICT, &format!("version: {version} is not above {current}"))
             }
-            Ordered::Unknown => {
+            ReplaceOutcome::Indeterminate => {
                 text(StatusCode::SERVICE_UNAVAILABLE, "it is not known whether it will be taken")
             }
         }
@@ -231,7 +233,7 @@
     async fn deregister(&self, id: &str, body: &[u8]) -> Reply {
         let wire: DeregisterWire =
             std::str::from_utf8(body).ok().and_then(|body| json::from_str(body).ok()).unwrap_or_default();
-        let known = self.hub.replica().registry().get(runtrack_registry::key_of(id)).cloned();
+        let known = self.gossip.replica().registry().get(runtrack_registry::key_of(id)).cloned();
         let record = known.unwrap_or(Endpoint {
             id: id.into(),
             service: "".into(),
--- a/crates/controller/src/backlog.rs
+++ b/crates/controller/src/backlog.rs
@@ -1,6 +1,6 @@
 //! What endpoints have been sent and have not read, summed up over all proxies and told to their agents.
 
-use runtrack_link::{Hub, Session};
+use runtrack_link::{Gossip, Session};
 use runtrack_message::{Backlog, Message, Role, Unread};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -19,7 +19,7 @@
 /// A part that was not told again by then is forgotten: its agent tells another member, or its proxy has ended.
 const FORGET: Duration = Duration::from_millis(1000);
 /// While anything is unread it is told again after this: what is old does not count.
-const REPEAT: Duration = Duration::from_millis(200);
+const REPEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What one proxy's agent told.
 struct Part {
@@ -29,15 +29,15 @@
 
 /// The parts of all proxies.
 pub struct Backlogs {
-    hub: Rc<Hub>,
+    gossip: Rc<Gossip>,
     parts: RefCell<HashMap<usize, Part>>,
     changed: Notify,
 }
 
 impl Backlogs {
     /// Nothing is unread.
-    pub fn new(hub: Rc<Hub>) -> Rc<Self> {
-        Rc::new(Backlogs { hub, parts: RefCell::default(), changed: Notify::new() })
+    pub fn new(gossip: Rc<Gossip>) -> Rc<Self> {
+        Rc::new(Backlogs { gossip, parts: RefCell::default(), changed: Notify::new() })
     }
 
     /// A proxy's agent tells its part.
@@ -71,12 +71,12 @@
             if empty {
                 self.changed.notified().await;
             } else {
-                let _ = timeout(REPEAT, self.changed.notified()).await;
+                let _ = timeout(REPEAT_INTERVAL, self.changed.notified()).await;
             }
             let sum = self.sum();
             let bytes = sum.len() as f64 * ENTRY;
             empty = sum.is_empty();
-            self.hub.broadcast_to(Role::Agent, &Message::FleetBacklog(sum.into()));
+            self.gossip.broadcast_to(Role::Agent, &Message::FleetBacklog(sum.into()));
             sleep(PAUSE.max(Duration::from_secs_f64(bytes / BYTES_A_SECOND))).await;
         }
     }
--- a/crates/controller/src/endpoints.rs
+++ b/crates/controller/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! Endpoints' calls: who is there, who leaves, and who has fallen silent.
 
-use runtrack_link::{Hub, Session};
+use runtrack_link::{Gossip, Session};
 use runtrack_message::{Endpoint, EndpointState, Message, Role};
 use runtrack_register::majority_of;
 use runtrack_registry::key_of;
@@ -14,17 +14,17 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 
 /// An endpoint waits a second for its acknowledgement.
-const CONFIRM_MOST: Duration = Duration::from_millis(800);
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// An endpoint that has missed so many heartbeats, while others were heard, is silent.
 const SILENT_BEATS: u32 = 3;
 
 /// Takes endpoints' calls.
 pub struct Endpoints {
-    hub: Rc<Hub>,
+    gossip: Rc<Gossip>,
     next: Cell<u64>,
     waiting: RefCell<HashMap<u64, UnboundedSender<SocketAddrV4>>>,
-    /// Heard here since the last report.
+    /// HeartbeatTable here since the last report.
     heard: RefCell<BTreeSet<u64>>,
     /// Who is silent, as agents were told last.
     told: RefCell<Vec<u64>>,
@@ -32,9 +32,9 @@
 
 impl Endpoints {
     /// Nobody has called yet.
-    pub fn new(hub: Rc<Hub>) -> Rc<Self> {
+    pub fn new(gossip: Rc<Gossip>) -> Rc<Self> {
         Rc::new(Endpoints {
-            hub,
+            gossip,
             next: Cell::new(0),
             waiting: RefCell::default(),
             heard: RefCell::default(),
@@ -49,9 +49,9 @@
         let key = key_of(&id);
         let leaving = record.state != EndpointState::Ready;
         self.heard.borrow_mut().insert(key);
-        self.hub.note_heard(&[key]);
-        if self.hub.merge(vec![record.clone()], None) {
-            info!(self.hub.logger(), "endpoint.changed"; "id" => &id, "state" => ?record.state);
+        self.gossip.note_heartbeats(&[key]);
+        if self.gossip.merge(vec![record.clone()], None) {
+            info!(self.gossip.logger(), "endpoint.changed"; "id" => &id, "state" => ?record.state);
         }
         !leaving || self.confirm(record).await
     }
@@ -59,8 +59,8 @@
     /// Waits until a majority of the members have merged a record.
     async fn confirm(&self, record: Endpoint) -> bool {
         let members: BTreeSet<SocketAddrV4> =
-            self.hub.replica().members().set.iter().map(|member| member.address()).collect();
-        let me = self.hub.me().member.address();
+            self.gossip.replica().members().set.iter().map(|member| member.address()).collect();
+        let me = self.gossip.me().member.address();
         let mut confirmed: BTreeSet<SocketAddrV4> =
             members.iter().copied().filter(|member| *member == me).collect();
         let needed = majority_of(members.len());
@@ -69,12 +69,12 @@
         let (confirms, mut came) = unbounded_channel();
         self.waiting.borrow_mut().insert(number, confirms);
         let message = Message::Confirm(number, vec![record].into());
-        for session in self.hub.peers(Role::Controller) {
+        for session in self.gossip.peers(Role::Controller) {
             if session.dialled.is_some_and(|address| members.contains(&address)) {
                 session.send(&message);
             }
         }
-        let until = Instant::now() + CONFIRM_MOST;
+        let until = Instant::now() + CONFIRM_TIMEOUT;
         while confirmed.len() < needed
             && let Ok(Some(from)) = timeout_at(until, came.recv()).await
         {
@@ -93,15 +93,15 @@
 
     /// Another member heard of these.
     pub fn relayed(&self, keys: &[u64]) {
-        self.hub.note_heard(keys);
+        self.gossip.note_heartbeats(keys);
     }
 
     /// Endpoints that no member has heard of for too long.
     fn silent(&self) -> Vec<u64> {
-        let replica = self.hub.replica();
+        let replica = self.gossip.replica();
         let ready = replica.registry().iter().filter(|(_, record)| record.state == EndpointState::Ready);
         let mut silent: Vec<u64> =
-            ready.map(|(key, _)| key).filter(|key| self.hub.is_stale(*key, SILENT_BEATS)).collect();
+            ready.map(|(key, _)| key).filter(|key| self.gossip.is_suspect(*key, SILENT_BEATS)).collect();
         silent.sort_unstable();
         silent
     }
@@ -114,11 +114,11 @@
             ticks.tick().await;
             let heard: Vec<u64> = self.heard.take().into_iter().collect();
             if !heard.is_empty() {
-                self.hub.broadcast_to(Role::Controller, &Message::Relayed(heard.into()));
+                self.gossip.broadcast_to(Role::Controller, &Message::HeartbeatRelay(heard.into()));
             }
             let silent = self.silent();
             if *self.told.borrow() != silent {
-                self.hub.broadcast_to(Role::Agent, &Message::Silent(silent.clone().into()));
+                self.gossip.broadcast_to(Role::Agent, &Message::Suspects(silent.clone().into()));
                 *self.told.borrow_mut() = silent;
             }
         }
@@ -126,6 +126,6 @@
 
     /// Tells a new agent who is silent.
     pub fn greet(&self, session: &Session) {
-        session.send(&Message::Silent(self.told.borrow().clone().into()));
+        session.send(&Message::Suspects(self.told.borrow().clone().into()));
     }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,7 +17,7 @@
 use crate::membership::Membership;
 use crate::proposer::Proposer;
 use runtrack_fleetconfig::Node;
-use runtrack_link::{Hub, Outside, Session, Signals, json_logger, listen};
+use runtrack_link::{Gossip, MessageHandler, Session, Signals, json_logger, listen};
 use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
 use slog::info;
 use std::cell::OnceCell;
@@ -43,8 +43,8 @@
 
 struct Routing(Rc<Parts>);
 
-impl Outside for Routing {
-    fn message(&self, hub: &Rc<Hub>, session: &Rc<Session>, message: Message) {
+impl MessageHandler for Routing {
+    fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
         let parts = &self.0;
         let (Some(member), Some(proposer), Some(membership), Some(endpoints)) =
             (parts.member.get(), parts.proposer.get(), parts.membership.get(), parts.endpoints.get())
@@ -57,15 +57,15 @@
                 member.ask(request, move |reply| session.send(&Message::Reply(number, reply)));
             }
             Message::Reply(number, reply) => proposer.replied(number, reply),
-            Message::Learn(ballot) => proposer.told_chosen(ballot),
-            Message::Join(joiner) => membership.asked_to_join(joiner),
-            Message::Leave(leaver) => membership.asked_to_leave(leaver),
+            Message::Commit(ballot) => proposer.on_committed(ballot),
+            Message::Join(joiner) => membership.on_join_request(joiner),
+            Message::Leave(leaver) => membership.on_leave_request(leaver),
             Message::Confirm(number, records) => {
-                hub.merge(records.into_vec(), Some(session.key));
+                gossip.merge(records.into_vec(), Some(session.key));
                 session.send(&Message::Confirmed(number));
             }
             Message::Confirmed(number) => endpoints.confirmed(number, session),
-            Message::Relayed(keys) => endpoints.relayed(keys.items()),
+            Message::HeartbeatRelay(keys) => endpoints.relayed(keys.items()),
             Message::OwnBacklog(part) => {
                 if let Some(backlogs) = parts.backlogs.get() {
                     backlogs.told(session, part);
@@ -75,14 +75,14 @@
         }
     }
 
-    fn up(&self, _: &Rc<Hub>, session: &Rc<Session>) {
+    fn on_connect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
         let agent = session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Agent);
         if let Some(endpoints) = self.0.endpoints.get().filter(|_| agent) {
             endpoints.greet(session);
         }
     }
 
-    fn down(&self, _: &Rc<Hub>, session: &Rc<Session>) {
+    fn on_disconnect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
         if let Some(backlogs) = self.0.backlogs.get() {
             backlogs.forget(session);
         }
@@ -108,24 +108,30 @@
     let parts = Rc::new(Parts::default());
     let hello =
         Hello { wire: WIRE_VERSION, role: Role::Controller, node: node.name.as_str().into(), member: me };
-    let hub = Hub::new(hello, node.heartbeat, logger.clone(), Box::new(Routing(parts.clone())));
+    let gossip = Gossip::new(hello, node.heartbeat, logger.clone(), Box::new(Routing(parts.clone())));
     let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
     let member = MemberTask::start(acceptor, disk, logger.clone());
-    let proposer = Proposer::new(hub.clone(), member.clone(), me, first);
-    let membership =
-        Membership::new(hub.clone(), proposer.clone(), member.clone(), me, seeds, node.tolerance.machines);
-    let endpoints = Endpoints::new(hub.clone());
+    let proposer = Proposer::new(gossip.clone(), member.clone(), me, first);
+    let membership = Membership::new(
+        gossip.clone(),
+        proposer.clone(),
+        member.clone(),
+        me,
+        seeds,
+        node.tolerance.machines,
+    );
+    let endpoints = Endpoints::new(gossip.clone());
     let _ = parts.member.set(member);
     let _ = parts.proposer.set(proposer.clone());
     let _ = parts.membership.set(membership.clone());
     let _ = parts.endpoints.set(endpoints.clone());
-    let backlogs = Backlogs::new(hub.clone());
+    let backlogs = Backlogs::new(gossip.clone());
     let _ = parts.backlogs.set(backlogs.clone());
     spawn_local(backlogs.run());
-    listen(hub.clone(), address).await.map_err(|error| format!("listen: {address}: {error}"))?;
-    let api = Api::new(hub.clone(), proposer.clone(), endpoints.clone());
+    listen(gossip.clone(), address).await.map_err(|error| format!("listen: {address}: {error}"))?;
+    let api = Api::new(gossip.clone(), proposer.clone(), endpoints.clone());
     let calls = api.listen(control).await.map_err(|error| format!("listen: {control}: {error}"))?;
-    spawn_local(hub.clone().run());
+    spawn_local(gossip.clone().run());
     spawn_local(proposer.clone().run());
     spawn_local(membership.clone().run());
     spawn_local(endpoints.run(node.heartbeat));
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -2,7 +2,7 @@
 
 use crate::member::MemberTask;
 use crate::proposer::Proposer;
-use runtrack_link::{Hub, dial_for_ever};
+use runtrack_link::{Gossip, dial_for_ever};
 use runtrack_message::{Member, Message, Role, Value};
 use runtrack_register::{Decision, Outcome, finish_membership, is_joint, members_of, replace_members};
 use runtrack_ring::{hash, rendezvous};
@@ -18,29 +18,29 @@
 /// How often the membership is looked at.
 const TICK: Duration = Duration::from_millis(200);
 /// A request to join counts for this long.
-const JOIN_FOR: Duration = Duration::from_millis(1500);
+const JOIN_REQUEST_LIFETIME: Duration = Duration::from_millis(1500);
 /// It is repeated this often.
-const JOIN_AGAIN: Duration = Duration::from_millis(400);
+const JOIN_REQUEST_INTERVAL: Duration = Duration::from_millis(400);
 /// A member without a link for this long is taken for gone, where another one can take its place.
 const GONE_AFTER: Duration = Duration::from_millis(2500);
 /// A change of the membership gets so long.
-const CHANGE_MOST: Duration = Duration::from_millis(1500);
+const MEMBERSHIP_CHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// A member that leaves gets so long to say so in the register.
-const LEAVE_MOST: Duration = Duration::from_millis(1500);
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The duty of changing the membership, as a key of rendezvous hashing.
-const DUTY: &[u8] = b"membership";
+const COORDINATOR: &[u8] = b"membership";
 
 /// Who the members are, and who wants to be.
 pub struct Membership {
-    hub: Rc<Hub>,
+    gossip: Rc<Gossip>,
     proposer: Rc<Proposer>,
     member: Rc<MemberTask>,
     me: Member,
     seeds: RefCell<BTreeSet<SocketAddrV4>>,
     /// Members that are wanted: as many as bear the loss that is to be borne.
     wanted: usize,
-    joiners: RefCell<BTreeMap<Member, Instant>>,
-    leavers: RefCell<BTreeSet<Member>>,
+    joining: RefCell<BTreeMap<Member, Instant>>,
+    leaving: RefCell<BTreeSet<Member>>,
     /// When each member had a link last, as itself and no other incarnation.
     seen: RefCell<BTreeMap<Member, Instant>>,
     /// Who is at an address now, as far as links show.
@@ -56,7 +56,7 @@
 impl Membership {
     /// Knows the seeds alone.
     pub fn new(
-        hub: Rc<Hub>,
+        gossip: Rc<Gossip>,
         proposer: Rc<Proposer>,
         member: Rc<MemberTask>,
         me: Member,
@@ -64,14 +64,14 @@
         tolerance: u32,
     ) -> Rc<Self> {
         Rc::new(Membership {
-            hub,
+            gossip,
             proposer,
             member,
             me,
             seeds: RefCell::new(seeds),
             wanted: 2 * tolerance as usize + 1,
-            joiners: RefCell::default(),
-            leavers: RefCell::default(),
+            joining: RefCell::default(),
+            leaving: RefCell::default(),
             seen: RefCell::default(),
             present: RefCell::default(),
             dials: RefCell::default(),
@@ -87,23 +87,23 @@
     }
 
     /// A process asks to become a member.
-    pub fn asked_to_join(&self, joiner: Member) {
-        if !self.leavers.borrow().contains(&joiner) {
-            self.joiners.borrow_mut().insert(joiner, Instant::now());
+    pub fn on_join_request(&self, joiner: Member) {
+        if !self.leaving.borrow().contains(&joiner) {
+            self.joining.borrow_mut().insert(joiner, Instant::now());
         }
     }
 
     /// A member is about to end, and there are members to spare.
-    pub fn asked_to_leave(&self, leaver: Member) {
-        self.joiners.borrow_mut().remove(&leaver);
-        self.leavers.borrow_mut().insert(leaver);
+    pub fn on_leave_request(&self, leaver: Member) {
+        self.joining.borrow_mut().remove(&leaver);
+        self.leaving.borrow_mut().insert(leaver);
     }
 
     fn members(&self) -> BTreeSet<Member> {
-        self.hub.replica().members().set.clone()
+        self.gossip.replica().members().set.clone()
     }
 
-    /// Keeps links to members, seeds and joiners up.
+    /// Keeps links to members, seeds and joining up.
     fn dial(&self) {
         let mut wanted: BTreeSet<SocketAddrV4> = self.members().iter().map(Member::address).collect();
         if let Some((_, value)) = self.proposer.known() {
@@ -111,7 +111,7 @@
             wanted.extend(value.sets.items().iter().flat_map(|set| set.items()).map(Member::address));
         }
         wanted.extend(self.seeds.borrow().iter());
-        wanted.extend(self.joiners.borrow().keys().map(Member::address));
+        wanted.extend(self.joining.borrow().keys().map(Member::address));
         wanted.remove(&self.me.address());
         let mut dials = self.dials.borrow_mut();
         dials.retain(|address, dial| {
@@ -122,25 +122,27 @@
             keep
         });
         for address in wanted {
-            dials.entry(address).or_insert_with(|| spawn_local(dial_for_ever(self.hub.clone(), address)));
+            dials
+                .entry(address)
+                .or_insert_with(|| spawn_local(dial_for_ever(self.gossip.clone(), address)));
         }
     }
 
-    fn note_seen(&self) {
+    fn note_present(&self) {
         let now = Instant::now();
         let members = self.members();
-        self.joiners.borrow_mut().retain(|_, at| at.elapsed() < JOIN_FOR);
-        let joiners: BTreeSet<Member> = self.joiners.borrow().keys().copied().collect();
+        self.joining.borrow_mut().retain(|_, at| at.elapsed() < JOIN_REQUEST_LIFETIME);
+        let joining: BTreeSet<Member> = self.joining.borrow().keys().copied().collect();
         let mut seen = self.seen.borrow_mut();
         let mut present = self.present.borrow_mut();
         // Who has just become a member has had no time to be silent.
-        let known: BTreeSet<Member> = members.union(&joiners).copied().collect();
+        let known: BTreeSet<Member> = members.union(&joining).copied().collect();
         seen.retain(|member, _| known.contains(member));
         for member in known {
             seen.entry(member).or_insert(now);
         }
         present.clear();
-        for session in self.hub.peers(Role::Controller) {
+        for session in self.gossip.peers(Role::Controller) {
             let peer = session.peer.borrow().as_ref().map(|peer| peer.member);
             if let Some(member) = peer.filter(|member| session.dialled == Some(member.address())) {
                 present.insert(member.address(), member);
@@ -162,17 +164,17 @@
     }
 
     /// Whether this process has the duty: one of those that are alive, the same one for all who see the same.
-    fn on_duty(&self, members: &BTreeSet<Member>) -> bool {
+    fn is_coordinator(&self, members: &BTreeSet<Member>) -> bool {
         let alive = members.iter().filter(|member| !self.is_gone(member));
         let names = alive.map(|member| hash(member.address().to_string().as_bytes()));
-        rendezvous(hash(DUTY), names) == Some(hash(self.me.address().to_string().as_bytes()))
+        rendezvous(hash(COORDINATOR), names) == Some(hash(self.me.address().to_string().as_bytes()))
     }
 
     /// The members that there should be.
     fn next(&self, current: &BTreeSet<Member>) -> BTreeSet<Member> {
         let mut next = current.clone();
-        let joiners: Vec<Member> = self.joiners.borrow().keys().copied().collect();
-        for joiner in joiners.into_iter().filter(|joiner| !current.contains(joiner)) {
+        let joining: Vec<Member> = self.joining.borrow().keys().copied().collect();
+        for joiner in joining.into_iter().filter(|joiner| !current.contains(joiner)) {
             // Another incarnation at the same address has lost its disk, and is no member any more.
             let before = next.iter().find(|member| member.address() == joiner.address()).copied();
             let gone = before.or_else(|| next.iter().find(|member| self.is_gone(member)).copied());
@@ -191,7 +193,7 @@
                 None => {}
             }
         }
-        let leaving: BTreeSet<Member> = self.leavers.borrow().clone();
+        let leaving: BTreeSet<Member> = self.leaving.borrow().clone();
         for member in current {
             if next.len() > self.wanted && (self.is_gone(member) || leaving.contains(member)) {
                 next.remove(member);
@@ -200,33 +202,33 @@
         next
     }
 
-    fn ask_to_join(&self) {
+    fn request_to_join(&self) {
         let unable = self.ending.get() || !self.member.is_durable();
-        if unable || self.asked.get().is_some_and(|at| at.elapsed() < JOIN_AGAIN) {
+        if unable || self.asked.get().is_some_and(|at| at.elapsed() < JOIN_REQUEST_INTERVAL) {
             return;
         }
         self.asked.set(Some(Instant::now()));
-        self.hub.broadcast_to(Role::Controller, &Message::Join(self.me));
+        self.gossip.broadcast_to(Role::Controller, &Message::Join(self.me));
     }
 
     /// Carries one change through: the joint sets, then the new one alone.
     async fn change(&self) {
-        let until = Instant::now() + CHANGE_MOST;
+        let until = Instant::now() + MEMBERSHIP_CHANGE_TIMEOUT;
         let outcome = self.proposer.decide(until, &mut |current| self.step(current)).await;
-        let Some(Outcome::Written(_, value)) = outcome else { return };
+        let Some(Outcome::Committed(_, value)) = outcome else { return };
         if is_joint(&value) {
-            let finish = |current: Option<&Value>| current.map_or(Decision::Keep, finish_membership);
+            let finish = |current: Option<&Value>| current.map_or(Decision::Read, finish_membership);
             self.proposer.decide(until, &mut { finish }).await;
         }
         let names: Vec<String> =
             members_of(&value).iter().map(|member| member.address().to_string()).collect();
-        info!(self.hub.logger(), "members.changed"; "sequence" => value.sequence, "members" => names.join(" "));
+        info!(self.gossip.logger(), "members.changed"; "sequence" => value.sequence, "members" => names.join(" "));
     }
 
     fn step(&self, current: Option<&Value>) -> Decision {
         match current {
             Some(value) => replace_members(value, &self.next(&members_of(value))),
-            None => Decision::Keep,
+            None => Decision::Read,
         }
     }
 
@@ -236,30 +238,31 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            self.note_seen();
+            self.note_present();
             self.dial();
             let Some((_, value)) = self.proposer.known() else {
-                if self.hub.replica().members().sequence > 0 {
-                    self.ask_to_join_unless_member();
+                if self.gossip.replica().members().sequence > 0 {
+                    self.request_to_join_unless_member();
                 }
                 continue;
             };
             let members = members_of(&value);
             let joined = members.contains(&self.me) && !is_joint(&value);
             if joined && !self.joined.replace(true) {
-                info!(self.hub.logger(), "member.joined"; "sequence" => value.sequence);
+                info!(self.gossip.logger(), "member.joined"; "sequence" => value.sequence);
             }
             if !members.contains(&self.me) {
-                self.ask_to_join();
-            } else if self.on_duty(&members) && (is_joint(&value) || self.next(&members) != members) {
+                self.request_to_join();
+            } else if self.is_coordinator(&members) && (is_joint(&value) || self.next(&members) != members)
+            {
                 self.change().await;
             }
         }
     }
 
-    fn ask_to_join_unless_member(&self) {
+    fn request_to_join_unless_member(&self) {
         if !self.members().contains(&self.me) {
-            self.ask_to_join();
+            self.request_to_join();
         }
     }
 
@@ -270,8 +273,8 @@
         if !members.contains(&self.me) || members.len() <= self.wanted {
             return;
         }
-        self.hub.broadcast_to(Role::Controller, &Message::Leave(self.me));
-        self.leavers.borrow_mut().insert(self.me);
-        let _ = timeout(LEAVE_MOST, self.change()).await;
+        self.gossip.broadcast_to(Role::Controller, &Message::Leave(self.me));
+        self.leaving.borrow_mut().insert(self.me);
+        let _ = timeout(LEAVE_TIMEOUT, self.change()).await;
     }
 }
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -1,10 +1,10 @@
 //! Rounds of the register on behalf of the operator, of readers and of the membership.
 
 use crate::member::MemberTask;
-use runtrack_link::Hub;
+use runtrack_link::Gossip;
 use runtrack_message::{Ballot, Member, Message, RegisterReply, RegisterRequest, Role, Value};
 use runtrack_register::{
-    Decision, Order, OrderAnswer, Outcome, Progress, Round, Send, members_of, sets_of,
+    Decision, Outcome, Progress, ReplaceAnswer, ReplaceConfig, Round, Send, members_of, sets_of,
 };
 use slog::info;
 use std::cell::{Cell, RefCell};
@@ -16,12 +16,12 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// A round that hears nothing new for so long is given up: some reply is lost, and another round asks again.
-const QUIET_MOST: Duration = Duration::from_millis(450);
+const ROUND_TIMEOUT: Duration = Duration::from_millis(450);
 /// Wait after a round that a higher ballot got in the way of, times the tries so far, and up to as much more.
-const BACK_OFF: Duration = Duration::from_millis(8);
-const BACK_OFF_TRIES: u32 = 8;
+const ROUND_BACKOFF: Duration = Duration::from_millis(8);
+const MAX_BACKOFF_STEPS: u32 = 8;
 /// An order or a read that has not come through by then gets no clear answer.
-const ANSWER_MOST: Duration = Duration::from_millis(2500);
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
 /// A value that was accepted here and not heard to be chosen is settled by a round of our own after this, and up to as
 /// much more.
 const SETTLE: Duration = Duration::from_millis(250);
@@ -31,18 +31,18 @@
 
 /// What came of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ordered {
+pub enum ReplaceOutcome {
     /// It is certain.
-    Sure(OrderAnswer),
+    Definite(ReplaceAnswer),
     /// It may or may not come into force.
-    Unknown,
+    Indeterminate,
 }
 
 type Replies = UnboundedSender<(Member, RegisterReply)>;
 
 /// Runs rounds, one at a time.
 pub struct Proposer {
-    hub: Rc<Hub>,
+    gossip: Rc<Gossip>,
     member: Rc<MemberTask>,
     me: Member,
     /// Members before the first value.
@@ -60,9 +60,14 @@
 
 impl Proposer {
     /// A proposer that knows of no value.
-    pub fn new(hub: Rc<Hub>, member: Rc<MemberTask>, me: Member, first: BTreeSet<Member>) -> Rc<Self> {
+    pub fn new(
+        gossip: Rc<Gossip>,
+        member: Rc<MemberTask>,
+        me: Member,
+        first: BTreeSet<Member>,
+    ) -> Rc<Self> {
         Rc::new(Proposer {
-            hub,
+            gossip,
             member,
             me,
             first,
@@ -90,7 +95,7 @@
     }
 
     /// Another member says that the value of this ballot is chosen.
-    pub fn told_chosen(&self, ballot: Ballot) {
+    pub fn on_committed(&self, ballot: Ballot) {
         if self.known.borrow().as_ref().is_some_and(|(known, _)| *known >= ballot) {
             return;
         }
@@ -107,16 +112,16 @@
         }
         self.round.set(self.round.get().max(ballot.round));
         *self.known.borrow_mut() = Some((ballot, value.clone()));
-        self.hub.take_members(value.sequence, members_of(&value));
-        if value.version > 0 && value.version > self.hub.replica().version() {
-            self.hub.take_config(value.version, value.config.as_slice().to_vec());
+        self.gossip.take_members(value.sequence, members_of(&value));
+        if value.version > 0 && value.version > self.gossip.replica().version() {
+            self.gossip.take_config(value.version, value.config.as_slice().to_vec());
         }
     }
 
     /// The sets of members to begin with: of what is told to be chosen, or of what this member has accepted, whichever
     /// is newer. After the end of all processes there is nobody to tell.
     fn sets(&self) -> Vec<BTreeSet<Member>> {
-        let replica = self.hub.replica();
+        let replica = self.gossip.replica();
         let told = replica.members();
         match self.member.accepted() {
             Some(accepted) if accepted.value.sequence > told.sequence => sets_of(&accepted.value),
@@ -126,7 +131,7 @@
     }
 
     fn send(&self, sends: Vec<Send>, replies: &Replies) {
-        let sessions = self.hub.peers(Role::Controller);
+        let sessions = self.gossip.peers(Role::Controller);
         for (to, request) in sends {
             if to == self.me {
                 self.ask_self(request, replies.clone());
@@ -159,7 +164,7 @@
         self.waiting.borrow_mut().clear(); // of a round that was given up half-way
         self.send(sends, &replies);
         let outcome = loop {
-            let Ok(Some((from, reply))) = timeout(QUIET_MOST, came.recv()).await else { break None };
+            let Ok(Some((from, reply))) = timeout(ROUND_TIMEOUT, came.recv()).await else { break None };
             match round.reply(from, reply, decide) {
                 Progress::Send(sends) => self.send(sends, &replies),
                 Progress::Done(outcome) => break Some(outcome),
@@ -167,14 +172,14 @@
         };
         match &outcome {
             Some(
-                Outcome::Kept(ballot, value)
-                | Outcome::Written(ballot, value)
-                | Outcome::Settled(ballot, value),
+                Outcome::Read(ballot, value)
+                | Outcome::Committed(ballot, value)
+                | Outcome::MembershipCommitted(ballot, value),
             ) => {
                 let before = self.known.borrow().as_ref().map(|(known, _)| *known);
                 self.learn(*ballot, value.clone());
                 if before != Some(*ballot) {
-                    self.hub.broadcast_to(Role::Controller, &Message::Learn(*ballot));
+                    self.gossip.broadcast_to(Role::Controller, &Message::Commit(*ballot));
                 }
                 self.informed.set(true);
             }
@@ -195,9 +200,10 @@
         for tries in 1.. {
             match timeout_at(until, self.round(decide)).await.ok()? {
                 Some(Outcome::Preempted(_)) => {
-                    sleep(BACK_OFF * tries.min(BACK_OFF_TRIES) * fastrand::u32(100..200) / 100).await;
+                    sleep(ROUND_BACKOFF * tries.min(MAX_BACKOFF_STEPS) * fastrand::u32(100..200) / 100)
+                        .await;
                 }
-                Some(Outcome::Settled(..)) | None => {}
+                Some(Outcome::MembershipCommitted(..)) | None => {}
                 Some(outcome) => return Some(outcome),
             }
             if Instant::now() >= until {
@@ -208,11 +214,11 @@
     }
 
     /// Puts an operator's order through.
-    pub async fn order(&self, order: &Order) -> Ordered {
+    pub async fn replace_config(&self, order: &ReplaceConfig) -> ReplaceOutcome {
         let first = vec![self.first.clone()];
         let mut answer = None;
         let outcome = self
-            .decide(Instant::now() + ANSWER_MOST, &mut |current| {
+            .decide(Instant::now() + REQUEST_TIMEOUT, &mut |current| {
                 let (decision, found) = order.decide(current, &first);
                 answer = Some(found);
                 decision
@@ -220,15 +226,17 @@
             .await;
         match (outcome, answer) {
             (Some(Outcome::Empty), Some(answer))
-            | (Some(Outcome::Kept(..) | Outcome::Written(..)), Some(answer)) => Ordered::Sure(answer),
-            _ => Ordered::Unknown,
+            | (Some(Outcome::Read(..) | Outcome::Committed(..)), Some(answer)) => {
+                ReplaceOutcome::Definite(answer)
+            }
+            _ => ReplaceOutcome::Indeterminate,
         }
     }
 
     /// The newest value, as of a moment after this call; `Err` where that can't be known now.
     pub async fn read(&self) -> Result<Option<Rc<Value>>, ()> {
-        match self.decide(Instant::now() + ANSWER_MOST, &mut |_| Decision::Keep).await {
-            Some(Outcome::Kept(_, value) | Outcome::Written(_, value)) => Ok(Some(value)),
+        match self.decide(Instant::now() + REQUEST_TIMEOUT, &mut |_| Decision::Read).await {
+            Some(Outcome::Read(_, value) | Outcome::Committed(_, value)) => Ok(Some(value)),
             Some(Outcome::Empty) => Ok(None),
             _ => Err(()),
         }
@@ -242,7 +250,7 @@
             let accepted = self.member.accepted().map(|accepted| accepted.ballot);
             let known = self.known.borrow().as_ref().map(|(ballot, _)| *ballot);
             let behind = self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence)
-                < self.hub.replica().members().sequence;
+                < self.gossip.replica().members().sequence;
             if self.informed.get() && accepted <= known && !behind {
                 continue;
             }
@@ -251,7 +259,7 @@
                 sleep(SETTLE.mul_f64(fastrand::f64())).await;
             }
             if self.read().await.is_ok() {
-                info!(self.hub.logger(), "register.settled";
+                info!(self.gossip.logger(), "register.settled";
                     "sequence" => self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence));
             }
         }
--- a/crates/fleetconfig/src/fleet.rs
+++ b/crates/fleetconfig/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The operator's configuration as the fleet works with it.
 
-use crate::{CONFIG_MOST, Finding, check};
+use crate::{Finding, MAX_CONFIG, check};
 use miniserde::{Deserialize, json};
 use quick_error::quick_error;
 use std::time::Duration;
@@ -9,9 +9,9 @@
     /// A configuration that is refused.
     #[derive(Debug, PartialEq, Eq)]
     pub enum ConfigError {
-        /// It is larger than [`CONFIG_MOST`].
+        /// It is larger than [`MAX_CONFIG`].
         TooLarge(bytes: usize) {
-            display("the configuration has {bytes} bytes; {CONFIG_MOST} is the most")
+            display("the configuration has {bytes} bytes; {MAX_CONFIG} is the most")
         }
         /// It can't be read whole.
         Unreadable {
@@ -140,7 +140,7 @@
 impl FleetConfig {
     /// Reads and checks a configuration as the operator sends it.
     pub fn read(body: &[u8]) -> Result<Self, ConfigError> {
-        if body.len() > CONFIG_MOST {
+        if body.len() > MAX_CONFIG {
             return Err(ConfigError::TooLarge(body.len()));
         }
         let text = std::str::from_utf8(body).map_err(|_| ConfigError::Unreadable)?;
--- a/crates/fleetconfig/src/lib.rs
+++ b/crates/fleetconfig/src/lib.rs
@@ -13,7 +13,7 @@
 pub use routes::{RouteTable, Routed};
 
 /// The largest configuration that is read.
-pub const CONFIG_MOST: usize = 8 << 20;
+pub const MAX_CONFIG: usize = 8 << 20;
 
 /// What is wrong, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/fleetconfig/tests/configurations.rs
+++ b/crates/fleetconfig/tests/configurations.rs
@@ -1,7 +1,7 @@
 //! Configurations of operators: the one of the protocol page is taken, and each wrong one is refused with its place.
 
 use expect_test::expect;
-use runtrack_fleetconfig::{CONFIG_MOST, ConfigError, FleetConfig, RouteKind, RouteTable, order_digest};
+use runtrack_fleetconfig::{ConfigError, FleetConfig, MAX_CONFIG, RouteKind, RouteTable, order_digest};
 use std::time::Duration;
 
 const PAGE: &str = include_str!("protocol-page.json");
@@ -73,8 +73,8 @@
 
 #[test]
 fn a_configuration_beyond_the_bound_is_not_read() {
-    let text = " ".repeat(CONFIG_MOST + 1);
-    assert_eq!(read(&text), Err(ConfigError::TooLarge(CONFIG_MOST + 1)));
+    let text = " ".repeat(MAX_CONFIG + 1);
+    assert_eq!(read(&text), Err(ConfigError::TooLarge(MAX_CONFIG + 1)));
 }
 
 #[test]
--- a/crates/link/src/hub.rs
+++ b/crates/link/src/gossip.rs
@@ -1,8 +1,8 @@
 //! Keeps the copies of linked processes alike.
 
 use crate::session::Session;
-use runtrack_message::{Endpoint, Hello, Message, Notice, Role, encode};
-use runtrack_registry::{Heard, Replica, StoredConfig};
+use runtrack_message::{Endpoint, Hello, Message, Role, StateSummary, encode};
+use runtrack_registry::{HeartbeatTable, Replica, StoredConfig};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::{BTreeSet, HashSet};
@@ -12,37 +12,37 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// What copies say of themselves without a cause goes out this often: it mends what was lost.
-const REPEAT: Duration = Duration::from_millis(1000);
+const REPEAT_INTERVAL: Duration = Duration::from_millis(1000);
 /// A configuration that was asked for and has not come by then is asked for elsewhere.
-const FETCH_MOST: Duration = Duration::from_millis(400);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 /// A change has reached those that are linked by then, or is lost.
 const IN_FLIGHT: Duration = Duration::from_millis(800);
 /// How often that is looked at.
 const TICK: Duration = Duration::from_millis(200);
 
 /// What a program does with messages that are not about the copies.
-pub trait Outside {
-    /// A message that the hub does not take itself.
-    fn message(&self, hub: &Rc<Hub>, session: &Rc<Session>, message: Message);
+pub trait MessageHandler {
+    /// A message that the gossip does not take itself.
+    fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message);
     /// A link came up and its other side said who it is.
-    fn up(&self, _hub: &Rc<Hub>, _session: &Rc<Session>) {}
+    fn on_connect(&self, _hub: &Rc<Gossip>, _session: &Rc<Session>) {}
     /// A link is down.
-    fn down(&self, _hub: &Rc<Hub>, _session: &Rc<Session>) {}
+    fn on_disconnect(&self, _hub: &Rc<Gossip>, _session: &Rc<Session>) {}
 }
 
 /// For programs that take nothing else.
-impl Outside for () {
-    fn message(&self, _: &Rc<Hub>, _: &Rc<Session>, _: Message) {}
+impl MessageHandler for () {
+    fn on_message(&self, _: &Rc<Gossip>, _: &Rc<Session>, _: Message) {}
 }
 
 /// The copy of this process and its links.
-pub struct Hub {
+pub struct Gossip {
     me: Hello,
     logger: Logger,
     heartbeat: Duration,
     born: Instant,
     replica: RefCell<Replica>,
-    heard: RefCell<Heard>,
+    heard: RefCell<HeartbeatTable>,
     /// Endpoints that are silent, as told.
     silent: RefCell<HashSet<u64>>,
     sessions: RefCell<Vec<Rc<Session>>>,
@@ -51,13 +51,18 @@
     /// When records changed last.
     changed_at: Cell<Instant>,
     changes: watch::Sender<u64>,
-    outside: Box<dyn Outside>,
+    handler: Box<dyn MessageHandler>,
 }
 
-impl Hub {
+impl Gossip {
     /// A copy with nothing in it and no links.
-    pub fn new(me: Hello, heartbeat: Duration, logger: Logger, outside: Box<dyn Outside>) -> Rc<Self> {
-        Rc::new(Hub {
+    pub fn new(
+        me: Hello,
+        heartbeat: Duration,
+        logger: Logger,
+        handler: Box<dyn MessageHandler>,
+    ) -> Rc<Self> {
+        Rc::new(Gossip {
             me,
             logger,
             heartbeat,
@@ -70,7 +75,7 @@
             fetching: Cell::new(None),
             changed_at: Cell::new(Instant::now()),
             changes: watch::channel(0).0,
-            outside,
+            handler,
         })
     }
 
@@ -120,14 +125,14 @@
         self.peers(nearer).iter().map(|session| session.proxies.get()).max().unwrap_or(0)
     }
 
-    /// Time on this hub's clock.
+    /// Time on this gossip's clock.
     pub fn now(&self) -> Duration {
         self.born.elapsed()
     }
 
     /// Whether an endpoint has been silent for so many heartbeats while others were heard, as this member knows.
-    pub fn is_stale(&self, key: u64, beats: u32) -> bool {
-        self.heard.borrow().is_stale(self.now(), self.heartbeat, beats, key)
+    pub fn is_suspect(&self, key: u64, beats: u32) -> bool {
+        self.heard.borrow().is_suspect(self.now(), self.heartbeat, beats, key)
     }
 
     /// Whether an endpoint is silent as far as every neighbour that is nearer to the endpoints says so.
@@ -136,7 +141,7 @@
     }
 
     /// What all those say who are nearer; nothing where none is linked.
-    fn note_silent(&self) {
+    fn update_suspects(&self) {
         let nearer = if self.me.role == Role::Agent { Role::Controller } else { Role::Agent };
         let sessions = self.peers(nearer);
         let mut told = sessions.iter().filter_map(|session| session.silent.borrow().clone());
@@ -147,7 +152,7 @@
         }
         *self.silent.borrow_mut() = all;
         if self.me.role == Role::Agent {
-            self.broadcast_to(Role::Proxy, &Message::Silent(self.silent().into()));
+            self.broadcast_to(Role::Proxy, &Message::Suspects(self.silent().into()));
         }
         self.changed();
     }
@@ -158,7 +163,7 @@
     }
 
     /// These endpoints were heard of.
-    pub fn note_heard(&self, keys: &[u64]) {
+    pub fn note_heartbeats(&self, keys: &[u64]) {
         self.heard.borrow_mut().note(self.now(), self.heartbeat, keys.iter().copied());
     }
 
@@ -180,7 +185,7 @@
         let keys: Vec<u64> =
             new.iter().map(|record| runtrack_registry::key_of(&record.id.as_string())).collect();
         self.heard.borrow_mut().note(self.now(), self.heartbeat, keys);
-        self.broadcast(&Message::Records(new.into()), from);
+        self.broadcast(&Message::Entries(new.into()), from);
         self.changed_at.set(Instant::now());
         self.changed();
         true
@@ -230,12 +235,12 @@
         session
     }
 
-    pub(crate) fn greet(&self, session: &Session) {
+    pub(crate) fn on_connect(&self, session: &Session) {
         session.send(&Message::Hello(self.me.clone()));
-        self.tell(session);
+        self.send_summary(session);
     }
 
-    fn tell(&self, session: &Session) {
+    fn send_summary(&self, session: &Session) {
         let replica = self.replica.borrow();
         session.send(&replica.have());
         session.send(&replica.notice(self.proxies()));
@@ -244,10 +249,10 @@
     pub(crate) fn leave(self: &Rc<Self>, session: &Rc<Session>) {
         self.sessions.borrow_mut().retain(|other| other.key != session.key);
         if session.peer.borrow().is_some() {
-            self.outside.down(self, session);
+            self.handler.on_disconnect(self, session);
         }
         if self.me.role != Role::Controller {
-            self.note_silent();
+            self.update_suspects();
         }
         self.changed();
     }
@@ -256,14 +261,14 @@
         warn!(self.logger, "link.broken"; "session" => session.key, "problem" => problem);
     }
 
-    pub(crate) fn take(self: &Rc<Self>, session: &Rc<Session>, message: Message) {
+    pub(crate) fn on_message(self: &Rc<Self>, session: &Rc<Session>, message: Message) {
         match message {
             Message::Hello(hello) => {
                 *session.peer.borrow_mut() = Some(hello);
-                self.outside.up(self, session);
+                self.handler.on_connect(self, session);
                 self.changed();
             }
-            Message::Have(have) => {
+            Message::Digest(have) => {
                 // Right behind a change the other side may only not have heard yet; not so on a new link.
                 let first = !session.compared.replace(true);
                 let settled = self.changed_at.get().elapsed() >= IN_FLIGHT;
@@ -275,12 +280,12 @@
                     session.send(&self.replica.borrow().notice(self.proxies()));
                 }
             }
-            Message::Ranges(ranges) => {
+            Message::RangeDigests(ranges) => {
                 if let Some(answer) = self.replica.borrow().answer_ranges(ranges.items()) {
                     session.send(&answer);
                 }
             }
-            Message::Notice(notice) => self.noticed(session, notice),
+            Message::StateSummary(notice) => self.on_summary(session, notice),
             Message::Fetch(than) => {
                 if let Some(answer) = self.replica.borrow().answer_fetch(than) {
                     session.send(&answer);
@@ -289,15 +294,15 @@
             Message::Config(config) => {
                 self.take_config(config.version, config.body.into_vec());
             }
-            Message::Records(records) => {
+            Message::Entries(records) => {
                 self.merge(records.into_vec(), Some(session.key));
             }
-            Message::Silent(keys) => {
+            Message::Suspects(keys) => {
                 *session.silent.borrow_mut() = Some(keys.into_vec().into_iter().collect());
-                self.note_silent();
+                self.update_suspects();
             }
             Message::Ping => {}
-            other => self.outside.message(self, session, other),
+            other => self.handler.on_message(self, session, other),
         }
     }
 
@@ -308,7 +313,7 @@
         self.peers(role).iter().for_each(|session| session.send_encoded(payload.clone()));
     }
 
-    fn noticed(&self, session: &Rc<Session>, notice: Notice) {
+    fn on_summary(&self, session: &Rc<Session>, notice: StateSummary) {
         session.noticed.set(notice.version);
         if session.proxies.replace(notice.proxies) != notice.proxies {
             self.changed();
@@ -326,7 +331,7 @@
             return;
         }
         let asked = self.fetching.get();
-        if asked.is_some_and(|(what, at)| what >= newest && at.elapsed() < FETCH_MOST) {
+        if asked.is_some_and(|(what, at)| what >= newest && at.elapsed() < FETCH_TIMEOUT) {
             return;
         }
         let sessions = self.sessions.borrow();
@@ -346,9 +351,9 @@
         loop {
             ticks.tick().await;
             self.fetch();
-            if told.elapsed() >= REPEAT {
+            if told.elapsed() >= REPEAT_INTERVAL {
                 told = Instant::now();
-                self.sessions().iter().for_each(|session| self.tell(session));
+                self.sessions().iter().for_each(|session| self.send_summary(session));
             }
         }
     }
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -1,8 +1,8 @@
 //! One link to another process.
 
-use crate::hub::Hub;
+use crate::gossip::Gossip;
 use bytes::{Bytes, BytesMut};
-use runtrack_message::{FRAME_MOST, Hello, Message, decode, encode};
+use runtrack_message::{Hello, MAX_FRAME, Message, decode, encode};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::future::poll_fn;
@@ -19,21 +19,21 @@
 use tokio_util::codec::{Encoder, LengthDelimitedCodec};
 
 /// A sign of life goes out this often.
-pub const PING: Duration = Duration::from_millis(400);
+pub const PING_INTERVAL: Duration = Duration::from_millis(400);
 /// A link on which nothing has come for this long is given up.
-pub const SILENT_MOST: Duration = Duration::from_millis(1400);
+pub const IDLE_LINK_TIMEOUT: Duration = Duration::from_millis(1400);
 /// A connection that has not come up by then is given up.
-pub const CONNECT_MOST: Duration = Duration::from_millis(400);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Wait before a link is dialled again, and up to as much more.
 const REDIAL: Duration = Duration::from_millis(100);
 /// Bytes that may wait for a peer that reads slowly: one configuration of the largest size and some change.
-const QUEUE_MOST: usize = 2 * FRAME_MOST;
+const MAX_QUEUE: usize = 2 * MAX_FRAME;
 /// Bytes read at once.
 const READ: usize = 16 << 10;
 
 /// A link that is up.
 pub struct Session {
-    /// Its place in the hub.
+    /// Its place in the gossip.
     pub key: usize,
     /// Where it was dialled; none for one that came in.
     pub dialled: Option<SocketAddrV4>,
@@ -62,7 +62,7 @@
 
     /// Sends a message that was encoded once for many.
     pub fn send_encoded(&self, payload: Bytes) {
-        if self.queued.get() + payload.len() > QUEUE_MOST {
+        if self.queued.get() + payload.len() > MAX_QUEUE {
             return; // what it misses is found by the next digests
         }
         self.queued.set(self.queued.get() + payload.len());
@@ -80,11 +80,11 @@
     }
 
     /// Runs a link until it breaks, falls silent or says nonsense.
-    pub(crate) async fn run(hub: &Rc<Hub>, stream: TcpStream, dialled: Option<SocketAddrV4>) {
+    pub(crate) async fn run(gossip: &Rc<Gossip>, stream: TcpStream, dialled: Option<SocketAddrV4>) {
         let _ = stream.set_nodelay(true); // without it messages only come later
         let (queue, waiting) = unbounded_channel();
         let queued = Rc::new(Cell::new(0));
-        let session = hub.enter(|key| Session {
+        let session = gossip.enter(|key| Session {
             key,
             dialled,
             peer: RefCell::default(),
@@ -97,36 +97,35 @@
             heard: Cell::new(Instant::now()),
         });
         let (reader, writer) = stream.into_split();
-        hub.greet(&session);
+        gossip.on_connect(&session);
         tokio::select! {
-            () = read(hub, &session, reader) => {}
+            () = read(gossip, &session, reader) => {}
             () = write(writer, waiting, &queued) => {}
             () = watch(&session) => {}
         }
-        hub.leave(&session);
+        gossip.leave(&session);
     }
 }
 
 /// Ends once the other side has been silent for too long; sends signs of life until then.
 async fn watch(session: &Session) {
-    let mut ticks = interval(PING);
+    let mut ticks = interval(PING_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    while session.heard.get().elapsed() < SILENT_MOST {
+    while session.heard.get().elapsed() < IDLE_LINK_TIMEOUT {
         ticks.tick().await;
         session.send(&Message::Ping);
     }
 }
 
-async fn read(hub: &Rc<Hub>, session: &Rc<Session>, mut reader: tokio::net::tcp::OwnedReadHalf) {
+async fn read(gossip: &Rc<Gossip>, session: &Rc<Session>, mut reader: tokio::net::tcp::OwnedReadHalf) {
     use tokio_util::codec::Decoder;
-    let mut codec =
-        LengthDelimitedCodec::builder().max_frame_length(FRAME_MOST).little_endian().new_codec();
+    let mut codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).little_endian().new_codec();
     let mut buffer = BytesMut::with_capacity(READ);
     loop {
         match codec.decode(&mut buffer) {
             Ok(Some(frame)) => match decode(&frame) {
-                Ok(message) => hub.take(session, message),
-                Err(problem) => return hub.log_broken(session, &problem.to_string()),
+                Ok(message) => gossip.on_message(session, message),
+                Err(problem) => return gossip.log_broken(session, &problem.to_string()),
             },
             Ok(None) => {
                 buffer.reserve(READ);
@@ -135,7 +134,7 @@
                     Ok(_) => session.heard.set(Instant::now()),
                 }
             }
-            Err(problem) => return hub.log_broken(session, &problem.to_string()),
+            Err(problem) => return gossip.log_broken(session, &problem.to_string()),
         }
     }
 }
@@ -145,8 +144,7 @@
     mut waiting: UnboundedReceiver<Bytes>,
     queued: &Cell<usize>,
 ) {
-    let mut codec =
-        LengthDelimitedCodec::builder().max_frame_length(FRAME_MOST).little_endian().new_codec();
+    let mut codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).little_endian().new_codec();
     let mut buffer = BytesMut::new();
     while let Some(first) = waiting.recv().await {
         let mut next = Some(first);
@@ -167,24 +165,24 @@
 }
 
 /// Keeps a link to an address up until the caller drops this.
-pub async fn dial_for_ever(hub: Rc<Hub>, to: SocketAddrV4) {
+pub async fn dial_for_ever(gossip: Rc<Gossip>, to: SocketAddrV4) {
     loop {
-        if let Ok(Ok(stream)) = timeout(CONNECT_MOST, TcpStream::connect(to)).await {
-            Session::run(&hub, stream, Some(to)).await;
+        if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
+            Session::run(&gossip, stream, Some(to)).await;
         }
         sleep(REDIAL + REDIAL.mul_f64(fastrand::f64())).await;
     }
 }
 
 /// Takes links in at an address.
-pub async fn listen(hub: Rc<Hub>, at: SocketAddrV4) -> io::Result<()> {
+pub async fn listen(gossip: Rc<Gossip>, at: SocketAddrV4) -> io::Result<()> {
     let listener = TcpListener::bind(at).await?;
     spawn_local(async move {
         loop {
             match poll_fn(|cx| Pin::new(&listener).poll_accept(cx)).await {
                 Ok((stream, _)) => {
-                    let hub = hub.clone();
-                    spawn_local(async move { Session::run(&hub, stream, None).await });
+                    let gossip = gossip.clone();
+                    spawn_local(async move { Session::run(&gossip, stream, None).await });
                 }
                 // Out of descriptors it would fail again at once, and spin.
                 Err(_) => sleep(REDIAL).await,
--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -9,7 +9,8 @@
 
 pub use endpoint::{Endpoint, EndpointState, Model};
 pub use register::{
-    Ballot, Member, MemberSet, MemberSets, RegisterReply, RegisterRequest, Taken, TakenList, Value,
+    AppliedRequest, AppliedRequests, Ballot, Member, MemberSet, MemberSets, RegisterReply, RegisterRequest,
+    Value,
 };
 
 use deku::prelude::*;
@@ -18,11 +19,11 @@
 /// Version of the messages.
 pub const WIRE_VERSION: u16 = 1;
 /// The longest frame that is read or written: a configuration of some ten thousand routes.
-pub const FRAME_MOST: usize = 16 << 20;
+pub const MAX_FRAME: usize = 16 << 20;
 /// The longest text in a message.
-pub const TEXT_MOST: u16 = 4096;
+pub const MAX_TEXT: u16 = 4096;
 /// The longest list in a message.
-pub const LIST_MOST: u32 = 65_536;
+pub const MAX_LIST: u32 = 65_536;
 
 quick_error! {
     /// A frame that can't be read.
@@ -40,11 +41,11 @@
     }
 }
 
-/// A text of at most [`TEXT_MOST`] bytes.
+/// A text of at most [`MAX_TEXT`] bytes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct Text {
-    #[deku(assert = "*len <= TEXT_MOST")]
+    #[deku(assert = "*len <= MAX_TEXT")]
     len: u16,
     #[deku(count = "len")]
     bytes: Vec<u8>,
@@ -53,7 +54,7 @@
 impl From<&str> for Text {
     /// Cuts off what is beyond the bound, at a character's edge.
     fn from(text: &str) -> Self {
-        let mut end = text.len().min(TEXT_MOST as usize);
+        let mut end = text.len().min(MAX_TEXT as usize);
         while !text.is_char_boundary(end) {
             end -= 1;
         }
@@ -72,7 +73,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct Blob {
-    #[deku(assert = "*len as usize <= FRAME_MOST")]
+    #[deku(assert = "*len as usize <= MAX_FRAME")]
     len: u32,
     #[deku(count = "len")]
     bytes: Vec<u8>,
@@ -103,7 +104,7 @@
         #[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
         #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
         pub struct $name {
-            #[deku(assert = "*len <= crate::LIST_MOST")]
+            #[deku(assert = "*len <= crate::MAX_LIST")]
             len: u32,
             #[deku(count = "len")]
             items: Vec<$item>,
@@ -186,7 +187,7 @@
 /// What a process has, so that the other side sends what differs and nothing else.
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
-pub struct Have {
+pub struct Digest {
     /// Version of the configuration it has; 0 for none.
     pub version: u64,
     /// Digest of all its endpoint records.
@@ -196,7 +197,7 @@
 /// There is a configuration, and these are the members.
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
-pub struct Notice {
+pub struct StateSummary {
     /// Version of the configuration; 0 for none.
     pub version: u64,
     /// Sequence number of the register's value that the members are of.
@@ -226,10 +227,10 @@
     Hello(Hello),
     /// What it has.
     #[deku(id = "2")]
-    Have(Have),
+    Digest(Digest),
     /// What there is.
     #[deku(id = "3")]
-    Notice(Notice),
+    StateSummary(StateSummary),
     /// Asks for the configuration, if it is newer than this version.
     #[deku(id = "4")]
     Fetch(u64),
@@ -238,7 +239,7 @@
     Config(Config),
     /// Records that changed or that the other side may lack.
     #[deku(id = "6")]
-    Records(Endpoints),
+    Entries(Endpoints),
     /// Records that must be acknowledged by this number: an endpoint waits for it.
     #[deku(id = "7")]
     Confirm(u64, Endpoints),
@@ -247,7 +248,7 @@
     Confirmed(u64),
     /// Endpoints that no member has heard of for too long, by the hash of their id: all of them, at the moment.
     #[deku(id = "9")]
-    Silent(Hashes),
+    Suspects(Hashes),
     /// A request to a member of the register, with the number that its reply carries.
     #[deku(id = "10")]
     Request(u64, RegisterRequest),
@@ -256,7 +257,7 @@
     Reply(u64, RegisterReply),
     /// The value accepted under this ballot is chosen.
     #[deku(id = "12")]
-    Learn(Ballot),
+    Commit(Ballot),
     /// The speaker asks to become a member.
     #[deku(id = "13")]
     Join(Member),
@@ -268,10 +269,10 @@
     Ping,
     /// Endpoints that the speaking member has heard itself, for the other members.
     #[deku(id = "16")]
-    Relayed(Hashes),
+    HeartbeatRelay(Hashes),
     /// Digests over ranges of the speaker's endpoint records: the other side's digest of all was another one.
     #[deku(id = "17")]
-    Ranges(Hashes),
+    RangeDigests(Hashes),
     /// What endpoints have to read of the speaking proxy's requests.
     #[deku(id = "18")]
     OwnBacklog(Backlog),
--- a/crates/message/src/register.rs
+++ b/crates/message/src/register.rs
@@ -42,7 +42,7 @@
 }
 list! {
     /// Configurations that were taken.
-    TakenList of Taken
+    AppliedRequests of AppliedRequest
 }
 
 /// Orders proposals. The second part is drawn at each start of a process, so no ballot is ever used twice, not even
@@ -59,7 +59,7 @@
 /// A configuration that was taken: an order that comes again is acknowledged again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
-pub struct Taken {
+pub struct AppliedRequest {
     /// Its version.
     pub version: u64,
     /// Digest of its body and of the version that it builds on.
@@ -77,7 +77,7 @@
     /// Who must accept.
     pub sets: MemberSets,
     /// What was taken last, oldest first.
-    pub taken: TakenList,
+    pub applied: AppliedRequests,
     /// The configuration as the operator sent it.
     pub config: Blob,
 }
@@ -146,5 +146,5 @@
     },
     /// It is another incarnation, or no member that could promise anything.
     #[deku(id = "5")]
-    Stranger,
+    WrongIncarnation,
 }
--- a/crates/message/tests/wire.rs
+++ b/crates/message/tests/wire.rs
@@ -29,7 +29,7 @@
         sequence: 7,
         version: 12,
         sets: vec![set(&[1, 2, 3]), set(&[1, 2, 4])].into(),
-        taken: vec![Taken { version: 12, digest: 99 }].into(),
+        applied: vec![AppliedRequest { version: 12, digest: 99 }].into(),
         config: b"{}".to_vec().into(),
     }
 }
@@ -38,32 +38,32 @@
     let ballot = Ballot { round: 3, boot: 9 };
     let hello =
         Hello { wire: WIRE_VERSION, role: Role::Agent, node: "edge-1".into(), member: Member::none() };
-    let notice = Notice { version: 3, sequence: 4, members: vec![member(1)].into(), proxies: 8 };
+    let notice = StateSummary { version: 3, sequence: 4, members: vec![member(1)].into(), proxies: 8 };
     vec![
         Message::Hello(hello),
-        Message::Have(Have { version: 3, digest: 9 }),
-        Message::Ranges(vec![1, 2, 3].into()),
+        Message::Digest(Digest { version: 3, digest: 9 }),
+        Message::RangeDigests(vec![1, 2, 3].into()),
         Message::OwnBacklog(vec![Unread { endpoint: 7, tokens: 13_000 }].into()),
         Message::FleetBacklog(Vec::new().into()),
-        Message::Notice(notice),
+        Message::StateSummary(notice),
         Message::Fetch(3),
         Message::Config(Config { version: 3, body: b"{}".to_vec().into() }),
-        Message::Records(vec![endpoint()].into()),
+        Message::Entries(vec![endpoint()].into()),
         Message::Confirm(1, vec![endpoint(), endpoint()].into()),
         Message::Confirmed(1),
-        Message::Silent(vec![7, 8].into()),
+        Message::Suspects(vec![7, 8].into()),
         Message::Request(5, RegisterRequest::Prepare { to: 1, ballot, have: Ballot::default() }),
         Message::Request(6, RegisterRequest::Accept { to: 1, ballot, value: value() }),
         Message::Reply(5, RegisterReply::Promised { ballot, accepted: ballot }),
         Message::Reply(5, RegisterReply::PromisedWith { ballot, accepted: ballot, value: value() }),
         Message::Reply(6, RegisterReply::Accepted { ballot }),
         Message::Reply(6, RegisterReply::Rejected { ballot, promised: ballot }),
-        Message::Reply(6, RegisterReply::Stranger),
-        Message::Learn(ballot),
+        Message::Reply(6, RegisterReply::WrongIncarnation),
+        Message::Commit(ballot),
         Message::Join(member(4)),
         Message::Leave(member(4)),
         Message::Ping,
-        Message::Relayed(vec![7].into()),
+        Message::HeartbeatRelay(vec![7].into()),
     ]
 }
 
@@ -99,7 +99,7 @@
 fn a_text_is_cut_at_the_edge_of_a_character() {
     let long = "é".repeat(5000);
     let kept = Text::from(long.as_str()).as_string();
-    assert!(kept.len() <= TEXT_MOST as usize);
+    assert!(kept.len() <= MAX_TEXT as usize);
     assert!(kept.chars().all(|letter| letter == 'é'));
 }
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -31,13 +31,13 @@
     /// Rank of its route.
     pub priority: u8,
     /// It may run twice.
-    pub repeatable: bool,
+    pub idempotent: bool,
     /// When its answer must have come.
     pub deadline: Instant,
 }
 
-/// An answer that has begun.
-pub struct Begun {
+/// An answer that has response_started.
+pub struct ResponseStarted {
     /// Its head and what comes of its body.
     pub response: Response<Incoming>,
     /// The connection that it comes on.
@@ -46,20 +46,20 @@
 
 /// How an attempt ended that brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Failed {
+pub struct AttemptError {
     /// For the module.
     pub outcome: Outcome,
     /// The endpoint has seen the request, whether it ran it or not.
-    pub arrived: bool,
+    pub dispatched: bool,
 }
 
-impl Failed {
+impl AttemptError {
     fn unsent(outcome: Outcome) -> Self {
-        Failed { outcome, arrived: false }
+        AttemptError { outcome, dispatched: false }
     }
 
     fn sent(outcome: Outcome) -> Self {
-        Failed { outcome, arrived: true }
+        AttemptError { outcome, dispatched: true }
     }
 
     /// Whether it is certain that the request did not run there, and never will.
@@ -76,34 +76,34 @@
     limit: u32,
     outgoing: &Outgoing,
     after: Option<&HeaderValue>,
-) -> Result<Begun, Failed> {
+) -> Result<ResponseStarted, AttemptError> {
     loop {
         let proxies = state.router().proxies();
-        let taken = connections.take(target, outgoing.repeatable, limit, proxies, outgoing.deadline).await;
+        let taken = connections.take(target, outgoing.idempotent, limit, proxies, outgoing.deadline).await;
         let mut connection = taken.map_err(|none| {
-            Failed::unsent(match none {
+            AttemptError::unsent(match none {
                 NoConnection::Full => Outcome::Full,
                 NoConnection::Failed => Outcome::ConnectFailed,
             })
         })?;
         // The connection may have taken its time to come up.
         if !state.is_ready(target.key) {
-            return Err(Failed::unsent(Outcome::Moot));
+            return Err(AttemptError::unsent(Outcome::Moot));
         }
         let Some(request) = request(target, outgoing, after) else {
-            return Err(Failed::unsent(Outcome::Moot));
+            return Err(AttemptError::unsent(Outcome::Moot));
         };
         let sent = timeout_at(outgoing.deadline, connection.sender.try_send_request(request)).await;
         return match sent {
-            Err(_) => Err(Failed::sent(Outcome::TimedOut)),
+            Err(_) => Err(AttemptError::sent(Outcome::TimedOut)),
             // Handed back: nothing of it was written. A kept connection says nothing of its endpoint.
             Ok(Err(error)) if error.message().is_some() => {
                 if connection.fresh {
-                    return Err(Failed::unsent(Outcome::ConnectFailed));
+                    return Err(AttemptError::unsent(Outcome::ConnectFailed));
                 }
                 continue;
             }
-            Ok(Err(_)) => Err(Failed::sent(Outcome::Reset)),
+            Ok(Err(_)) => Err(AttemptError::sent(Outcome::Reset)),
             Ok(Ok(response)) => judge(outgoing, response, connection),
         };
     }
@@ -137,16 +137,16 @@
     outgoing: &Outgoing,
     response: Response<Incoming>,
     connection: Connection,
-) -> Result<Begun, Failed> {
+) -> Result<ResponseStarted, AttemptError> {
     let headers = response.headers();
     // A surplus answer in the place of the next one: what became of this request is not known.
     if let (Some(own), Some(theirs)) = (&outgoing.id, headers.get(ATTEMPT_ID))
         && own != theirs
     {
-        return Err(Failed::sent(Outcome::Reset));
+        return Err(AttemptError::sent(Outcome::Reset));
     }
     if headers.contains_key(NOT_EXECUTED) || response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Err(Failed::sent(Outcome::Full));
+        return Err(AttemptError::sent(Outcome::Full));
     }
-    Ok(Begun { response, connection })
+    Ok(ResponseStarted { response, connection })
 }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -1,7 +1,7 @@
 //! Follows a stream of events (`text/event-stream`), so that it can be cut at the end of one and gone on with.
 
 /// Bytes of an event that has not come whole; a stream with longer ones is passed on but can't be gone on with.
-const EVENT_MOST: usize = 256 << 10;
+const MAX_EVENT: usize = 256 << 10;
 
 /// Holds back what has come of an event until it is whole, and knows the id of the last whole one.
 #[derive(Debug, Default)]
@@ -17,7 +17,7 @@
         let from = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
         let end = last_blank_line(&self.partial, from);
-        if end.is_none() && self.partial.len() > EVENT_MOST {
+        if end.is_none() && self.partial.len() > MAX_EVENT {
             return Some(std::mem::take(&mut self.partial));
         }
         let end = end?;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,6 @@
 //! A request from its head to its final answer: the route, the attempts, the way back.
 
-use crate::attempt::{Begun, Failed, Outgoing, attempt};
+use crate::attempt::{AttemptError, Outgoing, ResponseStarted, attempt};
 use crate::headers::{ATTEMPT_ID, PROMPT_PREFIX, TIME_BUDGET, remove_hop_headers};
 use crate::pool::Connections;
 use crate::prompt::prompt_of;
@@ -18,14 +18,14 @@
 use weirwharf::fleet::{Ask, Prompt};
 use weirwharf::{EndpointId, Outcome};
 
-/// Connections that come up badly are not counted as tries of the route, but there is an end to them.
+/// Connections that come up badly are not counted as attempts of the route, but there is an end to them.
 const CONNECT_TRIES: usize = 5;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
 /// A stream that is under way and says nothing for so many of the longest pauses it may make, or for this long at the
 /// least, speaks against its endpoint.
 const SILENT_PAUSES: u32 = 4;
-const SILENT_LEAST: Duration = Duration::from_millis(1000);
+const MIN_SILENCE: Duration = Duration::from_millis(1000);
 
 /// An answer to a client.
 pub type Reply = Response<ReplyBody>;
@@ -51,18 +51,18 @@
 
 /// What has become of a call so far.
 #[derive(Clone, Default)]
-pub(crate) struct Tries {
+pub(crate) struct AttemptState {
     tried: Vec<EndpointId>,
-    arrived: u32,
+    dispatched: u32,
     pub(crate) may_have_run: bool,
     unconnected: usize,
 }
 
 /// The answer broke off before any of it went on.
-pub(crate) struct Broken;
+pub(crate) struct TruncatedResponse;
 
 /// Why a call was given up.
-pub(crate) enum GivenUp {
+pub(crate) enum RequestError {
     /// It never ran.
     Refused,
     /// Its time is up, and it may have run.
@@ -87,7 +87,7 @@
         Counted { state: state.clone(), key, outcome: Outcome::Cancelled, unread }
     }
 
-    /// The endpoint has begun to answer.
+    /// The endpoint has response_started to answer.
     pub(crate) fn answers(&mut self, prompt: Option<Prompt>) {
         self.nothing_more_to_read();
         if let Some(prompt) = prompt {
@@ -112,7 +112,7 @@
 
 /// An answer that is going on to the client.
 pub(crate) struct Running {
-    pub(crate) begun: Begun,
+    pub(crate) response_started: ResponseStarted,
     pub(crate) counted: Counted,
 }
 
@@ -170,7 +170,7 @@
             body,
             id,
             priority: route.priority,
-            repeatable: route.repeatable(),
+            idempotent: route.repeatable(),
             deadline,
         };
         let call = Call {
@@ -187,27 +187,27 @@
     }
 
     async fn serve(self: Rc<Self>, call: Rc<Call>) -> Reply {
-        let mut tries = Tries::default();
+        let mut attempts = AttemptState::default();
         loop {
-            let running = match self.begin(&call, &mut tries, None).await {
+            let running = match self.begin(&call, &mut attempts, None).await {
                 Ok(running) => running,
-                Err(given_up) => return self.given_up(given_up),
+                Err(error_reply) => return self.error_reply(error_reply),
             };
-            let passed_on = if call.streaming && running.begun.response.status().is_success() {
-                self.clone().pass_on_stream(&call, running, &tries).await
+            let passed_on = if call.streaming && running.response_started.response.status().is_success() {
+                self.clone().pass_on_stream(&call, running, &attempts).await
             } else {
-                self.clone().pass_on_whole(&call, running, &tries).await
+                self.clone().pass_on_whole(&call, running, &attempts).await
             };
             match passed_on {
-                Ok(reply) if !reply.status().is_server_error() || !call.outgoing.repeatable => {
+                Ok(reply) if !reply.status().is_server_error() || !call.outgoing.idempotent => {
                     return reply;
                 }
-                Ok(reply) if !self.may_go_on(&call, &tries) => return reply,
+                Ok(reply) if !self.may_retry(&call, &attempts) => return reply,
                 Ok(_) => {}
-                Err(Broken) => {
-                    tries.may_have_run = true;
-                    if !call.outgoing.repeatable || !self.may_go_on(&call, &tries) {
-                        return self.given_up(end_of(&call, &tries));
+                Err(TruncatedResponse) => {
+                    attempts.may_have_run = true;
+                    if !call.outgoing.idempotent || !self.may_retry(&call, &attempts) {
+                        return self.error_reply(end_of(&call, &attempts));
                     }
                 }
             }
@@ -215,31 +215,31 @@
     }
 
     /// Whether a call that has arrived at an endpoint may be sent to another one.
-    pub(crate) fn may_go_on(&self, call: &Call, tries: &Tries) -> bool {
-        if tries.arrived >= call.max_tries || Instant::now() >= call.outgoing.deadline {
+    pub(crate) fn may_retry(&self, call: &Call, attempts: &AttemptState) -> bool {
+        if attempts.dispatched >= call.max_tries || Instant::now() >= call.outgoing.deadline {
             return false;
         }
         let now = self.state.now();
         self.state.router().may_send_again(now, service_key(&call.service))
     }
 
-    fn choose(&self, call: &Call, tries: &Tries) -> Option<Target> {
+    fn choose(&self, call: &Call, attempts: &AttemptState) -> Option<Target> {
         let pool = self.state.pool(&call.service);
         let ask =
-            Ask { now: self.state.now(), ready: &pool.ready, tried: &tries.tried, prompt: call.prompt };
+            Ask { now: self.state.now(), ready: &pool.ready, tried: &attempts.tried, prompt: call.prompt };
         let key = self.state.router().choose(ask)?;
         pool.target(key).cloned()
     }
 
-    /// Tries endpoints until one begins to answer.
+    /// AttemptState endpoints until one begins to answer.
     pub(crate) async fn begin(
         &self,
         call: &Call,
-        tries: &mut Tries,
+        attempts: &mut AttemptState,
         after: Option<&HeaderValue>,
-    ) -> Result<Running, GivenUp> {
+    ) -> Result<Running, RequestError> {
         loop {
-            let Some(target) = self.choose(call, tries) else { return Err(end_of(call, tries)) };
+            let Some(target) = self.choose(call, attempts) else { return Err(end_of(call, attempts)) };
             let mut counted = Counted::new(&self.state, target.key, call.prompt);
             let sent = attempt(
                 &self.state,
@@ -250,11 +250,11 @@
                 after,
             )
             .await;
-            tries.tried.push(target.key);
+            attempts.tried.push(target.key);
             let failed = match sent {
-                Ok(begun) => {
-                    tries.arrived += 1;
-                    return Ok(Running { begun, counted });
+                Ok(response_started) => {
+                    attempts.dispatched += 1;
+                    return Ok(Running { response_started, counted });
                 }
                 Err(failed) => failed,
             };
@@ -263,25 +263,25 @@
             if failed.outcome != Outcome::Full {
                 self.connections.close_idle(target.key);
             }
-            if !self.after_failure(call, tries, failed) {
-                return Err(end_of(call, tries));
+            if !self.after_failure(call, attempts, failed) {
+                return Err(end_of(call, attempts));
             }
         }
     }
 
-    fn after_failure(&self, call: &Call, tries: &mut Tries, failed: Failed) -> bool {
-        if !failed.arrived {
-            tries.unconnected += 1;
-            return tries.unconnected < CONNECT_TRIES && Instant::now() < call.outgoing.deadline;
+    fn after_failure(&self, call: &Call, attempts: &mut AttemptState, failed: AttemptError) -> bool {
+        if !failed.dispatched {
+            attempts.unconnected += 1;
+            return attempts.unconnected < CONNECT_TRIES && Instant::now() < call.outgoing.deadline;
         }
-        tries.arrived += 1;
+        attempts.dispatched += 1;
         if !failed.never_ran() {
-            tries.may_have_run = true;
-            if !call.outgoing.repeatable {
+            attempts.may_have_run = true;
+            if !call.outgoing.idempotent {
                 return false;
             }
         }
-        self.may_go_on(call, tries)
+        self.may_retry(call, attempts)
     }
 
     fn refusal(&self, why: &'static str) -> Reply {
@@ -293,25 +293,25 @@
         reply
     }
 
-    fn given_up(&self, why: GivenUp) -> Reply {
+    fn error_reply(&self, why: RequestError) -> Reply {
         match why {
-            GivenUp::Refused => self.refusal("no endpoint took the request"),
-            GivenUp::TimedOut => text(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            GivenUp::Failed => text(StatusCode::BAD_GATEWAY, "the endpoint failed"),
+            RequestError::Refused => self.refusal("no endpoint took the request"),
+            RequestError::TimedOut => text(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            RequestError::Failed => text(StatusCode::BAD_GATEWAY, "the endpoint failed"),
         }
     }
 }
 
-fn end_of(call: &Call, tries: &Tries) -> GivenUp {
-    match tries.may_have_run {
-        false => GivenUp::Refused,
-        true if Instant::now() >= call.outgoing.deadline => GivenUp::TimedOut,
-        true => GivenUp::Failed,
+fn end_of(call: &Call, attempts: &AttemptState) -> RequestError {
+    match attempts.may_have_run {
+        false => RequestError::Refused,
+        true if Instant::now() >= call.outgoing.deadline => RequestError::TimedOut,
+        true => RequestError::Failed,
     }
 }
 
 fn silent_after(route: &Route) -> Duration {
-    route.pause.map_or(SILENT_LEAST, |pause| (pause * SILENT_PAUSES).max(SILENT_LEAST))
+    route.pause.map_or(MIN_SILENCE, |pause| (pause * SILENT_PAUSES).max(MIN_SILENCE))
 }
 
 /// An answer of our own.
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/ingress.rs
@@ -29,32 +29,32 @@
 /// What is open is cut so long before the process would be killed.
 const END_EARLY: Duration = Duration::from_millis(500);
 /// Bytes that a connection buffers at most.
-const BUFFER_MOST: usize = 64 << 10;
+const MAX_BUFFER: usize = 64 << 10;
 
 /// The clients' side.
-pub struct Front {
+pub struct IngressServer {
     state: Rc<State>,
     forwarder: Rc<Forwarder>,
     grace: Duration,
-    ending: Cell<bool>,
+    draining: Cell<bool>,
     connections: Cell<usize>,
     /// Idle connections are to close.
     closing: watch::Sender<bool>,
-    fewer: Notify,
+    connection_closed: Notify,
     accepting: Cell<Option<JoinHandle<()>>>,
 }
 
-impl Front {
+impl IngressServer {
     /// Nobody is connected.
     pub fn new(state: Rc<State>, forwarder: Rc<Forwarder>, grace: Duration) -> Rc<Self> {
-        Rc::new(Front {
+        Rc::new(IngressServer {
             state,
             forwarder,
             grace,
-            ending: Cell::new(false),
+            draining: Cell::new(false),
             connections: Cell::new(0),
             closing: watch::channel(false).0,
-            fewer: Notify::new(),
+            connection_closed: Notify::new(),
             accepting: Cell::new(None),
         })
     }
@@ -85,7 +85,7 @@
 
     fn readiness(&self, path: &str) -> StatusCode {
         match path {
-            READINESS if self.ending.get() || !self.state.can_serve() => StatusCode::SERVICE_UNAVAILABLE,
+            READINESS if self.draining.get() || !self.state.can_serve() => StatusCode::SERVICE_UNAVAILABLE,
             READINESS => StatusCode::OK,
             _ => StatusCode::NOT_FOUND,
         }
@@ -122,7 +122,7 @@
         let serving = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle.max(limits.header_time))
-            .max_buf_size(BUFFER_MOST)
+            .max_buf_size(MAX_BUFFER)
             .serve_connection(TokioIo::new(stream), service);
         let mut serving = pin!(serving);
         let mut closing = self.closing.subscribe();
@@ -134,12 +134,12 @@
             }
         }
         self.connections.set(self.connections.get() - 1);
-        self.fewer.notify_one();
+        self.connection_closed.notify_one();
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Reply {
         let mut reply = self.forwarder.clone().answer(request).await;
-        if self.ending.get() {
+        if self.draining.get() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
@@ -149,7 +149,7 @@
     /// closed, and an end once nothing is open.
     pub async fn shut_down(&self) {
         let asked = Instant::now();
-        self.ending.set(true);
+        self.draining.set(true);
         info!(self.state.logger(), "proxy.terminate"; "connections" => self.connections.get());
         sleep(STILL_CHOSEN.min(self.grace / 3)).await;
         if let Some(accepting) = self.accepting.take() {
@@ -157,6 +157,8 @@
         }
         let _ = self.closing.send(true); // nobody may be connected
         let until = asked + self.grace.saturating_sub(END_EARLY);
-        while self.connections.get() > 0 && timeout_at(until, self.fewer.notified()).await.is_ok() {}
+        while self.connections.get() > 0
+            && timeout_at(until, self.connection_closed.notified()).await.is_ok()
+        {}
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,15 +1,15 @@
 //! The fleet's proxy: clients' requests come in at the front, each goes to an endpoint that the module chooses
 //! (`weirwharf::fleet`), and its answer goes back as it comes.
 //!
-//! The agent of the machine feeds it: routes, endpoints and the size of the fleet (`runtrack_link::Hub`). It decides
+//! The agent of the machine feeds it: routes, endpoints and the size of the fleet (`runtrack_link::Gossip`). It decides
 //! nothing that the module decides, and keeps what must hold whatever is decided: what is not idempotent is sent once,
 //! a refusal is given only for what never ran, an answer that was cut short looks cut short.
 
 mod attempt;
 mod events;
 mod forward;
-mod front;
 mod headers;
+mod ingress;
 mod pool;
 mod prompt;
 mod relay;
@@ -20,10 +20,10 @@
 pub use prompt::prompt_of;
 
 use crate::forward::Forwarder;
-use crate::front::Front;
+use crate::ingress::IngressServer;
 use crate::state::State;
 use runtrack_fleetconfig::Node;
-use runtrack_link::{Hub, Outside, Session, Signals, dial_for_ever, json_logger};
+use runtrack_link::{Gossip, MessageHandler, Session, Signals, dial_for_ever, json_logger};
 use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
 use slog::info;
 use std::cell::OnceCell;
@@ -35,8 +35,8 @@
 /// Takes what the agent tells beyond the copy.
 struct Feed(Rc<Fed>);
 
-impl Outside for Feed {
-    fn message(&self, _: &Rc<Hub>, _: &Rc<Session>, message: Message) {
+impl MessageHandler for Feed {
+    fn on_message(&self, _: &Rc<Gossip>, _: &Rc<Session>, message: Message) {
         if let (Some(state), Message::FleetBacklog(backlog)) = (self.0.get(), message) {
             state.take_fleet_backlog(&backlog);
         }
@@ -56,25 +56,25 @@
         member: Member::none(),
     };
     let fed = Rc::new(Fed::default());
-    let hub = Hub::new(hello, node.heartbeat, logger.clone(), Box::new(Feed(fed.clone())));
-    spawn_local(dial_for_ever(hub.clone(), node.feed));
-    spawn_local(hub.clone().run());
-    let state = State::new(hub, &node);
+    let gossip = Gossip::new(hello, node.heartbeat, logger.clone(), Box::new(Feed(fed.clone())));
+    spawn_local(dial_for_ever(gossip.clone(), node.feed));
+    spawn_local(gossip.clone().run());
+    let state = State::new(gossip, &node);
     let _ = fed.set(state.clone());
     spawn_local(state.clone().run());
     spawn_local(state.clone().tell_backlog());
     let forwarder = Forwarder::new(state.clone());
     spawn_local(forwarder.clone().sweep());
-    let front_end = Front::new(state, forwarder, node.bounds.grace);
-    front_end.clone().serve_readiness(ready).await.map_err(|error| format!("listen: {ready}: {error}"))?;
-    front_end.clone().serve_clients(front).await.map_err(|error| format!("listen: {front}: {error}"))?;
+    let ingress = IngressServer::new(state, forwarder, node.bounds.grace);
+    ingress.clone().serve_readiness(ready).await.map_err(|error| format!("listen: {ready}: {error}"))?;
+    ingress.clone().serve_clients(front).await.map_err(|error| format!("listen: {front}: {error}"))?;
     loop {
         tokio::select! {
             _ = signals.terminate.recv() => break,
             _ = signals.hangup.recv() => info!(logger, "settings.unchanged"),
         }
     }
-    front_end.shut_down().await;
+    ingress.shut_down().await;
     info!(logger, "proxy.end");
     Ok(())
 }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -15,7 +15,7 @@
 use weirwharf::EndpointId;
 
 /// A connection that has not come up by then has failed.
-const CONNECT_MOST: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// An idle connection is given up this long before its endpoint would close it.
 const CLOSE_EARLY: Duration = Duration::from_millis(800);
 /// Where an endpoint says nothing of how long it keeps one.
@@ -26,7 +26,7 @@
 /// Part of an endpoint's connections that all proxies together may use.
 const LIMIT_PART: f64 = 0.8;
 /// Bytes that a connection buffers at most: a head must fit.
-const BUFFER_MOST: usize = 64 << 10;
+const MAX_BUFFER: usize = 64 << 10;
 
 /// A connection to an endpoint. Dropping it closes it.
 pub struct Connection {
@@ -78,12 +78,12 @@
     pub async fn take(
         &self,
         target: &Target,
-        repeatable: bool,
+        idempotent: bool,
         limit: u32,
         proxies: u32,
         until: Instant,
     ) -> Result<Connection, NoConnection> {
-        if let Some(connection) = self.take_idle(target.key, repeatable) {
+        if let Some(connection) = self.take_idle(target.key, idempotent) {
             return Ok(connection);
         }
         let owner = self.endpoints.borrow_mut().entry(target.key).or_default().owned.clone();
@@ -93,11 +93,11 @@
         }
         owner.borrow_mut().open += 1;
         let opened = OpenGuard(Some(owner));
-        let wait = CONNECT_MOST.min(until.saturating_duration_since(Instant::now()));
+        let wait = CONNECT_TIMEOUT.min(until.saturating_duration_since(Instant::now()));
         let stream = timeout(wait, TcpStream::connect(target.address)).await;
         let stream = stream.ok().and_then(Result::ok).ok_or(NoConnection::Failed)?;
         let _ = stream.set_nodelay(true); // without it requests only go out later
-        let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(stream));
+        let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|_| NoConnection::Failed)?;
         let mut task = JoinSet::new();
         task.spawn_local(async move {
@@ -113,12 +113,12 @@
         })
     }
 
-    fn take_idle(&self, key: EndpointId, repeatable: bool) -> Option<Connection> {
+    fn take_idle(&self, key: EndpointId, idempotent: bool) -> Option<Connection> {
         let mut endpoints = self.endpoints.borrow_mut();
         let idle = &mut endpoints.get_mut(&key)?.idle;
         while let Some(connection) = idle.pop() {
             let most =
-                if repeatable { connection.idle_most } else { connection.idle_most.min(IDLE_UNREPEATABLE) };
+                if idempotent { connection.idle_most } else { connection.idle_most.min(IDLE_UNREPEATABLE) };
             if connection.sender.is_ready() && connection.idle_since.elapsed() < most {
                 return Some(connection);
             }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -12,21 +12,21 @@
 
 /// The answer was cut short: its connection ends without the end of the body.
 #[derive(Clone, Copy, Debug)]
-pub struct CutShort;
+pub struct BodyAborted;
 
-impl std::fmt::Display for CutShort {
+impl std::fmt::Display for BodyAborted {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("the endpoint's answer was cut short")
     }
 }
 
-impl std::error::Error for CutShort {}
+impl std::error::Error for BodyAborted {}
 
 /// What a stream's bytes are put into.
-pub type StreamSender = Sender<Result<Bytes, CutShort>>;
+pub type StreamSender = Sender<Result<Bytes, BodyAborted>>;
 
 /// A stream that is being relayed.
-pub struct Stream(Receiver<Result<Bytes, CutShort>>);
+pub struct Stream(Receiver<Result<Bytes, BodyAborted>>);
 
 /// A stream, and where its bytes go in. Dropping the sender ends the body as whole.
 pub fn stream() -> (StreamSender, Stream) {
@@ -36,12 +36,12 @@
 
 impl Body for Stream {
     type Data = Bytes;
-    type Error = CutShort;
+    type Error = BodyAborted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, CutShort>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         self.0.poll_recv(cx).map(|next| next.map(|bytes| bytes.map(Frame::data)))
     }
 
@@ -59,7 +59,7 @@
 }
 
 /// The next bytes of a body: `None` at its end, an error where it breaks off.
-pub async fn next_bytes(body: &mut hyper::body::Incoming) -> Option<Result<Bytes, CutShort>> {
+pub async fn next_bytes(body: &mut hyper::body::Incoming) -> Option<Result<Bytes, BodyAborted>> {
     loop {
         match body.frame().await? {
             Ok(frame) => match frame.into_data() {
@@ -67,7 +67,7 @@
                 Ok(bytes) => return Some(Ok(bytes)),
                 Err(_) => {} // trailers concern the connection
             },
-            Err(_) => return Some(Err(CutShort)),
+            Err(_) => return Some(Err(BodyAborted)),
         }
     }
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -1,7 +1,7 @@
 //! What the proxy knows of the fleet, ready for use by requests: routes, ready endpoints by service, the module.
 
 use runtrack_fleetconfig::{FleetConfig, Node, RouteTable};
-use runtrack_link::Hub;
+use runtrack_link::Gossip;
 use runtrack_message::{Backlog, EndpointState, Message, Role, Unread};
 use runtrack_registry::address_of;
 use slog::{Logger, info, warn};
@@ -51,7 +51,7 @@
 
 /// What the proxy knows.
 pub struct State {
-    hub: Rc<Hub>,
+    gossip: Rc<Gossip>,
     logger: Logger,
     routes: RefCell<Option<Rc<RouteTable>>>,
     version: Cell<u64>,
@@ -73,15 +73,15 @@
 
 impl State {
     /// Nothing is known.
-    pub fn new(hub: Rc<Hub>, node: &Node) -> Rc<Self> {
+    pub fn new(gossip: Rc<Gossip>, node: &Node) -> Rc<Self> {
         let second = SecondSends {
             ratio: node.bounds.retry_ratio,
             slack: node.bounds.retry_slack,
             window: node.bounds.retry_window,
         };
         Rc::new(State {
-            logger: hub.logger().clone(),
-            hub,
+            logger: gossip.logger().clone(),
+            gossip,
             routes: RefCell::default(),
             version: Cell::new(0),
             pools: RefCell::default(),
@@ -126,7 +126,11 @@
 
     /// Whether an endpoint may still be sent to: asked right before a request is written.
     pub fn is_ready(&self, key: EndpointId) -> bool {
-        self.hub.replica().registry().get(key.0).is_some_and(|record| record.state == EndpointState::Ready)
+        self.gossip
+            .replica()
+            .registry()
+            .get(key.0)
+            .is_some_and(|record| record.state == EndpointState::Ready)
     }
 
     /// Whether requests can be served.
@@ -135,7 +139,7 @@
     }
 
     fn take_routes(&self) {
-        let Some(stored) = self.hub.config().filter(|config| config.version > self.version.get()) else {
+        let Some(stored) = self.gossip.config().filter(|config| config.version > self.version.get()) else {
             return;
         };
         match FleetConfig::read(&stored.body) {
@@ -150,7 +154,7 @@
 
     fn take_endpoints(&self) {
         let mut pools: HashMap<String, Pool> = HashMap::new();
-        for (key, record) in self.hub.replica().registry().iter() {
+        for (key, record) in self.gossip.replica().registry().iter() {
             let key_of = EndpointId(key);
             if record.state != EndpointState::Ready {
                 self.router.borrow_mut().forget(key_of);
@@ -166,7 +170,7 @@
         for pool in pools.values_mut() {
             let mut ready: Vec<EndpointId> = pool.targets.keys().copied().collect();
             ready.sort_unstable();
-            let heard = |key: &EndpointId| !self.hub.is_silent(key.0);
+            let heard = |key: &EndpointId| !self.gossip.is_silent(key.0);
             let fresh: Vec<EndpointId> = ready.iter().copied().filter(heard).collect();
             // Where most seem to be silent, the silence is rather on our side.
             pool.ready = if fresh.len() * 2 > ready.len() { fresh } else { ready };
@@ -198,7 +202,7 @@
             empty = backlog.is_empty();
             let entry = |(id, tokens): &(EndpointId, u32)| Unread { endpoint: id.0, tokens: *tokens };
             let message = Message::OwnBacklog(backlog.iter().map(entry).collect::<Vec<_>>().into());
-            self.hub.broadcast_to(Role::Agent, &message);
+            self.gossip.broadcast_to(Role::Agent, &message);
             *self.told.borrow_mut() = backlog;
             sleep(TELL_PAUSE).await;
         }
@@ -214,16 +218,16 @@
 
     /// Follows the feed for as long as the process runs.
     pub async fn run(self: Rc<Self>) {
-        let mut changes = self.hub.changes();
+        let mut changes = self.gossip.changes();
         loop {
             self.take_routes();
             self.take_endpoints();
-            let proxies = self.hub.proxies();
+            let proxies = self.gossip.proxies();
             if proxies > 0 {
                 self.router.borrow_mut().set_proxies(proxies);
             }
             if changes.changed().await.is_err() {
-                return; // the hub has ended
+                return; // the gossip has ended
             }
         }
     }
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -2,10 +2,10 @@
 //! need be.
 
 use crate::events::EventTracker;
-use crate::forward::{Broken, Call, Forwarder, Reply, Running, Tries};
+use crate::forward::{AttemptState, Call, Forwarder, Reply, Running, TruncatedResponse};
 use crate::headers::{closes, keep_alive, remove_hop_headers};
 use crate::pool::Connection;
-use crate::relay::{CutShort, StreamSender, next_bytes, stream, whole};
+use crate::relay::{BodyAborted, StreamSender, next_bytes, stream, whole};
 use bytes::{Bytes, BytesMut};
 use http_body_util::Either;
 use hyper::Response;
@@ -16,7 +16,7 @@
 use weirwharf::{EndpointId, Outcome};
 
 /// Bytes of an answer that is read whole before any of it goes on; a longer one goes on as it comes.
-const WHOLE_MOST: usize = 256 << 10;
+const MAX_WHOLE: usize = 256 << 10;
 
 impl Forwarder {
     /// Reads an answer whole before it goes on, so that one that breaks off can be asked for again or fails cleanly.
@@ -24,33 +24,42 @@
         self: Rc<Self>,
         call: &Rc<Call>,
         mut running: Running,
-        tries: &Tries,
-    ) -> Result<Reply, Broken> {
+        attempts: &AttemptState,
+    ) -> Result<Reply, TruncatedResponse> {
         let mut read = BytesMut::new();
         loop {
-            let next =
-                timeout_at(call.outgoing.deadline, next_bytes(running.begun.response.body_mut())).await;
+            let next = timeout_at(
+                call.outgoing.deadline,
+                next_bytes(running.response_started.response.body_mut()),
+            )
+            .await;
             match next {
                 Ok(Some(Ok(bytes))) => read.extend_from_slice(&bytes),
                 Ok(None) => break,
-                Ok(Some(Err(CutShort))) => {
+                Ok(Some(Err(BodyAborted))) => {
                     running.counted.outcome = Outcome::Reset;
-                    return Err(Broken);
+                    return Err(TruncatedResponse);
                 }
                 Err(_) => {
                     running.counted.outcome = Outcome::TimedOut;
-                    return Err(Broken);
+                    return Err(TruncatedResponse);
                 }
             }
-            if read.len() > WHOLE_MOST {
-                return Ok(self.relay_from(call, running, tries, EventTracker::default(), read.freeze()));
+            if read.len() > MAX_WHOLE {
+                return Ok(self.relay_from(
+                    call,
+                    running,
+                    attempts,
+                    EventTracker::default(),
+                    read.freeze(),
+                ));
             }
         }
         let head = reply_head(&running);
-        let failed = running.begun.response.status().is_server_error();
+        let failed = running.response_started.response.status().is_server_error();
         running.counted.outcome = if failed { Outcome::Error } else { Outcome::Ok };
-        let headers = std::mem::take(running.begun.response.headers_mut());
-        self.keep(running.counted.key, running.begun.connection, &headers);
+        let headers = std::mem::take(running.response_started.response.headers_mut());
+        self.keep(running.counted.key, running.response_started.connection, &headers);
         Ok(head.map(|()| whole(read.freeze())))
     }
 
@@ -66,16 +75,19 @@
         self: Rc<Self>,
         call: &Rc<Call>,
         mut running: Running,
-        tries: &Tries,
-    ) -> Result<Reply, Broken> {
+        attempts: &AttemptState,
+    ) -> Result<Reply, TruncatedResponse> {
         let mut events = EventTracker::default();
         loop {
-            let next =
-                timeout_at(call.outgoing.deadline, next_bytes(running.begun.response.body_mut())).await;
+            let next = timeout_at(
+                call.outgoing.deadline,
+                next_bytes(running.response_started.response.body_mut()),
+            )
+            .await;
             match next {
                 Ok(Some(Ok(bytes))) => {
                     if let Some(ready) = ready_bytes(call, &mut events, bytes) {
-                        return Ok(self.relay_from(call, running, tries, events, ready));
+                        return Ok(self.relay_from(call, running, attempts, events, ready));
                     }
                 }
                 Ok(None) => {
@@ -83,9 +95,9 @@
                     self.end_stream(running);
                     return Ok(head.map(|()| whole(Bytes::new())));
                 }
-                Ok(Some(Err(CutShort))) | Err(_) => {
+                Ok(Some(Err(BodyAborted))) | Err(_) => {
                     running.counted.outcome = Outcome::Reset;
-                    return Err(Broken);
+                    return Err(TruncatedResponse);
                 }
             }
         }
@@ -95,7 +107,7 @@
         self: Rc<Self>,
         call: &Rc<Call>,
         mut running: Running,
-        tries: &Tries,
+        attempts: &AttemptState,
         events: EventTracker,
         first: Bytes,
     ) -> Reply {
@@ -103,14 +115,14 @@
         let (sender, body) = stream();
         let reply = reply_head(&running).map(|()| Either::Right(body));
         let _ = sender.try_send(Ok(first)); // there is room for the first one
-        spawn_local(self.relay(call.clone(), running, tries.clone(), events, sender));
+        spawn_local(self.relay(call.clone(), running, attempts.clone(), events, sender));
         reply
     }
 
     fn end_stream(&self, mut running: Running) {
         running.counted.outcome = Outcome::Ok;
-        let headers = std::mem::take(running.begun.response.headers_mut());
-        self.keep(running.counted.key, running.begun.connection, &headers);
+        let headers = std::mem::take(running.response_started.response.headers_mut());
+        self.keep(running.counted.key, running.response_started.connection, &headers);
     }
 
     /// Passes a stream on to its end, over several endpoints if need be.
@@ -118,7 +130,7 @@
         self: Rc<Self>,
         call: Rc<Call>,
         mut running: Running,
-        mut tries: Tries,
+        mut attempts: AttemptState,
         mut events: EventTracker,
         sender: StreamSender,
     ) {
@@ -139,10 +151,10 @@
             }
             self.connections.close_idle(running.counted.key);
             drop(running);
-            match self.resume(&call, &mut tries, &mut events).await {
+            match self.resume(&call, &mut attempts, &mut events).await {
                 Some(next) => running = next,
                 None => {
-                    let _ = sender.send(Err(CutShort)).await; // the client may have gone
+                    let _ = sender.send(Err(BodyAborted)).await; // the client may have gone
                     return;
                 }
             }
@@ -150,15 +162,20 @@
     }
 
     /// Another endpoint that goes on with a stream after its last whole event.
-    async fn resume(&self, call: &Call, tries: &mut Tries, events: &mut EventTracker) -> Option<Running> {
-        tries.may_have_run = true;
-        if !call.resumable || !self.may_go_on(call, tries) {
+    async fn resume(
+        &self,
+        call: &Call,
+        attempts: &mut AttemptState,
+        events: &mut EventTracker,
+    ) -> Option<Running> {
+        attempts.may_have_run = true;
+        if !call.resumable || !self.may_retry(call, attempts) {
             return None;
         }
         let last = HeaderValue::from_str(events.last_id()?).ok()?;
         events.drop_partial();
-        let running = self.begin(call, tries, Some(&last)).await.ok()?;
-        running.begun.response.status().is_success().then_some(running)
+        let running = self.begin(call, attempts, Some(&last)).await.ok()?;
+        running.response_started.response.status().is_success().then_some(running)
     }
 
     /// Passes on what comes from one endpoint; how it ended if it did not end well.
@@ -186,7 +203,7 @@
     /// The next bytes of a stream. One that pauses for too long speaks against its endpoint, and a stream that may be
     /// resumed goes on elsewhere then.
     async fn next_of_stream(&self, call: &Call, running: &mut Running) -> Result<Option<Bytes>, Outcome> {
-        let (body, key) = (running.begun.response.body_mut(), running.counted.key);
+        let (body, key) = (running.response_started.response.body_mut(), running.counted.key);
         let next = match timeout_at(call.outgoing.deadline, timeout(call.silent_after, next_bytes(body)))
             .await
         {
@@ -204,7 +221,7 @@
         match next {
             None => Ok(None),
             Some(Ok(bytes)) => Ok(Some(bytes)),
-            Some(Err(CutShort)) => Err(Outcome::Reset),
+            Some(Err(BodyAborted)) => Err(Outcome::Reset),
         }
     }
 }
@@ -216,7 +233,7 @@
 
 /// Status and headers of an answer, without what concerns its connection only.
 fn reply_head(running: &Running) -> Response<()> {
-    let response = &running.begun.response;
+    let response = &running.response_started.response;
     let mut head = Response::new(());
     *head.status_mut() = response.status();
     *head.headers_mut() = response.headers().clone();
--- a/crates/proxy/tests/attempts.rs
+++ b/crates/proxy/tests/attempts.rs
@@ -192,10 +192,10 @@
         let leaving = Stand::start("i-1", vec![]).await;
         let staying = Stand::start("i-2", vec![]).await;
         let fleet = Fleet::start(&routes(), &[&leaving, &staying]).await;
-        fleet.hub.merge(vec![leaving.record(EndpointState::Draining, 2)], None);
+        fleet.gossip.merge(vec![leaving.record(EndpointState::Draining, 2)], None);
         fleet.logged("endpoints.ready", "\"count\":1").await;
         // A word of before comes late.
-        fleet.hub.merge(vec![leaving.record(EndpointState::Ready, 1)], None);
+        fleet.gossip.merge(vec![leaving.record(EndpointState::Ready, 1)], None);
         for number in 0..8 {
             assert!(fleet.ask(AGAIN, &format!("a{number}"), &[], "x").await.status.is_success());
         }
@@ -224,7 +224,7 @@
         assert_eq!(fleet.ask("/later/x", "a2", &[], "x").await.status, StatusCode::OK);
         assert_eq!(fleet.ask(AGAIN, "a3", &[], "x").await.status, StatusCode::NOT_FOUND);
         // An older one that comes late changes nothing.
-        fleet.hub.take_config(2, support::config(2, &routes()).into_bytes());
+        fleet.gossip.take_config(2, support::config(2, &routes()).into_bytes());
         assert_eq!(fleet.ask("/later/x", "a4", &[], "x").await.status, StatusCode::OK);
     });
 }
@@ -332,7 +332,7 @@
         let fleet = Fleet::start(&routes(), &[&stands[0], &stands[1], &stands[2]]).await;
         let silent = |ids: &[&str]| {
             let keys: Vec<u64> = ids.iter().map(|id| runtrack_registry::key_of(id)).collect();
-            fleet.hub.broadcast(&Message::Silent(keys.into()), None);
+            fleet.gossip.broadcast(&Message::Suspects(keys.into()), None);
         };
         silent(&["i-1"]);
         fleet.logged("endpoints.ready", "\"count\":2").await;
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use runtrack_link::{Hub, json_logger, listen};
+use runtrack_link::{Gossip, json_logger, listen};
 use runtrack_message::{Endpoint, EndpointState, Hello, Member, Role, WIRE_VERSION};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -266,7 +266,7 @@
 
 /// A proxy with an agent of the test's own.
 pub struct Fleet {
-    pub hub: Rc<Hub>,
+    pub gossip: Rc<Gossip>,
     pub front: SocketAddrV4,
     pub ready: SocketAddrV4,
     pub child: Child,
@@ -298,9 +298,9 @@
         let logger = json_logger("agent-of-the-test", "test");
         let hello =
             Hello { wire: WIRE_VERSION, role: Role::Agent, node: "test".into(), member: Member::none() };
-        let hub = Hub::new(hello, Duration::from_millis(1200), logger, Box::new(()));
-        let feed = free_port_after(&hub).await;
-        spawn_local(hub.clone().run());
+        let gossip = Gossip::new(hello, Duration::from_millis(1200), logger, Box::new(()));
+        let feed = free_port_after(&gossip).await;
+        spawn_local(gossip.clone().run());
         let settings = std::env::temp_dir().join(format!("proxy-{}-{ip}.conf", std::process::id()));
         let text = format!(
             "node=edge-1\nip={ip}\nzone=a\nlisten.front={front}\nlisten.ready={ready}\nportRange={},{}\nseeds=\n\
@@ -316,9 +316,11 @@
             .spawn()
             .expect("the proxy starts");
         let log = BufReader::new(child.stderr.take().expect("its log")).lines();
-        let fleet = Fleet { hub, front, ready, child, settings, log: Mutex::new(log) };
+        let fleet = Fleet { gossip, front, ready, child, settings, log: Mutex::new(log) };
         fleet.configure(1, routes).await;
-        fleet.hub.merge(stands.iter().map(|stand| stand.record(EndpointState::Ready, 1)).collect(), None);
+        fleet
+            .gossip
+            .merge(stands.iter().map(|stand| stand.record(EndpointState::Ready, 1)).collect(), None);
         if !stands.is_empty() {
             fleet.logged("endpoints.ready", &format!("\"count\":{}", stands.len())).await;
         }
@@ -327,7 +329,7 @@
 
     /// Puts a configuration in force.
     pub async fn configure(&self, version: u64, routes: &[String]) {
-        self.hub.take_config(version, config(version, routes).into_bytes());
+        self.gossip.take_config(version, config(version, routes).into_bytes());
         self.logged("config.in_force", &format!("\"version\":{version}")).await;
     }
 
@@ -421,12 +423,12 @@
 }
 
 /// Listens as an agent does, at a port that is free.
-async fn free_port_after(hub: &Rc<Hub>) -> u16 {
+async fn free_port_after(gossip: &Rc<Gossip>) -> u16 {
     loop {
         let probe = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
         let port = probe.local_addr().expect("an address").port();
         drop(probe);
-        if listen(hub.clone(), SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)).await.is_ok() {
+        if listen(gossip.clone(), SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)).await.is_ok() {
             return port;
         }
     }
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -97,7 +97,7 @@
             RegisterRequest::Accept { to, ballot, value } if *to == self.incarnation => {
                 self.accept(*ballot, value)
             }
-            _ => (RegisterReply::Stranger, None),
+            _ => (RegisterReply::WrongIncarnation, None),
         }
     }
 
--- a/crates/register/src/change.rs
+++ b/crates/register/src/change.rs
@@ -1,15 +1,15 @@
 //! Changes of the value: the operator's orders and the membership.
 
 use crate::round::Decision;
-use runtrack_message::{Member, MemberSet, Taken, Value};
+use runtrack_message::{AppliedRequest, Member, MemberSet, Value};
 use std::collections::BTreeSet;
 
-/// Orders that are remembered as taken, so that one that comes again is acknowledged again.
-const TAKEN_MOST: usize = 512;
+/// Orders that are remembered as applied, so that one that comes again is acknowledged again.
+const MAX_APPLIED_REQUESTS: usize = 512;
 
 /// An operator's order: a whole configuration on top of a version.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Order {
+pub struct ReplaceConfig {
     /// The version that it builds on; 0 for the first.
     pub base: u64,
     /// Its own version.
@@ -22,44 +22,44 @@
 
 /// What a round found out about an order. It may be told once the round has ended well, not before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderAnswer {
+pub enum ReplaceAnswer {
     /// It is, or was, in force.
-    Taken,
+    Applied,
     /// Another version is current.
-    Conflict(u64),
+    VersionMismatch(u64),
     /// Its version is not above the current one.
-    NotAbove(u64),
+    VersionNotIncreasing(u64),
 }
 
 /// What a round on behalf of an order does with the value that it found.
-pub type Step = (Decision, OrderAnswer);
+pub type Step = (Decision, ReplaceAnswer);
 
-impl Order {
+impl ReplaceConfig {
     /// Decides on the value that was found; `first` are the members before the first value.
     pub fn decide(&self, current: Option<&Value>, first: &[BTreeSet<Member>]) -> Step {
-        let taken = Taken { version: self.version, digest: self.digest };
+        let applied = AppliedRequest { version: self.version, digest: self.digest };
         let version = current.map_or(0, |value| value.version);
-        if current.is_some_and(|value| value.taken.items().contains(&taken)) {
-            return (Decision::Keep, OrderAnswer::Taken);
+        if current.is_some_and(|value| value.applied.items().contains(&applied)) {
+            return (Decision::Read, ReplaceAnswer::Applied);
         }
         if version != self.base {
-            return (Decision::Keep, OrderAnswer::Conflict(version));
+            return (Decision::Read, ReplaceAnswer::VersionMismatch(version));
         }
         if self.version <= version {
-            return (Decision::Keep, OrderAnswer::NotAbove(version));
+            return (Decision::Read, ReplaceAnswer::VersionNotIncreasing(version));
         }
-        let mut list = current.map(|value| value.taken.items().to_vec()).unwrap_or_default();
-        list.push(taken);
-        let surplus = list.len().saturating_sub(TAKEN_MOST);
+        let mut list = current.map(|value| value.applied.items().to_vec()).unwrap_or_default();
+        list.push(applied);
+        let surplus = list.len().saturating_sub(MAX_APPLIED_REQUESTS);
         list.drain(..surplus);
         let value = Value {
             sequence: current.map_or(1, |value| value.sequence + 1),
             version: self.version,
             sets: current.map_or_else(|| wire_sets(first), |value| value.sets.clone()),
-            taken: list.into(),
+            applied: list.into(),
             config: self.body.clone().into(),
         };
-        (Decision::Write(value), OrderAnswer::Taken)
+        (Decision::Propose(value), ReplaceAnswer::Applied)
     }
 }
 
@@ -101,9 +101,9 @@
 /// The second half of a change of membership: the new set alone.
 pub fn finish_membership(current: &Value) -> Decision {
     if !is_joint(current) {
-        return Decision::Keep;
+        return Decision::Read;
     }
-    Decision::Write(with_sets(current, &[members_of(current)]))
+    Decision::Propose(with_sets(current, &[members_of(current)]))
 }
 
 /// The first half of a change of membership. Where the change of another is under way, that is finished first.
@@ -113,7 +113,7 @@
     }
     let before = members_of(current);
     if before == *next || next.is_empty() {
-        return Decision::Keep;
+        return Decision::Read;
     }
-    Decision::Write(with_sets(current, &[before, next.clone()]))
+    Decision::Propose(with_sets(current, &[before, next.clone()]))
 }
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -7,7 +7,7 @@
 //! new set alone. A round whose promises show a value with sets that it has not asked asks these too, so a proposer
 //! with an old view finds the way to the newest value. The second half is written only on top of a first half that is
 //! known to be chosen: a round that finds joint sets which may not be chosen makes sure of them and decides nothing
-//! ([`Outcome::Settled`]).
+//! ([`Outcome::MembershipCommitted`]).
 //!
 //! A round that wants to answer without writing still makes sure that what it saw is chosen, by accepting it again
 //! unless a majority already has it under one ballot. Without that a refused order could come into force later.
@@ -18,7 +18,7 @@
 
 pub use acceptor::{Accepted, Acceptor, Durable, PromiseRecord, ValueRecord};
 pub use change::{
-    Order, OrderAnswer, Step, finish_membership, is_joint, majority_of, members_of, replace_members,
-    sets_of,
+    ReplaceAnswer, ReplaceConfig, Step, finish_membership, is_joint, majority_of, members_of,
+    replace_members, sets_of,
 };
 pub use round::{Decision, Outcome, Progress, Round, Send};
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -9,9 +9,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
     /// Nothing, but it must be chosen for sure.
-    Keep,
+    Read,
     /// This one takes its place.
-    Write(Value),
+    Propose(Value),
 }
 
 /// How a round ended.
@@ -20,11 +20,11 @@
     /// Nothing was ever written, as of this round.
     Empty,
     /// This value is chosen and was not this round's own.
-    Kept(Ballot, Rc<Value>),
+    Read(Ballot, Rc<Value>),
     /// This round's own value is chosen.
-    Written(Ballot, Rc<Value>),
+    Committed(Ballot, Rc<Value>),
     /// A change of membership was under way and is chosen now; nothing was decided on it. The next round can.
-    Settled(Ballot, Rc<Value>),
+    MembershipCommitted(Ballot, Rc<Value>),
     /// A higher ballot is about. Where values had been sent out, it is not known whether they will be chosen.
     Preempted(Ballot),
 }
@@ -132,7 +132,7 @@
                 self.highest = self.highest.max(promised);
                 self.refused(from)
             }
-            RegisterReply::Stranger => self.refused(from),
+            RegisterReply::WrongIncarnation => self.refused(from),
             _ => Progress::Send(Vec::new()),
         }
     }
@@ -179,12 +179,12 @@
             // chosen at a majority of the new set, while the old one could still choose something else.
             Some((_, best)) if is_joint(best) && !chosen => (best.clone(), Kind::Settling),
             best => match (decide(best.as_ref().map(|(_, value)| &**value)), best) {
-                (Decision::Keep, None) => return Progress::Done(Outcome::Empty),
-                (Decision::Keep, Some((ballot, value))) if chosen => {
-                    return Progress::Done(Outcome::Kept(*ballot, value.clone()));
+                (Decision::Read, None) => return Progress::Done(Outcome::Empty),
+                (Decision::Read, Some((ballot, value))) if chosen => {
+                    return Progress::Done(Outcome::Read(*ballot, value.clone()));
                 }
-                (Decision::Keep, Some((_, value))) => (value.clone(), Kind::Found),
-                (Decision::Write(value), _) => (Rc::new(value), Kind::Own),
+                (Decision::Read, Some((_, value))) => (value.clone(), Kind::Found),
+                (Decision::Propose(value), _) => (Rc::new(value), Kind::Own),
             },
         };
         let sets = sets_of(&value);
@@ -208,9 +208,9 @@
         }
         let (ballot, value) = (self.ballot, value.clone());
         Progress::Done(match kind {
-            Kind::Own => Outcome::Written(ballot, value),
-            Kind::Found => Outcome::Kept(ballot, value),
-            Kind::Settling => Outcome::Settled(ballot, value),
+            Kind::Own => Outcome::Committed(ballot, value),
+            Kind::Found => Outcome::Read(ballot, value),
+            Kind::Settling => Outcome::MembershipCommitted(ballot, value),
         })
     }
 
--- a/crates/register/tests/rounds.rs
+++ b/crates/register/tests/rounds.rs
@@ -4,8 +4,8 @@
 
 use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
 use runtrack_register::{
-    Acceptor, Decision, Order, OrderAnswer, Outcome, Progress, Round, finish_membership, members_of,
-    replace_members,
+    Acceptor, Decision, Outcome, Progress, ReplaceAnswer, ReplaceConfig, Round, finish_membership,
+    members_of, replace_members,
 };
 use std::collections::BTreeSet;
 use support::{Cluster, member, order};
@@ -13,11 +13,11 @@
 #[test]
 fn an_order_is_taken_once_and_acknowledged_again_after_others() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
-    assert_eq!(cluster.order(1, &order(1, 5)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(1, &order(1, 5)), Some(ReplaceAnswer::Applied));
     assert_eq!(
         cluster.order(2, &order(0, 1)),
-        Some(OrderAnswer::Taken),
+        Some(ReplaceAnswer::Applied),
         "the same order again, at another member"
     );
     assert_eq!(cluster.read(0).version, 5);
@@ -26,31 +26,31 @@
 #[test]
 fn of_two_orders_on_one_version_one_wins() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
-    assert_eq!(cluster.order(1, &order(1, 3)), Some(OrderAnswer::Taken));
-    assert_eq!(cluster.order(2, &order(1, 4)), Some(OrderAnswer::Conflict(3)));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(1, &order(1, 3)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(2, &order(1, 4)), Some(ReplaceAnswer::VersionMismatch(3)));
     assert_eq!(cluster.read(1).version, 3);
 }
 
 #[test]
 fn a_version_that_does_not_rise_is_refused() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 4)), Some(OrderAnswer::Taken));
-    assert_eq!(cluster.order(0, &order(4, 4)), Some(OrderAnswer::NotAbove(4)));
+    assert_eq!(cluster.order(0, &order(0, 4)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(0, &order(4, 4)), Some(ReplaceAnswer::VersionNotIncreasing(4)));
 }
 
 #[test]
 fn a_value_at_a_minority_is_finished_or_superseded_and_a_refusal_stands() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     // Accepted by member 0 alone: its proposer then falls silent.
     let lost = order(1, 2);
     cluster.order_reaching(0, &lost, &[0]);
     // Members 1 and 2 know nothing of it and take another order.
     cluster.cut(0, true);
-    assert_eq!(cluster.order(1, &order(1, 3)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(1, &order(1, 3)), Some(ReplaceAnswer::Applied));
     cluster.cut(0, false);
-    assert_eq!(cluster.order(2, &lost), Some(OrderAnswer::Conflict(3)));
+    assert_eq!(cluster.order(2, &lost), Some(ReplaceAnswer::VersionMismatch(3)));
     for at in 0..3 {
         assert_eq!(cluster.read(at).version, 3, "the refused order must never come into force");
     }
@@ -59,11 +59,11 @@
 #[test]
 fn who_refuses_makes_sure_that_what_it_saw_is_chosen() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     // Version 3 stands at member 1 alone when member 2 refuses another order because of it.
     cluster.order_reaching(1, &order(1, 3), &[1]);
     cluster.cut(0, true);
-    assert_eq!(cluster.order(2, &order(1, 4)), Some(OrderAnswer::Conflict(3)));
+    assert_eq!(cluster.order(2, &order(1, 4)), Some(ReplaceAnswer::VersionMismatch(3)));
     cluster.cut(0, false);
     cluster.cut(1, true);
     assert_eq!(cluster.read(0).version, 3, "member 1 is away, and version 3 is still there");
@@ -81,11 +81,11 @@
 #[test]
 fn a_proposer_that_wakes_up_late_is_preempted() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     let late = order(1, 2);
     let mut sleeping = cluster.prepared(0, &late);
-    assert_eq!(cluster.order(1, &order(1, 3)), Some(OrderAnswer::Taken));
-    assert_eq!(cluster.order(2, &order(3, 4)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(1, &order(1, 3)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(2, &order(3, 4)), Some(ReplaceAnswer::Applied));
     assert!(matches!(cluster.wake(&mut sleeping), Some(Outcome::Preempted(_))));
     assert_eq!(cluster.read(0).version, 4);
 }
@@ -93,14 +93,14 @@
 #[test]
 fn a_member_is_replaced_and_the_old_one_does_not_count_any_more() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     cluster.cut(2, true);
     let new = cluster.add(member(2, 77));
     assert!(cluster.replace(0, &[member(0, 0), member(1, 0), member(2, 77)]));
     cluster.cut(0, true);
     assert_eq!(
         cluster.order(1, &order(1, 2)),
-        Some(OrderAnswer::Taken),
+        Some(ReplaceAnswer::Applied),
         "members 1 and the new one are a majority"
     );
     cluster.cut(1, true);
@@ -111,15 +111,15 @@
 #[test]
 fn a_round_that_finds_other_sets_whose_members_have_all_promised_goes_on() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     cluster.add(member(3, 9));
     let four = [member(0, 0), member(1, 0), member(2, 0), member(3, 9)];
     // The first half of a change alone: its sets are the three and the four.
     assert!(cluster.begin_replace(0, &four));
     // A proposer that believes in the four has asked the three as well, without knowing.
     let view = vec![four.into_iter().collect()];
-    let outcome = cluster.round(1, view, &mut |current| current.map_or(Decision::Keep, finish_membership));
-    let Some(Outcome::Written(_, value)) = outcome else { panic!("{outcome:?}") };
+    let outcome = cluster.round(1, view, &mut |current| current.map_or(Decision::Read, finish_membership));
+    let Some(Outcome::Committed(_, value)) = outcome else { panic!("{outcome:?}") };
     assert_eq!(members_of(&value).len(), 4);
     assert_eq!(value.sets.items().len(), 1);
 }
@@ -127,15 +127,15 @@
 #[test]
 fn a_proposer_with_the_view_of_long_ago_finds_the_newest_value() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     let long_ago = cluster.view();
     cluster.add(member(3, 9));
     assert!(cluster.replace(0, &[member(0, 0), member(1, 0), member(3, 9)]));
     cluster.add(member(4, 9));
     assert!(cluster.replace(0, &[member(0, 0), member(4, 9), member(3, 9)]));
-    assert_eq!(cluster.order(0, &order(1, 2)), Some(OrderAnswer::Taken));
-    let outcome = cluster.round(2, long_ago, &mut |_| Decision::Keep);
-    let Some(Outcome::Kept(_, value)) = outcome else { panic!("{outcome:?}") };
+    assert_eq!(cluster.order(0, &order(1, 2)), Some(ReplaceAnswer::Applied));
+    let outcome = cluster.round(2, long_ago, &mut |_| Decision::Read);
+    let Some(Outcome::Read(_, value)) = outcome else { panic!("{outcome:?}") };
     assert_eq!(value.version, 2);
 }
 
@@ -145,7 +145,7 @@
     let ballot = Ballot { round: 1, boot: 1 };
     let request = RegisterRequest::Prepare { to: 0, ballot, have: Ballot::default() };
     let (reply, durable) = acceptor.handle(&request);
-    assert_eq!(reply, RegisterReply::Stranger);
+    assert_eq!(reply, RegisterReply::WrongIncarnation);
     assert_eq!(durable, None);
 }
 
@@ -163,7 +163,7 @@
 #[test]
 fn an_acceptor_that_recovers_keeps_its_promise_and_its_value() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     for at in 0..3 {
         cluster.restart(at);
     }
@@ -173,20 +173,20 @@
 #[test]
 fn a_change_of_members_under_way_is_finished_before_another_begins() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     cluster.add(member(3, 9));
     let four = [member(0, 0), member(1, 0), member(2, 0), member(3, 9)];
     assert!(cluster.begin_replace(0, &four));
     let joint: Value = cluster.read(0);
     let other: BTreeSet<_> = [member(0, 0)].into_iter().collect();
-    let Decision::Write(next) = replace_members(&joint, &other) else { panic!("nothing is written") };
+    let Decision::Propose(next) = replace_members(&joint, &other) else { panic!("nothing is written") };
     assert_eq!(members_of(&next), four.into_iter().collect());
 }
 
 #[test]
 fn the_second_half_of_a_change_waits_until_the_first_is_chosen() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(OrderAnswer::Taken));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
     let new = cluster.add(member(3, 9));
     let next = [member(0, 0), member(1, 0), member(3, 9)];
     // The first half reaches member 1 and the new one: no majority of the old members.
@@ -194,15 +194,15 @@
     let view = cluster.view();
     let outcome = cluster
         .round(1, view, &mut |_| panic!("nothing may be decided on joint sets that may not be chosen"));
-    assert!(matches!(outcome, Some(Outcome::Settled(..))), "{outcome:?}");
+    assert!(matches!(outcome, Some(Outcome::MembershipCommitted(..))), "{outcome:?}");
 }
 
 #[test]
 fn what_was_taken_is_remembered_within_bounds() {
     let mut cluster = Cluster::new(1);
     for version in 1..=600 {
-        let order = Order { base: version - 1, version, digest: version, body: Vec::new() };
-        assert_eq!(cluster.order(0, &order), Some(OrderAnswer::Taken));
+        let order = ReplaceConfig { base: version - 1, version, digest: version, body: Vec::new() };
+        assert_eq!(cluster.order(0, &order), Some(ReplaceAnswer::Applied));
     }
-    assert_eq!(cluster.read(0).taken.items().len(), 512);
+    assert_eq!(cluster.read(0).applied.items().len(), 512);
 }
--- a/crates/register/tests/search.rs
+++ b/crates/register/tests/search.rs
@@ -51,7 +51,7 @@
         Planted::AcknowledgedTooSoon,
         Planted::ReadUnchosen,
         Planted::ValueKept,
-        Planted::TakenForgotten,
+        Planted::AppliedForgotten,
         Planted::BallotsShared,
     ];
     let mut missed = Vec::new();
--- a/crates/register/tests/support/checker.rs
+++ b/crates/register/tests/support/checker.rs
@@ -1,6 +1,6 @@
 //! What a history of operators and readers must be like, whatever serves them.
 
-use runtrack_register::Order;
+use runtrack_register::ReplaceConfig;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Something that an operator, a reader or a process saw.
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct History {
     pub events: Vec<Event>,
-    pub orders: Vec<Order>,
+    pub orders: Vec<ReplaceConfig>,
 }
 
 /// What is wrong with a history; nothing where it is right.
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -6,8 +6,8 @@
 
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
 use runtrack_register::{
-    Acceptor, Decision, Durable, Order, OrderAnswer, Outcome, Progress, PromiseRecord, Round, Send,
-    ValueRecord, finish_membership, is_joint, members_of, replace_members,
+    Acceptor, Decision, Durable, Outcome, Progress, PromiseRecord, ReplaceAnswer, ReplaceConfig, Round,
+    Send, ValueRecord, finish_membership, is_joint, members_of, replace_members,
 };
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -18,8 +18,13 @@
 }
 
 /// An order by its versions.
-pub fn order(base: u64, version: u64) -> Order {
-    Order { base, version, digest: base * 1000 + version, body: format!("config {version}").into_bytes() }
+pub fn order(base: u64, version: u64) -> ReplaceConfig {
+    ReplaceConfig {
+        base,
+        version,
+        digest: base * 1000 + version,
+        body: format!("config {version}").into_bytes(),
+    }
 }
 
 struct Node {
@@ -120,16 +125,16 @@
 
     fn decide(&mut self, at: usize, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Option<Outcome> {
         let mut outcome = self.round(at, self.view.clone(), decide);
-        if matches!(outcome, Some(Outcome::Settled(..))) {
+        if matches!(outcome, Some(Outcome::MembershipCommitted(..))) {
             outcome = self.round(at, self.view.clone(), decide);
         }
-        if let Some(Outcome::Kept(_, value) | Outcome::Written(_, value)) = &outcome {
+        if let Some(Outcome::Read(_, value) | Outcome::Committed(_, value)) = &outcome {
             self.view = vec![members_of(value)];
         }
         outcome
     }
 
-    pub fn order(&mut self, at: usize, order: &Order) -> Option<OrderAnswer> {
+    pub fn order(&mut self, at: usize, order: &ReplaceConfig) -> Option<ReplaceAnswer> {
         let first = self.view.clone();
         let mut answer = None;
         let outcome = self.decide(at, &mut |current| {
@@ -144,7 +149,7 @@
     }
 
     /// Prepares for an order, and stops before it is sent out.
-    pub fn prepared(&mut self, at: usize, order: &Order) -> Sleeping {
+    pub fn prepared(&mut self, at: usize, order: &ReplaceConfig) -> Sleeping {
         let first = self.view.clone();
         self.prepared_for(at, &mut |current| order.decide(current, &first).0)
     }
@@ -168,7 +173,7 @@
     pub fn wake(&mut self, sleeping: &mut Sleeping) -> Option<Outcome> {
         for (to, request) in std::mem::take(&mut sleeping.accepts) {
             let Some(reply) = self.deliver(to, &request) else { continue };
-            if let Progress::Done(outcome) = sleeping.round.reply(to, reply, &mut |_| Decision::Keep) {
+            if let Progress::Done(outcome) = sleeping.round.reply(to, reply, &mut |_| Decision::Read) {
                 return Some(outcome);
             }
         }
@@ -176,7 +181,7 @@
     }
 
     /// An order whose accepts reach these members alone; its proposer hears nothing more.
-    pub fn order_reaching(&mut self, at: usize, order: &Order, reached: &[usize]) {
+    pub fn order_reaching(&mut self, at: usize, order: &ReplaceConfig, reached: &[usize]) {
         let sleeping = self.prepared(at, order);
         self.reach(sleeping, reached);
     }
@@ -198,8 +203,8 @@
     }
 
     pub fn try_read(&mut self, at: usize) -> Option<Value> {
-        match self.decide(at, &mut |_| Decision::Keep)? {
-            Outcome::Kept(_, value) | Outcome::Written(_, value) => Some((*value).clone()),
+        match self.decide(at, &mut |_| Decision::Read)? {
+            Outcome::Read(_, value) | Outcome::Committed(_, value) => Some((*value).clone()),
             _ => None,
         }
     }
@@ -214,16 +219,16 @@
         let view = self.view.clone();
         let outcome = self.round(at, view, &mut |current| match current {
             Some(value) => replace_members(value, &next),
-            None => Decision::Keep,
+            None => Decision::Read,
         });
-        matches!(outcome, Some(Outcome::Written(_, value)) if is_joint(&value))
+        matches!(outcome, Some(Outcome::Committed(_, value)) if is_joint(&value))
     }
 
     pub fn replace(&mut self, at: usize, next: &[Member]) -> bool {
         self.begin_replace(at, next)
             && matches!(
-                self.decide(at, &mut |current| current.map_or(Decision::Keep, finish_membership)),
-                Some(Outcome::Written(..))
+                self.decide(at, &mut |current| current.map_or(Decision::Read, finish_membership)),
+                Some(Outcome::Committed(..))
             )
     }
 }
--- a/crates/register/tests/support/world.rs
+++ b/crates/register/tests/support/world.rs
@@ -7,8 +7,8 @@
 use fastrand::Rng;
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
 use runtrack_register::{
-    Accepted, Acceptor, Decision, Durable, Order, OrderAnswer, Outcome, Progress, PromiseRecord, Round,
-    Send, ValueRecord, finish_membership, is_joint, members_of, replace_members, sets_of,
+    Accepted, Acceptor, Decision, Durable, Outcome, Progress, PromiseRecord, ReplaceAnswer, ReplaceConfig,
+    Round, Send, ValueRecord, finish_membership, is_joint, members_of, replace_members, sets_of,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -40,7 +40,7 @@
     /// A member keeps the value of the higher ballot that it had, whatever it accepts.
     ValueKept,
     /// What was taken is not remembered.
-    TakenForgotten,
+    AppliedForgotten,
     /// Two proposers draw the same ballots.
     BallotsShared,
 }
@@ -55,7 +55,7 @@
 
 #[derive(Clone)]
 enum Purpose {
-    Order(Order),
+    Order(ReplaceConfig),
     Read,
     Members(BTreeSet<Member>),
     Finish,
@@ -66,7 +66,7 @@
     at: usize,
     purpose: Purpose,
     round: Option<Round>,
-    answer: Option<OrderAnswer>,
+    answer: Option<ReplaceAnswer>,
     tries: u32,
     idle: u32,
     sent_out: bool,
@@ -186,7 +186,7 @@
             .as_ref()
             .map_or(0, |(_, v)| v.version);
         self.version += 1 + self.rng.u64(..3);
-        let order = Order {
+        let order = ReplaceConfig {
             base,
             version: self.version,
             digest: self.rng.u64(..),
@@ -311,8 +311,8 @@
         let sends = matches!(&progress, Progress::Send(sends) if !sends.is_empty());
         operation.sent_out |= sends && may_write;
         let too_soon = match (planted, &purpose, answer) {
-            (Planted::RefusedTooSoon, Purpose::Order(_), Some(OrderAnswer::Conflict(_))) => true,
-            (Planted::AcknowledgedTooSoon, Purpose::Order(_), Some(OrderAnswer::Taken)) => {
+            (Planted::RefusedTooSoon, Purpose::Order(_), Some(ReplaceAnswer::VersionMismatch(_))) => true,
+            (Planted::AcknowledgedTooSoon, Purpose::Order(_), Some(ReplaceAnswer::Applied)) => {
                 sends && may_write
             }
             (Planted::ReadUnchosen, Purpose::Read, _) => found.is_some(),
@@ -331,7 +331,7 @@
         let Some(operation) = self.operations.get(&id) else { return };
         let (at, unknown) = (operation.at, operation.sent_out);
         match outcome {
-            Outcome::Kept(ballot, value) | Outcome::Written(ballot, value) => {
+            Outcome::Read(ballot, value) | Outcome::Committed(ballot, value) => {
                 self.learn(at, ballot, &value);
                 if !is_joint(&value) && self.wanted.as_ref() == Some(&members_of(&value)) {
                     self.wanted = None;
@@ -342,7 +342,7 @@
                 }
                 self.end(id, Some(value));
             }
-            Outcome::Settled(ballot, value) => {
+            Outcome::MembershipCommitted(ballot, value) => {
                 self.learn(at, ballot, &value);
                 self.begin_round(id);
             }
@@ -352,7 +352,7 @@
                 proposer.round = proposer.round.max(highest.round);
                 if self.planted == Planted::UnknownRefused && unknown {
                     if let Some(operation) = self.operations.get_mut(&id) {
-                        operation.answer = Some(OrderAnswer::Conflict(0));
+                        operation.answer = Some(ReplaceAnswer::VersionMismatch(0));
                     }
                     return self.end(id, None);
                 }
@@ -380,7 +380,7 @@
     fn end(&mut self, id: usize, value: Option<Rc<Value>>) {
         let Some(operation) = self.operations.remove(&id) else { return };
         match (operation.purpose, operation.answer) {
-            (Purpose::Order(order), Some(OrderAnswer::Taken)) => {
+            (Purpose::Order(order), Some(ReplaceAnswer::Applied)) => {
                 self.history.events.push(Event::Acknowledged { id: operation.id, version: order.version });
             }
             (Purpose::Order(order), Some(_)) => {
@@ -564,21 +564,21 @@
     current: Option<&Value>,
     first: &[BTreeSet<Member>],
     planted: Planted,
-    answer: &mut Option<OrderAnswer>,
+    answer: &mut Option<ReplaceAnswer>,
 ) -> Decision {
     match purpose {
         Purpose::Order(order) => {
             let (mut decision, found) = order.decide(current, first);
             *answer = Some(found);
-            if planted == Planted::TakenForgotten
-                && let Decision::Write(value) = &mut decision
+            if planted == Planted::AppliedForgotten
+                && let Decision::Propose(value) = &mut decision
             {
-                value.taken = Vec::new().into();
+                value.applied = Vec::new().into();
             }
             decision
         }
-        Purpose::Read => Decision::Keep,
-        Purpose::Members(next) => current.map_or(Decision::Keep, |value| replace_members(value, next)),
-        Purpose::Finish => current.map_or(Decision::Keep, finish_membership),
+        Purpose::Read => Decision::Read,
+        Purpose::Members(next) => current.map_or(Decision::Read, |value| replace_members(value, next)),
+        Purpose::Finish => current.map_or(Decision::Read, finish_membership),
     }
 }
--- a/crates/registry/src/heard.rs
+++ b/crates/registry/src/heartbeats.rs
@@ -8,7 +8,7 @@
 
 /// When each endpoint was last heard of.
 #[derive(Clone, Debug, Default)]
-pub struct Heard {
+pub struct HeartbeatTable {
     last: HashMap<u64, Duration>,
     feed: Option<Feed>,
 }
@@ -20,7 +20,7 @@
     last: Duration,
 }
 
-impl Heard {
+impl HeartbeatTable {
     /// These endpoints were heard of.
     pub fn note(&mut self, now: Duration, heartbeat: Duration, keys: impl IntoIterator<Item = u64>) {
         let unbroken = self.feed.filter(|feed| now.saturating_sub(feed.last) <= heartbeat * FEED_GAP);
@@ -31,7 +31,7 @@
     }
 
     /// Whether an endpoint has not been heard of for so many heartbeats while news of others came all the time.
-    pub fn is_stale(&self, now: Duration, heartbeat: Duration, beats: u32, key: u64) -> bool {
+    pub fn is_suspect(&self, now: Duration, heartbeat: Duration, beats: u32, key: u64) -> bool {
         let Some(feed) = self.feed else { return false };
         if now.saturating_sub(feed.last) > heartbeat * FEED_GAP {
             return false;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -4,10 +4,10 @@
 //! and repeated ones change nothing. Copies are compared by one digest, where that differs by digests over
 //! ranges of ids, and only the ranges that differ are sent.
 
-mod heard;
+mod heartbeats;
 mod replica;
 
-pub use heard::Heard;
+pub use heartbeats::HeartbeatTable;
 pub use replica::{Members, Replica, StoredConfig};
 
 use runtrack_message::{Endpoint, EndpointState};
@@ -18,7 +18,7 @@
 /// Ranges of ids that have a digest each.
 pub const RANGES: usize = 256;
 /// Ended incarnations that are remembered; of more, some are forgotten.
-const GONE_MOST: usize = 16_384;
+const MAX_GONE: usize = 16_384;
 
 /// Short name of an endpoint: the hash of its id.
 pub fn key_of(id: &str) -> u64 {
@@ -87,7 +87,7 @@
 
     /// Keeps the number of ended incarnations within bounds; the one that was just merged stays.
     fn forget_surplus(&mut self, merged: u64) {
-        if self.gone <= GONE_MOST {
+        if self.gone <= MAX_GONE {
             return;
         }
         let gone = self.records.iter().find(|(key, r)| r.state == EndpointState::Gone && **key != merged);
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -1,7 +1,7 @@
 //! The copy of the fleet's state that a process keeps: configuration, members and endpoints. All of it only rises.
 
 use crate::Registry;
-use runtrack_message::{Config, Endpoint, Have, Member, Message, Notice};
+use runtrack_message::{Config, Digest, Endpoint, Member, Message, StateSummary};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -78,12 +78,12 @@
 
     /// What this copy has, for another to send what differs.
     pub fn have(&self) -> Message {
-        Message::Have(Have { version: self.version(), digest: self.registry.digest() })
+        Message::Digest(Digest { version: self.version(), digest: self.registry.digest() })
     }
 
     /// That there is a configuration, and who the members are.
     pub fn notice(&self, proxies: u32) -> Message {
-        Message::Notice(Notice {
+        Message::StateSummary(StateSummary {
             version: self.version(),
             sequence: self.members.sequence,
             members: self.members.set.iter().copied().collect::<Vec<_>>().into(),
@@ -98,13 +98,14 @@
     }
 
     /// The ranges of this copy, where another one is not like it.
-    pub fn answer_have(&self, have: &Have) -> Option<Message> {
-        (have.digest != self.registry.digest()).then(|| Message::Ranges(self.registry.digests().into()))
+    pub fn answer_have(&self, have: &Digest) -> Option<Message> {
+        (have.digest != self.registry.digest())
+            .then(|| Message::RangeDigests(self.registry.digests().into()))
     }
 
     /// What another copy with these ranges lacks, or may lack.
     pub fn answer_ranges(&self, ranges: &[u64]) -> Option<Message> {
         let records = self.registry.differing(ranges);
-        (!records.is_empty()).then(|| Message::Records(records.into()))
+        (!records.is_empty()).then(|| Message::Entries(records.into()))
     }
 }
--- a/crates/registry/tests/merging.rs
+++ b/crates/registry/tests/merging.rs
@@ -2,7 +2,7 @@
 
 use fastrand::Rng;
 use runtrack_message::{Endpoint, EndpointState, Message};
-use runtrack_registry::{Heard, RANGES, Registry, Replica, key_of};
+use runtrack_registry::{HeartbeatTable, RANGES, Registry, Replica, key_of};
 use std::time::Duration;
 
 fn record(id: u32, state: EndpointState, call_seq: u64) -> Endpoint {
@@ -129,26 +129,26 @@
 
 #[test]
 fn who_misses_heartbeats_while_others_are_heard_is_stale() {
-    let mut heard = Heard::default();
+    let mut heard = HeartbeatTable::default();
     heard.note(at(0), BEAT, [1, 2]);
     for beat in 1..=4 {
         heard.note(at(1200 * beat), BEAT, [2]);
     }
-    assert!(heard.is_stale(at(4800), BEAT, 3, 1));
-    assert!(!heard.is_stale(at(4800), BEAT, 3, 2));
+    assert!(heard.is_suspect(at(4800), BEAT, 3, 1));
+    assert!(!heard.is_suspect(at(4800), BEAT, 3, 2));
     heard.note(at(4900), BEAT, [1]);
-    assert!(!heard.is_stale(at(4900), BEAT, 3, 1), "it is heard again");
+    assert!(!heard.is_suspect(at(4900), BEAT, 3, 1), "it is heard again");
 }
 
 #[test]
 fn time_in_which_nobody_could_be_heard_does_not_count() {
-    let mut heard = Heard::default();
+    let mut heard = HeartbeatTable::default();
     heard.note(at(0), BEAT, [1, 2]);
-    assert!(!heard.is_stale(at(60_000), BEAT, 3, 1), "nothing came from anybody");
+    assert!(!heard.is_suspect(at(60_000), BEAT, 3, 1), "nothing came from anybody");
     heard.note(at(60_000), BEAT, [2]);
-    assert!(!heard.is_stale(at(60_100), BEAT, 3, 1), "the feed has only just come back");
+    assert!(!heard.is_suspect(at(60_100), BEAT, 3, 1), "the feed has only just come back");
     for beat in 1..=4 {
         heard.note(at(60_000 + 1200 * beat), BEAT, [2]);
     }
-    assert!(heard.is_stale(at(64_800), BEAT, 3, 1));
+    assert!(heard.is_suspect(at(64_800), BEAT, 3, 1));
 }
--- a/crates/scale/src/demo.rs
+++ b/crates/scale/src/demo.rs
@@ -18,9 +18,9 @@
 const EDGES: usize = 2;
 const ENDPOINTS: usize = 4;
 /// A stream that takes longer has failed.
-const STREAM_MOST: Duration = Duration::from_secs(8);
+const MAX_STREAM: Duration = Duration::from_secs(8);
 /// The fleet is given up if it does not serve by then.
-const START_MOST: Duration = Duration::from_secs(20);
+const START_TIMEOUT: Duration = Duration::from_secs(20);
 const AGAIN: Duration = Duration::from_millis(100);
 
 /// What clients saw in a second.
@@ -62,8 +62,8 @@
     let fronts: Vec<SocketAddrV4> = (0..EDGES).map(|edge| machines.front(edge)).collect();
     let began = Instant::now();
     while stream(fronts[0], 0).await.is_none() || stream(fronts[1], 0).await.is_none() {
-        if began.elapsed() > START_MOST {
-            return Err(format!("the fleet does not serve after {} s", START_MOST.as_secs()));
+        if began.elapsed() > START_TIMEOUT {
+            return Err(format!("the fleet does not serve after {} s", START_TIMEOUT.as_secs()));
         }
         sleep(AGAIN).await;
     }
@@ -132,7 +132,7 @@
         .header("x-model", "m")
         .header("x-token-count", "4000,60")
         .header("x-prompt-prefix", format!("{shared:08x}:3000,{number:08x}:1000"))
-        .header("x-time-budget-ms", STREAM_MOST.as_millis().to_string())
+        .header("x-time-budget-ms", MAX_STREAM.as_millis().to_string())
         .body(Full::new(Bytes::from_static(b"a prompt")))
         .ok()?;
     let answer = async {
@@ -148,5 +148,5 @@
         }
         first
     };
-    timeout(STREAM_MOST, answer).await.ok()?
+    timeout(MAX_STREAM, answer).await.ok()?
 }
--- a/crates/scale/src/operator.rs
+++ b/crates/scale/src/operator.rs
@@ -12,15 +12,15 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// A call that takes longer has failed.
-const CALL_MOST: Duration = Duration::from_secs(2);
+const MAX_CALL: Duration = Duration::from_secs(2);
 /// Wait before a call is made again.
 const AGAIN: Duration = Duration::from_millis(50);
 /// An order that is not clear by then has failed.
-const ORDER_MOST: Duration = Duration::from_secs(20);
+const MAX_ORDER: Duration = Duration::from_secs(20);
 
 /// A connection for calls.
 pub async fn connect(to: SocketAddrV4) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = timeout(CALL_MOST, TcpStream::connect(to)).await.ok()?.ok()?;
+    let stream = timeout(MAX_CALL, TcpStream::connect(to)).await.ok()?.ok()?;
     let _ = stream.set_nodelay(true); // calls only take longer without it
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     spawn_local(async move {
@@ -42,7 +42,7 @@
         request = request.header("x-base-version", base);
     }
     let request = request.body(Full::new(Bytes::from(body))).ok()?;
-    let response = timeout(CALL_MOST, sender.send_request(request)).await.ok()?.ok()?;
+    let response = timeout(MAX_CALL, sender.send_request(request)).await.ok()?.ok()?;
     let status = response.status();
     response.into_body().collect().await.ok()?;
     Some(status)
@@ -50,7 +50,7 @@
 
 /// Sends an order to one member after another, unchanged, until there is a clear answer.
 pub async fn order(members: &[SocketAddrV4], base: u64, body: &str) -> Result<StatusCode, String> {
-    let until = Instant::now() + ORDER_MOST;
+    let until = Instant::now() + MAX_ORDER;
     for member in members.iter().cycle() {
         if let Some(mut sender) = connect(*member).await
             && let Some(status) =
@@ -64,7 +64,7 @@
         }
         sleep(AGAIN).await;
     }
-    Err(format!("no clear answer to an order within {} s", ORDER_MOST.as_secs()))
+    Err(format!("no clear answer to an order within {} s", MAX_ORDER.as_secs()))
 }
 
 /// A configuration with a route for streams and so many more.
--- a/crates/scale/src/sizes.rs
+++ b/crates/scale/src/sizes.rs
@@ -6,7 +6,7 @@
 use crate::slope;
 use hdrhistogram::Histogram;
 use runtrack_link::slog::{Discard, Logger, o};
-use runtrack_link::{Hub, dial_for_ever};
+use runtrack_link::{Gossip, dial_for_ever};
 use runtrack_message::{EndpointState, Hello, Member, Role, WIRE_VERSION};
 use runtrack_registry::key_of;
 use std::cell::Cell;
@@ -79,7 +79,7 @@
 }
 
 struct Agent {
-    hub: Rc<Hub>,
+    gossip: Rc<Gossip>,
     /// Its links and its repeats; they end with it.
     _tasks: JoinSet<()>,
 }
@@ -91,27 +91,27 @@
         node: format!("hollow-{number}").as_str().into(),
         member: Member::none(),
     };
-    let hub = Hub::new(hello, HEARTBEAT, Logger::root(Discard, o!()), Box::new(()));
+    let gossip = Gossip::new(hello, HEARTBEAT, Logger::root(Discard, o!()), Box::new(()));
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(hub.clone().run());
+    tasks.spawn_local(gossip.clone().run());
     for member in 0..members.min(5) {
-        tasks.spawn_local(dial_for_ever(hub.clone(), machines.links(member)));
+        tasks.spawn_local(dial_for_ever(gossip.clone(), machines.links(member)));
     }
-    Agent { hub, _tasks: tasks }
+    Agent { gossip, _tasks: tasks }
 }
 
 /// Waits until each agent's copy is such; the time that each took.
 async fn reached(
     agents: &[Agent],
-    such: impl Fn(&Hub) -> bool + Clone + 'static,
+    such: impl Fn(&Gossip) -> bool + Clone + 'static,
 ) -> Result<Histogram<u64>, String> {
     let began = Instant::now();
     let mut waits = JoinSet::new();
     for agent in agents {
-        let (hub, such) = (agent.hub.clone(), such.clone());
+        let (gossip, such) = (agent.gossip.clone(), such.clone());
         waits.spawn_local(async move {
-            let mut changes = hub.changes();
-            while !such(&hub) {
+            let mut changes = gossip.changes();
+            while !such(&gossip) {
                 if changes.changed().await.is_err() {
                     return None;
                 }
@@ -145,8 +145,8 @@
         let count = BUNDLE.min(endpoints - first);
         beats.spawn_local(beat_for_ever(controls.clone(), first, count, acknowledged.clone()));
     }
-    reached(&hollow, move |hub| {
-        hub.replica().registry().len() >= endpoints && hub.replica().version() == 1
+    reached(&hollow, move |gossip| {
+        gossip.replica().registry().len() >= endpoints && gossip.replica().version() == 1
     })
     .await?;
     // A quiet stretch, for what the members spend at rest.
@@ -156,11 +156,17 @@
     let processor_at_rest = (processor(&processes)? - before).as_secs_f64() / rest / members as f64;
     let rate = (acknowledged.get() - told) as f64 / rest;
     let second = config(2, ROUTES);
-    let (change, _) =
-        tokio::join!(reached(&hollow, |hub| hub.replica().version() == 2), order(&controls, 1, &second));
+    let (change, _) = tokio::join!(
+        reached(&hollow, |gossip| gossip.replica().version() == 2),
+        order(&controls, 1, &second)
+    );
     let leaving = key_of("i-0");
-    let drained = move |hub: &Hub| {
-        hub.replica().registry().get(leaving).is_some_and(|record| record.state == EndpointState::Draining)
+    let drained = move |gossip: &Gossip| {
+        gossip
+            .replica()
+            .registry()
+            .get(leaving)
+            .is_some_and(|record| record.state == EndpointState::Draining)
     };
     let (drain, _) = tokio::join!(reached(&hollow, drained), drain_first(controls[0]));
     let memory = processes.iter().filter_map(|process| process.peak_memory().ok()).max().unwrap_or(0);
