Register: a member can take a committed value whatever it has promised

Cause: a member that missed an accept learnt the value in memory only, so its disk stayed behind. Change: Acceptor::adopt_committed writes it; the promise never goes down, and what comes late changes nothing.

--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Takes a value that is known to be committed under this ballot, and says what must be kept; nothing where it has
+    /// that value or a newer one. It doesn't matter what was promised meanwhile: a majority had accepted the value
+    /// before, so no proposer can rely on this member's not having it. The promise never goes down.
+    pub fn adopt_committed(&mut self, ballot: Ballot, value: Rc<Value>) -> Option<Durable> {
+        if self.accepted.as_ref().is_some_and(|accepted| accepted.ballot >= ballot) {
+            return None;
+        }
+        self.promised = self.promised.max(ballot);
+        let accepted = Accepted { ballot, value };
+        self.accepted = Some(accepted.clone());
+        Some(Durable::Value(accepted))
+    }
+
     fn prepare(&mut self, ballot: Ballot, have: Ballot) -> (RegisterReply, Option<Durable>) {
         if ballot < self.promised {
             return (RegisterReply::Rejected { ballot, promised: self.promised }, None);
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -11,6 +11,7 @@
 };
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
 
 /// A member by number and incarnation.
 pub fn member(at: u8, incarnation: u64) -> Member {
@@ -35,6 +36,23 @@
     cut: bool,
 }
 
+impl Node {
+    /// Writes what must not be forgotten.
+    fn keep(&mut self, durable: Option<Durable>) {
+        let incarnation = self.member.incarnation;
+        match durable {
+            Some(Durable::Promise(promised)) => {
+                self.promise = Some(PromiseRecord { incarnation, promised });
+            }
+            Some(Durable::Value(accepted)) => {
+                let value = (*accepted.value).clone();
+                self.value = Some(ValueRecord { incarnation, ballot: accepted.ballot, value });
+            }
+            None => {}
+        }
+    }
+}
+
 /// A round that sleeps between its two halves.
 pub struct Sleeping {
     round: Round,
@@ -81,20 +99,23 @@
     fn deliver(&mut self, to: Member, request: &RegisterRequest) -> Option<RegisterReply> {
         let node = self.nodes.iter_mut().find(|node| node.member == to && !node.cut)?;
         let (reply, durable) = node.acceptor.handle(request);
-        let incarnation = node.member.incarnation;
-        match durable {
-            Some(Durable::Promise(promised)) => {
-                node.promise = Some(PromiseRecord { incarnation, promised })
-            }
-            Some(Durable::Value(accepted)) => {
-                let value = (*accepted.value).clone();
-                node.value = Some(ValueRecord { incarnation, ballot: accepted.ballot, value });
-            }
-            None => {}
-        }
+        node.keep(durable);
         Some(reply)
     }
 
+    /// Tells a member what is committed; whether it had to be written.
+    pub fn adopt(&mut self, at: usize, ballot: Ballot, value: &Value) -> bool {
+        let node = &mut self.nodes[at];
+        let durable = node.acceptor.adopt_committed(ballot, Rc::new(value.clone()));
+        let written = durable.is_some();
+        node.keep(durable);
+        written
+    }
+
+    pub fn acceptor(&self, at: usize) -> &Acceptor {
+        &self.nodes[at].acceptor
+    }
+
     fn ballot(&mut self, boot: usize) -> Ballot {
         self.rounds += 1;
         Ballot { round: self.rounds, boot: boot as u64 + 1 }
