Register: rounds, members and their messages can be hashed and compared

Cause: a search over all states of the register needs to tell a state that it has met before. Change: Clone, Eq and Hash are derived for rounds, acceptors, values and requests; nothing else changes.

--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -70,7 +70,7 @@
 }
 
 /// Bytes with their length before them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct Blob {
     #[deku(assert = "*len as usize <= MAX_FRAME")]
--- a/crates/message/src/register.rs
+++ b/crates/message/src/register.rs
@@ -34,14 +34,17 @@
 
 list! {
     /// Members, in order.
+    #[derive(Hash)]
     MemberSet of Member
 }
 list! {
     /// The sets of members at each of which a majority must accept: one, or two while membership changes.
+    #[derive(Hash)]
     MemberSets of MemberSet
 }
 list! {
     /// Configurations that were taken.
+    #[derive(Hash)]
     AppliedRequests of AppliedRequest
 }
 
@@ -57,7 +60,7 @@
 }
 
 /// A configuration that was taken: an order that comes again is acknowledged again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct AppliedRequest {
     /// Its version.
@@ -67,7 +70,7 @@
 }
 
 /// What the register holds.
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct Value {
     /// One more than the value before it.
@@ -83,7 +86,7 @@
 }
 
 /// What a proposer asks of a member.
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub enum RegisterRequest {
     /// Take nothing below this ballot any more, and say what you have accepted.
@@ -109,7 +112,7 @@
 }
 
 /// What a member answers.
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub enum RegisterReply {
     /// It has promised, and has accepted nothing yet, or a value that the proposer has.
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 /// A value that was accepted.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Accepted {
     /// Under this ballot.
     pub ballot: Ballot,
@@ -14,7 +14,7 @@
 }
 
 /// A promise as it is kept on disk.
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "little")]
 pub struct PromiseRecord {
     /// Who promised.
@@ -24,7 +24,7 @@
 }
 
 /// An accepted value as it is kept on disk.
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "little")]
 pub struct ValueRecord {
     /// Who accepted it.
@@ -36,7 +36,7 @@
 }
 
 /// What must be on disk before the reply goes out.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Durable {
     /// A promise.
     Promise(Ballot),
@@ -45,7 +45,7 @@
 }
 
 /// One incarnation of a member.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Acceptor {
     incarnation: u64,
     promised: Ballot,
--- a/crates/register/src/change.rs
+++ b/crates/register/src/change.rs
@@ -8,7 +8,7 @@
 const MAX_APPLIED_REQUESTS: usize = 512;
 
 /// An operator's order: a whole configuration on top of a version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ReplaceConfig {
     /// The version that it builds on; 0 for the first.
     pub base: u64,
@@ -21,7 +21,7 @@
 }
 
 /// What a round found out about an order. It may be told once the round has ended well, not before.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ReplaceAnswer {
     /// It is, or was, in force.
     Applied,
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -15,7 +15,7 @@
 }
 
 /// How a round ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// Nothing was ever written, as of this round.
     Empty,
@@ -33,7 +33,7 @@
 pub type Send = (Member, RegisterRequest);
 
 /// What a reply brought about.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Progress {
     /// Send these, and wait for replies.
     Send(Vec<Send>),
@@ -42,7 +42,7 @@
 }
 
 /// Why a value is sent out.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Kind {
     /// It is this round's own.
     Own,
@@ -52,12 +52,14 @@
     Settling,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Phase {
     Preparing,
     Accepting { value: Rc<Value>, kind: Kind, sets: Vec<BTreeSet<Member>>, accepted: BTreeSet<Member> },
 }
 
 /// One try of a proposer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Round {
     ballot: Ballot,
     known: Option<(Ballot, Rc<Value>)>,
