Controllers prove by probes that they reach a majority of the members

Cause: a member that is cut off goes on as if it knew what is in force; nothing tells it that it is alone. Change: messages 20 to 22; a table of proven contact as of the probe's sending, free of I/O; probes every 250 ms; agents are told.

--- /dev/null
+++ b/crates/controller/src/contact.rs
@@ -0,0 +1,222 @@
+//! Contact with a majority of the members, proven by probes: see [`ContactTable`].
+//!
+//! It bounds how old what this process knows can be while it answers. It gives no exclusive right: operations of the
+//! register still take their rounds.
+
+use crate::member::MemberTask;
+use crate::proposer::Proposer;
+use runtrack_link::{Gossip, Session};
+use runtrack_message::{Ballot, CONTACT_WIRE_VERSION, Member, Message, ProbeReply, Role};
+use runtrack_net::mutant;
+use runtrack_register::sets_of;
+use runtrack_ring::{ContactTable, ContactTimes};
+use slog::info;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+/// Each other controller is probed this often.
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Contact that was proven within this time is current.
+pub const CONTACT_LEASE: Duration = Duration::from_millis(800);
+/// A member that was not reached for longer than this is suspect.
+pub const SUSPICION_TIME: Duration = Duration::from_millis(2500);
+
+/// Whom this controller is in contact with.
+pub struct MajorityContact {
+    gossip: Rc<Gossip>,
+    proposer: Rc<Proposer>,
+    member: Rc<MemberTask>,
+    /// Members before the first value.
+    first: BTreeSet<Member>,
+    table: RefCell<ContactTable<Member>>,
+    /// What others have on disk, as they said last.
+    accepted: RefCell<BTreeMap<Member, Ballot>>,
+    /// What agents were told last.
+    told: Cell<bool>,
+    proven: Notify,
+}
+
+impl MajorityContact {
+    /// In contact with nobody.
+    pub fn new(
+        gossip: Rc<Gossip>,
+        proposer: Rc<Proposer>,
+        member: Rc<MemberTask>,
+        first: BTreeSet<Member>,
+    ) -> Rc<Self> {
+        let times = ContactTimes { lease: CONTACT_LEASE, suspicion: SUSPICION_TIME };
+        let table = ContactTable::new(gossip.me().member, times, fastrand::u64(..));
+        Rc::new(MajorityContact {
+            gossip,
+            proposer,
+            member,
+            first,
+            table: RefCell::new(table),
+            accepted: RefCell::default(),
+            told: Cell::new(false),
+            proven: Notify::new(),
+        })
+    }
+
+    /// The sets at each of which a majority must be in contact: of the newest value that this process knows of.
+    fn sets(&self) -> Vec<BTreeSet<Member>> {
+        let known = self.proposer.known();
+        let accepted = self.member.accepted().map(|accepted| (accepted.ballot, accepted.value));
+        let newest = known.into_iter().chain(accepted).max_by_key(|(ballot, _)| *ballot);
+        let replica = self.gossip.replica();
+        let told = replica.members();
+        match newest {
+            Some((_, value)) if value.sequence >= told.sequence => sets_of(&value),
+            _ if told.sequence > 0 => vec![told.set.clone()],
+            _ => vec![self.first.clone()],
+        }
+    }
+
+    /// The members in force, as far as this process knows.
+    fn members(&self) -> BTreeSet<Member> {
+        self.sets().pop().unwrap_or_default()
+    }
+
+    /// Whether this process is in contact with a majority of the members.
+    pub fn is_current(&self) -> bool {
+        self.table.borrow().is_current(self.gossip.now(), &self.sets())
+    }
+
+    #[expect(dead_code, reason = "the membership does not ask for it yet")]
+    /// The ballot of the value that another member has on disk, as it said last.
+    pub fn peer_accepted(&self, member: &Member) -> Option<Ballot> {
+        self.accepted.borrow().get(member).copied()
+    }
+
+    #[expect(dead_code, reason = "the membership does not ask for it yet")]
+    /// Whether a majority of the members, this one included, has had no contact with a member for longer than
+    /// [`SUSPICION_TIME`].
+    pub fn suspected_by_majority(&self, member: &Member) -> bool {
+        let members = self.members();
+        self.table.borrow_mut().is_suspected_by_majority(self.gossip.now(), &members, member)
+    }
+
+    /// Waits until this process is not in contact.
+    pub async fn lost(&self) {
+        while let Some(left) = self.time_left() {
+            sleep(left).await;
+        }
+    }
+
+    /// How long contact lasts if nothing more is proven; nothing where there is none.
+    fn time_left(&self) -> Option<Duration> {
+        let until = self.table.borrow().majority_until(&self.sets())?;
+        // One millisecond is the resolution of the timer; a contact that ends now still counts now.
+        let left = until.checked_sub(self.gossip.now())?;
+        Some(left.saturating_add(Duration::from_millis(1)).min(CONTACT_LEASE))
+    }
+
+    /// Answers another controller's probe.
+    pub fn on_probe(&self, session: &Session, number: u64) {
+        let members = self.members();
+        let unreachable = self.table.borrow_mut().unreachable(self.gossip.now(), &members);
+        let accepted = self.member.durable_accepted();
+        session.send(&Message::ProbeReply(ProbeReply {
+            number,
+            accepted,
+            unreachable: unreachable.into(),
+        }));
+        if mutant("contact_of_one_side") {
+            self.prove_without_asking(session);
+        }
+    }
+
+    /// A probe was answered.
+    pub fn on_reply(&self, session: &Session, reply: ProbeReply) {
+        let Some(from) = controller_at(session) else { return };
+        let unreachable = reply.unreachable.into_vec().into_iter().collect();
+        let now = self.gossip.now();
+        let proves = self.table.borrow_mut().on_reply(now, &from, reply.number, unreachable);
+        if !proves {
+            return;
+        }
+        if mutant("contact_as_of_the_reply") {
+            self.prove_without_asking(session);
+        }
+        let mut accepted = self.accepted.borrow_mut();
+        let newest = accepted.entry(from).or_default();
+        *newest = (*newest).max(reply.accepted);
+        self.proven.notify_one();
+    }
+
+    /// A planted error: contact counts as of now, whenever it was asked for.
+    fn prove_without_asking(&self, session: &Session) {
+        let Some(from) = controller_at(session) else { return };
+        let now = self.gossip.now();
+        let mut table = self.table.borrow_mut();
+        let number = table.probe(now, &from);
+        table.on_reply(now, &from, number, BTreeSet::new());
+    }
+
+    /// Tells a new agent whether this process is in contact.
+    pub fn on_agent_connect(&self, session: &Session) {
+        if session.peer_wire() >= CONTACT_WIRE_VERSION {
+            session.send(&Message::MajorityContact(self.is_current()));
+        }
+    }
+
+    fn probe_all(&self) {
+        let members = self.members();
+        let sets: BTreeSet<Member> = self.sets().into_iter().flatten().collect();
+        self.table.borrow_mut().watch(self.gossip.now(), &sets);
+        let sessions = self.gossip.peers(Role::Controller);
+        self.accepted.borrow_mut().retain(|member, _| {
+            members.contains(member)
+                || sessions.iter().any(|session| controller_at(session) == Some(*member))
+        });
+        for session in sessions.iter().filter(|session| session.peer_wire() >= CONTACT_WIRE_VERSION) {
+            if let Some(member) = controller_at(session) {
+                let number = self.table.borrow_mut().probe(self.gossip.now(), &member);
+                session.send(&Message::Probe(number));
+            }
+        }
+    }
+
+    /// Tells the log and the agents where contact was lost or is back.
+    fn tell_changes(&self) {
+        let current = self.is_current();
+        if self.told.replace(current) == current {
+            return;
+        }
+        if current {
+            info!(self.gossip.logger(), "contact.majority");
+        } else {
+            info!(self.gossip.logger(), "contact.lost"; "members" => self.members().len());
+        }
+        for session in self.gossip.peers(Role::Agent) {
+            if session.peer_wire() >= CONTACT_WIRE_VERSION {
+                session.send(&Message::MajorityContact(current));
+            }
+        }
+    }
+
+    /// Probes the other controllers and tells of changes, for as long as the process runs.
+    pub async fn run(self: Rc<Self>) {
+        let mut ticks = interval(PROBE_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.probe_all(),
+                () = self.proven.notified() => {}
+                () = self.lost(), if self.told.get() => {}
+            }
+            self.tell_changes();
+        }
+    }
+}
+
+/// The controller at the other side of a link that this process dialled, once it has said who it is.
+fn controller_at(session: &Session) -> Option<Member> {
+    let peer = session.peer.borrow();
+    let member = peer.as_ref().filter(|peer| peer.role == Role::Controller)?.member;
+    (session.dialled == Some(member.address())).then_some(member)
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 mod backlog;
+mod contact;
 mod disk;
 mod endpoints;
 mod member;
@@ -11,6 +12,7 @@
 
 use crate::api::Api;
 use crate::backlog::Backlogs;
+use crate::contact::MajorityContact;
 use crate::disk::Disk;
 use crate::endpoints::Endpoints;
 use crate::member::MemberTask;
@@ -39,6 +41,7 @@
     membership: OnceCell<Rc<Membership>>,
     endpoints: OnceCell<Rc<Endpoints>>,
     backlogs: OnceCell<Rc<Backlogs>>,
+    contact: OnceCell<Rc<MajorityContact>>,
 }
 
 struct Routing(Rc<Parts>);
@@ -46,9 +49,13 @@
 impl MessageHandler for Routing {
     fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
         let parts = &self.0;
-        let (Some(member), Some(proposer), Some(membership), Some(endpoints)) =
-            (parts.member.get(), parts.proposer.get(), parts.membership.get(), parts.endpoints.get())
-        else {
+        let (Some(member), Some(proposer), Some(membership), Some(endpoints), Some(contact)) = (
+            parts.member.get(),
+            parts.proposer.get(),
+            parts.membership.get(),
+            parts.endpoints.get(),
+            parts.contact.get(),
+        ) else {
             return;
         };
         match message {
@@ -65,6 +72,8 @@
                 session.send(&Message::Confirmed(number));
             }
             Message::Confirmed(number) => endpoints.confirmed(number, session),
+            Message::Probe(number) => contact.on_probe(session, number),
+            Message::ProbeReply(reply) => contact.on_reply(session, reply),
             Message::HeartbeatRelay(keys) => endpoints.relayed(keys.items()),
             Message::OwnBacklog(part) => {
                 if let Some(backlogs) = parts.backlogs.get() {
@@ -77,7 +86,10 @@
 
     fn on_connect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
         let agent = session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Agent);
-        if let Some(endpoints) = self.0.endpoints.get().filter(|_| agent) {
+        if let (true, Some(endpoints), Some(contact)) =
+            (agent, self.0.endpoints.get(), self.0.contact.get())
+        {
+            contact.on_agent_connect(session);
             endpoints.greet(session);
         }
     }
@@ -111,7 +123,8 @@
     let gossip = Gossip::new(hello, node.heartbeat, logger.clone(), Box::new(Routing(parts.clone())));
     let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
     let member = MemberTask::start(acceptor, disk, logger.clone());
-    let proposer = Proposer::new(gossip.clone(), member.clone(), me, first);
+    let proposer = Proposer::new(gossip.clone(), member.clone(), me, first.clone());
+    let contact = MajorityContact::new(gossip.clone(), proposer.clone(), member.clone(), first);
     let membership = Membership::new(
         gossip.clone(),
         proposer.clone(),
@@ -127,6 +140,7 @@
     let _ = parts.endpoints.set(endpoints.clone());
     let backlogs = Backlogs::new(gossip.clone());
     let _ = parts.backlogs.set(backlogs.clone());
+    let _ = parts.contact.set(contact.clone());
     spawn_local(backlogs.run());
     listen(gossip.clone(), address).await.map_err(|error| format!("listen: {address}: {error}"))?;
     let api = Api::new(gossip.clone(), proposer.clone(), endpoints.clone());
@@ -134,6 +148,7 @@
     spawn_local(gossip.clone().run());
     spawn_local(proposer.clone().run());
     spawn_local(membership.clone().run());
+    spawn_local(contact.run());
     spawn_local(endpoints.run(node.heartbeat));
     loop {
         tokio::select! {
--- a/crates/controller/src/member.rs
+++ b/crates/controller/src/member.rs
@@ -1,7 +1,7 @@
 //! This process as a member of the register: requests one after another, each on disk before its reply goes out.
 
 use crate::disk::Disk;
-use runtrack_message::{RegisterReply, RegisterRequest};
+use runtrack_message::{Ballot, RegisterReply, RegisterRequest};
 use runtrack_register::{Accepted, Acceptor, Durable};
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
@@ -21,14 +21,21 @@
     acceptor: RefCell<Acceptor>,
     queue: UnboundedSender<Asked>,
     durable: Cell<bool>,
+    /// Ballot of the value that is on disk; zero for none.
+    durable_accepted: Cell<Ballot>,
 }
 
 impl MemberTask {
     /// Starts to take requests.
     pub fn start(acceptor: Acceptor, disk: Disk, logger: Logger) -> Rc<Self> {
         let (queue, asked) = unbounded_channel();
-        let task =
-            Rc::new(MemberTask { acceptor: RefCell::new(acceptor), queue, durable: Cell::new(false) });
+        let recovered = acceptor.accepted().map(|accepted| accepted.ballot).unwrap_or_default();
+        let task = Rc::new(MemberTask {
+            acceptor: RefCell::new(acceptor),
+            queue,
+            durable: Cell::new(false),
+            durable_accepted: Cell::new(recovered),
+        });
         spawn_local(task.clone().run(disk, asked, logger));
         task
     }
@@ -49,6 +56,11 @@
         self.acceptor.borrow().accepted().cloned()
     }
 
+    /// Ballot of the value that it has on disk; zero for none.
+    pub fn durable_accepted(&self) -> Ballot {
+        self.durable_accepted.get()
+    }
+
     async fn run(self: Rc<Self>, disk: Disk, mut asked: UnboundedReceiver<Asked>, logger: Logger) {
         let (incarnation, promised) =
             (self.acceptor.borrow().incarnation(), self.acceptor.borrow().promised());
@@ -63,7 +75,12 @@
                 reply(answer);
                 continue;
             };
+            let accepted = match &durable {
+                Durable::Value(accepted) => accepted.ballot,
+                Durable::Promise(_) => self.durable_accepted.get(),
+            };
             if disk.keep(before.incarnation(), durable).await {
+                self.durable_accepted.set(accepted);
                 reply(answer);
             } else {
                 // What is not on disk was never promised: the others are a majority without this member.
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -74,6 +74,11 @@
         self.peer.borrow().as_ref().map(|peer| peer.node.as_string())
     }
 
+    /// Version of the messages that the other side reads; 0 before it has said so.
+    pub fn peer_wire(&self) -> u16 {
+        self.peer.borrow().as_ref().map_or(0, |peer| peer.wire)
+    }
+
     /// When the other side was last heard.
     pub fn heard(&self) -> Instant {
         self.heard.get()
--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -4,9 +4,11 @@
 //! A link begins with a [`Hello`] in both directions, which carries [`WIRE_VERSION`]. A process reads messages of its
 //! own version and of the one before; unknown kinds are skipped by the reader (see [`decode`]).
 
+mod contact;
 mod endpoint;
 mod register;
 
+pub use contact::ProbeReply;
 pub use endpoint::{Endpoint, EndpointState, Model};
 pub use register::{
     AppliedRequest, AppliedRequests, Ballot, Member, MemberSet, MemberSets, RegisterReply, RegisterRequest,
@@ -17,7 +19,9 @@
 use quick_error::quick_error;
 
 /// Version of the messages.
-pub const WIRE_VERSION: u16 = 1;
+pub const WIRE_VERSION: u16 = 2;
+/// The first version whose processes read `Probe`, `ProbeReply` and `MajorityContact`: older ones are not sent them.
+pub const CONTACT_WIRE_VERSION: u16 = 2;
 /// The longest frame that is read or written: a configuration of some ten thousand routes.
 pub const MAX_FRAME: usize = 16 << 20;
 /// The longest text in a message.
@@ -279,6 +283,15 @@
     /// What they have to read of all proxies' requests.
     #[deku(id = "19")]
     FleetBacklog(Backlog),
+    /// Asks another controller to answer at once, with the number that its answer carries.
+    #[deku(id = "20")]
+    Probe(u64),
+    /// Its answer.
+    #[deku(id = "21")]
+    ProbeReply(ProbeReply),
+    /// Whether the speaking controller is in contact with a majority of the members.
+    #[deku(id = "22")]
+    MajorityContact(bool),
 }
 
 /// A message as the payload of a frame.
--- a/crates/message/tests/wire.rs
+++ b/crates/message/tests/wire.rs
@@ -64,6 +64,13 @@
         Message::Leave(member(4)),
         Message::Ping,
         Message::HeartbeatRelay(vec![7].into()),
+        Message::Probe(9),
+        Message::ProbeReply(ProbeReply {
+            number: 9,
+            accepted: ballot,
+            unreachable: vec![member(3)].into(),
+        }),
+        Message::MajorityContact(true),
     ]
 }
 
@@ -110,7 +117,7 @@
     }
 
     #[test]
-    fn a_spoilt_message_does_no_harm(which in 0..24usize, at in any::<prop::sample::Index>(), with in any::<u8>()) {
+    fn a_spoilt_message_does_no_harm(which in 0..samples().len(), at in any::<prop::sample::Index>(), with in any::<u8>()) {
         let mut bytes = encode(&samples()[which]).expect("it can be written");
         let at = at.index(bytes.len());
         bytes[at] = with;
--- a/crates/ring/src/lib.rs
+++ b/crates/ring/src/lib.rs
@@ -1,9 +1,14 @@
 //! Who does what, by hashing alone: every process that knows the same members names the same ones, and where one
-//! comes or goes only its share moves. No I/O.
+//! comes or goes only its share moves; and who is in contact with whom. No I/O.
 //!
 //! [`Ring`] is consistent hashing (Karger and others, 1997) with several points a member: it names the watchers of a
 //! process. [`rendezvous`] is highest-random-weight hashing (Thaler and Ravishankar, 1998): it names the owner of a
-//! key, such as the home of a prompt's parts.
+//! key, such as the home of a prompt's parts. [`ContactTable`] says whether a process has reached a majority of the
+//! members within a bound, and whom a majority has not reached.
+
+mod contact;
+
+pub use contact::{ContactTable, ContactTimes};
 
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
