Proxy: an answer counts only with the request's own id

Cause: an answer without X-Attempt-Id was passed on as the request's, and a promise (X-Not-Executed, 421) was believed whatever it was about; PROTOCOL has every answer carry the id, so one without is a stray. Change: judge.rs takes a head as the answer only if it carries the request's id and no other; else the connection goes and the outcome is unknown. A request without an id has a connection of its own, and its answer must carry none. The tests' endpoint now carries the id back; one answer written out in a test got its id line, so that it still tests the cut.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt: a request on its way to one endpoint, up to the head of its answer.
 
-use crate::headers::{ATTEMPT_ID, LAST_EVENT_ID, NOT_EXECUTED, PRIORITY, TARGET, TIME_BUDGET};
-use crate::pool::{Connection, Connections, NoConnection};
+use crate::headers::{LAST_EVENT_ID, PRIORITY, TARGET, TIME_BUDGET};
+use crate::judge::{Judgement, judge};
+use crate::pool::{Connection, Connections, NoConnection, Reuse};
 use crate::state::{State, Target};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, Uri};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -36,7 +37,18 @@
     pub deadline: Instant,
 }
 
-/// An answer that has response_started.
+impl Outgoing {
+    /// Which idle connections it may go out on.
+    pub fn reuse(&self) -> Reuse {
+        match (&self.id, self.idempotent) {
+            (None, _) => Reuse::None,
+            (_, false) => Reuse::RecentlyUsed,
+            (_, true) => Reuse::Any,
+        }
+    }
+}
+
+/// An answer that has begun.
 pub struct ResponseStarted {
     /// Its head and what comes of its body.
     pub response: Response<Incoming>,
@@ -79,7 +91,7 @@
 ) -> Result<ResponseStarted, AttemptError> {
     loop {
         let proxies = state.router().proxies();
-        let taken = connections.take(target, outgoing.idempotent, limit, proxies, outgoing.deadline).await;
+        let taken = connections.take(target, outgoing.reuse(), limit, proxies, outgoing.deadline).await;
         let mut connection = taken.map_err(|none| {
             AttemptError::unsent(match none {
                 NoConnection::Full => Outcome::Full,
@@ -104,7 +116,7 @@
                 continue;
             }
             Ok(Err(_)) => Err(AttemptError::sent(Outcome::Reset)),
-            Ok(Ok(response)) => judge(outgoing, response, connection),
+            Ok(Ok(response)) => accept(outgoing, response, connection),
         };
     }
 }
@@ -132,21 +144,15 @@
     Some(request)
 }
 
-/// Whether an answer is this request's, and is one to be passed on.
-fn judge(
+/// What comes of an attempt whose answer has begun.
+fn accept(
     outgoing: &Outgoing,
     response: Response<Incoming>,
     connection: Connection,
 ) -> Result<ResponseStarted, AttemptError> {
-    let headers = response.headers();
-    // A surplus answer in the place of the next one: what became of this request is not known.
-    if let (Some(own), Some(theirs)) = (&outgoing.id, headers.get(ATTEMPT_ID))
-        && own != theirs
-    {
-        return Err(AttemptError::sent(Outcome::Reset));
-    }
-    if headers.contains_key(NOT_EXECUTED) || response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptError::sent(Outcome::Full));
+    match judge(outgoing, &response) {
+        Judgement::Answer => Ok(ResponseStarted { response, connection }),
+        Judgement::NeverRan => Err(AttemptError::sent(Outcome::Full)),
+        Judgement::Unknown(outcome) => Err(AttemptError::sent(outcome)),
     }
-    Ok(ResponseStarted { response, connection })
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod headers;
 mod ingress;
+mod judge;
 mod pool;
 mod prompt;
 mod relay;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -58,6 +58,27 @@
     owned: Rc<RefCell<Owned>>,
 }
 
+/// Which idle connections a request may go out on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any that its endpoint still keeps.
+    Any,
+    /// One that was used a short while ago.
+    RecentlyUsed,
+    /// None: a connection of its own.
+    None,
+}
+
+impl Reuse {
+    fn longest_idle(self) -> Option<Duration> {
+        match self {
+            Reuse::Any => Some(Duration::MAX),
+            Reuse::RecentlyUsed => Some(IDLE_UNREPEATABLE),
+            Reuse::None => None,
+        }
+    }
+}
+
 /// Why there is no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoConnection {
@@ -78,12 +99,12 @@
     pub async fn take(
         &self,
         target: &Target,
-        idempotent: bool,
+        reuse: Reuse,
         limit: u32,
         proxies: u32,
         until: Instant,
     ) -> Result<Connection, NoConnection> {
-        if let Some(connection) = self.take_idle(target.key, idempotent) {
+        if let Some(connection) = self.take_idle(target.key, reuse) {
             return Ok(connection);
         }
         let owner = self.endpoints.borrow_mut().entry(target.key).or_default().owned.clone();
@@ -113,12 +134,12 @@
         })
     }
 
-    fn take_idle(&self, key: EndpointId, idempotent: bool) -> Option<Connection> {
+    fn take_idle(&self, key: EndpointId, reuse: Reuse) -> Option<Connection> {
+        let longest = reuse.longest_idle()?;
         let mut endpoints = self.endpoints.borrow_mut();
         let idle = &mut endpoints.get_mut(&key)?.idle;
         while let Some(connection) = idle.pop() {
-            let most =
-                if idempotent { connection.idle_most } else { connection.idle_most.min(IDLE_UNREPEATABLE) };
+            let most = connection.idle_most.min(longest);
             if connection.sender.is_ready() && connection.idle_since.elapsed() < most {
                 return Some(connection);
             }
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -4,7 +4,7 @@
 use crate::events::EventTracker;
 use crate::forward::{AttemptState, Call, Forwarder, Reply, Running, TruncatedResponse};
 use crate::headers::{closes, keep_alive, remove_hop_headers};
-use crate::pool::Connection;
+use crate::pool::{Connection, Reuse};
 use crate::relay::{BodyAborted, StreamSender, next_bytes, stream, whole};
 use bytes::{Bytes, BytesMut};
 use http_body_util::Either;
@@ -59,12 +59,12 @@
         let failed = running.response_started.response.status().is_server_error();
         running.counted.outcome = if failed { Outcome::Error } else { Outcome::Ok };
         let headers = std::mem::take(running.response_started.response.headers_mut());
-        self.keep(running.counted.key, running.response_started.connection, &headers);
+        self.keep(call, running.counted.key, running.response_started.connection, &headers);
         Ok(head.map(|()| whole(read.freeze())))
     }
 
-    fn keep(&self, key: EndpointId, connection: Connection, headers: &HeaderMap) {
-        if !closes(headers) {
+    fn keep(&self, call: &Call, key: EndpointId, connection: Connection, headers: &HeaderMap) {
+        if !closes(headers) && call.outgoing.reuse() != Reuse::None {
             self.connections.put_back(key, connection, keep_alive(headers));
         }
     }
@@ -92,7 +92,7 @@
                 }
                 Ok(None) => {
                     let head = reply_head(&running);
-                    self.end_stream(running);
+                    self.end_stream(call, running);
                     return Ok(head.map(|()| whole(Bytes::new())));
                 }
                 Ok(Some(Err(BodyAborted))) | Err(_) => {
@@ -119,10 +119,10 @@
         reply
     }
 
-    fn end_stream(&self, mut running: Running) {
+    fn end_stream(&self, call: &Call, mut running: Running) {
         running.counted.outcome = Outcome::Ok;
         let headers = std::mem::take(running.response_started.response.headers_mut());
-        self.keep(running.counted.key, running.response_started.connection, &headers);
+        self.keep(call, running.counted.key, running.response_started.connection, &headers);
     }
 
     /// Passes a stream on to its end, over several endpoints if need be.
@@ -145,7 +145,7 @@
                         // Whatever it is, it is what the endpoint ended its answer with.
                         let _ = sender.send(Ok(Bytes::copy_from_slice(events.partial()))).await;
                     }
-                    return self.end_stream(running);
+                    return self.end_stream(&call, running);
                 }
                 Err(outcome) => running.counted.outcome = outcome,
             }
--- /dev/null
+++ b/crates/proxy/tests/answers.rs
@@ -0,0 +1,84 @@
+//! What comes from an endpoint in the place of an answer: only what is this request's answer, whole, reaches a client.
+
+mod support;
+
+use hyper::StatusCode;
+use support::scenarios::{self, Observed};
+use support::{answer_with, route, run};
+
+fn routes() -> Vec<String> {
+    vec![route("once", "non_idempotent", 3, false), route("again", "idempotent", 3, false)]
+}
+
+/// Heads that are no answer to the request, or whose promise counts for nothing: what happened to it is unknown.
+fn unknown_answers() -> Vec<(&'static str, String)> {
+    let with = |status: &str, headers: &str| {
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 4\r\n\r\nbody")
+    };
+    let seal = "X-Server-Seal: s1\r\n";
+    let id = support::ID_LINE;
+    let ours = format!("{id}{seal}");
+    vec![
+        ("no id", with("200 OK", seal)),
+        ("another id", with("200 OK", &format!("X-Attempt-Id: other\r\n{seal}"))),
+        ("two ids", with("200 OK", &format!("{ours}X-Attempt-Id: other\r\n"))),
+        ("a promise without an id", with("503 Service Unavailable", "X-Not-Executed: 1\r\n")),
+        (
+            "a promise to another",
+            with("429 Too Many Requests", "X-Attempt-Id: other\r\nX-Not-Executed: 1\r\n"),
+        ),
+        ("misdirected without an id", with("421 Misdirected Request", seal)),
+    ]
+}
+
+#[test]
+fn what_is_no_answer_to_the_request_is_unknown_and_not_repeated() {
+    run(async {
+        for (name, bytes) in unknown_answers() {
+            let seen = scenarios::spoilt_answer_once(&bytes, None).await;
+            assert_eq!(
+                seen,
+                Observed { status: StatusCode::BAD_GATEWAY, body: scenarios::FAILED.into(), runs: 1 },
+                "{name}"
+            );
+        }
+    });
+}
+
+#[test]
+fn what_is_no_answer_to_the_request_is_asked_for_elsewhere_where_it_may_be() {
+    run(async {
+        for (name, bytes) in unknown_answers() {
+            let seen = scenarios::spoilt_answer_again(&bytes, None).await;
+            assert_eq!(seen, Observed { status: StatusCode::OK, body: "fine".into(), runs: 2 }, "{name}");
+        }
+    });
+}
+
+#[test]
+fn a_request_without_an_id_has_a_connection_of_its_own() {
+    run(async {
+        let stand = support::Stand::start("i-1", vec![]).await;
+        let fleet = support::Fleet::start(&routes(), &[&stand]).await;
+        assert_eq!(fleet.ask("/once/x", "a1", &[], "x").await.status, StatusCode::OK);
+        assert_eq!(fleet.ask("/once/x", "", &[], "x").await.status, StatusCode::OK);
+        assert_eq!(fleet.ask("/once/x", "", &[], "x").await.status, StatusCode::OK);
+        assert_eq!(stand.connections.get(), 3, "no answer to an earlier request can stand in its place");
+        assert_eq!(fleet.ask("/once/x", "a2", &[], "x").await.status, StatusCode::OK);
+        assert_eq!(stand.connections.get(), 3);
+    });
+}
+
+#[test]
+fn an_endpoints_refusal_of_a_request_without_an_id_is_a_promise() {
+    run(async {
+        let refused = vec![answer_with("400 Bad Request", "X-Not-Executed: 1\r\n", "")];
+        let stand = support::Stand::start("i-1", vec![refused]).await;
+        let fleet = support::Fleet::start(&routes(), &[&stand]).await;
+        assert_eq!(fleet.ask("/once/x", "", &[], "x").await.status, StatusCode::SERVICE_UNAVAILABLE);
+        let other = vec![answer_with("200 OK", "X-Attempt-Id: other\r\n", "not yours")];
+        let stand = support::Stand::start("i-1", vec![other]).await;
+        let fleet = support::Fleet::start(&routes(), &[&stand]).await;
+        assert_eq!(fleet.ask("/once/x", "", &[], "x").await.status, StatusCode::BAD_GATEWAY);
+    });
+}
--- a/crates/proxy/tests/attempts.rs
+++ b/crates/proxy/tests/attempts.rs
@@ -5,7 +5,7 @@
 use hyper::StatusCode;
 use runtrack_message::{EndpointState, Message};
 use std::rc::Rc;
-use support::{Act, Fleet, Stand, answer, answer_with, not_executed, route, run};
+use support::{Act, Fleet, ID_LINE, Stand, answer, answer_with, not_executed, route, run};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
@@ -72,7 +72,9 @@
     run(async {
         let cut = || {
             vec![
-                Act::Send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 9\r\n\r\nhalf".into()),
+                Act::Send(format!(
+                    "HTTP/1.1 200 OK\r\n{ID_LINE}X-Server-Seal: s\r\nContent-Length: 9\r\n\r\nhalf"
+                )),
                 Act::Close,
             ]
         };
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A built proxy between an agent, endpoints and clients of the test's own, all on loopback.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod scenarios;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -144,13 +146,14 @@
     let mut read = Vec::new();
     loop {
         let Some(request) = next_request(&mut stream, &mut read).await else { return };
+        let id = request.header("x-attempt-id").map(str::to_owned);
         seen.borrow_mut().push(request);
         let _ = told.send(());
         let acts = script.borrow_mut().pop_front().unwrap_or_else(|| vec![answer("200 OK", "unscripted")]);
         for act in acts {
             match act {
                 Act::Send(bytes) => {
-                    if stream.write_all(bytes.as_bytes()).await.is_err() {
+                    if stream.write_all(with_id(&bytes, id.as_deref()).as_bytes()).await.is_err() {
                         return;
                     }
                 }
@@ -175,6 +178,17 @@
     }
 }
 
+/// The line of an answer that carries the request's id back: [`Act::Send`] puts the id in, or leaves the line out where
+/// the request has none.
+pub const ID_LINE: &str = "X-Attempt-Id: {id}\r\n";
+
+fn with_id(bytes: &str, id: Option<&str>) -> String {
+    match id {
+        Some(id) => bytes.replace("{id}", id),
+        None => bytes.replace(ID_LINE, ""),
+    }
+}
+
 /// A socket whose end is a reset: unread bytes are left in it on purpose by the caller, or linger is zero.
 struct Resetting(std::net::TcpStream);
 
@@ -212,11 +226,12 @@
     answer_with(status, "", body)
 }
 
-/// A whole answer with more headers, each with its line's end.
+/// A whole answer with more headers, each with its line's end. It carries the request's id unless these name one.
 pub fn answer_with(status: &str, headers: &str, body: &str) -> Act {
     let length = body.len();
+    let id = if headers.contains("X-Attempt-Id") { "" } else { ID_LINE };
     Act::Send(format!(
-        "HTTP/1.1 {status}\r\nX-Server-Seal: s1\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+        "HTTP/1.1 {status}\r\n{id}X-Server-Seal: s1\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
     ))
 }
 
@@ -228,7 +243,7 @@
 /// The head of a stream with a seal.
 pub fn stream_head(seal: &str) -> Act {
     Act::Send(format!(
-        "HTTP/1.1 200 OK\r\nX-Server-Seal: {seal}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\n{ID_LINE}X-Server-Seal: {seal}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     ))
 }
 
@@ -293,6 +308,16 @@
 
     /// The same with more settings, each with its line's end.
     pub async fn start_with(routes: &[String], stands: &[&Stand], more: &str) -> Self {
+        Self::start_with_mutant(routes, stands, more, None).await
+    }
+
+    /// The same with an error planted in the proxy.
+    pub async fn start_with_mutant(
+        routes: &[String],
+        stands: &[&Stand],
+        more: &str,
+        mutant: Option<&str>,
+    ) -> Self {
         let ip = own_ip();
         let (front, ready) = (SocketAddrV4::new(ip, 8144), SocketAddrV4::new(ip, 8140));
         let logger = json_logger("agent-of-the-test", "test");
@@ -311,6 +336,7 @@
         std::fs::write(&settings, text).expect("the settings can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_runtrack-proxy"))
             .env("RUNTRACK_NODE_FILE", &settings)
+            .env("RUNTRACK_MUTANT", mutant.unwrap_or_default())
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -370,7 +396,10 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> Got {
-        let mut request = Request::post(path).header("host", "h.example").header("x-attempt-id", id);
+        let mut request = Request::post(path).header("host", "h.example");
+        if !id.is_empty() {
+            request = request.header("x-attempt-id", id);
+        }
         if !headers.iter().any(|(name, _)| *name == "x-time-budget-ms") {
             request = request.header("x-time-budget-ms", "8000");
         }
--- /dev/null
+++ b/crates/proxy/tests/support/scenarios.rs
@@ -0,0 +1,40 @@
+//! Situations that a test runs as they are, and once more with an error planted in the proxy, which it must notice.
+
+use super::{Act, Fleet, Script, Stand, answer, route};
+use hyper::StatusCode;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// The body of the proxy's own answer where an endpoint failed.
+pub const FAILED: &str = "the endpoint failed";
+
+/// What a client got, and how often its request reached an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observed {
+    pub status: StatusCode,
+    pub body: String,
+    pub runs: usize,
+}
+
+/// A request that may run once, answered with these bytes by the endpoint that is asked first; another one would serve.
+pub async fn spoilt_answer_once(bytes: &str, mutant: Option<&str>) -> Observed {
+    spoilt_answer("non_idempotent", bytes, mutant).await
+}
+
+/// The same with a request that may be repeated.
+pub async fn spoilt_answer_again(bytes: &str, mutant: Option<&str>) -> Observed {
+    spoilt_answer("idempotent", bytes, mutant).await
+}
+
+async fn spoilt_answer(kind: &str, bytes: &str, mutant: Option<&str>) -> Observed {
+    let script: Script = Rc::new(RefCell::new(
+        vec![vec![Act::Send(bytes.to_owned())], vec![answer("200 OK", "fine")]].into(),
+    ));
+    let one = Stand::start_shared("i-1", script.clone()).await;
+    let other = Stand::start_shared("i-2", script).await;
+    let routes = [route("r", kind, 3, false)];
+    let fleet = Fleet::start_with_mutant(&routes, &[&one, &other], "bounds.retrySlack=560\n", mutant).await;
+    let got = fleet.ask("/r/x", "a1", &[], "x").await;
+    let runs = one.seen.borrow().len() + other.seen.borrow().len();
+    Observed { status: got.status, body: got.body, runs }
+}
