Register: which change of members comes next, as a function without I/O

Cause: the plan stood between dials and timers, and joiners counted whatever they held. Change: plan_membership takes what the coordinator knows and gives the next set or a reason to wait. Result: twelve tables; one change at a time, a joining member counts once it holds the committed value.

--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod acceptor;
 mod change;
+mod membership;
 mod round;
 
 pub use acceptor::{Accepted, Acceptor, Durable, PromiseRecord, ValueRecord};
@@ -21,4 +22,5 @@
     ReplaceAnswer, ReplaceConfig, Step, finish_membership, is_joint, majority_of, members_of,
     replace_members, sets_of,
 };
+pub use membership::{MembershipPlan, MembershipView, PresentMember, WaitReason, plan_membership};
 pub use round::{Decision, Outcome, Progress, Round, Send};
--- /dev/null
+++ b/crates/register/tests/membership.rs
@@ -0,0 +1,191 @@
+//! Which change of members comes next, by tables.
+
+mod support;
+
+use runtrack_message::{Ballot, Member};
+use runtrack_register::{MembershipPlan, MembershipView, PresentMember, WaitReason, plan_membership};
+use std::collections::{BTreeMap, BTreeSet};
+use support::member;
+
+const OLD: Ballot = Ballot { round: 3, boot: 1 };
+const MEMBERSHIP: Ballot = Ballot { round: 5, boot: 1 };
+const NEWEST: Ballot = Ballot { round: 9, boot: 2 };
+
+fn holding(accepted: Ballot) -> PresentMember {
+    PresentMember { accepted, overdue: false }
+}
+
+/// Members 1 to `count`, all present, all with everything that is committed.
+fn whole(count: u8) -> MembershipView {
+    let current: BTreeSet<Member> = (1..=count).map(|at| member(at, 0)).collect();
+    MembershipView {
+        present: current.iter().map(|member| (*member, holding(NEWEST))).collect(),
+        current,
+        wanted: 3,
+        membership: MEMBERSHIP,
+        required: NEWEST,
+        joining: BTreeMap::new(),
+        leaving: BTreeSet::new(),
+        suspects: BTreeSet::new(),
+    }
+}
+
+/// Steps in which the tables build their views.
+trait Edit {
+    fn absent(self, at: u8) -> Self;
+    fn lost(self, at: u8) -> Self;
+    fn joining(self, at: u8, incarnation: u64, accepted: Ballot) -> Self;
+    fn leaving(self, at: u8) -> Self;
+    fn lacking(self, at: u8, accepted: Ballot, overdue: bool) -> Self;
+}
+
+impl Edit for MembershipView {
+    fn absent(mut self, at: u8) -> Self {
+        self.present.remove(&member(at, 0));
+        self
+    }
+
+    fn lost(self, at: u8) -> Self {
+        let mut view = self.absent(at);
+        view.suspects.insert(member(at, 0));
+        view
+    }
+
+    fn joining(mut self, at: u8, incarnation: u64, accepted: Ballot) -> Self {
+        self.joining.insert(member(at, incarnation), accepted);
+        self
+    }
+
+    fn leaving(mut self, at: u8) -> Self {
+        self.leaving.insert(member(at, 0));
+        self
+    }
+
+    fn lacking(mut self, at: u8, accepted: Ballot, overdue: bool) -> Self {
+        self.present.insert(member(at, 0), PresentMember { accepted, overdue });
+        self
+    }
+}
+
+fn set(members: &[(u8, u64)]) -> BTreeSet<Member> {
+    members.iter().map(|(at, incarnation)| member(*at, *incarnation)).collect()
+}
+
+fn change(members: &[(u8, u64)]) -> MembershipPlan {
+    MembershipPlan::Change(set(members))
+}
+
+fn wait(reason: WaitReason) -> MembershipPlan {
+    MembershipPlan::Wait(reason)
+}
+
+#[test]
+fn nothing_changes_without_a_reason() {
+    assert_eq!(plan_membership(&whole(3)), MembershipPlan::Keep);
+    assert_eq!(plan_membership(&whole(4)), MembershipPlan::Keep, "one to spare is borne");
+    assert_eq!(plan_membership(&whole(3).lost(2)), MembershipPlan::Keep, "nobody is there to replace it");
+    assert_eq!(plan_membership(&whole(3).leaving(2)), MembershipPlan::Keep, "as many as are wanted");
+    assert_eq!(plan_membership(&whole(3).joining(2, 0, NEWEST)), MembershipPlan::Keep, "it is a member");
+}
+
+#[test]
+fn a_joining_member_takes_the_place_of_a_lost_one() {
+    assert_eq!(
+        plan_membership(&whole(3).lost(2).joining(7, 70, NEWEST)),
+        change(&[(1, 0), (3, 0), (7, 70)])
+    );
+}
+
+#[test]
+fn a_joining_member_counts_only_once_it_holds_the_committed_value() {
+    let lacks = wait(WaitReason::JoiningMemberLacksValue(member(7, 70)));
+    for accepted in [Ballot::default(), OLD, MEMBERSHIP] {
+        let view = whole(3).joining(7, 70, accepted);
+        assert_eq!(plan_membership(&view), lacks, "beside all the others");
+        assert_eq!(plan_membership(&view.lost(2)), lacks, "in place of a lost one");
+    }
+    let wiped = whole(3).absent(2).joining(2, 20, OLD);
+    assert_eq!(plan_membership(&wiped), wait(WaitReason::JoiningMemberLacksValue(member(2, 20))));
+}
+
+#[test]
+fn a_joining_member_that_holds_it_does_not_wait_for_one_that_does_not() {
+    let view = whole(3).lost(2).joining(6, 60, OLD).joining(7, 70, NEWEST);
+    assert_eq!(plan_membership(&view), change(&[(1, 0), (3, 0), (7, 70)]));
+}
+
+#[test]
+fn a_wiped_member_takes_the_place_of_its_former_incarnation_at_once() {
+    let view = whole(3).absent(2).joining(2, 20, NEWEST);
+    assert_eq!(plan_membership(&view), change(&[(1, 0), (2, 20), (3, 0)]));
+    let another_lost = whole(3).absent(2).lost(3).joining(2, 20, NEWEST);
+    assert_eq!(plan_membership(&another_lost), change(&[(1, 0), (2, 20), (3, 0)]), "its own place first");
+}
+
+#[test]
+fn an_unreachable_member_that_a_majority_does_not_suspect_is_waited_for() {
+    let view = whole(3).absent(2).joining(7, 70, NEWEST);
+    assert_eq!(plan_membership(&view), wait(WaitReason::MemberUnreachable(member(2, 0))));
+}
+
+#[test]
+fn only_one_change_is_made_at_a_time() {
+    let view = whole(3).lost(2).lost(3).joining(6, 60, NEWEST).joining(7, 70, NEWEST);
+    assert_eq!(plan_membership(&view), change(&[(1, 0), (3, 0), (6, 60)]));
+    let two = whole(3).joining(6, 60, NEWEST).joining(7, 70, NEWEST);
+    assert_eq!(plan_membership(&two), change(&[(1, 0), (2, 0), (3, 0), (6, 60)]));
+}
+
+#[test]
+fn no_change_while_a_present_member_lacks_the_membership_value() {
+    let lacks = wait(WaitReason::CopyMissing(member(3, 0)));
+    for view in [
+        whole(3).lost(2).joining(7, 70, NEWEST),
+        whole(3).joining(7, 70, NEWEST),
+        whole(4).lost(2),
+        whole(4).leaving(2),
+    ] {
+        assert_eq!(plan_membership(&view.clone().lacking(3, OLD, false)), lacks);
+        let holds = plan_membership(&view.clone().lacking(3, MEMBERSHIP, false));
+        assert!(
+            matches!(holds, MembershipPlan::Change(_)),
+            "a later configuration may be on its way: {holds:?}"
+        );
+        let overdue = plan_membership(&view.lacking(3, OLD, true));
+        assert!(matches!(overdue, MembershipPlan::Change(_)), "its disk may refuse for ever: {overdue:?}");
+    }
+}
+
+#[test]
+fn a_member_that_is_to_be_replaced_need_not_hold_anything() {
+    let view = whole(3).lacking(2, OLD, false).joining(2, 20, NEWEST);
+    assert_eq!(plan_membership(&view), change(&[(1, 0), (2, 20), (3, 0)]));
+}
+
+#[test]
+fn members_to_spare_go_when_they_are_lost_or_leave() {
+    assert_eq!(plan_membership(&whole(4).lost(2)), change(&[(1, 0), (3, 0), (4, 0)]));
+    assert_eq!(plan_membership(&whole(4).leaving(2)), change(&[(1, 0), (3, 0), (4, 0)]));
+    assert_eq!(
+        plan_membership(&whole(4).absent(2)),
+        MembershipPlan::Keep,
+        "unreachable, but not suspected by a majority"
+    );
+}
+
+#[test]
+fn beyond_one_to_spare_nobody_joins() {
+    assert_eq!(plan_membership(&whole(4).joining(7, 70, NEWEST)), MembershipPlan::Keep);
+    assert_eq!(
+        plan_membership(&whole(4).lost(2).joining(7, 70, NEWEST)),
+        change(&[(1, 0), (3, 0), (4, 0), (7, 70)]),
+        "but a lost one is replaced"
+    );
+}
+
+#[test]
+fn the_last_member_is_never_removed() {
+    let mut view = whole(1).leaving(1);
+    view.wanted = 0;
+    assert_eq!(plan_membership(&view), MembershipPlan::Keep);
+}
