Controller: a member copies committed values to its disk; bounded queue; replies by session

Cause: who missed an accept learned the value in memory only, and requests queued without bound at a stalled disk. Change: learned values go to disk, tried again while it refuses; 64 requests wait, for a second; replies count over the session asked.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,7 +8,9 @@
 mod endpoints;
 mod member;
 mod membership;
+pub mod pending;
 mod proposer;
+pub mod request_queue;
 
 use crate::api::Api;
 use crate::backlog::Backlogs;
@@ -63,7 +65,7 @@
                 let session = session.clone();
                 member.ask(request, move |reply| session.send(&Message::Reply(number, reply)));
             }
-            Message::Reply(number, reply) => proposer.replied(number, reply),
+            Message::Reply(number, reply) => proposer.replied(session.key, number, reply),
             Message::Commit(ballot) => proposer.on_committed(ballot),
             Message::Join(joiner) => membership.on_join_request(joiner),
             Message::Leave(leaver) => membership.on_leave_request(leaver),
--- a/crates/controller/src/member.rs
+++ b/crates/controller/src/member.rs
@@ -1,48 +1,75 @@
-//! This process as a member of the register: requests one after another, each on disk before its reply goes out.
+//! This process as a member of the register: requests one after another, each on disk before its reply goes out, and
+//! its copy of the committed value, which is brought up to date where it missed one.
 
 use crate::disk::Disk;
-use runtrack_message::{Ballot, RegisterReply, RegisterRequest};
+use crate::request_queue::RequestQueue;
+use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
+use runtrack_net::mutant;
 use runtrack_register::{Accepted, Acceptor, Durable};
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Wait before a disk that refused is tried again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 
-type Asked = (RegisterRequest, Box<dyn FnOnce(RegisterReply)>);
+type Reply = Box<dyn FnOnce(RegisterReply)>;
 
-/// The member and its queue.
+/// A request and what its reply goes to.
+struct Asked {
+    request: RegisterRequest,
+    reply: Reply,
+}
+
+/// The member, its queue and what it has to copy.
 pub struct MemberTask {
+    born: Instant,
     acceptor: RefCell<Acceptor>,
-    queue: UnboundedSender<Asked>,
-    durable: Cell<bool>,
-    /// Ballot of the value that is on disk; zero for none.
+    /// Ballot of the value that is on disk; what the acceptor says may still be on its way there.
     durable_accepted: Cell<Ballot>,
+    /// Its incarnation is on disk.
+    durable: Cell<bool>,
+    queue: RefCell<RequestQueue<Asked>>,
+    /// The newest value that is known to be committed, where it may not be on disk yet.
+    committed: RefCell<Option<Accepted>>,
+    wake: Notify,
 }
 
 impl MemberTask {
     /// Starts to take requests.
     pub fn start(acceptor: Acceptor, disk: Disk, logger: Logger) -> Rc<Self> {
-        let (queue, asked) = unbounded_channel();
-        let recovered = acceptor.accepted().map(|accepted| accepted.ballot).unwrap_or_default();
+        let on_disk = acceptor.accepted().map(|accepted| accepted.ballot).unwrap_or_default();
         let task = Rc::new(MemberTask {
+            born: Instant::now(),
             acceptor: RefCell::new(acceptor),
-            queue,
+            durable_accepted: Cell::new(on_disk),
             durable: Cell::new(false),
-            durable_accepted: Cell::new(recovered),
+            queue: RefCell::default(),
+            committed: RefCell::default(),
+            wake: Notify::new(),
         });
-        spawn_local(task.clone().run(disk, asked, logger));
+        spawn_local(task.clone().run(disk, logger));
         task
     }
 
     /// Asks this member; a reply comes once it may, or never.
     pub fn ask(&self, request: RegisterRequest, reply: impl FnOnce(RegisterReply) + 'static) {
-        let _ = self.queue.send((request, Box::new(reply))); // fails only while the process ends
+        let asked = Asked { request, reply: Box::new(reply) };
+        self.queue.borrow_mut().push(self.born.elapsed(), asked);
+        self.wake.notify_one();
+    }
+
+    /// Takes a value that is known to be committed: it goes to disk where that has an older one.
+    pub fn adopt_committed(&self, ballot: Ballot, value: Rc<Value>) {
+        let newer = self.committed.borrow().as_ref().is_none_or(|known| known.ballot < ballot);
+        if newer && self.durable_accepted() < ballot && !mutant("copies-never-repaired") {
+            *self.committed.borrow_mut() = Some(Accepted { ballot, value });
+            self.wake.notify_one();
+        }
     }
 
     /// Whether its incarnation is on disk: before that it must not become a member, since it would be another one after
@@ -61,32 +88,78 @@
         self.durable_accepted.get()
     }
 
-    async fn run(self: Rc<Self>, disk: Disk, mut asked: UnboundedReceiver<Asked>, logger: Logger) {
+    async fn run(self: Rc<Self>, disk: Disk, logger: Logger) {
         let (incarnation, promised) =
             (self.acceptor.borrow().incarnation(), self.acceptor.borrow().promised());
         while !disk.keep(incarnation, Durable::Promise(promised)).await {
             sleep(REFUSED_PAUSE).await;
         }
         self.durable.set(true);
-        while let Some((request, reply)) = asked.recv().await {
-            let before = self.acceptor.borrow().clone();
-            let (answer, durable) = self.acceptor.borrow_mut().handle(&request);
-            let Some(durable) = durable else {
-                reply(answer);
-                continue;
-            };
-            let accepted = match &durable {
-                Durable::Value(accepted) => accepted.ballot,
-                Durable::Promise(_) => self.durable_accepted.get(),
-            };
-            if disk.keep(before.incarnation(), durable).await {
-                self.durable_accepted.set(accepted);
-                reply(answer);
-            } else {
-                // What is not on disk was never promised: the others are a majority without this member.
-                info!(logger, "member.silent"; "promised" => before.promised().round);
-                *self.acceptor.borrow_mut() = before;
+        let mut retry = Instant::now();
+        loop {
+            if Instant::now() >= retry && !self.copy_committed(&disk, &logger).await {
+                retry = Instant::now() + REFUSED_PAUSE;
+            }
+            let asked = self.queue.borrow_mut().pop(self.born.elapsed());
+            match asked {
+                Some(asked) => self.answer(asked, &disk, &logger).await,
+                None => self.idle(retry).await,
             }
         }
     }
+
+    /// Waits for something to do; while a copy is due, until its next try.
+    async fn idle(&self, retry: Instant) {
+        if self.committed.borrow().is_none() {
+            self.wake.notified().await;
+        } else {
+            let _ = timeout_at(retry, self.wake.notified()).await; // either is a reason to go on
+        }
+    }
+
+    /// Brings the disk up to the committed value; whether there is nothing left to do.
+    async fn copy_committed(&self, disk: &Disk, logger: &Logger) -> bool {
+        let Some(committed) = self.committed.borrow().clone() else { return true };
+        let before = self.acceptor.borrow().clone();
+        let durable = self.acceptor.borrow_mut().adopt_committed(committed.ballot, committed.value.clone());
+        let kept = match durable {
+            Some(durable) => self.keep(before, durable, disk, logger).await,
+            None => true,
+        };
+        let mut due = self.committed.borrow_mut();
+        if kept && due.as_ref().is_some_and(|newest| newest.ballot == committed.ballot) {
+            *due = None;
+        }
+        kept
+    }
+
+    async fn answer(&self, asked: Asked, disk: &Disk, logger: &Logger) {
+        let before = self.acceptor.borrow().clone();
+        let (answer, durable) = self.acceptor.borrow_mut().handle(&asked.request);
+        let kept = match durable {
+            Some(durable) => self.keep(before, durable, disk, logger).await,
+            None => true,
+        };
+        if kept {
+            (asked.reply)(answer);
+        }
+    }
+
+    /// Keeps what must not be forgotten, or puts the acceptor back as it was; whether it is kept.
+    async fn keep(&self, before: Acceptor, durable: Durable, disk: &Disk, logger: &Logger) -> bool {
+        let ballot = match &durable {
+            Durable::Value(accepted) => Some(accepted.ballot),
+            Durable::Promise(_) => None,
+        };
+        if !disk.keep(before.incarnation(), durable).await {
+            // What is not on disk was never promised: the others are a majority without this member.
+            info!(logger, "member.silent"; "promised" => before.promised().round);
+            *self.acceptor.borrow_mut() = before;
+            return false;
+        }
+        if let Some(ballot) = ballot {
+            self.durable_accepted.set(ballot);
+        }
+        true
+    }
 }
--- /dev/null
+++ b/crates/controller/src/pending.rs
@@ -0,0 +1,40 @@
+//! Requests that were sent and have no reply yet. No I/O and no clock.
+//!
+//! A reply counts only over the session over which its request went out. Numbers begin at a random place at each start,
+//! so a reply to this process before its restart matches none of its requests either.
+
+use std::collections::BTreeMap;
+
+/// Requests without a reply, by number, each with what its reply goes to.
+#[derive(Debug)]
+pub struct PendingRequests<T> {
+    next: u64,
+    pending: BTreeMap<u64, (usize, T)>,
+}
+
+impl<T> PendingRequests<T> {
+    /// No requests; their numbers begin behind this one.
+    pub fn starting_at(number: u64) -> Self {
+        PendingRequests { next: number, pending: BTreeMap::new() }
+    }
+
+    /// A request goes out over this session; its number.
+    pub fn sent(&mut self, session: usize, waiting: T) -> u64 {
+        self.next = self.next.wrapping_add(1);
+        self.pending.insert(self.next, (session, waiting));
+        self.next
+    }
+
+    /// A reply of this number came over this session: what it goes to, once.
+    pub fn replied(&mut self, session: usize, number: u64) -> Option<T> {
+        if self.pending.get(&number)?.0 != session {
+            return None;
+        }
+        self.pending.remove(&number).map(|(_, waiting)| waiting)
+    }
+
+    /// Nobody waits any more.
+    pub fn clear(&mut self) {
+        self.pending.clear();
+    }
+}
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -1,6 +1,7 @@
 //! Rounds of the register on behalf of the operator, of readers and of the membership.
 
 use crate::member::MemberTask;
+use crate::pending::PendingRequests;
 use runtrack_link::Gossip;
 use runtrack_message::{Ballot, Member, Message, RegisterReply, RegisterRequest, Role, Value};
 use runtrack_register::{
@@ -8,7 +9,7 @@
 };
 use slog::info;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -52,8 +53,8 @@
     known: RefCell<Option<(Ballot, Rc<Value>)>>,
     /// A round has come to its end since the start: what is chosen is known.
     informed: Cell<bool>,
-    next: Cell<u64>,
-    waiting: RefCell<HashMap<u64, (Member, Replies)>>,
+    /// Who was asked, and where the replies go.
+    pending: RefCell<PendingRequests<(Member, Replies)>>,
     turn: Mutex<()>,
     unsettled: Notify,
 }
@@ -75,8 +76,7 @@
             round: Cell::new(0),
             known: RefCell::default(),
             informed: Cell::new(false),
-            next: Cell::new(0),
-            waiting: RefCell::default(),
+            pending: RefCell::new(PendingRequests::starting_at(fastrand::u64(..))),
             turn: Mutex::new(()),
             unsettled: Notify::new(),
         })
@@ -87,9 +87,9 @@
         self.known.borrow().clone()
     }
 
-    /// A member replied to a request of this number.
-    pub fn replied(&self, number: u64, reply: RegisterReply) {
-        if let Some((from, replies)) = self.waiting.borrow_mut().remove(&number) {
+    /// A reply to a request of this number came over this session.
+    pub fn replied(&self, session: usize, number: u64, reply: RegisterReply) {
+        if let Some((from, replies)) = self.pending.borrow_mut().replied(session, number) {
             let _ = replies.send((from, reply)); // the round may be over
         }
     }
@@ -111,6 +111,7 @@
             return;
         }
         self.round.set(self.round.get().max(ballot.round));
+        self.member.adopt_committed(ballot, value.clone());
         *self.known.borrow_mut() = Some((ballot, value.clone()));
         self.gossip.take_members(value.sequence, members_of(&value));
         if value.version > 0 && value.version > self.gossip.replica().version() {
@@ -140,9 +141,7 @@
             let address = to.address();
             let session = sessions.iter().find(|session| session.dialled == Some(address));
             if let Some(session) = session {
-                let number = self.next.get() + 1;
-                self.next.set(number);
-                self.waiting.borrow_mut().insert(number, (to, replies.clone()));
+                let number = self.pending.borrow_mut().sent(session.key, (to, replies.clone()));
                 session.send(&Message::Request(number, request));
             }
         }
@@ -161,7 +160,7 @@
         self.round.set(ballot.round);
         let (mut round, sends) = Round::new(ballot, self.sets(), self.known());
         let (replies, mut came) = unbounded_channel();
-        self.waiting.borrow_mut().clear(); // of a round that was given up half-way
+        self.pending.borrow_mut().clear(); // of a round that was given up half-way
         self.send(sends, &replies);
         let outcome = loop {
             let Ok(Some((from, reply))) = timeout(ROUND_TIMEOUT, came.recv()).await else { break None };
--- /dev/null
+++ b/crates/controller/src/request_queue.rs
@@ -0,0 +1,54 @@
+//! Requests that wait for the member's disk. No I/O and no clock.
+//!
+//! While the disk stalls the queue keeps the newest requests only, and whoever asked long ago has given up: answering
+//! would cost a write that nobody waits for. To the others a request that is dropped is a lost message.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Requests that wait at most; of more, the oldest are dropped.
+pub const MAX_QUEUED_REQUESTS: usize = 64;
+/// A request that has waited for longer is dropped: the round that it belongs to is over.
+pub const REQUEST_LIFETIME: Duration = Duration::from_millis(1000);
+
+/// Requests in the order of their coming.
+#[derive(Debug)]
+pub struct RequestQueue<T> {
+    waiting: VecDeque<(Duration, T)>,
+}
+
+impl<T> Default for RequestQueue<T> {
+    fn default() -> Self {
+        RequestQueue { waiting: VecDeque::new() }
+    }
+}
+
+impl<T> RequestQueue<T> {
+    /// Takes a request that came at this time.
+    pub fn push(&mut self, now: Duration, request: T) {
+        if self.waiting.len() == MAX_QUEUED_REQUESTS {
+            self.waiting.pop_front();
+        }
+        self.waiting.push_back((now, request));
+    }
+
+    /// The oldest request that somebody still waits for.
+    pub fn pop(&mut self, now: Duration) -> Option<T> {
+        while let Some((came, request)) = self.waiting.pop_front() {
+            if now.saturating_sub(came) <= REQUEST_LIFETIME {
+                return Some(request);
+            }
+        }
+        None
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether none wait.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/controller/tests/request_queue.rs
@@ -0,0 +1,33 @@
+//! Requests that wait for a disk that stalls.
+
+use runtrack_controller::request_queue::{MAX_QUEUED_REQUESTS, REQUEST_LIFETIME, RequestQueue};
+use std::time::Duration;
+
+const START: Duration = Duration::from_secs(100);
+
+#[test]
+fn requests_come_out_in_their_order() {
+    let mut queue = RequestQueue::default();
+    (0..3).for_each(|request| queue.push(START, request));
+    let out: Vec<i32> = std::iter::from_fn(|| queue.pop(START)).collect();
+    assert_eq!(out, [0, 1, 2]);
+}
+
+#[test]
+fn a_stalled_disk_leaves_the_newest_requests_and_no_more() {
+    let mut queue = RequestQueue::default();
+    (0..10 * MAX_QUEUED_REQUESTS).for_each(|request| queue.push(START, request));
+    assert_eq!(queue.len(), MAX_QUEUED_REQUESTS);
+    assert_eq!(queue.pop(START), Some(9 * MAX_QUEUED_REQUESTS));
+}
+
+#[test]
+fn a_request_that_nobody_waits_for_any_more_is_dropped() {
+    let mut queue = RequestQueue::default();
+    queue.push(START, "given up");
+    queue.push(START + Duration::from_millis(1), "still waited for");
+    assert_eq!(queue.pop(START + REQUEST_LIFETIME + Duration::from_millis(1)), Some("still waited for"));
+    queue.push(START, "given up");
+    assert_eq!(queue.pop(START + 2 * REQUEST_LIFETIME), None);
+    assert!(queue.is_empty());
+}
