Links, listeners and the member's disk stand behind seams; programs run in an environment

Cause: the control plane could only run on the system's sockets, threads and signals, so no test could force its orders. Change: Gossip dials and listens over runtrack_net::Network, the API too; MemberDisk with DiskThread; run_in for controller and agent takes an Environment and ProcessEvents; orders that reach an output come from ordered maps, select! is biased.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,7 +4,10 @@
 //! alone: a restarted proxy gets all from its agent, a restarted agent gets all from its proxy.
 
 use runtrack_fleetconfig::Node;
-use runtrack_link::{Gossip, MessageHandler, Session, Signals, dial_for_ever, json_logger, listen};
+use runtrack_link::{
+    Environment, Gossip, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals, dial_for_ever,
+    listen,
+};
 use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
 use runtrack_ring::{Ring, hash, rendezvous};
 use slog::info;
@@ -117,8 +120,13 @@
 }
 
 /// Runs an agent until SIGTERM.
-pub async fn run(node: Node, mut signals: Signals) -> Result<(), String> {
-    let logger = json_logger("agent", &node.name);
+pub async fn run(node: Node, signals: Signals) -> Result<(), String> {
+    run_in(Environment::system("agent", &node), node, signals.events()).await
+}
+
+/// Runs an agent in an environment until it is told to end.
+pub async fn run_in(environment: Environment, node: Node, mut events: ProcessEvents) -> Result<(), String> {
+    let logger = environment.logger.clone();
     info!(logger, "agent.start"; "first_boot" => node.first_boot);
     let hello = Hello {
         wire: WIRE_VERSION,
@@ -126,7 +134,7 @@
         node: node.name.as_str().into(),
         member: Member::none(),
     };
-    let gossip = Gossip::new(hello, node.heartbeat, logger.clone(), Box::new(Relay));
+    let gossip = Gossip::new_in(environment, hello, node.heartbeat, Box::new(Relay));
     listen(gossip.clone(), node.feed)
         .await
         .map_err(|error| format!("listen.feed: {}: {error}", node.feed))?;
@@ -143,13 +151,16 @@
     let mut changes = gossip.changes();
     loop {
         tokio::select! {
+            biased;
+            event = events.recv() => match event {
+                Some(ProcessEvent::Settings(Ok(node))) => links.seeds = seeds_of(&node),
+                Some(ProcessEvent::Settings(Err(problem))) => {
+                    info!(logger, "settings.refused"; "problem" => problem);
+                }
+                Some(ProcessEvent::Terminate) | None => break,
+            },
             _ = ticks.tick() => links.look(),
             _ = changes.changed() => links.look(),
-            _ = signals.terminate.recv() => break,
-            _ = signals.hangup.recv() => match Node::from_env() {
-                Ok(node) => links.seeds = seeds_of(&node),
-                Err(problem) => info!(logger, "settings.refused"; "problem" => %problem),
-            },
         }
     }
     info!(logger, "agent.terminate");
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -17,11 +17,11 @@
 use runtrack_register::{ReplaceAnswer, ReplaceConfig};
 use slog::info;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
@@ -108,13 +108,12 @@
     }
 
     /// Takes calls until the task is aborted.
-    pub async fn listen(self: Rc<Self>, at: SocketAddrV4) -> io::Result<JoinHandle<()>> {
-        let listener = TcpListener::bind(at).await?;
+    pub fn listen(self: Rc<Self>, at: SocketAddrV4) -> io::Result<JoinHandle<()>> {
+        let listener = self.gossip.network().listen(at.into())?;
         Ok(spawn_local(async move {
             loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nodelay(true); // without it answers only come later
+                match poll_fn(|cx| listener.poll_accept(cx)).await {
+                    Ok(connection) => {
                         let api = self.clone();
                         let service = service_fn(move |request| {
                             let api = api.clone();
@@ -123,7 +122,7 @@
                         let serving = http1::Builder::new()
                             .timer(TokioTimer::new())
                             .header_read_timeout(IDLE_TIMEOUT)
-                            .serve_connection(TokioIo::new(stream), service);
+                            .serve_connection(TokioIo::new(connection), service);
                         spawn_local(async move {
                             let _ = serving.await; // who called has gone
                         });
--- a/crates/controller/src/backlog.rs
+++ b/crates/controller/src/backlog.rs
@@ -3,7 +3,7 @@
 use runtrack_link::{Gossip, Session};
 use runtrack_message::{Backlog, Message, Role, Unread};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -30,7 +30,7 @@
 /// The parts of all proxies.
 pub struct Backlogs {
     gossip: Rc<Gossip>,
-    parts: RefCell<HashMap<usize, Part>>,
+    parts: RefCell<BTreeMap<usize, Part>>,
     changed: Notify,
 }
 
--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -1,11 +1,16 @@
-//! The member's disk: a thread that writes, so that a slow or stalled disk holds up nothing else.
+//! The member's disk: records in two rings, one of promises and one of values, behind a trait with a thread that writes to
+//! a folder, so that a slow or stalled disk holds up nothing else.
 
+use crate::new_incarnation;
 use deku::prelude::*;
 use runtrack_fleetconfig::Node;
 use runtrack_register::{Acceptor, Durable, PromiseRecord, ValueRecord};
-use runtrack_ringstore::{Folder, Ring, StoreError};
+use runtrack_ringstore::{Files, Folder, Ring, StoreError};
 use slog::{Logger, warn};
+use std::future::Future;
 use std::path::PathBuf;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::mpsc;
 use std::thread;
 use tokio::sync::oneshot;
@@ -17,23 +22,61 @@
 /// Stack of the thread that writes.
 const STACK: usize = 256 << 10;
 
-enum Record {
+/// What a member must not forget.
+#[derive(Clone, Debug)]
+pub enum Record {
+    /// A promise.
     Promise(PromiseRecord),
+    /// An accepted value.
     Value(Box<ValueRecord>),
 }
 
-struct Job {
-    record: Record,
-    done: oneshot::Sender<Result<(), String>>,
+/// A write that is under way.
+pub type Persisting = Pin<Box<dyn Future<Output = Result<(), String>>>>;
+
+/// Where a member keeps its records.
+pub trait MemberDisk {
+    /// Writes a record; it is durable once this has ended well.
+    fn persist(&self, record: Record) -> Persisting;
 }
 
-struct Rings {
-    promises: Ring<Folder>,
-    values: Ring<Folder>,
+/// The member's disk, whatever it is.
+pub(crate) struct Disk(pub(crate) Rc<dyn MemberDisk>);
+
+impl Disk {
+    /// Keeps what an acceptor of this incarnation must not forget; whether it is kept.
+    pub async fn keep(&self, incarnation: u64, durable: Durable) -> bool {
+        let record = match durable {
+            Durable::Promise(promised) => Record::Promise(PromiseRecord { incarnation, promised }),
+            Durable::Value(accepted) => Record::Value(Box::new(ValueRecord {
+                incarnation,
+                ballot: accepted.ballot,
+                value: (*accepted.value).clone(),
+            })),
+        };
+        self.0.persist(record).await.is_ok()
+    }
+}
+
+/// The rings of promises and of values.
+pub struct Rings<F> {
+    promises: Ring<F>,
+    values: Ring<F>,
 }
 
-impl Rings {
-    fn write(&mut self, record: &Record) -> Result<(), StoreError> {
+impl<F: Files + Clone> Rings<F> {
+    /// Opens the rings and recovers the member that is in them; one that is not there is made, of this incarnation.
+    pub fn open(files: F, incarnation: impl FnOnce() -> u64) -> Result<(Self, Acceptor), StoreError> {
+        let (promises, promise) = Ring::open(files.clone(), "promise", PROMISE_ROOM)?;
+        let (values, value) = Ring::open(files, "value", VALUE_ROOM)?;
+        let promise = promise.and_then(|bytes| Some(PromiseRecord::from_bytes((&bytes, 0)).ok()?.1));
+        let value = value.and_then(|bytes| Some(ValueRecord::from_bytes((&bytes, 0)).ok()?.1));
+        let acceptor = Acceptor::recover(promise, value).unwrap_or_else(|| Acceptor::new(incarnation()));
+        Ok((Rings { promises, values }, acceptor))
+    }
+
+    /// Writes a record; once this returns it is there after any loss of power.
+    pub fn write(&mut self, record: &Record) -> Result<(), StoreError> {
         match record {
             Record::Promise(promise) => self.promises.append(&promise.to_bytes()?),
             Record::Value(value) => self.values.append(&value.to_bytes()?),
@@ -41,27 +84,25 @@
     }
 }
 
-/// The member's disk.
-pub struct Disk {
+struct Job {
+    record: Record,
+    done: oneshot::Sender<Result<(), String>>,
+}
+
+/// A thread that writes to a folder.
+pub struct DiskThread {
     jobs: mpsc::Sender<Job>,
 }
 
-impl Disk {
-    /// Opens the disk and recovers the member that is on it. One that is not there is made: the first incarnation where
-    /// the whole system starts for the first time and this is one of its first members, a new one otherwise.
-    pub fn open(node: &Node, is_seed: bool, logger: &Logger) -> Result<(Disk, Acceptor), String> {
+impl DiskThread {
+    /// Opens the folder of the settings and recovers the member that is in it.
+    pub fn open(node: &Node, logger: &Logger) -> Result<(DiskThread, Acceptor), String> {
         let folder = Folder(PathBuf::from(node.data_dir.as_deref().ok_or("dataDir: is missing")?));
         let failed = |error: StoreError| format!("{}: {error}", folder.0.display());
-        let (promises, promise) = Ring::open(folder.clone(), "promise", PROMISE_ROOM).map_err(failed)?;
-        let (values, value) = Ring::open(folder.clone(), "value", VALUE_ROOM).map_err(failed)?;
-        let promise = promise.and_then(|bytes| Some(PromiseRecord::from_bytes((&bytes, 0)).ok()?.1));
-        let value = value.and_then(|bytes| Some(ValueRecord::from_bytes((&bytes, 0)).ok()?.1));
-        let acceptor = Acceptor::recover(promise, value).unwrap_or_else(|| {
-            Acceptor::new(if node.first_boot && is_seed { 0 } else { fastrand::u64(1..) })
-        });
+        let (mut rings, acceptor) =
+            Rings::open(folder.clone(), || new_incarnation(node)).map_err(failed)?;
         let (jobs, waiting) = mpsc::channel::<Job>();
         let logger = logger.clone();
-        let mut rings = Rings { promises, values };
         let work = move || {
             for Job { record, done } in waiting {
                 let result = rings.write(&record).map_err(|error| error.to_string());
@@ -72,20 +113,17 @@
             }
         };
         thread::Builder::new().stack_size(STACK).spawn(work).map_err(|error| format!("thread: {error}"))?;
-        Ok((Disk { jobs }, acceptor))
+        Ok((DiskThread { jobs }, acceptor))
     }
+}
 
-    /// Keeps what an acceptor of this incarnation must not forget; whether it is kept.
-    pub async fn keep(&self, incarnation: u64, durable: Durable) -> bool {
-        let record = match durable {
-            Durable::Promise(promised) => Record::Promise(PromiseRecord { incarnation, promised }),
-            Durable::Value(accepted) => Record::Value(Box::new(ValueRecord {
-                incarnation,
-                ballot: accepted.ballot,
-                value: (*accepted.value).clone(),
-            })),
-        };
+impl MemberDisk for DiskThread {
+    fn persist(&self, record: Record) -> Persisting {
         let (done, kept) = oneshot::channel();
-        self.jobs.send(Job { record, done }).is_ok() && matches!(kept.await, Ok(Ok(())))
+        let sent = self.jobs.send(Job { record, done }).is_ok();
+        Box::pin(async move {
+            let gone = || Err("the thread that writes has ended".to_owned());
+            if sent { kept.await.unwrap_or_else(|_| gone()) } else { gone() }
+        })
     }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod api;
 mod backlog;
 mod contact;
-mod disk;
+pub mod disk;
 mod endpoints;
 mod member;
 mod membership;
@@ -15,14 +15,17 @@
 use crate::api::Api;
 use crate::backlog::Backlogs;
 use crate::contact::MajorityContact;
-use crate::disk::Disk;
+use crate::disk::{Disk, DiskThread, MemberDisk};
 use crate::endpoints::Endpoints;
 use crate::member::MemberTask;
 use crate::membership::Membership;
 use crate::proposer::Proposer;
 use runtrack_fleetconfig::Node;
-use runtrack_link::{Gossip, MessageHandler, Session, Signals, json_logger, listen};
+use runtrack_link::{
+    Environment, Gossip, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals, listen,
+};
 use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
+use runtrack_register::Acceptor;
 use slog::info;
 use std::cell::OnceCell;
 use std::collections::BTreeSet;
@@ -109,22 +112,44 @@
 }
 
 /// Runs a control member until SIGTERM.
-pub async fn run(node: Node, mut signals: Signals) -> Result<(), String> {
-    let logger = json_logger("controller", &node.name);
+pub async fn run(node: Node, signals: Signals) -> Result<(), String> {
+    let environment = Environment::system("controller", &node);
+    let (disk, acceptor) = DiskThread::open(&node, &environment.logger)?;
+    run_in(environment, Rc::new(disk), acceptor, node, signals.events()).await
+}
+
+fn seeds_of(node: &Node) -> BTreeSet<SocketAddrV4> {
+    node.seeds.iter().map(|seed| peer_address(*seed, node.first_port)).collect()
+}
+
+/// The incarnation of a member whose disk holds none: the first one where the whole system starts for the first time and
+/// this is one of its first members, a new one otherwise.
+pub fn new_incarnation(node: &Node) -> u64 {
+    let address = SocketAddrV4::new(node.ip, node.first_port);
+    if node.first_boot && seeds_of(node).contains(&address) { 0 } else { fastrand::u64(1..) }
+}
+
+/// Runs the control member that was recovered from its disk, in an environment, until it is told to end.
+pub async fn run_in(
+    environment: Environment,
+    disk: Rc<dyn MemberDisk>,
+    acceptor: Acceptor,
+    node: Node,
+    mut events: ProcessEvents,
+) -> Result<(), String> {
+    let logger = environment.logger.clone();
     let control = node.control.ok_or("listen.control: is missing")?;
     let address = SocketAddrV4::new(node.ip, node.first_port);
-    let seeds: BTreeSet<SocketAddrV4> =
-        node.seeds.iter().map(|seed| peer_address(*seed, node.first_port)).collect();
-    let (disk, acceptor) = Disk::open(&node, seeds.contains(&address), &logger)?;
+    let seeds = seeds_of(&node);
     let me = Member::new(address, acceptor.incarnation());
     info!(logger, "controller.start"; "member" => %address, "incarnation" => me.incarnation,
         "first_boot" => node.first_boot, "recovered" => acceptor.accepted().is_some());
     let parts = Rc::new(Parts::default());
     let hello =
         Hello { wire: WIRE_VERSION, role: Role::Controller, node: node.name.as_str().into(), member: me };
-    let gossip = Gossip::new(hello, node.heartbeat, logger.clone(), Box::new(Routing(parts.clone())));
+    let gossip = Gossip::new_in(environment, hello, node.heartbeat, Box::new(Routing(parts.clone())));
     let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
-    let member = MemberTask::start(acceptor, disk, logger.clone());
+    let member = MemberTask::start(acceptor, Disk(disk), logger.clone());
     let proposer = Proposer::new(gossip.clone(), member.clone(), me, first.clone());
     let contact = MajorityContact::new(gossip.clone(), proposer.clone(), member.clone(), first);
     let membership = Membership::new(
@@ -146,20 +171,19 @@
     spawn_local(backlogs.run());
     listen(gossip.clone(), address).await.map_err(|error| format!("listen: {address}: {error}"))?;
     let api = Api::new(gossip.clone(), proposer.clone(), endpoints.clone());
-    let calls = api.listen(control).await.map_err(|error| format!("listen: {control}: {error}"))?;
+    let calls = api.listen(control).map_err(|error| format!("listen: {control}: {error}"))?;
     spawn_local(gossip.clone().run());
     spawn_local(proposer.clone().run());
     spawn_local(membership.clone().run());
     spawn_local(contact.run());
     spawn_local(endpoints.run(node.heartbeat));
     loop {
-        tokio::select! {
-            _ = signals.terminate.recv() => break,
-            _ = signals.hangup.recv() => match Node::from_env() {
-                Ok(node) => membership
-                    .set_seeds(node.seeds.iter().map(|seed| peer_address(*seed, node.first_port)).collect()),
-                Err(problem) => info!(logger, "settings.refused"; "problem" => %problem),
-            },
+        match events.recv().await {
+            Some(ProcessEvent::Settings(Ok(node))) => membership.set_seeds(seeds_of(&node)),
+            Some(ProcessEvent::Settings(Err(problem))) => {
+                info!(logger, "settings.refused"; "problem" => problem);
+            }
+            Some(ProcessEvent::Terminate) | None => break,
         }
     }
     info!(logger, "controller.terminate");
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -1,11 +1,13 @@
 //! Keeps the copies of linked processes alike.
 
+use crate::environment::Environment;
 use crate::session::Session;
 use runtrack_message::{Endpoint, Hello, Message, Role, StateSummary, encode};
+use runtrack_net::{Network, Tcp};
 use runtrack_registry::{HeartbeatTable, Replica, StoredConfig};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, Ref, RefCell};
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -37,6 +39,7 @@
 
 /// The copy of this process and its links.
 pub struct Gossip {
+    network: Rc<dyn Network>,
     me: Hello,
     logger: Logger,
     heartbeat: Duration,
@@ -44,7 +47,7 @@
     replica: RefCell<Replica>,
     heard: RefCell<HeartbeatTable>,
     /// Endpoints that are silent, as told.
-    silent: RefCell<HashSet<u64>>,
+    silent: RefCell<BTreeSet<u64>>,
     sessions: RefCell<Vec<Rc<Session>>>,
     next: Cell<usize>,
     fetching: Cell<Option<(u64, Instant)>>,
@@ -55,14 +58,27 @@
 }
 
 impl Gossip {
-    /// A copy with nothing in it and no links.
+    /// A copy with nothing in it and no links, which are made over the system's sockets.
     pub fn new(
         me: Hello,
         heartbeat: Duration,
         logger: Logger,
         handler: Box<dyn MessageHandler>,
     ) -> Rc<Self> {
+        let environment = Environment { network: Rc::new(Tcp), logger };
+        Gossip::new_in(environment, me, heartbeat, handler)
+    }
+
+    /// A copy with nothing in it and no links, which are made over the environment's network.
+    pub fn new_in(
+        environment: Environment,
+        me: Hello,
+        heartbeat: Duration,
+        handler: Box<dyn MessageHandler>,
+    ) -> Rc<Self> {
+        let Environment { network, logger } = environment;
         Rc::new(Gossip {
+            network,
             me,
             logger,
             heartbeat,
@@ -79,6 +95,11 @@
         })
     }
 
+    /// Makes and takes its links.
+    pub fn network(&self) -> &Rc<dyn Network> {
+        &self.network
+    }
+
     /// Who this process is.
     pub fn me(&self) -> &Hello {
         &self.me
@@ -146,7 +167,7 @@
         let sessions = self.peers(nearer);
         let mut told = sessions.iter().filter_map(|session| session.silent.borrow().clone());
         let first = told.next().unwrap_or_default();
-        let all: HashSet<u64> = told.fold(first, |all, next| all.intersection(&next).copied().collect());
+        let all: BTreeSet<u64> = told.fold(first, |all, next| all.intersection(&next).copied().collect());
         if *self.silent.borrow() == all {
             return;
         }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,11 +5,13 @@
 //! hears of each change at once. A link that has been silent for [`IDLE_LINK_TIMEOUT`] is given up, since behind a cut
 //! nothing ever ends by itself.
 
+mod environment;
 mod gossip;
 mod logs;
 mod process;
 mod session;
 
+pub use environment::{Environment, ProcessEvent, ProcessEvents};
 pub use gossip::{Gossip, MessageHandler};
 pub use logs::json_logger;
 pub use process::{Signals, program, run_single_threaded};
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -3,16 +3,15 @@
 use crate::gossip::Gossip;
 use bytes::{Bytes, BytesMut};
 use runtrack_message::{Hello, MAX_FRAME, Message, decode, encode};
+use runtrack_net::Connection;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddrV4;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf, split};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, interval, sleep, timeout};
@@ -42,7 +41,7 @@
     /// The copies on both sides have been compared once.
     pub(crate) compared: Cell<bool>,
     /// Endpoints that the other side takes for silent; none before it has told.
-    pub(crate) silent: RefCell<Option<HashSet<u64>>>,
+    pub(crate) silent: RefCell<Option<BTreeSet<u64>>>,
     /// Newest version that the other side has told of.
     pub noticed: Cell<u64>,
     /// Live proxies as the other side counts them.
@@ -85,8 +84,11 @@
     }
 
     /// Runs a link until it breaks, falls silent or says nonsense.
-    pub(crate) async fn run(gossip: &Rc<Gossip>, stream: TcpStream, dialled: Option<SocketAddrV4>) {
-        let _ = stream.set_nodelay(true); // without it messages only come later
+    pub(crate) async fn run(
+        gossip: &Rc<Gossip>,
+        connection: Box<dyn Connection>,
+        dialled: Option<SocketAddrV4>,
+    ) {
         let (queue, waiting) = unbounded_channel();
         let queued = Rc::new(Cell::new(0));
         let session = gossip.enter(|key| Session {
@@ -101,9 +103,10 @@
             queued: queued.clone(),
             heard: Cell::new(Instant::now()),
         });
-        let (reader, writer) = stream.into_split();
+        let (reader, writer) = split(connection);
         gossip.on_connect(&session);
         tokio::select! {
+            biased;
             () = read(gossip, &session, reader) => {}
             () = write(writer, waiting, &queued) => {}
             () = watch(&session) => {}
@@ -122,7 +125,7 @@
     }
 }
 
-async fn read(gossip: &Rc<Gossip>, session: &Rc<Session>, mut reader: tokio::net::tcp::OwnedReadHalf) {
+async fn read(gossip: &Rc<Gossip>, session: &Rc<Session>, mut reader: ReadHalf<Box<dyn Connection>>) {
     use tokio_util::codec::Decoder;
     let mut codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).little_endian().new_codec();
     let mut buffer = BytesMut::with_capacity(READ);
@@ -145,7 +148,7 @@
 }
 
 async fn write(
-    mut writer: tokio::net::tcp::OwnedWriteHalf,
+    mut writer: WriteHalf<Box<dyn Connection>>,
     mut waiting: UnboundedReceiver<Bytes>,
     queued: &Cell<usize>,
 ) {
@@ -172,8 +175,9 @@
 /// Keeps a link to an address up until the caller drops this.
 pub async fn dial_for_ever(gossip: Rc<Gossip>, to: SocketAddrV4) {
     loop {
-        if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
-            Session::run(&gossip, stream, Some(to)).await;
+        let connecting = gossip.network().connect(to.into());
+        if let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT, connecting).await {
+            Session::run(&gossip, connection, Some(to)).await;
         }
         sleep(REDIAL + REDIAL.mul_f64(fastrand::f64())).await;
     }
@@ -181,13 +185,13 @@
 
 /// Takes links in at an address.
 pub async fn listen(gossip: Rc<Gossip>, at: SocketAddrV4) -> io::Result<()> {
-    let listener = TcpListener::bind(at).await?;
+    let listener = gossip.network().listen(at.into())?;
     spawn_local(async move {
         loop {
-            match poll_fn(|cx| Pin::new(&listener).poll_accept(cx)).await {
-                Ok((stream, _)) => {
+            match poll_fn(|cx| listener.poll_accept(cx)).await {
+                Ok(connection) => {
                     let gossip = gossip.clone();
-                    spawn_local(async move { Session::run(&gossip, stream, None).await });
+                    spawn_local(async move { Session::run(&gossip, connection, None).await });
                 }
                 // Out of descriptors it would fail again at once, and spin.
                 Err(_) => sleep(REDIAL).await,
--- a/crates/registry/src/heartbeats.rs
+++ b/crates/registry/src/heartbeats.rs
@@ -1,6 +1,6 @@
 //! When each endpoint was last heard of, counting only time in which it could have been.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The feed counts as interrupted after so many heartbeats without news of any endpoint.
@@ -9,7 +9,7 @@
 /// When each endpoint was last heard of.
 #[derive(Clone, Debug, Default)]
 pub struct HeartbeatTable {
-    last: HashMap<u64, Duration>,
+    last: BTreeMap<u64, Duration>,
     feed: Option<Feed>,
 }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -11,7 +11,7 @@
 pub use replica::{Members, Replica, StoredConfig};
 
 use runtrack_message::{Endpoint, EndpointState};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -37,14 +37,14 @@
 /// All incarnations of endpoints that are known.
 #[derive(Clone, Debug)]
 pub struct Registry {
-    records: HashMap<u64, Endpoint>,
+    records: BTreeMap<u64, Endpoint>,
     digests: [u64; RANGES],
     gone: usize,
 }
 
 impl Default for Registry {
     fn default() -> Self {
-        Registry { records: HashMap::new(), digests: [0; RANGES], gone: 0 }
+        Registry { records: BTreeMap::new(), digests: [0; RANGES], gone: 0 }
     }
 }
 
