Register: refusals only where certain for good; wider digests; a floor under the table

Cause: a request on a version yet to come got 412 though another copy could still be applied; one dropped from the table of 512 got 412 though it had been in force; 64 bits of xxh3 told requests apart; a record that could not be read, or a lost promise, left a member going on under its incarnation with a promise or a value forgotten. Decisions no longer depend on rounds: change, replace and sets are files of their own.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use miniserde::{Deserialize, json};
-use runtrack_fleetconfig::{FleetConfig, MAX_CONFIG, order_digest};
+use runtrack_fleetconfig::{FleetConfig, MAX_CONFIG};
 use runtrack_link::Gossip;
 use runtrack_message::{Endpoint, EndpointState, Model};
 use runtrack_register::{ReplaceAnswer, ReplaceConfig};
@@ -200,7 +200,7 @@
                 return text(StatusCode::BAD_REQUEST, &problem.to_string());
             }
         };
-        let order = ReplaceConfig { base, version, digest: order_digest(base, &body), body: body.to_vec() };
+        let order = ReplaceConfig::new(base, version, body.to_vec());
         // It goes on where the caller gives up: what has begun should end.
         let this = self.clone();
         let ordered = spawn_local(async move { this.proposer.replace_config(&order).await }).await;
@@ -216,7 +216,7 @@
             ReplaceOutcome::Definite(ReplaceAnswer::VersionNotIncreasing(current)) => {
                 text(StatusCode::CONFLICT, &format!("version: {version} is not above {current}"))
             }
-            ReplaceOutcome::Indeterminate => {
+            ReplaceOutcome::Definite(ReplaceAnswer::Indeterminate) | ReplaceOutcome::Indeterminate => {
                 text(StatusCode::SERVICE_UNAVAILABLE, "it is not known whether it will be taken")
             }
         }
--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -4,7 +4,7 @@
 use crate::new_incarnation;
 use deku::prelude::*;
 use runtrack_fleetconfig::Node;
-use runtrack_register::{Acceptor, Durable, PromiseRecord, ValueRecord};
+use runtrack_register::{Acceptor, Durable, PromiseRecord, Recovery, ValueRecord, recover};
 use runtrack_ringstore::{Files, Folder, Ring, StoreError};
 use slog::{Logger, warn};
 use std::future::Future;
@@ -65,13 +65,16 @@
 }
 
 impl<F: Files + Clone> Rings<F> {
-    /// Opens the rings and recovers the member that is in them; one that is not there is made, of this incarnation.
+    /// Opens the rings and recovers the member that is in them; one that is not there is made, of this incarnation,
+    /// and one whose records can't be read comes back under an incarnation of its own.
     pub fn open(files: F, incarnation: impl FnOnce() -> u64) -> Result<(Self, Acceptor), StoreError> {
         let (promises, promise) = Ring::open(files.clone(), "promise", PROMISE_ROOM)?;
         let (values, value) = Ring::open(files, "value", VALUE_ROOM)?;
-        let promise = promise.and_then(|bytes| Some(PromiseRecord::from_bytes((&bytes, 0)).ok()?.1));
-        let value = value.and_then(|bytes| Some(ValueRecord::from_bytes((&bytes, 0)).ok()?.1));
-        let acceptor = Acceptor::recover(promise, value).unwrap_or_else(|| Acceptor::new(incarnation()));
+        let acceptor = match recover(promise.as_deref(), value.as_deref()) {
+            Recovery::Member(acceptor) => acceptor,
+            Recovery::Empty => Acceptor::new(incarnation()),
+            Recovery::Damaged => Acceptor::new(fastrand::u64(1..)),
+        };
         Ok((Rings { promises, values }, acceptor))
     }
 
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -224,6 +224,7 @@
             })
             .await;
         match (outcome, answer) {
+            (_, Some(ReplaceAnswer::Indeterminate)) => ReplaceOutcome::Indeterminate,
             (Some(Outcome::Empty), Some(answer))
             | (Some(Outcome::Read(..) | Outcome::Committed(..)), Some(answer)) => {
                 ReplaceOutcome::Definite(answer)
--- a/crates/fleetconfig/src/lib.rs
+++ b/crates/fleetconfig/src/lib.rs
@@ -29,8 +29,3 @@
         write!(f, "{}: {}", self.place, self.problem)
     }
 }
-
-/// Digest of an order: the configuration's bytes and the version that it builds on.
-pub fn order_digest(base: u64, body: &[u8]) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(body, base)
-}
--- a/crates/fleetconfig/tests/configurations.rs
+++ b/crates/fleetconfig/tests/configurations.rs
@@ -1,7 +1,7 @@
 //! Configurations of operators: the one of the protocol page is taken, and each wrong one is refused with its place.
 
 use expect_test::expect;
-use runtrack_fleetconfig::{ConfigError, FleetConfig, MAX_CONFIG, RouteKind, RouteTable, order_digest};
+use runtrack_fleetconfig::{ConfigError, FleetConfig, MAX_CONFIG, RouteKind, RouteTable};
 use std::time::Duration;
 
 const PAGE: &str = include_str!("protocol-page.json");
@@ -110,10 +110,3 @@
     let first = (0..1000).filter(|draw| service(f64::from(*draw) / 1000.0) == "huvo11a").count();
     assert_eq!(first, 900);
 }
-
-#[test]
-fn an_order_is_told_apart_by_its_base_as_well() {
-    assert_ne!(order_digest(1, b"x"), order_digest(2, b"x"));
-    assert_ne!(order_digest(1, b"x"), order_digest(1, b"y"));
-    assert_eq!(order_digest(1, b"x"), order_digest(1, b"x"));
-}
--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -2,17 +2,20 @@
 //! that the link bounds before it allocates anything. Every list inside states its length and is bounded too.
 //!
 //! A link begins with a [`Hello`] in both directions, which carries [`WIRE_VERSION`]. A process reads messages of its
-//! own version and of the one before; unknown kinds are skipped by the reader (see [`decode`]).
+//! own version; a frame that it can't read ends the link (see [`decode`]). Processes of different versions do no harm
+//! beside each other, and no work together either: `docs/design/control-state.md` says how a fleet changes over.
 
 mod contact;
 mod endpoint;
+mod legacy;
 mod register;
 
 pub use contact::ProbeReply;
 pub use endpoint::{Endpoint, EndpointState, Model};
+pub use legacy::LegacyValue;
 pub use register::{
-    AppliedRequest, AppliedRequests, Ballot, Member, MemberSet, MemberSets, RegisterReply, RegisterRequest,
-    Value,
+    AppliedRequest, AppliedRequests, Ballot, DIGEST_BYTES, Member, MemberSet, MemberSets, RegisterReply,
+    RegisterRequest, RequestDigest, Value,
 };
 
 use deku::prelude::*;
--- a/crates/message/src/register.rs
+++ b/crates/message/src/register.rs
@@ -59,6 +59,23 @@
     pub boot: u64,
 }
 
+/// Bytes of a [`RequestDigest`].
+pub const DIGEST_BYTES: usize = 16;
+
+/// Tells a request from every other one under the same version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct RequestDigest(pub [u8; DIGEST_BYTES]);
+
+impl RequestDigest {
+    /// A digest of the 64 bits that values held before.
+    pub fn from_legacy(digest: u64) -> Self {
+        let mut bytes = [0; DIGEST_BYTES];
+        bytes[..8].copy_from_slice(&digest.to_le_bytes());
+        RequestDigest(bytes)
+    }
+}
+
 /// A configuration that was taken: an order that comes again is acknowledged again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
@@ -66,7 +83,7 @@
     /// Its version.
     pub version: u64,
     /// Digest of its body and of the version that it builds on.
-    pub digest: u64,
+    pub digest: RequestDigest,
 }
 
 /// What the register holds.
@@ -79,6 +96,8 @@
     pub version: u64,
     /// Who must accept.
     pub sets: MemberSets,
+    /// The highest version that was ever dropped from `applied`; 0 for none.
+    pub floor: u64,
     /// What was taken last, oldest first.
     pub applied: AppliedRequests,
     /// The configuration as the operator sent it.
@@ -99,8 +118,8 @@
         /// The proposer has the value of this ballot: it need not be sent.
         have: Ballot,
     },
-    /// Accept this value.
-    #[deku(id = "2")]
+    /// Accept this value. (2 was the same with a value of the first format.)
+    #[deku(id = "3")]
     Accept {
         /// The incarnation that is meant.
         to: u64,
@@ -123,8 +142,8 @@
         /// Ballot of what it has accepted; zero for nothing.
         accepted: Ballot,
     },
-    /// It has promised, and has accepted this.
-    #[deku(id = "2")]
+    /// It has promised, and has accepted this. (2 was the same with a value of the first format.)
+    #[deku(id = "6")]
     PromisedWith {
         /// The ballot of the request.
         ballot: Ballot,
--- a/crates/message/tests/wire.rs
+++ b/crates/message/tests/wire.rs
@@ -29,7 +29,8 @@
         sequence: 7,
         version: 12,
         sets: vec![set(&[1, 2, 3]), set(&[1, 2, 4])].into(),
-        applied: vec![AppliedRequest { version: 12, digest: 99 }].into(),
+        floor: 5,
+        applied: vec![AppliedRequest { version: 12, digest: RequestDigest([9; DIGEST_BYTES]) }].into(),
         config: b"{}".to_vec().into(),
     }
 }
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -1,6 +1,6 @@
 //! What a member has promised and accepted.
 
-use deku::prelude::*;
+use crate::record::{PromiseRecord, ValueRecord};
 use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
 use std::rc::Rc;
 
@@ -13,28 +13,6 @@
     pub value: Rc<Value>,
 }
 
-/// A promise as it is kept on disk.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
-#[deku(endian = "little")]
-pub struct PromiseRecord {
-    /// Who promised.
-    pub incarnation: u64,
-    /// What.
-    pub promised: Ballot,
-}
-
-/// An accepted value as it is kept on disk.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
-#[deku(endian = "little")]
-pub struct ValueRecord {
-    /// Who accepted it.
-    pub incarnation: u64,
-    /// Under which ballot.
-    pub ballot: Ballot,
-    /// The value.
-    pub value: Value,
-}
-
 /// What must be on disk before the reply goes out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Durable {
@@ -58,15 +36,12 @@
         Acceptor { incarnation, promised: Ballot::default(), accepted: None }
     }
 
-    /// The member that these records are of; none where there are none.
+    /// The member that these records are of; none where there is no promise. A member writes a promise before anything
+    /// else, so a value without one is what is left of a damaged disk, and what was promised there is not known. A value
+    /// of another incarnation was written before the member took this one.
     pub fn recover(promise: Option<PromiseRecord>, value: Option<ValueRecord>) -> Option<Self> {
-        let incarnation = match (&promise, &value) {
-            (Some(promise), _) => promise.incarnation,
-            (None, Some(value)) => value.incarnation,
-            (None, None) => return None,
-        };
+        let PromiseRecord { incarnation, promised } = promise?;
         let value = value.filter(|value| value.incarnation == incarnation);
-        let promised = promise.map(|promise| promise.promised).unwrap_or_default();
         let accepted = value.map(|v| Accepted { ballot: v.ballot, value: Rc::new(v.value) });
         let promised = promised.max(accepted.as_ref().map(|a| a.ballot).unwrap_or_default());
         Some(Acceptor { incarnation, promised, accepted })
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -14,13 +14,18 @@
 
 mod acceptor;
 mod change;
+mod digest;
 mod membership;
+mod record;
+mod replace;
 mod round;
+mod sets;
 
-pub use acceptor::{Accepted, Acceptor, Durable, PromiseRecord, ValueRecord};
-pub use change::{
-    ReplaceAnswer, ReplaceConfig, Step, finish_membership, is_joint, majority_of, members_of,
-    replace_members, sets_of,
-};
+pub use acceptor::{Accepted, Acceptor, Durable};
+pub use change::{Decision, finish_membership, replace_members};
+pub use digest::{legacy_request_digest, request_digest};
 pub use membership::{MembershipPlan, MembershipView, PresentMember, WaitReason, plan_membership};
-pub use round::{Decision, Outcome, Progress, Round, Send};
+pub use record::{PromiseRecord, Recovery, ValueRecord, recover};
+pub use replace::{MAX_APPLIED_REQUESTS, ReplaceAnswer, ReplaceConfig, Step};
+pub use round::{Outcome, Progress, Round, Send};
+pub use sets::{is_joint, majority_of, members_of, sets_of};
--- /dev/null
+++ b/crates/register/src/replace.rs
@@ -0,0 +1,113 @@
+//! The operator's request: a whole configuration in place of the current one.
+
+use crate::change::Decision;
+use crate::digest::{legacy_request_digest, request_digest};
+use crate::sets::wire_sets;
+use runtrack_message::{AppliedRequest, Member, RequestDigest, Value};
+use std::collections::BTreeSet;
+
+/// Requests that are remembered as applied, so that one that comes again is acknowledged again.
+pub const MAX_APPLIED_REQUESTS: usize = 512;
+
+/// An operator's request: a whole configuration on top of a version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ReplaceConfig {
+    /// The version that it builds on; 0 for the first.
+    pub base: u64,
+    /// Its own version.
+    pub version: u64,
+    /// Digest of its body and its base.
+    pub digest: RequestDigest,
+    /// As it came.
+    pub body: Vec<u8>,
+}
+
+/// What a round found out about a request. It may be told once the round has ended well, not before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ReplaceAnswer {
+    /// It is, or was, in force.
+    Applied,
+    /// A newer version than the one that it builds on is current: it never was and never will be in force.
+    VersionMismatch(u64),
+    /// Its version is not above this one, which is current or its own base: it never was and never will be in force.
+    VersionNotIncreasing(u64),
+    /// It can't be said whether it was, or will be, in force.
+    Indeterminate,
+}
+
+/// What a round on behalf of a request does with the value that it found.
+pub type Step = (Decision, ReplaceAnswer);
+
+impl ReplaceConfig {
+    /// A request with the digest of its base and body.
+    pub fn new(base: u64, version: u64, body: Vec<u8>) -> Self {
+        ReplaceConfig { base, version, digest: request_digest(base, &body), body }
+    }
+
+    /// Decides on the value that was found; `first` are the members before the first value.
+    pub fn decide(&self, current: Option<&Value>, first: &[BTreeSet<Member>]) -> Step {
+        self.decide_within(current, first, MAX_APPLIED_REQUESTS)
+    }
+
+    /// The same with another bound on the requests that are remembered.
+    pub fn decide_within(
+        &self,
+        current: Option<&Value>,
+        first: &[BTreeSet<Member>],
+        max_applied: usize,
+    ) -> Step {
+        match self.answer(current) {
+            ReplaceAnswer::Applied if !self.is_applied_in(current) => {
+                (Decision::Propose(self.apply(current, first, max_applied)), ReplaceAnswer::Applied)
+            }
+            answer => (Decision::Read, answer),
+        }
+    }
+
+    /// What may be told on top of this value. A refusal must be certain for good: the current version only rises, so a
+    /// base below it never comes back, while one above it may still be committed, and another copy of this request be
+    /// applied on top of it. Applied versions rise too, so whatever was applied above the floor is in the table; of
+    /// what lies at or below the floor and is not there, nothing is known.
+    fn answer(&self, current: Option<&Value>) -> ReplaceAnswer {
+        let version = current.map_or(0, |value| value.version);
+        let floor = current.map_or(0, |value| value.floor);
+        if self.is_applied_in(current) {
+            return ReplaceAnswer::Applied;
+        }
+        if self.version <= self.base {
+            return ReplaceAnswer::VersionNotIncreasing(version.max(self.base));
+        }
+        if self.version <= floor || self.base > version {
+            return ReplaceAnswer::Indeterminate;
+        }
+        if self.base < version {
+            return ReplaceAnswer::VersionMismatch(version);
+        }
+        ReplaceAnswer::Applied
+    }
+
+    fn is_applied_in(&self, current: Option<&Value>) -> bool {
+        let mut entries = current.map(|value| value.applied.items()).unwrap_or_default().iter();
+        entries.any(|entry| entry.version == self.version && self.has_digest(&entry.digest))
+    }
+
+    fn has_digest(&self, digest: &RequestDigest) -> bool {
+        *digest == self.digest || *digest == legacy_request_digest(self.base, &self.body)
+    }
+
+    fn apply(&self, current: Option<&Value>, first: &[BTreeSet<Member>], max_applied: usize) -> Value {
+        let mut applied = current.map(|value| value.applied.items().to_vec()).unwrap_or_default();
+        applied.push(AppliedRequest { version: self.version, digest: self.digest });
+        let surplus = applied.len().saturating_sub(max_applied);
+        let dropped = applied.drain(..surplus).map(|entry| entry.version).max();
+        let floor = current.map_or(0, |value| value.floor);
+        Value {
+            sequence: current.map_or(1, |value| value.sequence + 1),
+            version: self.version,
+            sets: current.map_or_else(|| wire_sets(first), |value| value.sets.clone()),
+            floor: floor.max(dropped.unwrap_or(0)),
+            applied: applied.into(),
+            config: self.body.clone().into(),
+        }
+    }
+}
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -1,19 +1,11 @@
 //! One try of a proposer: prepare, decide on what was found, accept.
 
-use crate::change::{has_majority, is_joint, sets_of};
+use crate::change::Decision;
+use crate::sets::{has_majority, is_joint, sets_of};
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// What is to be done with the value that was found.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// Nothing, but it must be chosen for sure.
-    Read,
-    /// This one takes its place.
-    Propose(Value),
-}
-
 /// How a round ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
--- a/crates/register/tests/copies.rs
+++ b/crates/register/tests/copies.rs
@@ -16,6 +16,7 @@
         sequence: version,
         version,
         sets: Vec::new().into(),
+        floor: 0,
         applied: Vec::new().into(),
         config: version.to_le_bytes().to_vec().into(),
     }
--- /dev/null
+++ b/crates/register/tests/repeats.rs
@@ -0,0 +1,162 @@
+//! Two operators, one number; a request that comes again after its answer was lost. A refusal is given only where it is
+//! certain for good.
+
+mod support;
+
+use runtrack_register::{Decision, ReplaceAnswer, ReplaceConfig};
+use support::{Cluster, member, order};
+
+#[test]
+fn a_request_that_builds_on_a_version_yet_to_come_is_not_refused() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    // Its base is version 2, which another member is about to commit.
+    let early = order(2, 3);
+    assert_eq!(cluster.order(0, &early), Some(ReplaceAnswer::Indeterminate));
+    assert_eq!(cluster.order(1, &order(1, 2)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(2, &early), Some(ReplaceAnswer::Applied), "another copy of the same request");
+    assert_eq!(cluster.order(0, &early), Some(ReplaceAnswer::Applied), "and the first one, repeated");
+}
+
+#[test]
+fn before_the_first_version_nothing_that_builds_on_another_is_refused() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.order(0, &order(1, 2)), Some(ReplaceAnswer::Indeterminate));
+    assert_eq!(cluster.order(1, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(2, &order(1, 2)), Some(ReplaceAnswer::Applied));
+}
+
+#[test]
+fn a_version_that_is_not_above_its_own_base_can_never_be_applied_and_is_refused_at_once() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.order(0, &order(0, 0)), Some(ReplaceAnswer::VersionNotIncreasing(0)));
+    assert_eq!(cluster.order(0, &order(9, 9)), Some(ReplaceAnswer::VersionNotIncreasing(9)));
+    for base in 0..12 {
+        assert_eq!(cluster.order(1, &order(base, base + 1)), Some(ReplaceAnswer::Applied));
+    }
+    assert_eq!(cluster.order(2, &order(9, 9)), Some(ReplaceAnswer::VersionNotIncreasing(12)));
+}
+
+#[test]
+fn of_two_requests_under_one_number_one_is_confirmed_and_the_other_is_refused_for_good() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    let one = ReplaceConfig::new(1, 2, b"one".to_vec());
+    let other = ReplaceConfig::new(1, 2, b"other".to_vec());
+    assert_eq!(cluster.order(0, &one), Some(ReplaceAnswer::Applied));
+    for round in 0..50 {
+        assert_eq!(cluster.order(1, &other), Some(ReplaceAnswer::VersionMismatch(2 + round)));
+        assert_eq!(cluster.order(2, &one), Some(ReplaceAnswer::Applied));
+        assert_eq!(cluster.order(0, &order(2 + round, 3 + round)), Some(ReplaceAnswer::Applied));
+    }
+}
+
+/// Requests on top of each other, the last of them under `last`.
+fn apply_up_to(cluster: &mut Cluster, from: u64, last: u64) {
+    for base in from..last {
+        let at = (base % 3) as usize;
+        assert_eq!(cluster.order(at, &order(base, base + 1)), Some(ReplaceAnswer::Applied));
+    }
+}
+
+#[test]
+fn what_was_confirmed_is_confirmed_again_after_hundreds_of_changes_and_never_refused() {
+    let mut cluster = Cluster::new(3);
+    apply_up_to(&mut cluster, 0, 700);
+    assert_eq!(cluster.read(0).floor, 700 - 512);
+    for version in 1..=700 {
+        let at = (version % 3) as usize;
+        let expected =
+            if version > 700 - 512 { ReplaceAnswer::Applied } else { ReplaceAnswer::Indeterminate };
+        assert_eq!(cluster.order(at, &order(version - 1, version)), Some(expected), "version {version}");
+    }
+    assert_eq!(cluster.read(1).version, 700, "nothing was applied twice");
+}
+
+#[test]
+fn below_the_floor_a_rival_gets_no_clear_answer_either_and_above_it_a_refusal() {
+    let mut cluster = Cluster::new(3);
+    apply_up_to(&mut cluster, 0, 600);
+    let rival = |version: u64| ReplaceConfig::new(version - 1, version, b"a rival".to_vec());
+    assert_eq!(cluster.order(0, &rival(600 - 512)), Some(ReplaceAnswer::Indeterminate));
+    assert_eq!(cluster.order(0, &rival(600 - 511)), Some(ReplaceAnswer::VersionMismatch(600)));
+    assert_eq!(cluster.order(0, &rival(600)), Some(ReplaceAnswer::VersionMismatch(600)));
+}
+
+#[test]
+fn versions_that_rise_in_uneven_steps_keep_the_floor_at_the_highest_that_was_dropped() {
+    let first = [[member(0, 0)].into_iter().collect()];
+    let mut value = None;
+    for step in 1..=5u64 {
+        let request = order((step - 1) * 10, step * 10);
+        let (Decision::Propose(next), _) = request.decide_within(value.as_ref(), &first, 3) else {
+            panic!("step {step}")
+        };
+        value = Some(next);
+    }
+    let value = value.expect("a value");
+    assert_eq!(value.floor, 20);
+    assert_eq!(order(10, 20).decide(Some(&value), &first).1, ReplaceAnswer::Indeterminate);
+    assert_eq!(order(10, 15).decide(Some(&value), &first).1, ReplaceAnswer::Indeterminate);
+    assert_eq!(order(10, 25).decide(Some(&value), &first).1, ReplaceAnswer::VersionMismatch(50));
+    assert_eq!(order(20, 30).decide(Some(&value), &first).1, ReplaceAnswer::Applied);
+}
+
+#[test]
+fn what_was_confirmed_is_confirmed_again_after_a_restart_of_all() {
+    let mut cluster = Cluster::new(3);
+    apply_up_to(&mut cluster, 0, 600);
+    for at in 0..3 {
+        cluster.restart(at);
+    }
+    for at in 0..3 {
+        assert_eq!(cluster.order(at, &order(299, 300)), Some(ReplaceAnswer::Applied));
+        assert_eq!(cluster.order(at, &order(49, 50)), Some(ReplaceAnswer::Indeterminate));
+    }
+}
+
+#[test]
+fn what_was_confirmed_is_confirmed_again_after_all_members_were_replaced_one_by_one() {
+    let mut cluster = Cluster::new(3);
+    apply_up_to(&mut cluster, 0, 600);
+    let mut set = [member(0, 0), member(1, 0), member(2, 0)];
+    for place in 0..3u8 {
+        let new = member(10 + place, 7);
+        cluster.add(new);
+        set[usize::from(place)] = new;
+        assert!(cluster.replace(0, &set), "member {place} is replaced");
+        cluster.cut(usize::from(place), true);
+    }
+    for at in 3..6 {
+        assert_eq!(cluster.order(at, &order(599, 600)), Some(ReplaceAnswer::Applied));
+        assert_eq!(cluster.order(at, &order(299, 300)), Some(ReplaceAnswer::Applied));
+        assert_eq!(cluster.order(at, &order(49, 50)), Some(ReplaceAnswer::Indeterminate));
+    }
+    apply_up_to(&mut cluster, 600, 610);
+    assert_eq!(cluster.read(4).floor, 610 - 512, "the floor came along");
+}
+
+#[test]
+fn a_request_whose_answer_was_lost_half_way_is_confirmed_or_superseded_and_its_rival_gets_the_other_answer()
+{
+    // The first copy reaches one member alone, and its proposer falls silent; a rival under the same number comes to
+    // another member, with and without the one that has accepted.
+    for cut in [None, Some(0)] {
+        let mut cluster = Cluster::new(3);
+        assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+        let one = ReplaceConfig::new(1, 2, b"one".to_vec());
+        let other = ReplaceConfig::new(1, 2, b"other".to_vec());
+        cluster.order_reaching(0, &one, &[0]);
+        if let Some(at) = cut {
+            cluster.cut(at, true);
+        }
+        let first = cluster.order(1, &other);
+        if let Some(at) = cut {
+            cluster.cut(at, false);
+        }
+        let second = cluster.order(2, &one);
+        let (applied, refused) = (Some(ReplaceAnswer::Applied), Some(ReplaceAnswer::VersionMismatch(2)));
+        let expected = if cut.is_some() { (applied, refused) } else { (refused, applied) };
+        assert_eq!((first, second), expected, "cut: {cut:?}");
+    }
+}
--- a/crates/register/tests/rounds.rs
+++ b/crates/register/tests/rounds.rs
@@ -201,7 +201,7 @@
 fn what_was_taken_is_remembered_within_bounds() {
     let mut cluster = Cluster::new(1);
     for version in 1..=600 {
-        let order = ReplaceConfig { base: version - 1, version, digest: version, body: Vec::new() };
+        let order = ReplaceConfig::new(version - 1, version, Vec::new());
         assert_eq!(cluster.order(0, &order), Some(ReplaceAnswer::Applied));
     }
     assert_eq!(cluster.read(0).applied.items().len(), 512);
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -18,14 +18,14 @@
     Member::new(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, at + 1), 7000), incarnation)
 }
 
+/// What a member writes before anything else.
+pub fn first_promise(member: Member) -> PromiseRecord {
+    PromiseRecord { incarnation: member.incarnation, promised: Ballot::default() }
+}
+
 /// An order by its versions.
 pub fn order(base: u64, version: u64) -> ReplaceConfig {
-    ReplaceConfig {
-        base,
-        version,
-        digest: base * 1000 + version,
-        body: format!("config {version}").into_bytes(),
-    }
+    ReplaceConfig::new(base, version, format!("config {version}").into_bytes())
 }
 
 struct Node {
@@ -77,8 +77,13 @@
     }
 
     pub fn add(&mut self, member: Member) -> usize {
-        let acceptor = Acceptor::new(member.incarnation);
-        self.nodes.push(Node { member, acceptor, promise: None, value: None, cut: false });
+        self.nodes.push(Node {
+            member,
+            acceptor: Acceptor::new(member.incarnation),
+            promise: Some(first_promise(member)),
+            value: None,
+            cut: false,
+        });
         self.nodes.len() - 1
     }
 
--- a/crates/register/tests/support/world.rs
+++ b/crates/register/tests/support/world.rs
@@ -3,7 +3,7 @@
 //! be like is checked in `checker.rs`, which knows nothing of the register.
 
 use super::checker::{Event, History};
-use super::member;
+use super::{first_promise, member};
 use fastrand::Rng;
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
 use runtrack_register::{
@@ -112,7 +112,7 @@
         let node = |member: &Member| Node {
             member: *member,
             acceptor: Acceptor::new(member.incarnation),
-            promise: None,
+            promise: Some(first_promise(*member)),
             value: None,
             up: true,
         };
@@ -186,20 +186,19 @@
             .as_ref()
             .map_or(0, |(_, v)| v.version);
         self.version += 1 + self.rng.u64(..3);
-        let order = ReplaceConfig {
-            base,
-            version: self.version,
-            digest: self.rng.u64(..),
-            body: self.version.to_le_bytes().to_vec(),
-        };
+        let order = ReplaceConfig::new(base, self.version, self.version.to_le_bytes().to_vec());
         self.history.orders.push(order.clone());
         self.start(Purpose::Order(order));
     }
 
     fn start(&mut self, purpose: Purpose) {
+        let at = self.rng.usize(..self.proposers.len());
+        self.start_at(at, purpose);
+    }
+
+    fn start_at(&mut self, at: usize, purpose: Purpose) {
         let id = self.next;
         self.next += 1;
-        let at = self.rng.usize(..self.proposers.len());
         match &purpose {
             Purpose::Order(order) => {
                 self.history.events.push(Event::Ordered { id, version: order.version })
@@ -383,6 +382,7 @@
             (Purpose::Order(order), Some(ReplaceAnswer::Applied)) => {
                 self.history.events.push(Event::Acknowledged { id: operation.id, version: order.version });
             }
+            (Purpose::Order(_), Some(ReplaceAnswer::Indeterminate)) => {}
             (Purpose::Order(order), Some(_)) => {
                 self.history.events.push(Event::Refused { id: operation.id, version: order.version });
             }
@@ -458,7 +458,7 @@
         self.nodes[at] = Node {
             member: new,
             acceptor: Acceptor::new(incarnation),
-            promise: None,
+            promise: Some(first_promise(new)),
             value: None,
             up: true,
         };
@@ -498,7 +498,7 @@
         self.nodes.push(Node {
             member: new,
             acceptor: Acceptor::new(new.incarnation),
-            promise: None,
+            promise: Some(first_promise(new)),
             value: None,
             up: true,
         });
@@ -533,8 +533,9 @@
         }
         self.operations.clear();
         self.packets.clear();
-        for _ in 0..4 {
-            self.start(Purpose::Read);
+        // Twice, since one that believes in members of long ago can't read before it has heard of the others' reads.
+        for at in (0..self.proposers.len()).chain(0..self.proposers.len()) {
+            self.start_at(at, Purpose::Read);
             for _ in 0..STEPS {
                 self.deliver();
             }
@@ -553,8 +554,10 @@
         && let Some(value) = value
     {
         // Recovery raises the promise to the value's ballot, and here it is to be forgotten.
-        acceptor = Acceptor::recover(None, Some(ValueRecord { ballot: Ballot::default(), ..value }))
-            .expect("a record");
+        let promise = PromiseRecord { incarnation, promised };
+        acceptor =
+            Acceptor::recover(Some(promise), Some(ValueRecord { ballot: Ballot::default(), ..value }))
+                .expect("a record");
     }
     acceptor
 }
