--- a/crates/weirwharf/src/fleet.rs
+++ b/crates/weirwharf/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Decisions of the fleet's proxy for one call: which endpoint, whether another one may be tried, when to come back.
 //!
-//! The ordinary path is SQ(d), as in `balance.rs`: `CHOICES` ready endpoints drawn at random, the one with the fewest
+//! The ordinary path is SQ(d), as in `balance`: `CHOICES` ready endpoints drawn at random, the one with the fewest
 //! of this proxy's own calls in flight, ties at random. Two things add to an endpoint's occupancy, and neither is a
 //! second chooser:
 //!
--- a/crates/weirwharf/src/lib.rs
+++ b/crates/weirwharf/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod fleet;
 mod ring;
 mod stats;
+mod timers;
 mod types;
 pub mod wire;
 
