weirwharf: types.rs split into ids, settings, limits, endpoints, events, actions and checks

Cause: 703 lines of unlike things in one file; the check of settings was one function of 42 lines. Change: a folder of modules, re-exported under the same paths; checks of goal, class and tenant are functions of their own.

--- /dev/null
+++ b/crates/weirwharf/src/types/validate.rs
@@ -0,0 +1,63 @@
+//! Checks that settings make sense.
+
+use super::{Class, Goal, Settings, Tenant};
+use thiserror::Error;
+
+/// Settings that make no sense.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum SettingsError {
+    /// There is no class to serve.
+    #[error("classes: there must be at least one")]
+    NoClasses,
+    /// A value lies outside its range.
+    #[error("{field}: {value} is out of range")]
+    OutOfRange {
+        /// The setting.
+        field: &'static str,
+        /// Its value.
+        value: f64,
+    },
+}
+
+fn within(field: &'static str, value: f64, low: f64, high: f64) -> Result<(), SettingsError> {
+    if (low..=high).contains(&value) { Ok(()) } else { Err(SettingsError::OutOfRange { field, value }) }
+}
+
+impl Settings {
+    /// Checks that the settings make sense.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        if self.classes.is_empty() {
+            return Err(SettingsError::NoClasses);
+        }
+        within("balancers", f64::from(self.balancers), 1.0, 1e6)?;
+        within("limits.max_attempts", f64::from(self.limits.max_attempts), 1.0, 1e6)?;
+        within("rules.cold_share", self.rules.cold_share, 0.0, 1.0)?;
+        within("rules.fall_multiple", self.rules.fall_multiple, 0.0, 1e6)?;
+        within("over_share_worth", self.over_share_worth, 0.0, 1.0)?;
+        validate_goal(&self.goal)?;
+        self.classes.iter().try_for_each(validate_class)?;
+        self.tenants.iter().try_for_each(validate_tenant)
+    }
+}
+
+fn validate_goal(goal: &Goal) -> Result<(), SettingsError> {
+    within("goal.whole", goal.whole, 0.0, 1e6)?;
+    within("goal.worst_window", goal.worst_window, 0.0, 1e6)?;
+    within("goal.worst_class", goal.worst_class, 0.0, 1e6)?;
+    within("goal.worst_tenant", goal.worst_tenant, 0.0, 1e6)?;
+    within("goal.nines", goal.nines, 0.0, 1e6)?;
+    within("goal.nines_wanted", goal.nines_wanted, 0.0, 1e6)
+}
+
+fn validate_class(class: &Class) -> Result<(), SettingsError> {
+    within("classes[].worth", class.worth, 0.0, 1e12)?;
+    within("classes[].late_value", class.late_value, 0.0, 1.0)?;
+    within("classes[].aim_stretch", class.aim_stretch, 0.0, 1e6)?;
+    within("classes[].objective", class.objective.as_secs_f64(), 1e-6, 1e6)?;
+    within("classes[].deadline", class.deadline.as_secs_f64(), 1e-6, 1e6)
+}
+
+fn validate_tenant(tenant: &Tenant) -> Result<(), SettingsError> {
+    within("tenants[].allowance_per_s", tenant.allowance_per_s, 0.0, 1e12)?;
+    within("tenants[].portion", tenant.portion, 0.0, 1.0)
+}
