weirwharf: wire.rs split into fields, names, lines in, lines out, settings

Change: a folder of modules; the parser and the conversion of settings are cut into steps that read fields in the same order.

--- /dev/null
+++ b/crates/weirwharf/src/wire/print.rs
@@ -0,0 +1,41 @@
+//! Actions, printed.
+
+use super::Names;
+use crate::types::Action;
+use std::time::Duration;
+
+/// Prints one action of `instance`; `request` is the wire's name of the request it is about.
+pub fn print(instance: u32, action: &Action, request: &str, names: &Names) -> String {
+    match action {
+        Action::Send { endpoint, timeout, .. } => {
+            // Zero would mean "no time-out of its own", so the least that can be said is a microsecond.
+            let timeout = (*timeout).max(Duration::from_micros(1));
+            format!("try {instance} {request} {} {}", millis(timeout), names.name(*endpoint))
+        }
+        Action::Refuse { retry_after, .. } => match retry_after {
+            Some(wait) => format!("not_now {instance} {request} {}", millis(*wait)),
+            None => format!("not_now {instance} {request} -"),
+        },
+        Action::Fail { .. } => format!("surrender {instance} {request}"),
+        Action::Cancel { attempt, .. } => format!("revoke {instance} {request} {}", attempt.0),
+        Action::SetTimer { token, after } => format!("after {instance} {} {}", token.0, millis(*after)),
+        Action::Watch(on) => format!("tail {instance} {}", u8::from(*on)),
+        Action::FetchList => format!("lookup {instance}"),
+        Action::Probe { endpoint } => format!("ask_load {instance} {}", names.name(*endpoint)),
+        Action::CloseIdle { endpoint } => format!("release {instance} {}", names.name(*endpoint)),
+        Action::Log(text) => format!("trace {instance} {}", one_line(text)),
+    }
+}
+
+/// Prints the report of a panic in an instance.
+pub fn print_fault(instance: u32, problem: &str) -> String {
+    format!("die {instance} {}", one_line(problem))
+}
+
+fn one_line(text: &str) -> String {
+    text.replace(['\n', '\r'], " ")
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_micros() as f64 / 1000.0
+}
