Proxy: the end of a relayed body is said; anything else looks cut

Change: StreamSender::finish says the end; a body whose sender goes without it ends as aborted. The receiver is part of the crate's interface for its test, as EventTracker is.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub use events::EventTracker;
 pub use prompt::prompt_of;
+pub use relay::{BodyAborted, ClientGone, Stream, StreamSender, stream};
 
 use crate::forward::Forwarder;
 use crate::ingress::IngressServer;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body, Frame, SizeHint};
+use runtrack_net::mutant;
+use std::cell::Cell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 
@@ -22,16 +25,49 @@
 
 impl std::error::Error for BodyAborted {}
 
-/// What a stream's bytes are put into.
-pub type StreamSender = Sender<Result<Bytes, BodyAborted>>;
+/// The client has gone, or reads nothing more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientGone;
+
+/// What a stream's bytes are put into. Dropped without [`StreamSender::finish`], by whatever way, it cuts the body short.
+pub struct StreamSender {
+    bytes: Sender<Bytes>,
+    finished: Rc<Cell<bool>>,
+}
+
+impl StreamSender {
+    /// Hands bytes on; waits while the client has not read what came before.
+    pub async fn send(&self, bytes: Bytes) -> Result<(), ClientGone> {
+        self.bytes.send(bytes).await.map_err(|_| ClientGone)
+    }
+
+    /// Hands bytes on if there is room for them.
+    pub fn try_send(&self, bytes: Bytes) -> Result<(), ClientGone> {
+        self.bytes.try_send(bytes).map_err(|_| ClientGone)
+    }
+
+    /// Waits until the client has gone.
+    pub async fn closed(&self) {
+        self.bytes.closed().await;
+    }
+
+    /// The body is whole with what was handed on.
+    pub fn finish(self) {
+        self.finished.set(true);
+    }
+}
 
 /// A stream that is being relayed.
-pub struct Stream(Receiver<Result<Bytes, BodyAborted>>);
+pub struct Stream {
+    bytes: Receiver<Bytes>,
+    finished: Rc<Cell<bool>>,
+}
 
-/// A stream, and where its bytes go in. Dropping the sender ends the body as whole.
+/// A stream, and where its bytes go in.
 pub fn stream() -> (StreamSender, Stream) {
     let (sender, receiver) = channel(FRAMES);
-    (sender, Stream(receiver))
+    let finished = Rc::new(Cell::new(false));
+    (StreamSender { bytes: sender, finished: finished.clone() }, Stream { bytes: receiver, finished })
 }
 
 impl Body for Stream {
@@ -42,7 +78,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        self.0.poll_recv(cx).map(|next| next.map(|bytes| bytes.map(Frame::data)))
+        let next = std::task::ready!(self.bytes.poll_recv(cx));
+        Poll::Ready(match next {
+            Some(bytes) => Some(Ok(Frame::data(bytes))),
+            None if self.finished.get() || mutant("proxy_drop_is_end") => None,
+            None => Some(Err(BodyAborted)),
+        })
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -114,7 +114,7 @@
         running.counted.answers(call.prompt);
         let (sender, body) = stream();
         let reply = reply_head(&running).map(|()| Either::Right(body));
-        let _ = sender.try_send(Ok(first)); // there is room for the first one
+        let _ = sender.try_send(first); // there is room for the first one
         spawn_local(self.relay(call.clone(), running, attempts.clone(), events, sender));
         reply
     }
@@ -143,9 +143,12 @@
                 Ok(()) => {
                     if !events.partial().is_empty() {
                         // Whatever it is, it is what the endpoint ended its answer with.
-                        let _ = sender.send(Ok(Bytes::copy_from_slice(events.partial()))).await;
+                        if sender.send(Bytes::copy_from_slice(events.partial())).await.is_err() {
+                            return; // the client has gone
+                        }
                     }
-                    return self.end_stream(&call, running);
+                    self.end_stream(&call, running);
+                    return sender.finish();
                 }
                 Err(outcome) => running.counted.outcome = outcome,
             }
@@ -153,10 +156,7 @@
             drop(running);
             match self.resume(&call, &mut attempts, &mut events).await {
                 Some(next) => running = next,
-                None => {
-                    let _ = sender.send(Err(BodyAborted)).await; // the client may have gone
-                    return;
-                }
+                None => return, // what was not finished looks cut
             }
         }
     }
@@ -193,7 +193,7 @@
             };
             running.counted.answers(None); // where another endpoint goes on with a stream
             if let Some(ready) = ready_bytes(call, events, bytes)
-                && sender.send(Ok(ready)).await.is_err()
+                && sender.send(ready).await.is_err()
             {
                 return Err(Outcome::Cancelled);
             }
--- a/crates/proxy/tests/mutants.rs
+++ b/crates/proxy/tests/mutants.rs
@@ -22,3 +22,8 @@
     let bytes = "HTTP/1.1 200 OK\r\nX-Server-Seal: s1\r\nContent-Length: 4\r\n\r\nbody";
     found("proxy_id_not_required", |mutant| scenarios::spoilt_answer_once(bytes, mutant));
 }
+
+#[test]
+fn an_end_that_need_not_be_said_is_noticed() {
+    found("proxy_drop_is_end", scenarios::stream_that_breaks_off);
+}
--- a/crates/proxy/tests/support/scenarios.rs
+++ b/crates/proxy/tests/support/scenarios.rs
@@ -1,6 +1,6 @@
 //! Situations that a test runs as they are, and once more with an error planted in the proxy, which it must notice.
 
-use super::{Act, Fleet, Script, Stand, answer, route};
+use super::{Act, Fleet, Script, Stand, answer, chunk, event, route, stream_head};
 use hyper::StatusCode;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -38,3 +38,12 @@
     let runs = one.seen.borrow().len() + other.seen.borrow().len();
     Observed { status: got.status, body: got.body, runs }
 }
+
+/// A stream that may not go on elsewhere and breaks off: whether it looked whole to its client.
+pub async fn stream_that_breaks_off(mutant: Option<&str>) -> bool {
+    let acts = vec![stream_head("s1"), chunk(&event(1)), Act::Close];
+    let stand = Stand::start("i-1", vec![acts]).await;
+    let routes = [route("r", "streaming", 3, false)];
+    let fleet = Fleet::start_with_mutant(&routes, &[&stand], "bounds.retrySlack=56\n", mutant).await;
+    fleet.ask("/r/x", "a1", &[], "x").await.whole
+}
