Proxy: nothing goes out, goes on or is held for a client that left or reads nothing

A client that left while its stream was asked for elsewhere was not noticed until the answer's time was up; a request and its client's leave that a frozen proxy found together was sent all the same; a client that reads nothing held its endpoint without end; a request that came after idle connections were closed at SIGTERM was begun and could not end. Change: the whole relay ends with its client, and hands bytes on within the request's time; right before an attempt is written the client's socket is looked at (client.rs), with deadline and readiness; what comes after idle connections were closed is refused with Connection: close.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request on its way to one endpoint, up to the head of its answer.
 
+use crate::client::Presence;
 use crate::headers::{LAST_EVENT_ID, PRIORITY, TARGET, TIME_BUDGET};
 use crate::judge::{Judgement, judge};
 use crate::pool::{Connection, Connections, NoConnection, Reuse};
@@ -9,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
+use runtrack_net::mutant;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -35,9 +37,16 @@
     pub idempotent: bool,
     /// When its answer must have come.
     pub deadline: Instant,
+    /// Who waits for the answer.
+    pub client: Presence,
 }
 
 impl Outgoing {
+    /// Whether its answer would be in time for somebody.
+    pub fn is_wanted(&self) -> bool {
+        Instant::now() < self.deadline && (!self.client.has_left() || mutant("proxy_sends_for_who_left"))
+    }
+
     /// Which idle connections it may go out on.
     pub fn reuse(&self) -> Reuse {
         match (&self.id, self.idempotent) {
@@ -98,8 +107,8 @@
                 NoConnection::Failed => Outcome::ConnectFailed,
             })
         })?;
-        // The connection may have taken its time to come up.
-        if !state.is_ready(target.key) {
+        // The connection may have taken its time to come up, or the process stood still.
+        if !state.is_ready(target.key) || !outgoing.is_wanted() {
             return Err(AttemptError::unsent(Outcome::Moot));
         }
         let Some(request) = request(target, outgoing, after) else {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,7 @@
 //! A request from its head to its final answer: the route, the attempts, the way back.
 
 use crate::attempt::{AttemptError, Outgoing, ResponseStarted, attempt};
+use crate::client::Presence;
 use crate::headers::{ATTEMPT_ID, PROMPT_PREFIX, TIME_BUDGET, remove_hop_headers};
 use crate::pool::Connections;
 use crate::prompt::prompt_of;
@@ -12,6 +13,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use runtrack_fleetconfig::{Route, RouteKind};
+use runtrack_net::mutant;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, interval, timeout_at};
@@ -132,7 +134,7 @@
     }
 
     /// The final answer to a request.
-    pub async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    pub async fn answer(self: Rc<Self>, request: Request<Incoming>, client: Presence) -> Reply {
         let came = Instant::now();
         let Some(table) = self.state.routes() else {
             return self.refusal("there is no configuration yet");
@@ -172,6 +174,7 @@
             priority: route.priority,
             idempotent: route.repeatable(),
             deadline,
+            client,
         };
         let call = Call {
             outgoing,
@@ -272,19 +275,20 @@
     fn after_failure(&self, call: &Call, attempts: &mut AttemptState, failed: AttemptError) -> bool {
         if !failed.dispatched {
             attempts.unconnected += 1;
-            return attempts.unconnected < CONNECT_TRIES && Instant::now() < call.outgoing.deadline;
+            return attempts.unconnected < CONNECT_TRIES && call.outgoing.is_wanted();
         }
         attempts.dispatched += 1;
         if !failed.never_ran() {
             attempts.may_have_run = true;
-            if !call.outgoing.idempotent {
+            if !call.outgoing.idempotent && !mutant("proxy_repeats_what_runs_once") {
                 return false;
             }
         }
         self.may_retry(call, attempts)
     }
 
-    fn refusal(&self, why: &'static str) -> Reply {
+    /// An answer to what has not run and never will, with the time after which to come back.
+    pub(crate) fn refusal(&self, why: &'static str) -> Reply {
         let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, why);
         let wait = self.state.router().retry_after();
         if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64())) {
@@ -304,6 +308,7 @@
 
 fn end_of(call: &Call, attempts: &AttemptState) -> RequestError {
     match attempts.may_have_run {
+        _ if mutant("proxy_refuses_what_was_sent") => RequestError::Refused,
         false => RequestError::Refused,
         true if Instant::now() >= call.outgoing.deadline => RequestError::TimedOut,
         true => RequestError::Failed,
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -1,5 +1,6 @@
 //! Clients' connections and the platform's readiness checks, up to graceful shutdown.
 
+use crate::client::{Presence, client_stream};
 use crate::forward::{Forwarder, Reply, text};
 use crate::state::State;
 use hyper::body::Incoming;
@@ -113,10 +114,11 @@
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true); // without it events only come later
         self.connections.set(self.connections.get() + 1);
+        let (stream, client) = client_stream(stream);
         let this = self.clone();
         let service = service_fn(move |request| {
-            let this = this.clone();
-            async move { Ok::<_, Infallible>(this.answer(request).await) }
+            let (this, client) = (this.clone(), client.clone());
+            async move { Ok::<_, Infallible>(this.answer(request, client).await) }
         });
         let limits = self.state.routes().map(|table| table.config().limits).unwrap_or_default();
         let serving = http1::Builder::new()
@@ -137,8 +139,13 @@
         self.connection_closed.notify_one();
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Reply {
-        let mut reply = self.forwarder.clone().answer(request).await;
+    async fn answer(&self, request: Request<Incoming>, client: Presence) -> Reply {
+        let closing = *self.closing.borrow();
+        let mut reply = match closing {
+            // What runs for long from here on would not come to its end.
+            true => self.forwarder.refusal("this proxy is shutting down"),
+            false => self.forwarder.clone().answer(request, client).await,
+        };
         if self.draining.get() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! a refusal is given only for what never ran, an answer that was cut short looks cut short.
 
 mod attempt;
+mod client;
 mod events;
 mod forward;
 mod headers;
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -125,39 +125,44 @@
         self.keep(call, running.counted.key, running.response_started.connection, &headers);
     }
 
-    /// Passes a stream on to its end, over several endpoints if need be.
+    /// Passes a stream on to its end, for as long as its client is there.
     async fn relay(
         self: Rc<Self>,
         call: Rc<Call>,
+        running: Running,
+        attempts: AttemptState,
+        events: EventTracker,
+        sender: StreamSender,
+    ) {
+        let followed = tokio::select! {
+            followed = self.follow(&call, running, attempts, events, &sender) => followed,
+            () = sender.closed() => return, // the client has gone, and with this the endpoint's connection
+        };
+        if followed.is_ok() {
+            sender.finish();
+        }
+    }
+
+    /// Passes a stream on over several endpoints if need be; whether it came to its end.
+    async fn follow(
+        &self,
+        call: &Call,
         mut running: Running,
         mut attempts: AttemptState,
         mut events: EventTracker,
-        sender: StreamSender,
-    ) {
+        sender: &StreamSender,
+    ) -> Result<(), TruncatedResponse> {
         loop {
-            let done = tokio::select! {
-                done = self.relay_one(&call, &mut running, &mut events, &sender) => done,
-                () = sender.closed() => return, // the client has gone
-            };
-            match done {
+            match self.relay_one(call, &mut running, &mut events, sender).await {
                 Ok(()) => {
-                    if !events.partial().is_empty() {
-                        // Whatever it is, it is what the endpoint ended its answer with.
-                        if sender.send(Bytes::copy_from_slice(events.partial())).await.is_err() {
-                            return; // the client has gone
-                        }
-                    }
-                    self.end_stream(&call, running);
-                    return sender.finish();
+                    self.end_stream(call, running);
+                    return Ok(());
                 }
                 Err(outcome) => running.counted.outcome = outcome,
             }
             self.connections.close_idle(running.counted.key);
             drop(running);
-            match self.resume(&call, &mut attempts, &mut events).await {
-                Some(next) => running = next,
-                None => return, // what was not finished looks cut
-            }
+            running = self.resume(call, &mut attempts, &mut events).await.ok_or(TruncatedResponse)?;
         }
     }
 
@@ -188,16 +193,19 @@
     ) -> Result<(), Outcome> {
         loop {
             let bytes = match self.next_of_stream(call, running).await? {
-                None => return Ok(()),
+                None => break,
                 Some(bytes) => bytes,
             };
             running.counted.answers(None); // where another endpoint goes on with a stream
-            if let Some(ready) = ready_bytes(call, events, bytes)
-                && sender.send(ready).await.is_err()
-            {
-                return Err(Outcome::Cancelled);
+            if let Some(ready) = ready_bytes(call, events, bytes) {
+                send_in_time(call, sender, ready).await?;
             }
         }
+        // Whatever is no whole event, it is what the endpoint ended its answer with.
+        match events.partial() {
+            [] => Ok(()),
+            rest => send_in_time(call, sender, Bytes::copy_from_slice(rest)).await,
+        }
     }
 
     /// The next bytes of a stream. One that pauses for too long speaks against its endpoint, and a stream that may be
@@ -226,6 +234,12 @@
     }
 }
 
+/// Hands bytes on to a client that may read slowly, until the time of its request is up.
+async fn send_in_time(call: &Call, sender: &StreamSender, bytes: Bytes) -> Result<(), Outcome> {
+    let sent = timeout_at(call.outgoing.deadline, sender.send(bytes)).await;
+    sent.ok().and_then(Result::ok).ok_or(Outcome::Cancelled)
+}
+
 /// What may go on to the client: of a stream that may be resumed only whole events.
 fn ready_bytes(call: &Call, events: &mut EventTracker, bytes: Bytes) -> Option<Bytes> {
     if call.resumable { events.take(&bytes).map(Bytes::from) } else { Some(bytes) }
--- a/crates/proxy/tests/mutants.rs
+++ b/crates/proxy/tests/mutants.rs
@@ -50,3 +50,18 @@
 fn an_end_that_need_not_be_said_is_noticed() {
     found("proxy_drop_is_end", scenarios::stream_that_breaks_off);
 }
+
+#[test]
+fn a_repeat_of_what_may_run_once_is_noticed() {
+    found("proxy_repeats_what_runs_once", scenarios::reset_after_it_was_sent);
+}
+
+#[test]
+fn a_refusal_of_what_was_sent_is_noticed() {
+    found("proxy_refuses_what_was_sent", scenarios::reset_after_it_was_sent);
+}
+
+#[test]
+fn a_request_that_is_sent_for_a_client_who_left_is_noticed() {
+    found("proxy_sends_for_who_left", scenarios::left_while_frozen);
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::TokioIo;
 use runtrack_link::{Gossip, json_logger, listen};
 use runtrack_message::{Endpoint, EndpointState, Hello, Member, Role, WIRE_VERSION};
+use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::Future;
@@ -154,6 +155,7 @@
             match act {
                 Act::Send(bytes) => {
                     if stream.write_all(with_id(&bytes, id.as_deref()).as_bytes()).await.is_err() {
+                        left.notify_one();
                         return;
                     }
                 }
@@ -270,6 +272,56 @@
     )
 }
 
+/// The same route with another time limit.
+pub fn with_timeout(route: &str, milliseconds: u32) -> String {
+    route.replace("\"timeoutMs\":8000", &format!("\"timeoutMs\":{milliseconds}"))
+}
+
+/// A request written out, with an id and a length.
+pub fn request(path: &str, id: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// A client that writes its bytes itself.
+pub struct RawClient {
+    pub stream: TcpStream,
+    pub read: Vec<u8>,
+}
+
+impl RawClient {
+    pub async fn connect(fleet: &Fleet) -> Self {
+        let stream = TcpStream::connect(fleet.front).await.expect("the proxy listens");
+        RawClient { stream, read: Vec::new() }
+    }
+
+    pub async fn write(&mut self, bytes: &str) {
+        self.stream.write_all(bytes.as_bytes()).await.expect("the proxy reads");
+    }
+
+    /// Reads until this has come.
+    pub async fn read_until(&mut self, text: &str) {
+        while !String::from_utf8_lossy(&self.read).contains(text) {
+            let more = timeout(PATIENCE, self.stream.read_buf(&mut self.read)).await;
+            let count = more.unwrap_or_else(|_| panic!("it does not come: {text}")).expect("it is read");
+            assert!(
+                count > 0,
+                "the connection ended before {text}: {}",
+                String::from_utf8_lossy(&self.read)
+            );
+        }
+    }
+
+    /// Reads until the connection ends.
+    pub async fn read_to_end(&mut self) -> String {
+        let end = timeout(PATIENCE, self.stream.read_to_end(&mut self.read)).await.expect("it ends");
+        let _ = end; // by a reset or by an end
+        String::from_utf8_lossy(&self.read).into_owned()
+    }
+}
+
 /// A configuration of these routes.
 pub fn config(version: u64, routes: &[String]) -> String {
     let routes = routes.join(",");
@@ -439,9 +491,27 @@
 
     /// Sends the proxy SIGTERM.
     pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops the proxy's process, and waits until it stands still.
+    pub async fn freeze(&self) {
+        self.signal(Signal::STOP);
+        let stat = format!("/proc/{}/stat", self.child.id().expect("it runs"));
+        while !std::fs::read_to_string(&stat).expect("its state").contains(") T ") {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
         let id = self.child.id().expect("it runs");
         let pid = rustix::process::Pid::from_raw(id as i32).expect("a process");
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it can be told");
+        rustix::process::kill_process(pid, signal).expect("it can be told");
     }
 }
 
