Proxy: a refusal after an endpoint's own failure is no promise

Cause: what may be repeated, failed at one endpoint and was turned away by the next got 503, which says that it never ran (PROTOCOL, Answers). Change: an endpoint's own failure counts as a run. Result: the new test in tests/attempts.rs got 503 before and gets 502; crate's tests 53 of 53.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -206,7 +206,7 @@
                     return reply;
                 }
                 Ok(reply) if !self.may_retry(&call, &attempts) => return reply,
-                Ok(_) => {}
+                Ok(_) => attempts.may_have_run = true,
                 Err(TruncatedResponse) => {
                     attempts.may_have_run = true;
                     if !call.outgoing.idempotent || !self.may_retry(&call, &attempts) {
--- a/crates/proxy/tests/attempts.rs
+++ b/crates/proxy/tests/attempts.rs
@@ -101,6 +101,21 @@
     });
 }
 
+#[test]
+fn a_failure_and_then_a_refusal_are_no_promise() {
+    run(async {
+        let failed = vec![answer("500 Internal Server Error", "it ran")];
+        let script: support::Script = Rc::new(std::cell::RefCell::new(
+            vec![failed, vec![not_executed("503 Service Unavailable")]].into(),
+        ));
+        let one = Stand::start_shared("i-1", script.clone()).await;
+        let other = Stand::start_shared("i-2", script).await;
+        let fleet = Fleet::start(&routes(), &[&one, &other]).await;
+        let got = fleet.ask(AGAIN, "a1", &[], "x").await;
+        assert_eq!(got.status, StatusCode::BAD_GATEWAY, "it has run");
+    });
+}
+
 #[test]
 fn max_tries_binds() {
     run(async {
