Ring store: names are synced by every process that writes; files grow by whole rooms

Cause: a process killed between making a file and syncing its folder left a file that the next one took for durable, so an acknowledged record could go with the power; a configuration beyond the room made its file grow at each change. Change: each process syncs the folder at its first write to each file; files grow by multiples of their room before anything in them is overwritten; the memory store bounds its size and loses names, bytes and whole copies.

--- a/crates/ringstore/src/disk.rs
+++ b/crates/ringstore/src/disk.rs
@@ -5,6 +5,9 @@
 use std::io::{self, Seek, SeekFrom, Write};
 use std::path::PathBuf;
 
+/// A file grows by so many bytes at a time.
+const GROWTH: usize = 64 << 10;
+
 /// A folder on a disk.
 #[derive(Clone, Debug)]
 pub struct Folder(pub PathBuf);
@@ -21,18 +24,25 @@
     fn write(&self, name: &str, bytes: &[u8], room: usize) -> io::Result<()> {
         let path = self.0.join(name);
         let mut file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
-        let length = file.metadata()?.len();
-        let new = length == 0;
-        if length < room.max(bytes.len()) as u64 {
-            file.seek(SeekFrom::Start(length))?;
-            file.write_all(&vec![0; room.max(bytes.len()) - length as usize])?;
-            file.seek(SeekFrom::Start(0))?;
-        }
+        grow(&mut file, room.max(bytes.len()) as u64)?;
         file.write_all(bytes)?;
-        file.sync_data()?;
-        if new {
-            File::open(&self.0)?.sync_all()?;
-        }
-        Ok(())
+        file.sync_data()
+    }
+
+    fn sync_names(&self) -> io::Result<()> {
+        File::open(&self.0)?.sync_all()
+    }
+}
+
+/// Makes a file so long at least, and goes back to its start.
+fn grow(file: &mut File, length: u64) -> io::Result<()> {
+    let before = file.seek(SeekFrom::End(0))?;
+    let zeros = vec![0; GROWTH];
+    let mut missing = length.saturating_sub(before);
+    while missing > 0 {
+        let step = missing.min(GROWTH as u64);
+        file.write_all(&zeros[..step as usize])?;
+        missing -= step;
     }
+    file.rewind()
 }
--- a/crates/ringstore/src/lib.rs
+++ b/crates/ringstore/src/lib.rs
@@ -3,6 +3,9 @@
 //! that was not acknowledged.
 //!
 //! Recovery reads all files of the ring, a fixed number, and takes the valid record with the highest sequence number.
+//! A record may outgrow its room: its file then grows before anything in it is overwritten, and where there is no place
+//! for that, the write fails and the newest record stays where it is.
+//!
 //! A full disk refuses to write, and never stops reading or recovering.
 
 mod disk;
@@ -13,6 +16,7 @@
 
 use deku::prelude::*;
 use quick_error::quick_error;
+use std::collections::BTreeSet;
 use std::io;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -45,9 +49,14 @@
 pub trait Files {
     /// The whole content; none where there is no such file.
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>>;
-    /// Writes from the start on, and returns once it is synced, file and name. A file that is new or shorter is made
-    /// `room` bytes long first.
+    /// Writes from the start on, and returns once the content is synced. A file that is new or shorter is made `room`
+    /// bytes long first.
     fn write(&self, name: &str, bytes: &[u8], room: usize) -> io::Result<()>;
+    /// Returns once the names of all files are synced, so that none is lost with the power. Files that can't be lost
+    /// need nothing here.
+    fn sync_names(&self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 #[derive(DekuRead, DekuWrite)]
@@ -67,6 +76,9 @@
     name: &'static str,
     room: usize,
     sequence: u64,
+    /// Places whose names this process knows to be synced. One that it finds may have been made by a process that was
+    /// killed before that.
+    named: BTreeSet<u64>,
 }
 
 impl<F: Files> Ring<F> {
@@ -81,7 +93,7 @@
             }
         }
         let sequence = newest.as_ref().map_or(0, |(sequence, _)| *sequence);
-        Ok((Ring { files, name, room, sequence }, newest.map(|(_, record)| record)))
+        Ok((Ring { files, name, room, sequence, named: BTreeSet::new() }, newest.map(|(_, record)| record)))
     }
 
     /// Keeps a record: once this returns it is there after any loss of power.
@@ -91,7 +103,14 @@
         let checksum = xxh3_64_with_seed(record, sequence);
         let mut bytes = Header { magic: MAGIC, length, sequence, checksum }.to_bytes()?;
         bytes.extend_from_slice(record);
-        self.files.write(&file_name(self.name, sequence % FILES), &bytes, self.room)?;
+        let place = sequence % FILES;
+        // By whole rooms, so that a record that is a little longer each time doesn't make its file grow each time.
+        let room = bytes.len().next_multiple_of(self.room.max(1));
+        self.files.write(&file_name(self.name, place), &bytes, room)?;
+        if !self.named.contains(&place) {
+            self.files.sync_names()?;
+            self.named.insert(place);
+        }
         // A write that failed is tried again in the same file: the newest record stays where it is.
         self.sequence = sequence;
         Ok(())
--- a/crates/ringstore/src/memory.rs
+++ b/crates/ringstore/src/memory.rs
@@ -2,16 +2,22 @@
 
 use crate::Files;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
 
+type Content = BTreeMap<String, Vec<u8>>;
+
 /// Files in memory. Clones share them, as processes of one machine do.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
-    files: Rc<RefCell<BTreeMap<String, Vec<u8>>>>,
+    files: Rc<RefCell<Content>>,
+    /// Names that have been synced with their folder.
+    named: Rc<RefCell<BTreeSet<String>>>,
     full: Rc<Cell<bool>>,
+    capacity: Rc<Cell<Option<usize>>>,
     torn_at: Rc<Cell<Option<usize>>>,
+    names_refused: Rc<Cell<bool>>,
 }
 
 impl Memory {
@@ -20,14 +26,71 @@
         self.full.set(full);
     }
 
+    /// Bounds the bytes of all files together; a file that would grow beyond it grows as far as there is room.
+    pub fn set_capacity(&self, capacity: Option<usize>) {
+        self.capacity.set(capacity);
+    }
+
+    /// Bytes of all files together.
+    pub fn bytes(&self) -> usize {
+        self.files.borrow().values().map(Vec::len).sum()
+    }
+
     /// The next write fails after so many bytes, as a loss of power would have it.
     pub fn tear_next(&self, after: usize) {
         self.torn_at.set(Some(after));
     }
 
+    /// The next sync of names fails, as where the process is killed before it.
+    pub fn refuse_next_sync_of_names(&self) {
+        self.names_refused.set(true);
+    }
+
+    /// Loses each file whose name was not synced.
+    pub fn lose_power(&self) {
+        let named = self.named.borrow();
+        self.files.borrow_mut().retain(|name, _| named.contains(name));
+    }
+
+    /// Spoils a byte of a file.
+    pub fn damage(&self, name: &str, at: usize) {
+        if let Some(byte) = self.files.borrow_mut().get_mut(name).and_then(|file| file.get_mut(at)) {
+            *byte ^= 0x40;
+        }
+    }
+
+    /// Cuts a file short.
+    pub fn truncate(&self, name: &str, length: usize) {
+        if let Some(file) = self.files.borrow_mut().get_mut(name) {
+            file.truncate(length);
+        }
+    }
+
+    /// All files as they are now.
+    pub fn copy(&self) -> BTreeMap<String, Vec<u8>> {
+        self.files.borrow().clone()
+    }
+
+    /// Puts a copy in the place of all files.
+    pub fn put_back(&self, copy: &BTreeMap<String, Vec<u8>>) {
+        *self.files.borrow_mut() = copy.clone();
+    }
+
     /// Loses everything.
     pub fn wipe(&self) {
         self.files.borrow_mut().clear();
+        self.named.borrow_mut().clear();
+    }
+
+    fn grow(&self, name: &str, length: usize) -> io::Result<()> {
+        let others = self.bytes() - self.files.borrow().get(name).map_or(0, Vec::len);
+        let room = self.capacity.get().map_or(usize::MAX, |capacity| capacity.saturating_sub(others));
+        let mut files = self.files.borrow_mut();
+        let file = files.entry(name.to_owned()).or_default();
+        if file.len() < length {
+            file.resize(length.min(room).max(file.len()), 0);
+        }
+        if file.len() < length { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
     }
 }
 
@@ -40,14 +103,20 @@
         if self.full.get() {
             return Err(io::ErrorKind::StorageFull.into());
         }
+        self.grow(name, room.max(bytes.len()))?;
         let mut files = self.files.borrow_mut();
         let file = files.entry(name.to_owned()).or_default();
-        if file.len() < room.max(bytes.len()) {
-            file.resize(room.max(bytes.len()), 0);
-        }
         let torn = self.torn_at.take();
         let written = torn.map_or(bytes.len(), |after| after.min(bytes.len()));
         file[..written].copy_from_slice(&bytes[..written]);
         if torn.is_some() { Err(io::ErrorKind::Interrupted.into()) } else { Ok(()) }
     }
+
+    fn sync_names(&self) -> io::Result<()> {
+        if self.names_refused.take() {
+            return Err(io::ErrorKind::Interrupted.into());
+        }
+        *self.named.borrow_mut() = self.files.borrow().keys().cloned().collect();
+        Ok(())
+    }
 }
--- a/crates/ringstore/tests/contract.rs
+++ b/crates/ringstore/tests/contract.rs
@@ -107,3 +107,108 @@
         assert_eq!(newest(&folder).as_deref(), Some(b"the first".as_slice()), "byte {at}");
     }
 }
+
+#[test]
+fn the_name_of_a_file_that_a_killed_process_made_is_synced_before_a_record_in_it_counts() {
+    let files = Memory::default();
+    let (mut ring, _) = Ring::open(files.clone(), "value", ROOM).expect("it opens");
+    // The process is killed once it has written the file, and before the folder is synced.
+    files.refuse_next_sync_of_names();
+    assert!(ring.append(b"not acknowledged").is_err());
+    let (mut ring, _) = Ring::open(files.clone(), "value", ROOM).expect("it opens");
+    for record in [b"the first", b"a second ", b"the third"] {
+        ring.append(record).expect("it is kept");
+        files.lose_power();
+        assert_eq!(newest(&files).as_deref(), Some(record.as_slice()));
+    }
+}
+
+#[test]
+fn a_name_whose_sync_failed_is_synced_by_the_next_write() {
+    let files = Memory::default();
+    let (mut ring, _) = Ring::open(files.clone(), "value", ROOM).expect("it opens");
+    files.refuse_next_sync_of_names();
+    assert!(ring.append(b"refused").is_err());
+    ring.append(b"kept").expect("it is kept");
+    files.lose_power();
+    assert_eq!(newest(&files).as_deref(), Some(b"kept".as_slice()));
+}
+
+#[test]
+fn a_record_that_outgrows_its_room_on_a_full_disk_costs_only_itself() {
+    let files = Memory::default();
+    let (mut ring, _) = Ring::open(files.clone(), "value", ROOM).expect("it opens");
+    for number in 0..3u8 {
+        ring.append(&[number; 100]).expect("it is kept");
+    }
+    // Room for one more byte than the files have: a larger record must make its file grow, and that stops half-way.
+    files.set_capacity(Some(3 * ROOM + 1));
+    let large = vec![7; 2 * ROOM];
+    for _ in 0..5 {
+        assert!(ring.append(&large).is_err());
+        assert_eq!(newest(&files), Some(vec![2; 100]), "the newest record stays");
+    }
+    ring.append(b"fits").expect("what fits into the room is kept on a full disk's preallocated files");
+    assert_eq!(newest(&files).as_deref(), Some(b"fits".as_slice()));
+    files.set_capacity(None);
+    ring.append(&large).expect("it is kept");
+    assert_eq!(newest(&files), Some(large));
+}
+
+#[test]
+fn a_file_grows_by_whole_rooms() {
+    let files = Memory::default();
+    let (mut ring, _) = Ring::open(files.clone(), "value", ROOM).expect("it opens");
+    for extra in [1, 2, 500] {
+        ring.append(&vec![1; ROOM + extra]).expect("it is kept");
+    }
+    assert_eq!(
+        files.bytes(),
+        3 * 2 * ROOM,
+        "a record that is a little longer each time needs no growth each time"
+    );
+}
+
+#[test]
+fn the_longest_configuration_is_kept_and_found() {
+    let scratch = Scratch::new("longest");
+    let folder = Folder(scratch.0.clone());
+    let (mut ring, _) = Ring::open(folder.clone(), "value", 384 << 10).expect("it opens");
+    for number in 0..4u8 {
+        let long = vec![number; (8 << 20) + 20_000];
+        ring.append(&long).expect("it is kept");
+        assert!(newest(&folder) == Some(long), "record {number}");
+    }
+}
+
+#[test]
+fn a_record_that_was_synced_and_is_damaged_gives_way_to_the_one_before() {
+    // No disk can tell this from a torn write: what a member has lost by it must be found out from the others.
+    let files = Memory::default();
+    let (mut ring, _) = Ring::open(files.clone(), "value", 64).expect("it opens");
+    for number in 0..5u8 {
+        ring.append(&[number; 30]).expect("it is kept");
+    }
+    files.damage("value-2.ring", 40);
+    assert_eq!(newest(&files), Some(vec![3; 30]));
+    files.truncate("value-1.ring", 50);
+    assert_eq!(newest(&files), Some(vec![2; 30]));
+    files.truncate("value-0.ring", 0);
+    assert_eq!(newest(&files), None);
+}
+
+#[test]
+fn an_older_copy_of_the_disk_is_recovered_as_it_was() {
+    let files = Memory::default();
+    let (mut ring, _) = Ring::open(files.clone(), "value", 64).expect("it opens");
+    ring.append(b"old").expect("it is kept");
+    let copy = files.copy();
+    for _ in 0..4 {
+        ring.append(b"new").expect("it is kept");
+    }
+    files.put_back(&copy);
+    let (mut ring, found) = Ring::open(files.clone(), "value", 64).expect("it opens");
+    assert_eq!(found.as_deref(), Some(b"old".as_slice()));
+    ring.append(b"later").expect("it is kept");
+    assert_eq!(newest(&files).as_deref(), Some(b"later".as_slice()));
+}
