Register: a starting member can ask whether its disk is an older copy

Cause: a disk that was put back from a copy, or whose newest synced record is damaged, is whole and valid by itself; a member that goes on with it forgets promises and accepted values, and an acknowledged configuration can be lost. Change: DurableWatermarks remembers what members have shown to have on disk; DiskCheck says Waiting, Current, Unknown (all started at once) or Older (a new incarnation is due); messages 23 and 24 carry the question and the answer. Result: 12 tests in register/tests/watermarks.rs, one of which shows the loss without the check every time.

--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod legacy;
 mod register;
+mod watermark;
 
 pub use contact::ProbeReply;
 pub use endpoint::{Endpoint, EndpointState, Model};
@@ -17,6 +18,7 @@
     AppliedRequest, AppliedRequests, Ballot, DIGEST_BYTES, Member, MemberSet, MemberSets, RegisterReply,
     RegisterRequest, RequestDigest, Value,
 };
+pub use watermark::{Watermark, WatermarkReply};
 
 use deku::prelude::*;
 use quick_error::quick_error;
@@ -295,6 +297,12 @@
     /// Whether the speaking controller is in contact with a majority of the members.
     #[deku(id = "22")]
     MajorityContact(bool),
+    /// A controller that has started with records on its disk asks what the other remembers of it as this member.
+    #[deku(id = "23")]
+    Watermark(Member),
+    /// The answer.
+    #[deku(id = "24")]
+    WatermarkReply(WatermarkReply),
 }
 
 /// A message as the payload of a frame.
--- a/crates/message/tests/wire.rs
+++ b/crates/message/tests/wire.rs
@@ -71,6 +71,11 @@
             accepted: ballot,
             unreachable: vec![member(3)].into(),
         }),
+        Message::Watermark(member(4)),
+        Message::WatermarkReply(WatermarkReply {
+            member: member(4),
+            remembered: Watermark { promised: ballot, accepted: ballot },
+        }),
         Message::MajorityContact(true),
     ]
 }
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -1,7 +1,7 @@
 //! What a member has promised and accepted.
 
 use crate::record::{PromiseRecord, ValueRecord};
-use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
+use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value, Watermark};
 use std::rc::Rc;
 
 /// A value that was accepted.
@@ -62,6 +62,14 @@
         self.promised
     }
 
+    /// What it holds on disk, where everything that it promised and accepted was kept.
+    pub fn watermark(&self) -> Watermark {
+        Watermark {
+            promised: self.promised,
+            accepted: self.accepted.as_ref().map(|accepted| accepted.ballot).unwrap_or_default(),
+        }
+    }
+
     /// Its reply, and what must be kept before that goes out. Where it can't be kept, the caller puts the acceptor
     /// back as it was and says nothing.
     pub fn handle(&mut self, request: &RegisterRequest) -> (RegisterReply, Option<Durable>) {
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -20,6 +20,7 @@
 mod replace;
 mod round;
 mod sets;
+mod watermark;
 
 pub use acceptor::{Accepted, Acceptor, Durable};
 pub use change::{Decision, finish_membership, replace_members};
@@ -29,3 +30,4 @@
 pub use replace::{MAX_APPLIED_REQUESTS, ReplaceAnswer, ReplaceConfig, Step};
 pub use round::{Outcome, Progress, Round, Send};
 pub use sets::{is_joint, majority_of, members_of, sets_of};
+pub use watermark::{DiskCheck, DiskVerdict, DurableWatermarks, LATE_ANSWERS_TIMEOUT};
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -4,12 +4,13 @@
 pub mod checker;
 pub mod world;
 
-use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value};
+use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value, Watermark};
 use runtrack_register::{
-    Acceptor, Decision, Durable, Outcome, Progress, PromiseRecord, ReplaceAnswer, ReplaceConfig, Round,
-    Send, ValueRecord, finish_membership, is_joint, members_of, replace_members,
+    Acceptor, Decision, DiskCheck, Durable, DurableWatermarks, Outcome, Progress, PromiseRecord,
+    ReplaceAnswer, ReplaceConfig, Round, Send, ValueRecord, finish_membership, is_joint, members_of,
+    replace_members,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 
@@ -64,11 +65,20 @@
     nodes: Vec<Node>,
     view: Vec<BTreeSet<Member>>,
     rounds: u64,
+    /// What each proposer's process has seen of the members.
+    watermarks: BTreeMap<usize, DurableWatermarks>,
+}
+
+/// What was on a member's disk at some time.
+pub struct DiskCopy {
+    promise: Option<PromiseRecord>,
+    value: Option<ValueRecord>,
 }
 
 impl Cluster {
     pub fn new(members: u8) -> Self {
-        let mut cluster = Cluster { nodes: Vec::new(), view: Vec::new(), rounds: 0 };
+        let mut cluster =
+            Cluster { nodes: Vec::new(), view: Vec::new(), rounds: 0, watermarks: BTreeMap::new() };
         for at in 0..members {
             cluster.add(member(at, 0));
         }
@@ -95,6 +105,34 @@
         self.nodes[at].cut = cut;
     }
 
+    /// A copy of a member's disk.
+    pub fn copy_disk(&self, at: usize) -> DiskCopy {
+        let node = &self.nodes[at];
+        DiskCopy { promise: node.promise.clone(), value: node.value.clone() }
+    }
+
+    /// Starts a member again from an older copy of its disk.
+    pub fn restart_from(&mut self, at: usize, copy: DiskCopy) {
+        self.nodes[at].promise = copy.promise;
+        self.nodes[at].value = copy.value;
+        self.restart(at);
+    }
+
+    /// What the process at a place remembers of a member.
+    pub fn remembered(&self, at: usize, member: &Member) -> Watermark {
+        self.watermarks.get(&at).map(|seen| seen.of(member)).unwrap_or_default()
+    }
+
+    /// Processes forget what they have seen when they start again.
+    pub fn forget(&mut self, at: usize) {
+        self.watermarks.remove(&at);
+    }
+
+    /// The question of a member that has just started, before anybody has answered.
+    pub fn disk_check(&self, at: usize) -> DiskCheck {
+        DiskCheck::new(self.nodes[at].member, self.nodes[at].acceptor.watermark(), self.view())
+    }
+
     /// Starts a member again from what is on its disk.
     pub fn restart(&mut self, at: usize) {
         let node = &mut self.nodes[at];
@@ -139,6 +177,7 @@
             let mut next = Vec::new();
             for (to, request) in sends {
                 let Some(reply) = self.deliver(to, &request) else { continue };
+                self.watermarks.entry(at).or_default().on_reply(to, &reply);
                 match round.reply(to, reply, decide) {
                     Progress::Send(more) => next.extend(more),
                     Progress::Done(outcome) => return Some(outcome),
--- /dev/null
+++ b/crates/register/tests/watermarks.rs
@@ -0,0 +1,184 @@
+//! A member that starts asks the others what they remember of it before it promises anything: a disk that was put back
+//! from an older copy, or whose newest synced record is damaged, can't tell by itself.
+
+mod support;
+
+use runtrack_message::{Ballot, Member, RegisterReply, Watermark};
+use runtrack_register::{DiskCheck, DiskVerdict, DurableWatermarks, LATE_ANSWERS_TIMEOUT, ReplaceAnswer};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use support::{Cluster, member, order};
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, boot: 1 }
+}
+
+fn watermark(promised: u64, accepted: u64) -> Watermark {
+    Watermark { promised: ballot(promised), accepted: ballot(accepted) }
+}
+
+fn three() -> Vec<BTreeSet<Member>> {
+    vec![(0..3).map(|at| member(at, 0)).collect()]
+}
+
+/// The check of member 2 with this on its disk.
+fn check(own: Watermark) -> DiskCheck {
+    DiskCheck::new(member(2, 0), own, three())
+}
+
+const START: Duration = Duration::from_secs(5);
+
+#[test]
+fn what_is_remembered_only_rises() {
+    let mut seen = DurableWatermarks::default();
+    let at = member(1, 0);
+    assert_eq!(seen.of(&at), Watermark::default());
+    seen.on_reply(at, &RegisterReply::Promised { ballot: ballot(5), accepted: ballot(2) });
+    assert_eq!(seen.of(&at), watermark(5, 2));
+    seen.on_reply(at, &RegisterReply::Accepted { ballot: ballot(4) });
+    assert_eq!(seen.of(&at), watermark(5, 4));
+    seen.on_reply(at, &RegisterReply::Rejected { ballot: ballot(4), promised: ballot(9) });
+    assert_eq!((seen.of(&at).promised, seen.of(&at).accepted), (ballot(9), ballot(4)));
+    seen.on_accepted(at, ballot(3));
+    seen.on_reply(at, &RegisterReply::WrongIncarnation);
+    assert_eq!(seen.of(&at), watermark(9, 4));
+    seen.on_accepted(at, ballot(11));
+    assert_eq!(seen.of(&at), watermark(11, 11));
+    assert_eq!(seen.of(&member(1, 7)), Watermark::default(), "another incarnation is another member");
+    seen.retain(&[member(0, 0)].into_iter().collect());
+    assert_eq!(seen.of(&at), Watermark::default());
+}
+
+#[test]
+fn one_answer_is_enough_to_know_that_the_disk_is_older() {
+    for remembered in [watermark(8, 5), watermark(7, 6)] {
+        let mut check = check(watermark(7, 5));
+        check.on_answer(member(0, 0), remembered);
+        assert!(matches!(check.verdict(START), DiskVerdict::Older(_)), "{remembered:?}");
+    }
+}
+
+#[test]
+fn a_disk_that_has_all_that_is_remembered_is_current() {
+    let mut check = check(watermark(7, 5));
+    assert_eq!(check.verdict(START), DiskVerdict::Waiting);
+    check.on_answer(member(0, 0), watermark(7, 4));
+    check.on_answer(member(1, 0), watermark(6, 5));
+    assert_eq!(check.verdict(START), DiskVerdict::Current);
+}
+
+#[test]
+fn where_all_start_at_once_it_is_said_that_nothing_is_known() {
+    let mut check = check(watermark(7, 5));
+    for at in 0..2 {
+        check.on_answer(member(at, 0), Watermark::default());
+    }
+    assert_eq!(check.verdict(START), DiskVerdict::Unknown);
+}
+
+#[test]
+fn without_a_majority_it_waits_for_as_long_as_that_lasts() {
+    let mut check = check(watermark(7, 5));
+    for minutes in 0..10 {
+        assert_eq!(check.verdict(Duration::from_secs(60 * minutes)), DiskVerdict::Waiting);
+    }
+    assert_eq!(check.unanswered(), [member(0, 0), member(1, 0)].into_iter().collect());
+    check.on_answer(member(0, 7), watermark(7, 5));
+    assert_eq!(check.verdict(START), DiskVerdict::Waiting, "another incarnation is no member of the set");
+}
+
+#[test]
+fn one_that_answers_late_is_waited_for_within_bounds() {
+    let mut check = check(watermark(7, 5));
+    check.on_answer(member(0, 0), watermark(7, 5));
+    assert_eq!(check.verdict(START), DiskVerdict::Waiting);
+    let nearly = START + LATE_ANSWERS_TIMEOUT - Duration::from_millis(1);
+    assert_eq!(check.verdict(nearly), DiskVerdict::Waiting);
+    let mut late = check.clone();
+    late.on_answer(member(1, 0), watermark(9, 5));
+    assert_eq!(late.verdict(nearly), DiskVerdict::Older(watermark(9, 5)));
+    assert_eq!(check.verdict(START + LATE_ANSWERS_TIMEOUT), DiskVerdict::Current);
+}
+
+#[test]
+fn both_sets_of_a_change_of_members_are_asked() {
+    let next = [member(2, 0), member(3, 9), member(4, 9)].into_iter().collect();
+    let mut check = DiskCheck::new(member(2, 0), watermark(7, 5), vec![three().remove(0), next]);
+    check.on_answer(member(0, 0), watermark(7, 5));
+    check.on_answer(member(1, 0), watermark(7, 5));
+    assert_eq!(check.verdict(START + 2 * LATE_ANSWERS_TIMEOUT), DiskVerdict::Waiting);
+    check.on_answer(member(3, 9), Watermark::default());
+    check.on_answer(member(4, 9), watermark(7, 5));
+    assert_eq!(check.verdict(START), DiskVerdict::Current);
+}
+
+#[test]
+fn a_copy_of_long_ago_asks_the_members_that_are_in_force_now() {
+    let mut check = check(watermark(7, 5));
+    let now = [member(2, 0), member(3, 9), member(4, 9)].into_iter().collect();
+    check.set_sets(vec![now]);
+    assert_eq!(check.unanswered(), [member(3, 9), member(4, 9)].into_iter().collect());
+    check.on_answer(member(4, 9), watermark(20, 19));
+    assert_eq!(check.verdict(START), DiskVerdict::Older(watermark(20, 19)));
+}
+
+/// Version 2 is acknowledged at members 1 and 2, then member 2's disk is put back to where it held version 1.
+fn put_back() -> Cluster {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    let copy = cluster.copy_disk(2);
+    cluster.cut(0, true);
+    assert_eq!(cluster.order(1, &order(1, 2)), Some(ReplaceAnswer::Applied));
+    cluster.cut(0, false);
+    cluster.restart_from(2, copy);
+    cluster
+}
+
+#[test]
+fn a_member_that_goes_on_with_an_older_disk_loses_what_was_acknowledged() {
+    // What the check stands against: without it this happens every time.
+    let mut cluster = put_back();
+    cluster.cut(1, true);
+    assert_eq!(cluster.read(0).version, 1, "version 2 was acknowledged");
+}
+
+#[test]
+fn a_member_with_an_older_disk_is_found_out_and_nothing_is_lost() {
+    let mut cluster = put_back();
+    let mut check = cluster.disk_check(2);
+    for at in 0..2 {
+        check.on_answer(member(at as u8, 0), cluster.remembered(at, &member(2, 0)));
+    }
+    assert!(matches!(check.verdict(START), DiskVerdict::Older(_)));
+    // It is silent under its old incarnation, and joins as another member.
+    cluster.cut(2, true);
+    cluster.add(member(2, 7));
+    assert!(cluster.replace(0, &[member(0, 0), member(1, 0), member(2, 7)]));
+    cluster.cut(1, true);
+    assert_eq!(cluster.read(0).version, 2);
+}
+
+#[test]
+fn a_damaged_newest_record_is_found_out_like_an_older_disk() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.order(1, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    let before = cluster.copy_disk(2);
+    assert_eq!(cluster.order(1, &order(1, 2)), Some(ReplaceAnswer::Applied));
+    // The ring falls back to the record before the damaged one.
+    cluster.restart_from(2, before);
+    let mut check = cluster.disk_check(2);
+    check.on_answer(member(1, 0), cluster.remembered(1, &member(2, 0)));
+    assert!(matches!(check.verdict(START), DiskVerdict::Older(_)));
+}
+
+#[test]
+fn what_only_a_process_saw_that_has_ended_since_is_not_known() {
+    let mut cluster = put_back();
+    cluster.forget(1);
+    let mut check = cluster.disk_check(2);
+    for at in 0..2 {
+        check.on_answer(member(at as u8, 0), cluster.remembered(at, &member(2, 0)));
+    }
+    // Member 0 remembers an older state, and that is all there is: the bound of what can be found out.
+    assert_eq!(check.verdict(START), DiskVerdict::Current);
+}
