Controller: out of contact it answers 503 at once and acknowledges nothing

Cause: a member that was cut off acknowledged heartbeats and let reads and replaces hang for 2.5 s, where callers wait one. Change: gates by majority contact; 408 for a body that did not come whole; confirmations count by member and by link, for the sets in force at their end.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -1,5 +1,6 @@
 //! The outer interfaces over HTTP/1.1: `api/operator.yaml` and `api/endpoints.yaml`.
 
+use crate::contact::MajorityContact;
 use crate::endpoints::Endpoints;
 use crate::proposer::{Proposer, ReplaceOutcome};
 use bytes::Bytes;
@@ -38,17 +39,17 @@
 
 /// All operations of the outer interfaces.
 pub const OPERATIONS: [Operation; 4] = [
-    Operation { method: Method::POST, path: REPLACE, statuses: &[200, 400, 409, 412, 413, 503] },
+    Operation { method: Method::POST, path: REPLACE, statuses: &[200, 400, 408, 409, 412, 413, 503] },
     Operation { method: Method::GET, path: READ, statuses: &[200, 404, 503] },
     Operation {
         method: Method::POST,
         path: "/runtrack/instances/{id}/heartbeat",
-        statuses: &[200, 400, 413, 503],
+        statuses: &[200, 400, 408, 413, 503],
     },
     Operation {
         method: Method::POST,
         path: "/runtrack/instances/{id}/deregister",
-        statuses: &[200, 413, 503],
+        statuses: &[200, 408, 413, 503],
     },
 ];
 
@@ -61,6 +62,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// A body must have come by then.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Operators wait a second for an answer, and longer for one to a large body: before that they get one that is clear.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// So much longer for each byte of a configuration, which has to reach the other members and their disks.
+const ANSWER_ALLOWANCE_PER_BYTE: Duration = Duration::from_micros(1);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -99,12 +104,18 @@
     gossip: Rc<Gossip>,
     proposer: Rc<Proposer>,
     endpoints: Rc<Endpoints>,
+    contact: Rc<MajorityContact>,
 }
 
 impl Api {
     /// Serves with these.
-    pub fn new(gossip: Rc<Gossip>, proposer: Rc<Proposer>, endpoints: Rc<Endpoints>) -> Rc<Self> {
-        Rc::new(Api { gossip, proposer, endpoints })
+    pub fn new(
+        gossip: Rc<Gossip>,
+        proposer: Rc<Proposer>,
+        endpoints: Rc<Endpoints>,
+        contact: Rc<MajorityContact>,
+    ) -> Rc<Self> {
+        Rc::new(Api { gossip, proposer, endpoints, contact })
     }
 
     /// Takes calls until the task is aborted.
@@ -163,7 +174,7 @@
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
                 return text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
             }
-            _ => return text(StatusCode::BAD_REQUEST, "the body did not come whole"),
+            _ => return text(StatusCode::REQUEST_TIMEOUT, "the body did not come whole"),
         };
         if operation.path == REPLACE {
             let base = head
@@ -183,12 +194,28 @@
     }
 
     async fn read(&self) -> Reply {
-        match self.proposer.read().await {
+        if !self.contact.is_current() {
+            return out_of_contact();
+        }
+        let Some(found) = self.within(ANSWER_TIMEOUT, self.proposer.read()).await else {
+            return out_of_contact();
+        };
+        match found {
             Ok(Some(value)) if value.version > 0 => {
                 json_reply(StatusCode::OK, Bytes::copy_from_slice(value.config.as_slice()))
             }
             Ok(_) => text(StatusCode::NOT_FOUND, "there is no configuration yet"),
-            Err(()) => text(StatusCode::SERVICE_UNAVAILABLE, "no majority of the members can be reached"),
+            Err(()) => out_of_contact(),
+        }
+    }
+
+    /// What a request of the register finds, unless contact with a majority is lost or time is up before.
+    async fn within<T>(&self, limit: Duration, request: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            found = request => Some(found),
+            () = self.contact.lost() => None,
+            () = sleep(limit) => None,
         }
     }
 
@@ -200,11 +227,18 @@
                 return text(StatusCode::BAD_REQUEST, &problem.to_string());
             }
         };
+        if !self.contact.is_current() {
+            return out_of_contact();
+        }
         let order = ReplaceConfig::new(base, version, body.to_vec());
-        // It goes on where the caller gives up: what has begun should end.
+        // It goes on where the caller has gone or was told that its outcome is not known: what has begun should end.
         let this = self.clone();
-        let ordered = spawn_local(async move { this.proposer.replace_config(&order).await }).await;
-        let ordered = ordered.unwrap_or(ReplaceOutcome::Indeterminate);
+        let replace = spawn_local(async move { this.proposer.replace_config(&order).await });
+        let limit = ANSWER_TIMEOUT + ANSWER_ALLOWANCE_PER_BYTE * body.len() as u32;
+        let ordered = match self.within(limit, replace).await {
+            Some(Ok(ordered)) => ordered,
+            Some(Err(_)) | None => ReplaceOutcome::Indeterminate,
+        };
         info!(self.gossip.logger(), "config_replace.answered"; "base" => base, "version" => version, "answer" => ?ordered);
         match ordered {
             ReplaceOutcome::Definite(ReplaceAnswer::Applied) => {
@@ -253,7 +287,7 @@
         if self.endpoints.called(record).await {
             json_reply(StatusCode::OK, Bytes::from_static(b"{}"))
         } else {
-            text(StatusCode::SERVICE_UNAVAILABLE, "no majority of the members can be reached")
+            out_of_contact()
         }
     }
 }
@@ -308,6 +342,11 @@
     reply
 }
 
+/// The answer of a member that has no majority behind it: the caller is to go on to another one.
+fn out_of_contact() -> Reply {
+    text(StatusCode::SERVICE_UNAVAILABLE, "no majority of the members can be reached")
+}
+
 /// A refusal, with its reason.
 fn text(status: StatusCode, problem: &str) -> Reply {
     let body = format!("{{\"error\":{}}}", json::to_string(&problem.to_owned()));
--- /dev/null
+++ b/crates/controller/src/confirmations.rs
@@ -0,0 +1,131 @@
+//! Records that a majority of the members must have merged before an endpoint is answered.
+
+use crate::contact::MajorityContact;
+use runtrack_link::{Gossip, Session};
+use runtrack_message::{Endpoint, Member, Message, Role};
+use runtrack_net::mutant;
+use runtrack_register::has_majority;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{Instant, timeout_at};
+
+/// An endpoint waits a second for its acknowledgement.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// A link on which a confirmation came, by its place among the links.
+type SessionKey = usize;
+
+/// Confirmations that are waited for.
+pub struct Confirmations {
+    gossip: Rc<Gossip>,
+    contact: Rc<MajorityContact>,
+    next_number: Cell<u64>,
+    waiting: RefCell<BTreeMap<u64, UnboundedSender<SessionKey>>>,
+}
+
+/// Who was asked for one record, and who has it.
+struct Confirmation {
+    number: u64,
+    record: Endpoint,
+    asked: BTreeMap<SessionKey, Member>,
+    confirmed: BTreeSet<SessionKey>,
+}
+
+impl Confirmations {
+    /// Nothing is waited for. Numbers begin where no earlier process of this member began, so that an answer to one of
+    /// those matches nothing.
+    pub fn new(gossip: Rc<Gossip>, contact: Rc<MajorityContact>) -> Self {
+        Confirmations {
+            gossip,
+            contact,
+            next_number: Cell::new(fastrand::u64(..)),
+            waiting: RefCell::default(),
+        }
+    }
+
+    /// A member has merged the record of this number.
+    pub fn on_confirmed(&self, number: u64, session: &Session) {
+        if let Some(waiting) = self.waiting.borrow().get(&number) {
+            let _ = waiting.send(session.key); // the wait may be over
+        }
+    }
+
+    /// Waits until a majority of the members have merged a record that this process has merged; whether they have.
+    pub async fn confirm(&self, record: Endpoint) -> bool {
+        let number = self.next_number.get();
+        self.next_number.set(number.wrapping_add(1));
+        let (confirms, came) = unbounded_channel();
+        self.waiting.borrow_mut().insert(number, confirms);
+        let confirmation =
+            Confirmation { number, record, asked: BTreeMap::new(), confirmed: BTreeSet::new() };
+        let done = tokio::select! {
+            biased;
+            done = self.wait(confirmation, came) => done,
+            () = self.contact.lost() => false,
+        };
+        self.waiting.borrow_mut().remove(&number);
+        done
+    }
+
+    /// Asks members until enough of those in force have confirmed, or time is up. Who is in force is looked at anew
+    /// with each confirmation and with each change of what this process knows.
+    async fn wait(&self, mut confirmation: Confirmation, mut came: UnboundedReceiver<SessionKey>) -> bool {
+        let until = Instant::now() + CONFIRM_TIMEOUT;
+        let mut changes = self.gossip.changes();
+        loop {
+            let sets = self.contact.sets();
+            if has_majorities(&sets, &confirmation.members(&self.gossip)) {
+                return true;
+            }
+            self.ask(&mut confirmation, &sets);
+            let next = timeout_at(until, async {
+                tokio::select! {
+                    from = came.recv() => from,
+                    _ = changes.changed() => None,
+                }
+            });
+            match next.await {
+                Ok(from) => confirmation.confirmed.extend(from),
+                Err(_) => return false,
+            }
+        }
+    }
+
+    /// Asks those of the members on whose link it has not been asked yet.
+    fn ask(&self, confirmation: &mut Confirmation, sets: &[BTreeSet<Member>]) {
+        let message = Message::Confirm(confirmation.number, vec![confirmation.record.clone()].into());
+        for session in self.gossip.peers(Role::Controller) {
+            let Some(member) = session.dialled_member() else { continue };
+            let is_member = sets.iter().any(|set| set.contains(&member));
+            if is_member && !confirmation.asked.contains_key(&session.key) {
+                confirmation.asked.insert(session.key, member);
+                session.send(&message);
+            }
+        }
+    }
+}
+
+impl Confirmation {
+    /// The members that have the record: this one, and those that confirmed on a link that is still up. Behind a link
+    /// that ended may be a process that has started again and has forgotten what it confirmed.
+    fn members(&self, gossip: &Gossip) -> BTreeSet<Member> {
+        let sessions = gossip.sessions().into_iter();
+        let confirmed = sessions.filter(|session| self.confirmed.contains(&session.key));
+        let same = confirmed.filter_map(|session| {
+            session.dialled_member().filter(|member| self.asked.get(&session.key) == Some(member))
+        });
+        same.chain([gossip.me().member]).collect()
+    }
+}
+
+/// Whether a majority of each set is among these members.
+fn has_majorities(sets: &[BTreeSet<Member>], members: &BTreeSet<Member>) -> bool {
+    if mutant("confirmations-by-address") {
+        let addresses: BTreeSet<_> = members.iter().map(Member::address).collect();
+        return sets.iter().all(|set| has_majority(set, |member| addresses.contains(&member.address())));
+    }
+    !sets.is_empty() && sets.iter().all(|set| has_majority(set, |member| members.contains(member)))
+}
--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -63,7 +63,7 @@
     }
 
     /// The sets at each of which a majority must be in contact: of the newest value that this process knows of.
-    fn sets(&self) -> Vec<BTreeSet<Member>> {
+    pub fn sets(&self) -> Vec<BTreeSet<Member>> {
         let known = self.proposer.known();
         let accepted = self.member.accepted().map(|accepted| (accepted.ballot, accepted.value));
         let newest = known.into_iter().chain(accepted).max_by_key(|(ballot, _)| *ballot);
@@ -125,22 +125,23 @@
             accepted,
             unreachable: unreachable.into(),
         }));
-        if mutant("contact_of_one_side") {
-            self.prove_without_asking(session);
+        if mutant("contact-of-one-side") {
+            let from = session.peer.borrow().as_ref().map(|peer| peer.member);
+            from.iter().for_each(|from| self.prove_without_asking(from));
         }
     }
 
     /// A probe was answered.
     pub fn on_reply(&self, session: &Session, reply: ProbeReply) {
-        let Some(from) = controller_at(session) else { return };
+        let Some(from) = session.dialled_member() else { return };
         let unreachable = reply.unreachable.into_vec().into_iter().collect();
         let now = self.gossip.now();
         let proves = self.table.borrow_mut().on_reply(now, &from, reply.number, unreachable);
         if !proves {
             return;
         }
-        if mutant("contact_as_of_the_reply") {
-            self.prove_without_asking(session);
+        if mutant("contact-as-of-the-reply") {
+            self.prove_without_asking(&from);
         }
         let mut accepted = self.accepted.borrow_mut();
         let newest = accepted.entry(from).or_default();
@@ -149,12 +150,11 @@
     }
 
     /// A planted error: contact counts as of now, whenever it was asked for.
-    fn prove_without_asking(&self, session: &Session) {
-        let Some(from) = controller_at(session) else { return };
+    fn prove_without_asking(&self, from: &Member) {
         let now = self.gossip.now();
         let mut table = self.table.borrow_mut();
-        let number = table.probe(now, &from);
-        table.on_reply(now, &from, number, BTreeSet::new());
+        let number = table.probe(now, from);
+        table.on_reply(now, from, number, BTreeSet::new());
     }
 
     /// Tells a new agent whether this process is in contact.
@@ -164,6 +164,17 @@
         }
     }
 
+    /// Probes the controller at the other side of a link.
+    pub fn probe(&self, session: &Session) {
+        if session.peer_wire() < CONTACT_WIRE_VERSION {
+            return;
+        }
+        if let Some(member) = session.dialled_member() {
+            let number = self.table.borrow_mut().probe(self.gossip.now(), &member);
+            session.send(&Message::Probe(number));
+        }
+    }
+
     fn probe_all(&self) {
         let members = self.members();
         let sets: BTreeSet<Member> = self.sets().into_iter().flatten().collect();
@@ -171,14 +182,9 @@
         let sessions = self.gossip.peers(Role::Controller);
         self.accepted.borrow_mut().retain(|member, _| {
             members.contains(member)
-                || sessions.iter().any(|session| controller_at(session) == Some(*member))
+                || sessions.iter().any(|session| session.dialled_member() == Some(*member))
         });
-        for session in sessions.iter().filter(|session| session.peer_wire() >= CONTACT_WIRE_VERSION) {
-            if let Some(member) = controller_at(session) {
-                let number = self.table.borrow_mut().probe(self.gossip.now(), &member);
-                session.send(&Message::Probe(number));
-            }
-        }
+        sessions.iter().for_each(|session| self.probe(session));
     }
 
     /// Tells the log and the agents where contact was lost or is back.
@@ -187,6 +193,8 @@
         if self.told.replace(current) == current {
             return;
         }
+        // Endpoints that called others meanwhile were not heard of here.
+        self.gossip.interrupt_heartbeats();
         if current {
             info!(self.gossip.logger(), "contact.majority");
         } else {
@@ -213,10 +221,3 @@
         }
     }
 }
-
-/// The controller at the other side of a link that this process dialled, once it has said who it is.
-fn controller_at(session: &Session) -> Option<Member> {
-    let peer = session.peer.borrow();
-    let member = peer.as_ref().filter(|peer| peer.role == Role::Controller)?.member;
-    (session.dialled == Some(member.address())).then_some(member)
-}
--- a/crates/controller/src/endpoints.rs
+++ b/crates/controller/src/endpoints.rs
@@ -1,20 +1,17 @@
 //! Endpoints' calls: who is there, who leaves, and who has fallen silent.
 
+use crate::confirmations::Confirmations;
+use crate::contact::MajorityContact;
 use runtrack_link::{Gossip, Session};
 use runtrack_message::{Endpoint, EndpointState, Message, Role};
-use runtrack_register::majority_of;
+use runtrack_net::mutant;
 use runtrack_registry::key_of;
 use slog::info;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddrV4;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
-
-/// An endpoint waits a second for its acknowledgement.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+use tokio::time::{MissedTickBehavior, interval};
 
 /// An endpoint that has missed so many heartbeats, while others were heard, is silent.
 const SILENT_BEATS: u32 = 3;
@@ -22,9 +19,9 @@
 /// Takes endpoints' calls.
 pub struct Endpoints {
     gossip: Rc<Gossip>,
-    next: Cell<u64>,
-    waiting: RefCell<HashMap<u64, UnboundedSender<SocketAddrV4>>>,
-    /// HeartbeatTable here since the last report.
+    contact: Rc<MajorityContact>,
+    confirmations: Confirmations,
+    /// Endpoints that were heard here since the last report.
     heard: RefCell<BTreeSet<u64>>,
     /// Who is silent, as agents were told last.
     told: RefCell<Vec<u64>>,
@@ -32,18 +29,21 @@
 
 impl Endpoints {
     /// Nobody has called yet.
-    pub fn new(gossip: Rc<Gossip>) -> Rc<Self> {
+    pub fn new(gossip: Rc<Gossip>, contact: Rc<MajorityContact>) -> Rc<Self> {
+        let confirmations = Confirmations::new(gossip.clone(), contact.clone());
         Rc::new(Endpoints {
             gossip,
-            next: Cell::new(0),
-            waiting: RefCell::default(),
+            contact,
+            confirmations,
             heard: RefCell::default(),
             told: RefCell::default(),
         })
     }
 
-    /// Takes a call; whether it may be acknowledged. One that leaves is acknowledged once a majority of the members
-    /// know, so that every proxy in touch hears of it whichever members it is linked to.
+    /// Takes a call; whether it may be acknowledged. Nothing is while this process is not in contact with a majority:
+    /// the endpoint is to call a member that others hear. One that leaves is acknowledged once a majority of the
+    /// members know, so that every proxy in touch hears of it whichever members it is linked to. What the call says is
+    /// taken and told on in any case.
     pub async fn called(&self, record: Endpoint) -> bool {
         let id = record.id.as_string();
         let key = key_of(&id);
@@ -53,42 +53,13 @@
         if self.gossip.merge(vec![record.clone()], None) {
             info!(self.gossip.logger(), "endpoint.changed"; "id" => &id, "state" => ?record.state);
         }
-        !leaving || self.confirm(record).await
-    }
-
-    /// Waits until a majority of the members have merged a record.
-    async fn confirm(&self, record: Endpoint) -> bool {
-        let members: BTreeSet<SocketAddrV4> =
-            self.gossip.replica().members().set.iter().map(|member| member.address()).collect();
-        let me = self.gossip.me().member.address();
-        let mut confirmed: BTreeSet<SocketAddrV4> =
-            members.iter().copied().filter(|member| *member == me).collect();
-        let needed = majority_of(members.len());
-        let number = self.next.get() + 1;
-        self.next.set(number);
-        let (confirms, mut came) = unbounded_channel();
-        self.waiting.borrow_mut().insert(number, confirms);
-        let message = Message::Confirm(number, vec![record].into());
-        for session in self.gossip.peers(Role::Controller) {
-            if session.dialled.is_some_and(|address| members.contains(&address)) {
-                session.send(&message);
-            }
-        }
-        let until = Instant::now() + CONFIRM_TIMEOUT;
-        while confirmed.len() < needed
-            && let Ok(Some(from)) = timeout_at(until, came.recv()).await
-        {
-            confirmed.insert(from);
-        }
-        self.waiting.borrow_mut().remove(&number);
-        confirmed.len() >= needed
+        let in_contact = self.contact.is_current() || mutant("heartbeats-out-of-contact");
+        in_contact && (!leaving || self.confirmations.confirm(record).await)
     }
 
     /// A member has merged the record of this number.
     pub fn confirmed(&self, number: u64, session: &Session) {
-        if let (Some(waiting), Some(from)) = (self.waiting.borrow().get(&number), session.dialled) {
-            let _ = waiting.send(from); // the wait may be over
-        }
+        self.confirmations.on_confirmed(number, session);
     }
 
     /// Another member heard of these.
@@ -96,8 +67,11 @@
         self.gossip.note_heartbeats(keys);
     }
 
-    /// Endpoints that no member has heard of for too long.
+    /// Endpoints that no member has heard of for too long; nobody while this process is not in contact.
     fn silent(&self) -> Vec<u64> {
+        if !self.contact.is_current() && !mutant("suspects-out-of-contact") {
+            return Vec::new();
+        }
         let replica = self.gossip.replica();
         let ready = replica.registry().iter().filter(|(_, record)| record.state == EndpointState::Ready);
         let mut silent: Vec<u64> =
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 mod backlog;
+mod confirmations;
 mod contact;
 pub mod disk;
 mod endpoints;
@@ -90,12 +91,17 @@
     }
 
     fn on_connect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
-        let agent = session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Agent);
-        if let (true, Some(endpoints), Some(contact)) =
-            (agent, self.0.endpoints.get(), self.0.contact.get())
-        {
-            contact.on_agent_connect(session);
-            endpoints.greet(session);
+        let role = session.peer.borrow().as_ref().map(|peer| peer.role);
+        let (Some(endpoints), Some(contact)) = (self.0.endpoints.get(), self.0.contact.get()) else {
+            return;
+        };
+        match role {
+            Some(Role::Agent) => {
+                contact.on_agent_connect(session);
+                endpoints.greet(session);
+            }
+            Some(Role::Controller) => contact.probe(session),
+            Some(Role::Proxy) | None => {}
         }
     }
 
@@ -160,7 +166,7 @@
         seeds,
         node.tolerance.machines,
     );
-    let endpoints = Endpoints::new(gossip.clone());
+    let endpoints = Endpoints::new(gossip.clone(), contact.clone());
     let _ = parts.member.set(member);
     let _ = parts.proposer.set(proposer.clone());
     let _ = parts.membership.set(membership.clone());
@@ -170,7 +176,7 @@
     let _ = parts.contact.set(contact.clone());
     spawn_local(backlogs.run());
     listen(gossip.clone(), address).await.map_err(|error| format!("listen: {address}: {error}"))?;
-    let api = Api::new(gossip.clone(), proposer.clone(), endpoints.clone());
+    let api = Api::new(gossip.clone(), proposer.clone(), endpoints.clone(), contact.clone());
     let calls = api.listen(control).map_err(|error| format!("listen: {control}: {error}"))?;
     spawn_local(gossip.clone().run());
     spawn_local(proposer.clone().run());
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -89,6 +89,11 @@
     }
 
     pub fn start(&mut self, machine: usize, first_boot: bool) {
+        self.start_with_mutant(machine, first_boot, None);
+    }
+
+    /// Starts a machine's process, with an error planted in it if one is named.
+    pub fn start_with_mutant(&mut self, machine: usize, first_boot: bool, mutant: Option<&str>) {
         let seeds: Vec<String> = self.seeds.iter().map(|seed| self.control(*seed).to_string()).collect();
         let settings = self.folder.join(format!("node-{machine}.conf"));
         let text = format!(
@@ -103,6 +108,7 @@
         std::fs::write(&settings, text).expect("the settings can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_runtrack-controller"))
             .env("RUNTRACK_NODE_FILE", &settings)
+            .envs(mutant.map(|name| ("RUNTRACK_MUTANT", name)))
             .stderr(Stdio::piped())
             .spawn()
             .expect("the controller starts");
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -188,6 +188,11 @@
         self.heard.borrow_mut().note(self.now(), self.heartbeat, keys.iter().copied());
     }
 
+    /// News of endpoints may have been missed: nobody is suspect until it has come without a gap again.
+    pub fn interrupt_heartbeats(&self) {
+        self.heard.borrow_mut().interrupt();
+    }
+
     /// Sends to all links but one.
     pub fn broadcast(&self, message: &Message, except: Option<usize>) {
         let Ok(payload) = encode(message) else { return };
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -2,7 +2,7 @@
 
 use crate::gossip::Gossip;
 use bytes::{Bytes, BytesMut};
-use runtrack_message::{Hello, MAX_FRAME, Message, decode, encode};
+use runtrack_message::{Hello, MAX_FRAME, Member, Message, Role, decode, encode};
 use runtrack_net::Connection;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -73,6 +73,13 @@
         self.peer.borrow().as_ref().map(|peer| peer.node.as_string())
     }
 
+    /// The member at the other side of a link that this process dialled, once it has said who it is.
+    pub fn dialled_member(&self) -> Option<Member> {
+        let peer = self.peer.borrow();
+        let member = peer.as_ref().filter(|peer| peer.role == Role::Controller)?.member;
+        (self.dialled == Some(member.address())).then_some(member)
+    }
+
     /// Version of the messages that the other side reads; 0 before it has said so.
     pub fn peer_wire(&self) -> u16 {
         self.peer.borrow().as_ref().map_or(0, |peer| peer.wire)
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -29,5 +29,5 @@
 pub use record::{PromiseRecord, Recovery, ValueRecord, recover};
 pub use replace::{MAX_APPLIED_REQUESTS, ReplaceAnswer, ReplaceConfig, Step};
 pub use round::{Outcome, Progress, Round, Send};
-pub use sets::{is_joint, majority_of, members_of, sets_of};
+pub use sets::{has_majority, is_joint, majority_of, members_of, sets_of};
 pub use watermark::{DiskCheck, DiskVerdict, DurableWatermarks, LATE_ANSWERS_TIMEOUT};
--- a/crates/register/src/sets.rs
+++ b/crates/register/src/sets.rs
@@ -25,7 +25,7 @@
 }
 
 /// Whether more than half of a set is such.
-pub(crate) fn has_majority(set: &BTreeSet<Member>, such: impl Fn(&Member) -> bool) -> bool {
+pub fn has_majority(set: &BTreeSet<Member>, such: impl Fn(&Member) -> bool) -> bool {
     set.iter().filter(|member| such(member)).count() >= majority_of(set.len())
 }
 
--- a/crates/registry/src/heartbeats.rs
+++ b/crates/registry/src/heartbeats.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// News may have been missed: nobody is suspect until it has come without a gap again.
+    pub fn interrupt(&mut self) {
+        self.feed = None;
+    }
+
     /// Whether an endpoint has not been heard of for so many heartbeats while news of others came all the time.
     pub fn is_suspect(&self, now: Duration, heartbeat: Duration, beats: u32, key: u64) -> bool {
         let Some(feed) = self.feed else { return false };
