--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, Uri};
 use runtrack_net::mutant;
 use std::rc::Rc;
@@ -63,6 +63,8 @@
     pub response: Response<Incoming>,
     /// The connection that it comes on.
     pub connection: Connection,
+    /// Its body has no length and ends with the connection.
+    pub ends_with_connection: bool,
 }
 
 /// How an attempt ended that brought no answer.
@@ -161,7 +163,12 @@
     connection: Connection,
 ) -> Result<ResponseStarted, AttemptError> {
     match judge(outgoing, &target.id, &response) {
-        Judgement::Answer => Ok(ResponseStarted { response, connection }),
+        Judgement::Answer => {
+            let headers = response.headers();
+            let ends_with_connection =
+                !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
+            Ok(ResponseStarted { response, connection, ends_with_connection })
+        }
         Judgement::NeverRan => Err(AttemptError::sent(Outcome::Full)),
         Judgement::Unknown(outcome) => Err(AttemptError::sent(outcome)),
     }
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -46,13 +46,7 @@
                 }
             }
             if read.len() > MAX_WHOLE {
-                return Ok(self.relay_from(
-                    call,
-                    running,
-                    attempts,
-                    EventTracker::default(),
-                    read.freeze(),
-                ));
+                return Ok(self.relay_from(call, running, attempts, Passage::of_bytes(), read.freeze()));
             }
         }
         let head = reply_head(&running);
@@ -77,7 +71,7 @@
         mut running: Running,
         attempts: &AttemptState,
     ) -> Result<Reply, TruncatedResponse> {
-        let mut events = EventTracker::default();
+        let mut passage = Passage::of_events(call);
         loop {
             let next = timeout_at(
                 call.outgoing.deadline,
@@ -86,16 +80,16 @@
             .await;
             match next {
                 Ok(Some(Ok(bytes))) => {
-                    if let Some(ready) = ready_bytes(call, &mut events, bytes) {
-                        return Ok(self.relay_from(call, running, attempts, events, ready));
+                    if let Some(ready) = passage.ready(bytes) {
+                        return Ok(self.relay_from(call, running, attempts, passage, ready));
                     }
                 }
-                Ok(None) => {
+                Ok(None) if !passage.is_cut(&running) => {
                     let head = reply_head(&running);
                     self.end_stream(call, running);
-                    return Ok(head.map(|()| whole(Bytes::new())));
+                    return Ok(head.map(|()| whole(passage.rest())));
                 }
-                Ok(Some(Err(BodyAborted))) | Err(_) => {
+                Ok(None | Some(Err(BodyAborted))) | Err(_) => {
                     running.counted.outcome = Outcome::Reset;
                     return Err(TruncatedResponse);
                 }
@@ -108,14 +102,14 @@
         call: &Rc<Call>,
         mut running: Running,
         attempts: &AttemptState,
-        events: EventTracker,
+        passage: Passage,
         first: Bytes,
     ) -> Reply {
         running.counted.answers(call.prompt);
         let (sender, body) = stream();
         let reply = reply_head(&running).map(|()| Either::Right(body));
         let _ = sender.try_send(first); // there is room for the first one
-        spawn_local(self.relay(call.clone(), running, attempts.clone(), events, sender));
+        spawn_local(self.relay(call.clone(), running, attempts.clone(), passage, sender));
         reply
     }
 
@@ -131,11 +125,11 @@
         call: Rc<Call>,
         running: Running,
         attempts: AttemptState,
-        events: EventTracker,
+        passage: Passage,
         sender: StreamSender,
     ) {
         let followed = tokio::select! {
-            followed = self.follow(&call, running, attempts, events, &sender) => followed,
+            followed = self.follow(&call, running, attempts, passage, &sender) => followed,
             () = sender.closed() => return, // the client has gone, and with this the endpoint's connection
         };
         if followed.is_ok() {
@@ -149,11 +143,11 @@
         call: &Call,
         mut running: Running,
         mut attempts: AttemptState,
-        mut events: EventTracker,
+        mut passage: Passage,
         sender: &StreamSender,
     ) -> Result<(), TruncatedResponse> {
         loop {
-            match self.relay_one(call, &mut running, &mut events, sender).await {
+            match self.relay_one(call, &mut running, &mut passage, sender).await {
                 Ok(()) => {
                     self.end_stream(call, running);
                     return Ok(());
@@ -162,7 +156,7 @@
             }
             self.connections.close_idle(running.counted.key);
             drop(running);
-            running = self.resume(call, &mut attempts, &mut events).await.ok_or(TruncatedResponse)?;
+            running = self.resume(call, &mut attempts, &mut passage).await.ok_or(TruncatedResponse)?;
         }
     }
 
@@ -171,14 +165,14 @@
         &self,
         call: &Call,
         attempts: &mut AttemptState,
-        events: &mut EventTracker,
+        passage: &mut Passage,
     ) -> Option<Running> {
         attempts.may_have_run = true;
-        if !call.resumable || !self.may_retry(call, attempts) {
+        let last = HeaderValue::from_str(passage.resumes_after()?).ok()?;
+        if !self.may_retry(call, attempts) {
             return None;
         }
-        let last = HeaderValue::from_str(events.last_id()?).ok()?;
-        events.drop_partial();
+        passage.events.resume();
         let running = self.begin(call, attempts, Some(&last)).await.ok()?;
         running.response_started.response.status().is_success().then_some(running)
     }
@@ -188,29 +182,37 @@
         &self,
         call: &Call,
         running: &mut Running,
-        events: &mut EventTracker,
+        passage: &mut Passage,
         sender: &StreamSender,
     ) -> Result<(), Outcome> {
-        loop {
-            let bytes = match self.next_of_stream(call, running).await? {
-                None => break,
-                Some(bytes) => bytes,
-            };
+        while let Some(bytes) = self.next_of_stream(call, running, passage).await? {
             running.counted.answers(None); // where another endpoint goes on with a stream
-            if let Some(ready) = ready_bytes(call, events, bytes) {
+            let ready = passage.ready(bytes);
+            if passage.events.starts_over() {
+                return Err(Outcome::Reset);
+            }
+            if let Some(ready) = ready {
                 send_in_time(call, sender, ready).await?;
             }
         }
+        if passage.is_cut(running) {
+            return Err(Outcome::Reset);
+        }
         // Whatever is no whole event, it is what the endpoint ended its answer with.
-        match events.partial() {
-            [] => Ok(()),
-            rest => send_in_time(call, sender, Bytes::copy_from_slice(rest)).await,
+        match passage.rest() {
+            rest if rest.is_empty() => Ok(()),
+            rest => send_in_time(call, sender, rest).await,
         }
     }
 
     /// The next bytes of a stream. One that pauses for too long speaks against its endpoint, and a stream that may be
     /// resumed goes on elsewhere then.
-    async fn next_of_stream(&self, call: &Call, running: &mut Running) -> Result<Option<Bytes>, Outcome> {
+    async fn next_of_stream(
+        &self,
+        call: &Call,
+        running: &mut Running,
+        passage: &Passage,
+    ) -> Result<Option<Bytes>, Outcome> {
         let (body, key) = (running.response_started.response.body_mut(), running.counted.key);
         let next = match timeout_at(call.outgoing.deadline, timeout(call.silent_after, next_bytes(body)))
             .await
@@ -220,7 +222,7 @@
             Ok(Ok(next)) => next,
             Ok(Err(_)) => {
                 self.state.silent(key);
-                if call.resumable {
+                if passage.resumes_after().is_some() {
                     return Err(Outcome::TimedOut);
                 }
                 timeout_at(call.outgoing.deadline, next_bytes(body)).await.map_err(|_| Outcome::TimedOut)?
@@ -240,9 +242,58 @@
     sent.ok().and_then(Result::ok).ok_or(Outcome::Cancelled)
 }
 
-/// What may go on to the client: of a stream that may be resumed only whole events.
-fn ready_bytes(call: &Call, events: &mut EventTracker, bytes: Bytes) -> Option<Bytes> {
-    if call.resumable { events.take(&bytes).map(Bytes::from) } else { Some(bytes) }
+/// How a body is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unit {
+    /// As it comes, whatever it is.
+    Bytes,
+    /// As it comes, in events.
+    Events,
+    /// In whole events, so that another endpoint can go on behind each.
+    WholeEvents,
+}
+
+/// A body on its way to the client.
+struct Passage {
+    unit: Unit,
+    events: EventTracker,
+}
+
+impl Passage {
+    fn of_bytes() -> Self {
+        Passage { unit: Unit::Bytes, events: EventTracker::default() }
+    }
+
+    fn of_events(call: &Call) -> Self {
+        let unit = if call.resumable { Unit::WholeEvents } else { Unit::Events };
+        Passage { unit, events: EventTracker::default() }
+    }
+
+    /// What may go on to the client now.
+    fn ready(&mut self, bytes: Bytes) -> Option<Bytes> {
+        match self.unit {
+            Unit::Bytes => {}
+            Unit::Events => self.events.pass(&bytes),
+            Unit::WholeEvents => return self.events.take(&bytes).map(Bytes::from),
+        }
+        Some(bytes)
+    }
+
+    /// What was held back.
+    fn rest(&self) -> Bytes {
+        Bytes::copy_from_slice(self.events.partial())
+    }
+
+    /// The event behind which another endpoint could go on.
+    fn resumes_after(&self) -> Option<&str> {
+        self.events.last_id().filter(|_| self.unit == Unit::WholeEvents)
+    }
+
+    /// Whether an answer that has ended was cut: without a length its connection's end tells nothing, and no stream ends
+    /// within an event.
+    fn is_cut(&self, running: &Running) -> bool {
+        running.response_started.ends_with_connection && self.events.is_within_event()
+    }
 }
 
 /// Status and headers of an answer, without what concerns its connection only.
