Proxy: a silent stream that may not go on elsewhere is waited for

Change: the second send is taken off the budget before the silent endpoint is given up; without it the stream is waited for until its time is up.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -58,6 +58,8 @@
     dispatched: u32,
     pub(crate) may_have_run: bool,
     unconnected: usize,
+    /// The next second send has been taken off the budget already.
+    pub(crate) retry_acquired: bool,
 }
 
 /// The answer broke off before any of it went on.
@@ -205,11 +207,11 @@
                 Ok(reply) if !reply.status().is_server_error() || !call.outgoing.idempotent => {
                     return reply;
                 }
-                Ok(reply) if !self.may_retry(&call, &attempts) => return reply,
+                Ok(reply) if !self.may_retry(&call, &mut attempts) => return reply,
                 Ok(_) => attempts.may_have_run = true,
                 Err(TruncatedResponse) => {
                     attempts.may_have_run = true;
-                    if !call.outgoing.idempotent || !self.may_retry(&call, &attempts) {
+                    if !call.outgoing.idempotent || !self.may_retry(&call, &mut attempts) {
                         return self.error_reply(end_of(&call, &attempts));
                     }
                 }
@@ -218,12 +220,13 @@
     }
 
     /// Whether a call that has arrived at an endpoint may be sent to another one.
-    pub(crate) fn may_retry(&self, call: &Call, attempts: &AttemptState) -> bool {
+    pub(crate) fn may_retry(&self, call: &Call, attempts: &mut AttemptState) -> bool {
+        let acquired = std::mem::take(&mut attempts.retry_acquired);
         if attempts.dispatched >= call.max_tries || Instant::now() >= call.outgoing.deadline {
             return false;
         }
         let now = self.state.now();
-        self.state.router().may_send_again(now, service_key(&call.service))
+        acquired || self.state.router().may_send_again(now, service_key(&call.service))
     }
 
     fn choose(&self, call: &Call, attempts: &AttemptState) -> Option<Target> {
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -147,7 +147,7 @@
         sender: &StreamSender,
     ) -> Result<(), TruncatedResponse> {
         loop {
-            match self.relay_one(call, &mut running, &mut passage, sender).await {
+            match self.relay_one(call, &mut running, &mut attempts, &mut passage, sender).await {
                 Ok(()) => {
                     self.end_stream(call, running);
                     return Ok(());
@@ -182,10 +182,11 @@
         &self,
         call: &Call,
         running: &mut Running,
+        attempts: &mut AttemptState,
         passage: &mut Passage,
         sender: &StreamSender,
     ) -> Result<(), Outcome> {
-        while let Some(bytes) = self.next_of_stream(call, running, passage).await? {
+        while let Some(bytes) = self.next_of_stream(call, running, attempts, passage).await? {
             running.counted.answers(None); // where another endpoint goes on with a stream
             let ready = passage.ready(bytes);
             if passage.events.starts_over() {
@@ -205,12 +206,13 @@
         }
     }
 
-    /// The next bytes of a stream. One that pauses for too long speaks against its endpoint, and a stream that may be
-    /// resumed goes on elsewhere then.
+    /// The next bytes of a stream. One that pauses for too long speaks against its endpoint, and goes on elsewhere then
+    /// where it may; else it is waited for, since silence alone is no end.
     async fn next_of_stream(
         &self,
         call: &Call,
         running: &mut Running,
+        attempts: &mut AttemptState,
         passage: &Passage,
     ) -> Result<Option<Bytes>, Outcome> {
         let (body, key) = (running.response_started.response.body_mut(), running.counted.key);
@@ -222,7 +224,9 @@
             Ok(Ok(next)) => next,
             Ok(Err(_)) => {
                 self.state.silent(key);
-                if passage.resumes_after().is_some() {
+                attempts.retry_acquired =
+                    passage.resumes_after().is_some() && self.may_retry(call, attempts);
+                if attempts.retry_acquired {
                     return Err(Outcome::TimedOut);
                 }
                 timeout_at(call.outgoing.deadline, next_bytes(body)).await.map_err(|_| Outcome::TimedOut)?
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -219,3 +219,32 @@
             .expect("the endpoint's connection ends too");
     });
 }
+
+#[test]
+fn a_silent_stream_that_may_not_go_on_elsewhere_is_waited_for() {
+    run(async {
+        let (go_on, never) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+        let waits = vec![
+            stream_head("first"),
+            chunk(&event(1)),
+            Act::Wait(go_on.clone()),
+            chunk(&event(2)),
+            last_chunk(),
+        ];
+        let silent = vec![stream_head("second"), chunk(&event(1)), Act::Wait(never)];
+        let script: Script =
+            Rc::new(std::cell::RefCell::new(vec![waits, silent, whole_stream("third", 2..=2)].into()));
+        let one = Stand::start_shared("i-1", script.clone()).await;
+        let other = Stand::start_shared("i-2", script).await;
+        let routes = [route("bound", "streaming", 1, true), route("resumed", "streaming", 3, true)];
+        let fleet = Fleet::start(&routes, &[&one, &other]).await;
+        let mut client = support::RawClient::connect(&fleet).await;
+        client.write(&support::request("/bound/x", "a1", "", "")).await;
+        client.read_until("piece 1\n\n").await;
+        // One that fell silent later has gone on elsewhere: the first has been silent for at least as long.
+        assert!(fleet.ask(RESUMED, "a2", &[], "x").await.whole);
+        go_on.notify_one();
+        client.read_until("0\r\n\r\n").await;
+        assert!(String::from_utf8_lossy(&client.read).contains("piece 2"));
+    });
+}
