--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -21,6 +21,20 @@
 /// Where a stream goes on.
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+/// What a request and its answer mean depends on these: naming one in `Connection` does not take it off.
+const END_TO_END: [HeaderName; 10] = [
+    ATTEMPT_ID,
+    TIME_BUDGET,
+    LAST_EVENT_ID,
+    PROMPT_PREFIX,
+    SEAL,
+    header::CONTENT_TYPE,
+    header::HOST,
+    HeaderName::from_static("x-model"),
+    HeaderName::from_static("x-token-count"),
+    HeaderName::from_static("versions"),
+];
 
 /// Removes what concerns one connection only (RFC 9110, section 7.6.1), and the length, which is set anew.
 pub fn remove_hop_headers(headers: &mut HeaderMap) {
@@ -28,7 +42,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| *name != ATTEMPT_ID && *name != header::HOST && *name != TIME_BUDGET)
+        .filter(|name| !END_TO_END.contains(name))
         .collect();
     for name in named {
         headers.remove(name);
@@ -42,6 +56,7 @@
         header::TRANSFER_ENCODING,
         header::UPGRADE,
         KEEP_ALIVE,
+        PROXY_CONNECTION,
     ] {
         headers.remove(name);
     }
--- /dev/null
+++ b/crates/proxy/tests/headers.rs
@@ -0,0 +1,113 @@
+//! Headers on their way to an endpoint and back.
+
+mod support;
+
+use hyper::StatusCode;
+use support::{Fleet, RawClient, Stand, answer_with, route, run};
+
+fn routes() -> Vec<String> {
+    vec![route("once", "non_idempotent", 3, false)]
+}
+
+/// What an endpoint reads of a request with these headers, each with its line's end, and a body of five bytes.
+async fn sent_on(headers: &str) -> support::Seen {
+    let stand = Stand::start("i-1", vec![]).await;
+    let fleet = Fleet::start(&routes(), &[&stand]).await;
+    let mut client = RawClient::connect(&fleet).await;
+    client.write(&support::request("/once/x", "a1", headers, "bytes")).await;
+    client.read_until("unscripted").await;
+    let seen = stand.seen.borrow()[0].clone();
+    seen
+}
+
+#[test]
+fn clients_do_not_set_what_the_fleet_sets() {
+    run(async {
+        let headers = "Priority: 0\r\nPriority: 9\r\nX-Target-Instance: i-9\r\nX-Target-Instance: i-8\r\n\
+                       X-Time-Budget-Ms: 5000\r\nX-Time-Budget-Ms: 9000000\r\n";
+        let seen = sent_on(headers).await;
+        assert_eq!(seen.all("priority"), ["1"]);
+        assert_eq!(seen.all("x-target-instance"), ["i-1"]);
+        let left = seen.all("x-time-budget-ms");
+        assert_eq!(left.len(), 1);
+        assert!(left[0].parse::<u64>().is_ok_and(|left| left <= 5000), "{left:?}");
+    });
+}
+
+#[test]
+fn what_is_the_clients_goes_on_unchanged_and_in_order() {
+    run(async {
+        let headers = "X-Model: m\r\nX-Token-Count: 1460,80\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n\
+                       X-Many: one\r\nX-Many: two,three\r\nX-Many: one\r\nExpect-Version: 7\r\nLast-Event-Id: 5\r\n";
+        let seen = sent_on(headers).await;
+        assert_eq!(seen.all("x-model"), ["m"]);
+        assert_eq!(seen.all("x-token-count"), ["1460,80"]);
+        assert_eq!(seen.all("x-prompt-prefix"), ["5c1e07a2:800,91bd3f06:410"]);
+        assert_eq!(seen.all("x-many"), ["one", "two,three", "one"]);
+        assert_eq!(seen.all("expect-version"), ["7"], "the fleet sets none: it is a header like any other");
+        assert_eq!(seen.all("last-event-id"), ["5"]);
+        assert_eq!(seen.body, b"bytes");
+    });
+}
+
+#[test]
+fn what_concerns_a_connection_stays_there_and_nothing_else_does() {
+    run(async {
+        let headers = "Connection: keep-alive, X-Hop, X-Model, X-Prompt-Prefix, X-Token-Count\r\n\
+                       Connection: X-Attempt-Id, Host, Last-Event-Id, X-Time-Budget-Ms\r\nX-Hop: 1\r\nX-Model: m\r\n\
+                       X-Prompt-Prefix: a:1\r\nX-Token-Count: 1,1\r\nLast-Event-Id: 5\r\nKeep-Alive: timeout=5\r\n\
+                       Proxy-Connection: keep-alive\r\nTE: trailers\r\nUpgrade: other\r\n";
+        let seen = sent_on(headers).await;
+        for name in ["x-hop", "keep-alive", "proxy-connection", "te", "upgrade", "connection"] {
+            assert_eq!(seen.all(name), Vec::<&str>::new(), "{name}");
+        }
+        for (name, value) in [
+            ("x-model", "m"),
+            ("x-prompt-prefix", "a:1"),
+            ("x-token-count", "1,1"),
+            ("last-event-id", "5"),
+            ("x-attempt-id", "a1"),
+            ("host", "h.example"),
+        ] {
+            assert_eq!(seen.all(name), [value], "{name}");
+        }
+    });
+}
+
+#[test]
+fn an_endpoint_does_not_hide_its_seal_behind_its_connection() {
+    run(async {
+        let hiding = "Connection: X-Server-Seal, X-Attempt-Id, Versions, X-Hop\r\nVersions: 3\r\nX-Hop: 1\r\n\
+                      X-Attempt-Id: {id}\r\n";
+        let stand = Stand::start("i-1", vec![vec![answer_with("200 OK", hiding, "fine")]]).await;
+        let fleet = Fleet::start(&routes(), &[&stand]).await;
+        let got = fleet.ask("/once/x", "a1", &[], "x").await;
+        assert_eq!((got.status, got.body.as_str()), (StatusCode::OK, "fine"));
+        assert_eq!(got.headers["x-server-seal"], "s1");
+        assert_eq!(got.headers["x-attempt-id"], "a1");
+        assert_eq!(got.headers["versions"], "3");
+        assert_eq!(got.headers.get("x-hop"), None);
+    });
+}
+
+#[test]
+fn a_request_with_two_lengths_is_read_by_its_chunks() {
+    run(async {
+        let stand = Stand::start("i-1", vec![]).await;
+        let fleet = Fleet::start(&routes(), &[&stand]).await;
+        let mut client = RawClient::connect(&fleet).await;
+        let hidden = support::request("/once/x", "hidden", "", "x");
+        let outer = format!(
+            "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nContent-Length: {}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+            hidden.len() + 5
+        );
+        client.write(&outer).await;
+        client.read_until("HTTP/1.1 ").await;
+        assert!(fleet.ask("/once/x", "a2", &[], "x").await.status.is_success());
+        let seen = stand.seen.borrow();
+        let inside = seen.iter().any(|seen| String::from_utf8_lossy(&seen.body).contains("hidden"));
+        assert!(!inside, "what follows the last chunk is none of the body");
+        assert!(seen.iter().all(|seen| seen.all("transfer-encoding").is_empty()));
+    });
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -68,6 +68,12 @@
 }
 
 impl Seen {
+    /// All values of a header, in order.
+    pub fn all(&self, name: &str) -> Vec<&str> {
+        let lines = self.head.lines().skip(1).filter_map(|line| line.split_once(':'));
+        lines.filter(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim()).collect()
+    }
+
     pub fn header(&self, name: &str) -> Option<&str> {
         let line =
             self.head.lines().find(|line| line.to_ascii_lowercase().starts_with(&format!("{name}:")))?;
