Controller: suspicion and freezes tested in virtual time, links cut one by one

Cause: that one watcher is not enough could not be shown with real processes, whose links nobody can cut one by one. Change: a small world of controllers in memory, with cuts and freezes; test runs on one machine keep their addresses apart.

--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -45,12 +46,17 @@
 struct Process {
     child: Child,
     log: Receiver<String>,
+    /// All that it has logged, to be shown where a test fails.
+    lines: Arc<Mutex<Vec<String>>>,
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if thread::panicking() {
+            self.lines.lock().iter().flat_map(|lines| lines.iter()).for_each(|line| println!("{line}"));
+        }
     }
 }
 
@@ -69,7 +75,10 @@
         let folder =
             std::env::temp_dir().join(format!("controller-{name}-{}-{number}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder); // of a run that was killed
-        let base = (127 << 24) | ((128 + (std::process::id() & 0x3f)) << 16) | ((number & 0xff) << 8);
+        // Ten bits of the process's number keep test runs apart that share a machine.
+        let process = std::process::id();
+        let (second, third) = (64 + (process & 0x7f), ((process >> 7) & 7) << 5 | (number & 0x1f));
+        let base = (127 << 24) | (second << 16) | (third << 8);
         let nodes = (0..machines).map(|_| Node { process: None }).collect();
         let settings = Settings { tolerance: 1, settle_s: 4.0, grace_s: 8.0 };
         let seeds = vec![0, 1, 2];
@@ -203,14 +212,17 @@
             .expect("the controller starts");
         let (lines, log) = channel();
         let stderr = BufReader::new(child.stderr.take().expect("its log"));
+        let lines_of_all = Arc::new(Mutex::new(Vec::new()));
+        let all = lines_of_all.clone();
         thread::spawn(move || {
             for line in stderr.lines().map_while(Result::ok) {
+                all.lock().expect("nobody panics with it").push(line.clone());
                 if lines.send(line).is_err() {
                     return;
                 }
             }
         });
-        self.nodes[machine].process = Some(Process { child, log });
+        self.nodes[machine].process = Some(Process { child, log, lines: lines_of_all });
         self.logged(machine, "controller.start", "");
     }
 
--- /dev/null
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -0,0 +1,337 @@
+//! Controllers in one thread and in virtual time: links in memory that can be cut, disks in memory that can be made to
+//! refuse, processes that can be frozen.
+
+use runtrack_controller::disk::{MemberDisk, Persisting, Record, Rings};
+use runtrack_controller::{new_incarnation, run_in};
+use runtrack_fleetconfig::Node;
+use runtrack_link::{Environment, ProcessEvent};
+use runtrack_net::{Came, Connecting, Connection, Listener, Network};
+use runtrack_ringstore::Memory;
+use slog::{Drain, Logger, o};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// An event that has not been logged after this much virtual time will not be.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// The operator's machine.
+const OPERATOR: usize = 99;
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+const BUFFER: usize = 1 << 20;
+const CONTROL: u16 = 8146;
+const FIRST_PORT: u16 = 7660;
+
+/// A link that carries nothing while it is cut.
+struct Link {
+    stream: DuplexStream,
+    cut: Rc<Cell<bool>>,
+}
+
+impl Connection for Link {
+    fn came(&self) -> Came {
+        Came::Nothing
+    }
+}
+
+impl AsyncRead for Link {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        // A link that was cut is not mended: both sides find it silent and dial anew.
+        if self.cut.get() { Poll::Pending } else { Pin::new(&mut self.stream).poll_read(cx, out) }
+    }
+}
+
+impl AsyncWrite for Link {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if self.cut.get() {
+            Poll::Ready(Ok(bytes.len()))
+        } else {
+            Pin::new(&mut self.stream).poll_write(cx, bytes)
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+type Incoming = UnboundedSender<Box<dyn Connection>>;
+
+/// What connects the machines.
+#[derive(Default)]
+struct Wires {
+    listening: BTreeMap<SocketAddr, Incoming>,
+    cut: BTreeSet<(usize, usize)>,
+    links: Vec<(usize, usize, Rc<Cell<bool>>)>,
+}
+
+fn pair(one: usize, other: usize) -> (usize, usize) {
+    (one.min(other), one.max(other))
+}
+
+/// The network as one machine has it.
+struct Wired {
+    machine: usize,
+    wires: Rc<RefCell<Wires>>,
+}
+
+struct Backlog(RefCell<UnboundedReceiver<Box<dyn Connection>>>);
+
+impl Listener for Backlog {
+    fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<Box<dyn Connection>>> {
+        self.0.borrow_mut().poll_recv(cx).map(|came| came.ok_or_else(|| io::ErrorKind::NotConnected.into()))
+    }
+}
+
+impl Network for Wired {
+    fn connect(&self, to: SocketAddr) -> Connecting {
+        let target = machine_at(to);
+        let mut wires = self.wires.borrow_mut();
+        let (one, other) = pair(self.machine, target);
+        let refused = || -> Connecting { Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) }) };
+        if wires.cut.contains(&(one, other)) {
+            return refused();
+        }
+        let Some(incoming) = wires.listening.get(&to).cloned() else { return refused() };
+        let (here, there) = tokio::io::duplex(BUFFER);
+        let cut = Rc::new(Cell::new(false));
+        if incoming.send(Box::new(Link { stream: there, cut: cut.clone() })).is_err() {
+            return refused();
+        }
+        wires.links.push((one, other, cut.clone()));
+        Box::pin(async move { Ok(Box::new(Link { stream: here, cut }) as Box<dyn Connection>) })
+    }
+
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        let (incoming, backlog) = unbounded_channel();
+        self.wires.borrow_mut().listening.insert(at, incoming);
+        Ok(Box::new(Backlog(RefCell::new(backlog))))
+    }
+}
+
+struct MemoryDisk(RefCell<Rings<Memory>>);
+
+impl MemberDisk for MemoryDisk {
+    fn persist(&self, record: Record) -> Persisting {
+        let result = self.0.borrow_mut().write(&record).map_err(|error| error.to_string());
+        Box::pin(async move { result })
+    }
+}
+
+/// Log lines of one process, and word of each new one.
+#[derive(Clone, Default)]
+struct Lines {
+    written: Arc<Mutex<Vec<u8>>>,
+    news: Arc<Notify>,
+}
+
+impl io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.written.lock().expect("nobody panics with it").extend_from_slice(bytes);
+        self.news.notify_one();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Lines {
+    fn all(&self) -> Vec<String> {
+        let written = self.written.lock().expect("nobody panics with it");
+        String::from_utf8_lossy(&written).lines().map(str::to_owned).collect()
+    }
+
+    fn logger(&self) -> Logger {
+        let event = slog::FnValue(|record: &slog::Record<'_>| record.msg().to_string());
+        let drain = slog_json::Json::new(self.clone()).add_key_value(o!("event" => event)).build();
+        Logger::root(Mutex::new(drain).fuse(), o!())
+    }
+}
+
+struct Machine {
+    disk: Memory,
+    lines: Lines,
+    read: usize,
+    frozen: Rc<Cell<bool>>,
+    thaw: Rc<RefCell<Option<Waker>>>,
+    events: Option<UnboundedSender<ProcessEvent>>,
+}
+
+/// Machines in virtual time, of which the first three are the seeds.
+pub struct World {
+    machines: Vec<Machine>,
+    wires: Rc<RefCell<Wires>>,
+    settle_s: f64,
+}
+
+fn address(machine: usize, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, machine as u8 + 1), port)
+}
+
+fn machine_at(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else { panic!("all addresses are IPv4") };
+    address.ip().octets()[3] as usize - 1
+}
+
+impl World {
+    /// So many machines with nothing running.
+    pub fn new(machines: usize, settle_s: f64) -> Self {
+        let machine = |_| Machine {
+            disk: Memory::default(),
+            lines: Lines::default(),
+            read: 0,
+            frozen: Rc::default(),
+            thaw: Rc::default(),
+            events: None,
+        };
+        World { machines: (0..machines).map(machine).collect(), wires: Rc::default(), settle_s }
+    }
+
+    /// A machine's name as a member.
+    pub fn member(&self, machine: usize) -> String {
+        address(machine, FIRST_PORT).to_string()
+    }
+
+    /// Starts a process; it runs until it ends by itself.
+    pub fn start(&mut self, machine: usize, first_boot: bool) {
+        let seeds: Vec<String> = (0..3).map(|seed| address(seed, CONTROL).to_string()).collect();
+        let text = format!(
+            "node=core-{machine}\nip={}\nzone=a\nlisten.control={}\nportRange={FIRST_PORT},{}\nseeds={}\n\
+             firstBoot={first_boot}\nbeatPeriodMs=1200\ntolerance.machines=1\nbounds.settleS={}\n",
+            address(machine, 0).ip(),
+            address(machine, CONTROL),
+            FIRST_PORT + 15,
+            seeds.join(","),
+            self.settle_s,
+        );
+        let node = Node::read(&text).expect("the settings are right");
+        let opened = Rings::open(self.machines[machine].disk.clone(), || new_incarnation(&node));
+        let (rings, acceptor) = opened.expect("the disk can be read");
+        let disk = Rc::new(MemoryDisk(RefCell::new(rings)));
+        let network = Rc::new(Wired { machine, wires: self.wires.clone() });
+        let state = &mut self.machines[machine];
+        let environment = Environment { network, logger: state.lines.logger() };
+        let (events, told) = unbounded_channel();
+        state.events = Some(events);
+        let process = LocalSet::new();
+        process.spawn_local(run_in(environment, disk, acceptor, node, told));
+        spawn_local(unless_frozen(process, state.frozen.clone(), state.thaw.clone()));
+    }
+
+    /// One call over HTTP, from a machine that is not one of the members; the status, once there is one.
+    async fn call(&self, machine: usize, request: String) -> Option<u16> {
+        let network = Wired { machine: OPERATOR, wires: self.wires.clone() };
+        let mut connection = network.connect(address(machine, CONTROL).into()).await.ok()?;
+        connection.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = String::new();
+        connection.read_to_string(&mut answer).await.ok()?;
+        answer.split(' ').nth(1)?.parse().ok()
+    }
+
+    /// Sends a configuration until it is acknowledged.
+    pub async fn order(&self, machine: usize, base: u64, version: u64) {
+        let body = format!(r#"{{"version":{version},"routes":[],"services":[],"limits":{{}}}}"#);
+        let request = format!(
+            "POST /runtrack/config/replace HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Base-Version: {base}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let acknowledged = async {
+            loop {
+                match self.call(machine, request.clone()).await {
+                    Some(status) if status < 500 => return status,
+                    _ => sleep(RETRY_INTERVAL).await,
+                }
+            }
+        };
+        assert_eq!(timeout(PATIENCE, acknowledged).await, Ok(200));
+    }
+
+    /// Cuts the link between two machines, or joins them again.
+    pub fn cut(&self, one: usize, other: usize, cut: bool) {
+        let ends = pair(one, other);
+        let mut wires = self.wires.borrow_mut();
+        if cut {
+            wires.cut.insert(ends)
+        } else {
+            wires.cut.remove(&ends)
+        };
+        wires.links.iter().filter(|(a, b, _)| (*a, *b) == ends).for_each(|(_, _, link)| link.set(true));
+    }
+
+    /// Stops a process where it is, or lets it go on. Time goes on for it all the same.
+    pub fn freeze(&self, machine: usize, frozen: bool) {
+        let state = &self.machines[machine];
+        state.frozen.set(frozen);
+        if let Some(waker) = state.thaw.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until a process has logged this event with this in it, after those that were waited for before.
+    pub async fn logged(&mut self, machine: usize, event: &str, with: &str) {
+        let found = timeout(PATIENCE, self.find(machine, event, with)).await;
+        assert!(
+            found.is_ok(),
+            "machine {machine} has not logged {event} with {with:?}: {:#?}",
+            self.machines[machine].lines.all()
+        );
+    }
+
+    async fn find(&mut self, machine: usize, event: &str, with: &str) {
+        let event = format!("\"event\":\"{event}\"");
+        let state = &mut self.machines[machine];
+        loop {
+            let lines = state.lines.all();
+            let new = lines.iter().enumerate().skip(state.read);
+            if let Some((at, _)) =
+                new.clone().find(|(_, line)| line.contains(&event) && line.contains(with))
+            {
+                state.read = at + 1;
+                return;
+            }
+            state.lines.news.notified().await;
+        }
+    }
+
+    /// All that a process has logged of this event.
+    pub fn lines(&self, machine: usize, event: &str) -> Vec<String> {
+        let event = format!("\"event\":\"{event}\"");
+        self.machines[machine].lines.all().into_iter().filter(|line| line.contains(&event)).collect()
+    }
+}
+
+/// Runs a process's tasks while it is not frozen.
+async fn unless_frozen(mut process: LocalSet, frozen: Rc<Cell<bool>>, thaw: Rc<RefCell<Option<Waker>>>) {
+    poll_fn(|cx| {
+        *thaw.borrow_mut() = Some(cx.waker().clone());
+        if frozen.get() { Poll::Pending } else { Pin::new(&mut process).poll(cx) }
+    })
+    .await;
+}
+
+/// Runs a test in virtual time.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+}
