--- a/crates/proxy/tests/headers.rs
+++ b/crates/proxy/tests/headers.rs
@@ -16,8 +16,7 @@
     let mut client = RawClient::connect(&fleet).await;
     client.write(&support::request("/once/x", "a1", headers, "bytes")).await;
     client.read_until("unscripted").await;
-    let seen = stand.seen.borrow()[0].clone();
-    seen
+    stand.seen.take().swap_remove(0)
 }
 
 #[test]
