Agents heed controllers in contact with a majority; a link that stood still takes nothing more

Cause: an agent took the configuration and the suspects of a controller that is cut off, and what had waited while it stood still.

--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -1,7 +1,8 @@
 //! Keeps the copies of linked processes alike.
 
 use crate::environment::Environment;
-use crate::session::Session;
+use crate::session::{IDLE_LINK_TIMEOUT, Session};
+use crate::trust::{agreed_suspects, config_sources};
 use runtrack_message::{Endpoint, Hello, Message, Role, StateSummary, encode};
 use runtrack_net::{Network, Tcp};
 use runtrack_registry::{HeartbeatTable, Replica, StoredConfig};
@@ -44,6 +45,8 @@
     logger: Logger,
     heartbeat: Duration,
     born: Instant,
+    /// When this process started, or went on after it had stood still.
+    awake_since: Cell<Instant>,
     replica: RefCell<Replica>,
     heard: RefCell<HeartbeatTable>,
     /// Endpoints that are silent, as told.
@@ -83,6 +86,7 @@
             logger,
             heartbeat,
             born: Instant::now(),
+            awake_since: Cell::new(Instant::now()),
             replica: RefCell::default(),
             heard: RefCell::default(),
             silent: RefCell::default(),
@@ -161,13 +165,11 @@
         self.silent.borrow().contains(&key)
     }
 
-    /// What all those say who are nearer; nothing where none is linked.
+    /// What all those say who are nearer and whose word counts; nothing where there is none.
     fn update_suspects(&self) {
         let nearer = if self.me.role == Role::Agent { Role::Controller } else { Role::Agent };
         let sessions = self.peers(nearer);
-        let mut told = sessions.iter().filter_map(|session| session.silent.borrow().clone());
-        let first = told.next().unwrap_or_default();
-        let all: BTreeSet<u64> = told.fold(first, |all, next| all.intersection(&next).copied().collect());
+        let all = agreed_suspects(&sessions);
         if *self.silent.borrow() == all {
             return;
         }
@@ -324,9 +326,10 @@
                 self.merge(records.into_vec(), Some(session.key));
             }
             Message::Suspects(keys) => {
-                *session.silent.borrow_mut() = Some(keys.into_vec().into_iter().collect());
+                *session.suspects.borrow_mut() = keys.into_vec().into_iter().collect();
                 self.update_suspects();
             }
+            Message::MajorityContact(current) => self.on_majority_contact(session, current),
             Message::Ping => {}
             other => self.handler.on_message(self, session, other),
         }
@@ -339,6 +342,17 @@
         self.peers(role).iter().for_each(|session| session.send_encoded(payload.clone()));
     }
 
+    /// A controller says whether it is in contact. What it said about endpoints before it lost contact is old when it is
+    /// back.
+    fn on_majority_contact(&self, session: &Session, current: bool) {
+        session.in_contact.set(current);
+        if !current {
+            session.suspects.borrow_mut().clear();
+        }
+        self.update_suspects();
+        self.fetch();
+    }
+
     fn on_summary(&self, session: &Rc<Session>, notice: StateSummary) {
         session.noticed.set(notice.version);
         if session.proxies.replace(notice.proxies) != notice.proxies {
@@ -352,7 +366,9 @@
     /// Asks for a newer configuration, one link at a time.
     fn fetch(&self) {
         let version = self.replica.borrow().version();
-        let newest = self.sessions.borrow().iter().map(|session| session.noticed.get()).max().unwrap_or(0);
+        let awake = self.awake_since.get().elapsed();
+        let sources: Vec<Rc<Session>> = config_sources(self.me.role, awake, self.sessions()).collect();
+        let newest = sources.iter().map(|session| session.noticed.get()).max().unwrap_or(0);
         if newest <= version {
             return;
         }
@@ -360,9 +376,8 @@
         if asked.is_some_and(|(what, at)| what >= newest && at.elapsed() < FETCH_TIMEOUT) {
             return;
         }
-        let sessions = self.sessions.borrow();
         let having: Vec<&Rc<Session>> =
-            sessions.iter().filter(|session| session.noticed.get() == newest).collect();
+            sources.iter().filter(|session| session.noticed.get() == newest).collect();
         if let Some(session) = fastrand::choice(&having) {
             session.send(&Message::Fetch(version));
             self.fetching.set(Some((newest, Instant::now())));
@@ -374,8 +389,13 @@
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut told = Instant::now();
+        let mut ticked = Instant::now();
         loop {
             ticks.tick().await;
+            if ticked.elapsed() >= IDLE_LINK_TIMEOUT {
+                self.awake_since.set(Instant::now());
+            }
+            ticked = Instant::now();
             self.fetch();
             if told.elapsed() >= REPEAT_INTERVAL {
                 told = Instant::now();
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -10,6 +10,7 @@
 mod logs;
 mod process;
 mod session;
+mod trust;
 
 pub use environment::{Environment, ProcessEvent, ProcessEvents};
 pub use gossip::{Gossip, MessageHandler};
@@ -17,3 +18,4 @@
 pub use process::{Signals, program, run_single_threaded};
 pub use session::{CONNECT_TIMEOUT, IDLE_LINK_TIMEOUT, PING_INTERVAL, Session, dial_for_ever, listen};
 pub use slog::{self, Logger};
+pub use trust::START_WAIT;
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -3,7 +3,7 @@
 use crate::gossip::Gossip;
 use bytes::{Bytes, BytesMut};
 use runtrack_message::{Hello, MAX_FRAME, Member, Message, Role, decode, encode};
-use runtrack_net::Connection;
+use runtrack_net::{Connection, mutant};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::future::poll_fn;
@@ -40,8 +40,10 @@
     pub peer: RefCell<Option<Hello>>,
     /// The copies on both sides have been compared once.
     pub(crate) compared: Cell<bool>,
-    /// Endpoints that the other side takes for silent; none before it has told.
-    pub(crate) silent: RefCell<Option<BTreeSet<u64>>>,
+    /// Endpoints that the other side suspects, as it told last.
+    pub(crate) suspects: RefCell<BTreeSet<u64>>,
+    /// The other side is a controller in contact with a majority, as it told last.
+    pub(crate) in_contact: Cell<bool>,
     /// Newest version that the other side has told of.
     pub noticed: Cell<u64>,
     /// Live proxies as the other side counts them.
@@ -103,7 +105,8 @@
             dialled,
             peer: RefCell::default(),
             compared: Cell::new(false),
-            silent: RefCell::default(),
+            suspects: RefCell::default(),
+            in_contact: Cell::new(false),
             noticed: Cell::new(0),
             proxies: Cell::new(0),
             queue,
@@ -122,11 +125,15 @@
     }
 }
 
+fn has_fallen_silent(session: &Session) -> bool {
+    session.heard.get().elapsed() >= IDLE_LINK_TIMEOUT
+}
+
 /// Ends once the other side has been silent for too long; sends signs of life until then.
 async fn watch(session: &Session) {
     let mut ticks = interval(PING_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    while session.heard.get().elapsed() < IDLE_LINK_TIMEOUT {
+    while !has_fallen_silent(session) {
         ticks.tick().await;
         session.send(&Message::Ping);
     }
@@ -146,6 +153,10 @@
                 buffer.reserve(READ);
                 match reader.read_buf(&mut buffer).await {
                     Ok(0) | Err(_) => return,
+                    // This process stood still, or the link did: what has come is old, and nobody says how old.
+                    Ok(_) if has_fallen_silent(session) && !mutant("link-reads-on-after-standstill") => {
+                        return;
+                    }
                     Ok(_) => session.heard.set(Instant::now()),
                 }
             }
--- /dev/null
+++ b/crates/link/tests/trust.rs
@@ -0,0 +1,140 @@
+//! Whose word an agent takes: configuration and suspects from controllers in contact with a majority; nothing that came
+//! while it stood still.
+
+mod support;
+
+use runtrack_link::START_WAIT;
+use runtrack_message::{Config, Message};
+use runtrack_net::plant;
+use std::time::Duration;
+use support::{Agent, in_virtual_time};
+
+const LONG: Duration = Duration::from_secs(5);
+/// The agent looks for a configuration this often.
+const LOOK: Duration = Duration::from_millis(250);
+
+type Checked = Result<(), String>;
+
+fn check(holds: bool, what: &str) -> Checked {
+    if holds { Ok(()) } else { Err(what.to_owned()) }
+}
+
+fn suspects(keys: &[u64]) -> Message {
+    Message::Suspects(keys.to_vec().into())
+}
+
+/// An agent that starts beside a controller that is cut off takes its word only after the wait.
+async fn starts_beside_one_that_is_cut_off() -> Checked {
+    let agent = Agent::start();
+    let mut link = agent.controller(1).linked().await;
+    link.introduce(false, 5).await;
+    let asked = link.asked_within(LONG).await.ok_or("it must start where that one is all it can reach")?;
+    check(asked + LOOK >= START_WAIT, &format!("asked after {asked:?}"))?;
+    check(asked <= START_WAIT + LOOK, &format!("asked only after {asked:?}"))?;
+    link.say(Message::Config(Config { version: 5, body: b"{}".to_vec().into() })).await;
+    agent.settle().await;
+    check(agent.gossip.replica().version() == 5, "the configuration is taken")
+}
+
+/// One that is in contact is asked at once, and one that is cut off not at all, whatever it says.
+async fn prefers_one_in_contact() -> Checked {
+    let agent = Agent::start();
+    let (mut first, mut second) = (agent.controller(1), agent.controller(2));
+    let (mut cut_off, mut in_contact) = (first.linked().await, second.linked().await);
+    cut_off.introduce(false, 7).await;
+    in_contact.introduce(true, 5).await;
+    let (asked_old, asked) = tokio::join!(cut_off.asked_within(LONG), async {
+        let asked = in_contact.asked_within(LONG).await;
+        in_contact.say(Message::Config(Config { version: 5, body: b"{}".to_vec().into() })).await;
+        in_contact.asked_within(LONG).await;
+        asked
+    });
+    check(asked.is_some_and(|asked| asked < LOOK), "the one in contact is asked at once")?;
+    check(asked_old.is_none(), "the one that is cut off is not asked")?;
+    check(agent.gossip.replica().version() == 5, "the configuration is taken")
+}
+
+/// Suspects are those that all controllers in contact name.
+async fn heeds_suspects_of_those_in_contact() -> Checked {
+    let agent = Agent::start();
+    let (mut first, mut second) = (agent.controller(1), agent.controller(2));
+    let (mut one, mut other) = (first.linked().await, second.linked().await);
+    one.say(suspects(&[7, 8])).await;
+    agent.settle().await;
+    check(agent.gossip.silent().is_empty(), "one that has not told its contact counts for nothing")?;
+    one.say(Message::MajorityContact(true)).await;
+    other.introduce(false, 0).await;
+    agent.settle().await;
+    check(agent.gossip.silent() == [7, 8], "one that is cut off has no say")?;
+    other.say(Message::MajorityContact(true)).await;
+    agent.settle().await;
+    check(agent.gossip.silent().is_empty(), "the other one names nobody")?;
+    other.say(suspects(&[8, 9])).await;
+    agent.settle().await;
+    check(agent.gossip.silent() == [8], "both name it")?;
+    one.say(Message::MajorityContact(false)).await;
+    agent.settle().await;
+    check(agent.gossip.silent() == [8, 9], "the other one alone counts")?;
+    one.say(Message::MajorityContact(true)).await;
+    agent.settle().await;
+    check(agent.gossip.silent().is_empty(), "what it named before it lost contact is old")
+}
+
+/// An agent that stood still takes nothing that waited for it, and makes its links anew.
+async fn takes_nothing_that_came_while_it_stood_still() -> Checked {
+    let agent = Agent::start();
+    let mut controller = agent.controller(1);
+    let mut link = controller.linked().await;
+    link.introduce(true, 5).await;
+    link.say(suspects(&[7])).await;
+    agent.settle().await;
+    check(agent.gossip.silent() == [7], "it was told so")?;
+    link.say(suspects(&[7, 8])).await;
+    link.introduce(true, 6).await;
+    tokio::time::advance(Duration::from_secs(20)).await;
+    agent.settle().await;
+    check(agent.gossip.silent().is_empty(), "neither what it held nor what waited for it counts")?;
+    let again = tokio::time::timeout(LONG, controller.linked()).await;
+    let mut again = again.map_err(|_| "it must dial again")?;
+    again.introduce(false, 6).await;
+    let asked = again.asked_within(LONG).await.ok_or("it must go on where that one is all it can reach")?;
+    check(asked + 2 * LOOK >= START_WAIT, &format!("the wait begins anew: asked after {asked:?}"))
+}
+
+#[test]
+fn an_agent_beside_a_controller_that_is_cut_off_waits_and_then_starts() {
+    in_virtual_time(starts_beside_one_that_is_cut_off()).expect("it holds");
+}
+
+#[test]
+fn an_agent_asks_controllers_in_contact_and_no_others() {
+    in_virtual_time(prefers_one_in_contact()).expect("it holds");
+}
+
+#[test]
+fn suspects_are_those_that_all_controllers_in_contact_name() {
+    in_virtual_time(heeds_suspects_of_those_in_contact()).expect("it holds");
+}
+
+#[test]
+fn an_agent_that_stood_still_takes_nothing_that_waited_for_it() {
+    in_virtual_time(takes_nothing_that_came_while_it_stood_still()).expect("it holds");
+}
+
+#[test]
+fn each_mutant_is_found() {
+    plant(Some("agent-takes-the-first-word"));
+    let first_word = in_virtual_time(starts_beside_one_that_is_cut_off());
+    let other_word = in_virtual_time(prefers_one_in_contact());
+    plant(Some("suspects-of-anyone"));
+    let anyone = in_virtual_time(heeds_suspects_of_those_in_contact());
+    plant(Some("link-reads-on-after-standstill"));
+    let reads_on = in_virtual_time(takes_nothing_that_came_while_it_stood_still());
+    plant(None);
+    for (mutant, found) in
+        [("first word", first_word), ("other word", other_word), ("anyone", anyone), ("reads on", reads_on)]
+    {
+        println!("{mutant}: {found:?}");
+        assert!(found.is_err(), "{mutant} was not found");
+    }
+}
