Register: an exhaustive model over the code's own rounds and members

Cause: drawn worlds show what chance finds; nothing showed that every order of messages within a bound is safe. Change: a breadth-first search with reductions, seven scenarios, 21 mutants, and a check without the reductions.

--- /dev/null
+++ b/crates/register/tests/model/main.rs
@@ -0,0 +1,151 @@
+//! Every order of messages, losses and restarts within small bounds, over the code's own rounds and members: the rules
+//! hold in all of them, and an error that is planted is found by a shortest way.
+#![allow(dead_code, reason = "the support modules serve several test files")]
+
+mod actions;
+mod audit;
+mod intern;
+mod machine;
+mod rules;
+mod scenario;
+mod search;
+mod state;
+#[path = "../support/mod.rs"]
+mod support;
+mod trace;
+
+use scenario::{Network, Scenario};
+use search::{Report, search};
+use std::time::Instant;
+use support::mutants::Mutant;
+
+/// Memory bounds what is searched: some 100 bytes a state with the farthest ones.
+const MAX_STATES: usize = 60_000_000;
+
+fn run(scenario: Scenario) -> Report {
+    let label = format!("{} {:?} {:?}", scenario.name, scenario.network, scenario.mutant);
+    let began = Instant::now();
+    let report = search(scenario, MAX_STATES);
+    let seconds = began.elapsed().as_secs_f64();
+    let (rounds, members, values) = report.sizes;
+    println!(
+        "{label}: {} states, depth {}, {} steps, {rounds} rounds, {members} members, {values} values, {seconds:.1} s",
+        report.states, report.depth, report.steps
+    );
+    report
+}
+
+fn holds(scenario: Scenario) {
+    let report = run(scenario);
+    if let Some(counterexample) = &report.counterexample {
+        panic!("{}\n{}", counterexample.violation.0, counterexample.trace);
+    }
+    assert!(report.whole, "not all states were met");
+}
+
+/// Searches that CI makes.
+fn small() -> Vec<Scenario> {
+    vec![
+        Scenario { rounds: [2, 2], restarts: 0, ..scenario::race() },
+        Scenario { rounds: [2, 1], restarts: 1, adopt: true, ..scenario::race() },
+        Scenario { rounds: [2, 2], ..scenario::one_number() },
+        Scenario { rounds: [2, 2], ..scenario::repeats() },
+        Scenario { rounds: [1, 2], ..scenario::replacement() },
+        Scenario { rounds: [1, 2], ..scenario::wipe() },
+        Scenario { rounds: [2, 1], ..scenario::late_copy() },
+    ]
+}
+
+/// Searches with more rounds; `REGISTER_MODEL=large` asks for them.
+fn large() -> Vec<Scenario> {
+    vec![
+        Scenario { rounds: [3, 2], restarts: 0, ..scenario::race() },
+        Scenario { rounds: [2, 2], restarts: 1, adopt: true, ..scenario::race() },
+        Scenario { rounds: [3, 2], ..scenario::one_number() },
+        Scenario { rounds: [3, 2], ..scenario::repeats() },
+        Scenario { rounds: [2, 3], ..scenario::replacement() },
+        Scenario { rounds: [2, 3], ..scenario::wipe() },
+        Scenario { rounds: [2, 2], ..scenario::late_copy() },
+        Scenario { rounds: [1, 1], network: Network::Full, ..scenario::replacement() },
+        Scenario { rounds: [2, 3], ..scenario::replacement().with_rival() },
+        Scenario { rounds: [2, 3], ..scenario::wipe().with_rival() },
+    ]
+}
+
+#[test]
+fn every_order_within_the_bounds_keeps_the_rules() {
+    small().into_iter().for_each(holds);
+}
+
+#[test]
+fn every_order_within_larger_bounds_keeps_the_rules() {
+    if std::env::var("REGISTER_MODEL").is_ok_and(|which| which == "large") {
+        large().into_iter().for_each(holds);
+    }
+}
+
+/// Errors with a scenario that shows them.
+fn mutants() -> Vec<(Mutant, Scenario)> {
+    let race = || Scenario { rounds: [2, 2], restarts: 1, ..scenario::race() };
+    let replacement = || Scenario { rounds: [2, 2], ..scenario::replacement() };
+    let wipe = || Scenario { rounds: [1, 1], ..scenario::wipe() };
+    let older = || Scenario { rounds: [1, 1], ..scenario::older_disk() };
+    vec![
+        (Mutant::PromiseNotSynced, race()),
+        (Mutant::ValueNotSynced, race()),
+        (Mutant::WipedMemberVotes, wipe()),
+        (Mutant::BallotReused, race()),
+        (Mutant::PromiseForgotten, race()),
+        (Mutant::RefusalCounted, race()),
+        (Mutant::RefusedTooSoon, race()),
+        (Mutant::UnknownRefused, race()),
+        (Mutant::AcknowledgedTooSoon, race()),
+        (Mutant::ReadUnchosen, race()),
+        (Mutant::ValueKept, race()),
+        (Mutant::AppliedForgotten, race()),
+        (Mutant::BallotsShared, race()),
+        (Mutant::TableLostAtMembership, replacement()),
+        (Mutant::FloorForgotten, scenario::repeats()),
+        (Mutant::BaseAboveRefused, scenario::repeats()),
+        (Mutant::DigestTruncated, scenario::one_number()),
+        (Mutant::SecondHalfOnUnchosen, replacement()),
+        (Mutant::NewSetAlone, replacement()),
+        (Mutant::PromiseLoweredByAdopting, scenario::late_copy()),
+        (Mutant::OlderDiskAccepted, older()),
+    ]
+}
+
+#[test]
+fn each_mutant_is_found_by_a_shortest_way() {
+    for (mutant, scenario) in mutants() {
+        let report = run(scenario.with(mutant));
+        let found = report.counterexample.unwrap_or_else(|| panic!("{mutant:?} is not found"));
+        println!("{mutant:?} after {} steps:\n{}", found.steps, found.trace);
+    }
+}
+
+/// Errors that a race of two rounds can show, as far as one at each proposer does.
+const IN_A_RACE: [Mutant; 10] = [
+    Mutant::None,
+    Mutant::PromiseNotSynced,
+    Mutant::ValueNotSynced,
+    Mutant::PromiseForgotten,
+    Mutant::RefusalCounted,
+    Mutant::RefusedTooSoon,
+    Mutant::UnknownRefused,
+    Mutant::AcknowledgedTooSoon,
+    Mutant::ValueKept,
+    Mutant::BallotsShared,
+];
+
+#[test]
+fn the_verdicts_are_the_same_without_the_reductions() {
+    for mutant in IN_A_RACE {
+        let verdict = |network| {
+            let scenario = Scenario { rounds: [1, 1], restarts: 0, network, ..scenario::race() };
+            run(scenario.with(mutant)).counterexample.map(|found| found.violation)
+        };
+        let (reduced, full) = (verdict(Network::Reduced), verdict(Network::Full));
+        assert_eq!(reduced.is_some(), full.is_some(), "{mutant:?}: {reduced:?} {full:?}");
+    }
+}
--- /dev/null
+++ b/crates/register/tests/model/rules.rs
@@ -0,0 +1,236 @@
+//! What must hold in every state and at every step.
+
+use crate::actions::ballot;
+use crate::audit::least_read;
+use crate::machine::{End, Machine};
+use crate::state::{Answer, MAX_NODES, NONE, Reply, State};
+use crate::support::attempt::Purpose;
+use crate::support::mutants::Mutant;
+use runtrack_message::Ballot;
+use runtrack_register::majority_of;
+
+/// A rule that is broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation(pub String);
+
+fn broken<T>(what: impl Into<String>) -> Result<T, Violation> {
+    Err(Violation(what.into()))
+}
+
+/// A member has accepted a round's value: where that makes it chosen, it must be the only one of its sequence, and
+/// nothing that was refused.
+pub fn note_vote(machine: &mut Machine, state: &mut State, at: usize) -> Result<(), Violation> {
+    let slot = &state.slots[at];
+    let (value, votes) = (slot.value, slot.votes);
+    let facts = machine.facts(value);
+    let has_majority =
+        |set: &u8| (set & votes).count_ones() as usize >= majority_of(set.count_ones() as usize);
+    if !facts.sets.iter().all(has_majority) {
+        return Ok(());
+    }
+    let own =
+        if machine.scenario.adopt { ballot(machine, slot.rank, slot.proposer) } else { Ballot::default() };
+    for other in &state.chosen {
+        let other = machine.value_of(*other);
+        if other != value && machine.facts(other).sequence == facts.sequence {
+            return broken(format!("two values are chosen at sequence {}", facts.sequence));
+        }
+    }
+    if let Some(request) = facts.request.filter(|request| state.refused & (1 << request) != 0) {
+        return broken(format!("request {request} was refused and is chosen"));
+    }
+    let committed = machine.intern_committed(own, value);
+    if let Err(place) = state.chosen.binary_search(&committed) {
+        state.chosen.insert(place, committed);
+    }
+    Ok(())
+}
+
+fn is_chosen(machine: &mut Machine, state: &State, value: u32) -> bool {
+    state.chosen.iter().any(|committed| machine.value_of(*committed) == value)
+}
+
+/// A round takes a reply, and what comes of it.
+pub fn on_reply(
+    machine: &mut Machine,
+    state: &mut State,
+    at: usize,
+    reply: &Reply,
+) -> Result<(), Violation> {
+    let proposer = reply.proposer;
+    let own = &state.proposers[usize::from(proposer)];
+    let purpose = machine.scenario.scripts[usize::from(proposer)][usize::from(own.operation)];
+    let done = machine.replied(state.slots[at].attempt, purpose, reply.member, reply.reply);
+    let slot = &mut state.slots[at];
+    slot.attempt = done.attempt;
+    slot.prepares |= done.prepares;
+    if done.value != NONE {
+        slot.value = done.value;
+        slot.accepts = done.accepts;
+    }
+    if let Some(basis) = done.basis {
+        state.proposers[usize::from(proposer)].answer = basis.answer;
+        if done.value != NONE {
+            check_sets(machine, state, basis.found, done.value)?;
+        }
+    }
+    state.proposers[usize::from(proposer)].sent |= done.value != NONE && done.may_write;
+    if done.answered_early {
+        let found = done.basis.map_or(NONE, |basis| basis.found);
+        return answered(machine, state, proposer, purpose, found);
+    }
+    match done.end {
+        None => Ok(()),
+        Some(end) => ended(machine, state, proposer, purpose, end),
+    }
+}
+
+/// A single set takes the place of joint ones only where these are chosen, and a new set only beside the old one.
+fn check_sets(machine: &mut Machine, state: &State, found: u32, value: u32) -> Result<(), Violation> {
+    if found == NONE {
+        return Ok(());
+    }
+    let (before, after) = (machine.facts(found).sets.clone(), machine.facts(value).sets.clone());
+    match (before.as_slice(), after.as_slice()) {
+        _ if before == after => Ok(()),
+        ([old], [first, _]) if old == first => Ok(()),
+        ([_, new], [only]) if new == only => match is_chosen(machine, state, found) {
+            true => Ok(()),
+            false => broken("the new set alone is written on joint sets that are not chosen"),
+        },
+        _ => broken(format!("sets {before:?} are followed by {after:?}")),
+    }
+}
+
+fn ended(
+    machine: &mut Machine,
+    state: &mut State,
+    proposer: u8,
+    purpose: u8,
+    end: End,
+) -> Result<(), Violation> {
+    match end {
+        End::Preempted => {
+            state.give_up(proposer);
+            let sent = state.proposers[usize::from(proposer)].sent;
+            if machine.scenario.mutant == Mutant::UnknownRefused && sent {
+                state.proposers[usize::from(proposer)].answer = Answer::Refused;
+                return answered(machine, state, proposer, purpose, NONE);
+            }
+            Ok(())
+        }
+        End::Empty => answered(machine, state, proposer, purpose, NONE),
+        End::Membership(committed) => {
+            learn(machine, state, proposer, committed)?;
+            state.give_up(proposer);
+            Ok(())
+        }
+        End::Answered(committed) => {
+            learn(machine, state, proposer, committed)?;
+            let value = machine.value_of(committed);
+            answered(machine, state, proposer, purpose, value)
+        }
+    }
+}
+
+/// A proposer takes a value for committed.
+fn learn(machine: &mut Machine, state: &mut State, proposer: u8, committed: u32) -> Result<(), Violation> {
+    let value = machine.value_of(committed);
+    if !is_chosen(machine, state, value) {
+        return broken("a value is taken for committed and is not chosen");
+    }
+    let own = &mut state.proposers[usize::from(proposer)];
+    if own.known == NONE || machine.committed(own.known).0 < machine.committed(committed).0 {
+        own.known = committed;
+    }
+    Ok(())
+}
+
+/// An operation has its answer, which rests on this value.
+fn answered(
+    machine: &mut Machine,
+    state: &mut State,
+    proposer: u8,
+    purpose: u8,
+    value: u32,
+) -> Result<(), Violation> {
+    let own = &mut state.proposers[usize::from(proposer)];
+    let (answer, floor) = (own.answer, own.floor);
+    own.operation += 1;
+    own.begun = false;
+    own.sent = false;
+    own.answer = Answer::Nothing;
+    state.give_up(proposer);
+    let sequence = if value == NONE { 0 } else { machine.facts(value).sequence };
+    let is_read = matches!(machine.scenario.purposes[usize::from(purpose)], Purpose::Read);
+    if is_read && sequence < floor {
+        return broken(format!("sequence {sequence} is read after {floor} was seen"));
+    }
+    match answer {
+        Answer::Acknowledged => acknowledged(machine, state, purpose)?,
+        Answer::Refused => refused(machine, state, purpose)?,
+        Answer::Nothing if is_read => {
+            if value != NONE && !is_chosen(machine, state, value) {
+                return broken("a value is read that is not chosen");
+            }
+        }
+        Answer::Nothing => {}
+    }
+    if is_read || answer != Answer::Nothing {
+        state.seen = state.seen.max(sequence);
+    }
+    Ok(())
+}
+
+fn acknowledged(machine: &mut Machine, state: &mut State, purpose: u8) -> Result<(), Violation> {
+    if state.refused & (1 << purpose) != 0 {
+        return broken(format!("request {purpose} was refused and is acknowledged"));
+    }
+    if !was_in_force(machine, state, purpose) {
+        return broken(format!("request {purpose} is acknowledged and not chosen"));
+    }
+    state.acknowledged |= 1 << purpose;
+    let base = |at: usize| match &machine.scenario.purposes[at] {
+        Purpose::Replace(request) => Some(request.base),
+        _ => None,
+    };
+    let own = base(usize::from(purpose));
+    let rival = (0..machine.scenario.purposes.len())
+        .find(|at| *at != usize::from(purpose) && state.acknowledged & (1 << at) != 0 && base(*at) == own);
+    match rival {
+        Some(rival) => broken(format!("requests {purpose} and {rival} on one base are both acknowledged")),
+        None => Ok(()),
+    }
+}
+
+fn refused(machine: &mut Machine, state: &mut State, purpose: u8) -> Result<(), Violation> {
+    if state.acknowledged & (1 << purpose) != 0 {
+        return broken(format!("request {purpose} was acknowledged and is refused"));
+    }
+    if was_in_force(machine, state, purpose) {
+        return broken(format!("request {purpose} is refused and is chosen"));
+    }
+    state.refused |= 1 << purpose;
+    Ok(())
+}
+
+fn was_in_force(machine: &mut Machine, state: &State, purpose: u8) -> bool {
+    let brought = |committed: &u32| {
+        let value = machine.value_of(*committed);
+        machine.facts(value).request == Some(purpose)
+    };
+    state.chosen.iter().any(brought)
+}
+
+/// Whoever asks a majority now must find all that anybody was told.
+pub fn check_reads(machine: &mut Machine, state: &State) -> Result<(), Violation> {
+    if state.seen == 0 {
+        return Ok(());
+    }
+    let nodes: [u32; MAX_NODES] = state.nodes;
+    let least = least_read(machine, nodes);
+    if least < state.seen {
+        return broken(format!("a majority reads sequence {least} after {} was seen", state.seen));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/register/tests/model/scenario.rs
@@ -0,0 +1,203 @@
+//! What is searched: who asks for what, and how much may go wrong.
+
+use crate::support::attempt::{Purpose, Terms};
+use crate::support::mutants::Mutant;
+use crate::support::{member, order as request};
+use runtrack_message::{Member, Value};
+use runtrack_register::{Decision, MAX_APPLIED_REQUESTS, ReplaceConfig};
+use std::collections::BTreeSet;
+
+/// Members of the first set.
+pub const FIRST_MEMBERS: u8 = 3;
+/// Index of the member that joins: a new one, or a wiped one under its new incarnation.
+pub const JOINING: u8 = 3;
+/// Index of the member that is replaced or wiped.
+pub const LEAVING: u8 = 2;
+
+/// How requests and replies travel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Network {
+    /// A reply arrives at once, see `actions.rs` for why nothing is missed.
+    Reduced,
+    /// Every reply travels by itself and may come late or never; so may requests of rounds that are over.
+    Full,
+}
+
+/// One search.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub name: &'static str,
+    /// Everybody who can be a member; a set of members is a mask over this list.
+    pub members: Vec<Member>,
+    pub first: BTreeSet<Member>,
+    /// All that a proposer can be asked for.
+    pub purposes: Vec<Purpose>,
+    /// For each proposer what it is asked for in turn, by number of the purpose.
+    pub scripts: [Vec<u8>; 2],
+    /// Rounds that each proposer may begin.
+    pub rounds: [u8; 2],
+    /// Restarts of proposers.
+    pub restarts: u8,
+    /// The member of index [`LEAVING`] may lose its disk once, or have an older copy of it put back; [`JOINING`] is its
+    /// new incarnation.
+    pub wipe: bool,
+    /// Committed values may reach any member late, outside rounds.
+    pub adopt: bool,
+    pub network: Network,
+    /// A value that is chosen before anything else, and the members that have it, as a mask.
+    pub initial: Option<Value>,
+    pub initial_at: u8,
+    /// Bound on the table of applied requests.
+    pub max_applied: usize,
+    pub mutant: Mutant,
+}
+
+fn base(name: &'static str) -> Scenario {
+    let members: Vec<Member> = (0..=JOINING).map(|at| member(at, 0)).collect();
+    let first: BTreeSet<Member> = members[..usize::from(FIRST_MEMBERS)].iter().copied().collect();
+    Scenario {
+        name,
+        members,
+        first,
+        purposes: Vec::new(),
+        scripts: [Vec::new(), Vec::new()],
+        rounds: [2, 2],
+        restarts: 0,
+        wipe: false,
+        adopt: false,
+        network: Network::Reduced,
+        initial: None,
+        initial_at: 0b0111,
+        max_applied: MAX_APPLIED_REQUESTS,
+        mutant: Mutant::None,
+    }
+}
+
+/// Two requests on one base, a read, and the first request once more at the other proposer.
+pub fn race() -> Scenario {
+    let first = Purpose::Replace(request(0, 1));
+    let second = Purpose::Replace(request(0, 2));
+    Scenario {
+        purposes: vec![first, second, Purpose::Read],
+        scripts: [vec![0, 2], vec![1, 0]],
+        rounds: [3, 2],
+        restarts: 1,
+        ..base("race")
+    }
+}
+
+/// Two requests with one version number and different bodies.
+pub fn one_number() -> Scenario {
+    let first = request(0, 1);
+    let second = ReplaceConfig::new(0, 1, b"another body".to_vec());
+    Scenario {
+        purposes: vec![Purpose::Replace(first), Purpose::Replace(second), Purpose::Read],
+        scripts: [vec![0, 2], vec![1]],
+        ..base("one number")
+    }
+}
+
+/// Two requests, one on top of the other, at two proposers in two orders, with a table that holds one of them.
+pub fn repeats() -> Scenario {
+    Scenario {
+        purposes: vec![Purpose::Replace(request(0, 1)), Purpose::Replace(request(1, 2))],
+        scripts: [vec![0, 1], vec![1, 0]],
+        max_applied: 1,
+        ..base("repeats")
+    }
+}
+
+/// A request, and meanwhile a member is replaced by an empty one.
+pub fn replacement() -> Scenario {
+    let mut scenario = membership("replacement");
+    scenario.members[usize::from(JOINING)] = member(JOINING, 9);
+    scenario.with_membership_purposes()
+}
+
+/// A request, and a member that loses its disk and is taken in again under a new incarnation.
+pub fn wipe() -> Scenario {
+    let mut scenario = Scenario { wipe: true, ..membership("wipe") };
+    scenario.members[usize::from(JOINING)] = member(LEAVING, 9);
+    scenario.with_membership_purposes()
+}
+
+/// Two requests on a value that one member has missed; committed values reach it late.
+pub fn late_copy() -> Scenario {
+    let requests = [request(1, 2), request(1, 3)].map(Purpose::Replace);
+    Scenario {
+        purposes: requests.into(),
+        scripts: [vec![0], vec![1]],
+        adopt: true,
+        initial_at: 0b0011,
+        rounds: [1, 1],
+        ..membership("late copy")
+    }
+}
+
+/// A member's disk is put back to what it was before the first request.
+pub fn older_disk() -> Scenario {
+    Scenario { name: "older disk", ..wipe() }
+}
+
+fn membership(name: &'static str) -> Scenario {
+    let first = base(name).first;
+    let Decision::Propose(initial) = request(0, 1).decide(None, &[first]).0 else {
+        panic!("the first request is proposed")
+    };
+    Scenario { initial: Some(initial), rounds: [2, 3], ..base(name) }
+}
+
+impl Scenario {
+    /// A request and a read at one proposer, both halves of the change and a read at the other.
+    fn with_membership_purposes(mut self) -> Self {
+        let mut next = self.first.clone();
+        next.remove(&self.members[usize::from(LEAVING)]);
+        next.insert(self.members[usize::from(JOINING)]);
+        self.purposes = vec![
+            Purpose::Replace(request(1, 2)),
+            Purpose::Read,
+            Purpose::Members(next),
+            Purpose::Finish,
+            Purpose::Replace(request(1, 3)),
+        ];
+        self.scripts = [vec![0, 1], vec![2, 3, 1]];
+        self
+    }
+
+    /// The proposer that changes the members first puts a request on the same base as the other's.
+    pub fn with_rival(mut self) -> Self {
+        self.scripts[1].insert(0, 4);
+        self
+    }
+
+    /// The same with an error.
+    pub fn with(self, mutant: Mutant) -> Self {
+        Scenario { mutant, ..self }
+    }
+
+    /// What all operations have in common.
+    pub fn terms(&self) -> Terms {
+        Terms { first: vec![self.first.clone()], max_applied: self.max_applied, mutant: self.mutant }
+    }
+
+    /// Members that may be exchanged for each other without any difference: those of the first set, but for one that
+    /// is replaced or wiped. Each row says which index takes the place of which.
+    pub fn symmetries(&self) -> Vec<Vec<u8>> {
+        let any = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+        let fixed = [[0, 1, 2], [1, 0, 2]];
+        let rows: &[[u8; 3]] = if self.initial.is_some() { &fixed } else { &any };
+        let whole = |row: &[u8; 3]| row.iter().copied().chain(FIRST_MEMBERS..=JOINING).collect();
+        rows.iter().map(whole).collect()
+    }
+
+    /// The members of a set as a mask.
+    pub fn mask(&self, set: &BTreeSet<Member>) -> u8 {
+        let has = |(at, member): (usize, &Member)| u8::from(set.contains(member)) << at;
+        self.members.iter().enumerate().map(has).sum()
+    }
+
+    /// Index of a member.
+    pub fn index(&self, member: Member) -> u8 {
+        self.members.iter().position(|other| *other == member).expect("a member of the scenario") as u8
+    }
+}
--- /dev/null
+++ b/crates/register/tests/model/search.rs
@@ -0,0 +1,174 @@
+//! Breadth first over all states: the first violation that is found is one of the shortest.
+
+use crate::actions::{Action, apply, enabled, initial};
+use crate::intern::FixedHasher;
+use crate::machine::Machine;
+use crate::rules::Violation;
+use crate::scenario::Scenario;
+use crate::state::{MAX_NODES, State};
+use crate::trace;
+use std::collections::HashSet;
+use std::hash::{BuildHasher, BuildHasherDefault, Hasher};
+
+/// What a search came to.
+#[derive(Debug)]
+pub struct Report {
+    /// Different states that were met.
+    pub states: usize,
+    /// Steps to the farthest of them.
+    pub depth: usize,
+    /// Steps that were tried.
+    pub steps: u64,
+    /// Different rounds, members and values in them.
+    pub sizes: (usize, usize, usize),
+    /// All states within the bounds were met.
+    pub whole: bool,
+    /// The shortest way to a violation.
+    pub counterexample: Option<Counterexample>,
+}
+
+/// A way to a violation.
+#[derive(Debug)]
+pub struct Counterexample {
+    pub steps: usize,
+    /// One line a step.
+    pub trace: String,
+    pub violation: Violation,
+}
+
+/// Fingerprints are hashes already.
+#[derive(Default)]
+pub struct Unhashed(u64);
+
+impl Hasher for Unhashed {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, _: &[u8]) {
+        unreachable!("fingerprints are whole numbers")
+    }
+
+    fn write_u64(&mut self, number: u64) {
+        self.0 = number;
+    }
+}
+
+/// How a state was reached first.
+#[derive(Clone, Copy)]
+struct Step {
+    from: u32,
+    action: Action,
+}
+
+struct Search {
+    machine: Machine,
+    /// Of all states that were met. Two states share one of 64 bits with a probability of about n^2 / 2^65.
+    fingerprints: HashSet<u64, BuildHasherDefault<Unhashed>>,
+    steps: Vec<Step>,
+    tried: u64,
+}
+
+/// Searches a scenario, up to so many states.
+pub fn search(scenario: Scenario, max_states: usize) -> Report {
+    let mut search = Search {
+        machine: Machine::new(scenario),
+        fingerprints: HashSet::default(),
+        steps: vec![Step { from: 0, action: Action::Wipe }], // of the first state, and not looked at
+        tried: 0,
+    };
+    let start = initial(&mut search.machine);
+    search.fingerprints.insert(FixedHasher::default().hash_one(&start));
+    let (mut frontier, mut depth) = (vec![(start, 0)], 0);
+    while !frontier.is_empty() && search.steps.len() < max_states {
+        match search.expand(frontier) {
+            Ok(next) => frontier = next,
+            Err((last, violation)) => return search.report(depth + 1, false, Some((last, violation))),
+        }
+        depth += usize::from(!frontier.is_empty());
+    }
+    let whole = frontier.is_empty();
+    search.report(depth, whole, None)
+}
+
+impl Search {
+    /// All new states one step on.
+    fn expand(&mut self, frontier: Vec<(State, u32)>) -> Result<Vec<(State, u32)>, (Step, Violation)> {
+        let mut next = Vec::new();
+        for (state, from) in frontier {
+            for action in enabled(&mut self.machine, &state) {
+                self.tried += 1;
+                let after = apply(&mut self.machine, &state, action)
+                    .map_err(|violation| (Step { from, action }, violation))?;
+                let Some(after) = after else { continue };
+                let (after, _) = canonical(&mut self.machine, after);
+                if self.fingerprints.insert(FixedHasher::default().hash_one(&after)) {
+                    next.push((after, self.steps.len() as u32));
+                    self.steps.push(Step { from, action });
+                }
+            }
+        }
+        Ok(next)
+    }
+
+    fn report(mut self, depth: usize, whole: bool, found: Option<(Step, Violation)>) -> Report {
+        let counterexample = found.map(|(last, violation)| {
+            let mut actions = vec![last.action];
+            let mut at = last.from;
+            while at != 0 {
+                let step = self.steps[at as usize];
+                actions.push(step.action);
+                at = step.from;
+            }
+            actions.reverse();
+            let trace = trace::readable(&mut self.machine, &actions);
+            Counterexample { steps: actions.len(), trace, violation }
+        });
+        Report {
+            states: self.steps.len(),
+            depth,
+            steps: self.tried,
+            sizes: self.machine.sizes(),
+            whole,
+            counterexample,
+        }
+    }
+}
+
+/// The one state that stands for all that differ from it in the names of members alone, and the row of names that leads
+/// to it: the least in an order that looks at the members' states first.
+pub fn canonical(machine: &mut Machine, state: State) -> (State, usize) {
+    let ties = rows_to_least(machine, &state);
+    if ties == [0] {
+        return (state, 0); // the first row changes nothing
+    }
+    let mut least: Option<(State, usize)> = None;
+    for at in ties {
+        let row = machine.rows()[at].clone();
+        let other = state.renamed(&row, &mut |attempt| machine.renamed(attempt, at));
+        if least.as_ref().is_none_or(|(least, _)| other < *least) {
+            least = Some((other, at));
+        }
+    }
+    least.expect("a row")
+}
+
+/// The rows that bring the members' states into the least order.
+fn rows_to_least(machine: &Machine, state: &State) -> Vec<usize> {
+    let mut least = [u32::MAX; MAX_NODES];
+    let mut ties = Vec::with_capacity(1);
+    for (at, row) in machine.rows().iter().enumerate() {
+        let mut nodes = state.nodes;
+        for (old, node) in state.nodes.iter().enumerate() {
+            nodes[usize::from(row[old])] = *node;
+        }
+        if nodes < least {
+            least = nodes;
+            ties.clear();
+        }
+        if nodes == least {
+            ties.push(at);
+        }
+    }
+    ties
+}
--- /dev/null
+++ b/crates/register/tests/support/attempt.rs
@@ -0,0 +1,263 @@
+//! One round on behalf of an operation, with the errors that can be planted in a proposer.
+
+use super::mutants::Mutant;
+use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, RequestDigest, Value};
+use runtrack_register::{
+    Decision, Progress, ReplaceAnswer, ReplaceConfig, Round, Send, finish_membership, is_joint,
+    majority_of, members_of, replace_members, sets_of,
+};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// What an operation is for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Purpose {
+    /// A request of an operator.
+    Replace(ReplaceConfig),
+    /// A read.
+    Read,
+    /// The first half of a change to these members.
+    Members(BTreeSet<Member>),
+    /// The second half of a change of members.
+    Finish,
+}
+
+/// What all operations of a search or a world have in common.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// The members before the first value.
+    pub first: Vec<BTreeSet<Member>>,
+    /// Bound on the table of applied requests.
+    pub max_applied: usize,
+    /// The error that is planted.
+    pub mutant: Mutant,
+}
+
+/// What was decided on the value that a round found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decided {
+    /// The value that was found.
+    pub found: Option<Rc<Value>>,
+    /// What a request is to be told once the round has ended well.
+    pub answer: Option<ReplaceAnswer>,
+}
+
+/// What a reply brought about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    pub progress: Progress,
+    pub decided: Option<Decided>,
+    /// A mutant answers its caller now, without waiting for the end of the round.
+    pub answered_early: bool,
+}
+
+/// One round.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Attempt {
+    round: Round,
+    /// For mutants: the joint value of the highest ballot that was found.
+    joint_found: Option<(Ballot, Value)>,
+    /// For mutants: the value that was sent out, and who has accepted it.
+    sent: Option<Value>,
+    accepted: BTreeSet<Member>,
+}
+
+impl Attempt {
+    /// A round under this ballot, for who believes that these sets are in force and has this value.
+    pub fn new(
+        ballot: Ballot,
+        sets: Vec<BTreeSet<Member>>,
+        known: Option<(Ballot, Rc<Value>)>,
+    ) -> (Self, Vec<Send>) {
+        let (round, sends) = Round::new(ballot, sets, known);
+        (Attempt { round, joint_found: None, sent: None, accepted: BTreeSet::new() }, sends)
+    }
+
+    /// Its ballot.
+    pub fn ballot(&self) -> Ballot {
+        self.round.ballot()
+    }
+
+    /// Whether a value of its own has been sent out.
+    pub fn may_write(&self) -> bool {
+        self.round.may_write()
+    }
+
+    /// Takes a member's reply.
+    pub fn reply(&mut self, from: Member, reply: RegisterReply, purpose: &Purpose, terms: &Terms) -> Step {
+        let mutant = terms.mutant;
+        let mut decided = None;
+        let mut progress = Progress::Send(Vec::new());
+        for (from, reply) in self.as_received(from, reply, mutant) {
+            progress = self.round.reply(from, reply, &mut |current| {
+                let (decision, answer) = decide(purpose, current, terms);
+                decided = Some(Decided { found: current.cloned().map(Rc::new), answer });
+                decision
+            });
+            if matches!(progress, Progress::Done(_)) {
+                break;
+            }
+        }
+        if let Progress::Send(sends) = &progress {
+            self.note_sent(sends, mutant);
+        }
+        let answered_early = self.answers_early(&progress, purpose, decided.as_ref(), mutant);
+        Step { progress, decided, answered_early }
+    }
+
+    fn note_sent(&mut self, sends: &[Send], mutant: Mutant) {
+        if mutant == Mutant::NewSetAlone
+            && let Some((_, RegisterRequest::Accept { value, .. })) = sends.first()
+        {
+            self.sent = Some(value.clone());
+        }
+    }
+
+    fn answers_early(
+        &self,
+        progress: &Progress,
+        purpose: &Purpose,
+        decided: Option<&Decided>,
+        mutant: Mutant,
+    ) -> bool {
+        let Some(decided) = decided else { return false };
+        let sends = matches!(progress, Progress::Send(sends) if !sends.is_empty());
+        match (mutant, purpose) {
+            (Mutant::RefusedTooSoon, Purpose::Replace(_)) => is_refusal(decided.answer),
+            (Mutant::AcknowledgedTooSoon, Purpose::Replace(_)) => {
+                sends && self.may_write() && decided.answer == Some(ReplaceAnswer::Applied)
+            }
+            (Mutant::ReadUnchosen, Purpose::Read) => decided.found.is_some(),
+            _ => false,
+        }
+    }
+
+    /// The reply as a mutant takes it: other than it is, or as if others had sent the same.
+    fn as_received(
+        &mut self,
+        from: Member,
+        reply: RegisterReply,
+        mutant: Mutant,
+    ) -> Vec<(Member, RegisterReply)> {
+        match (mutant, reply) {
+            (Mutant::RefusalCounted, RegisterReply::Rejected { ballot, .. }) if self.may_write() => {
+                vec![(from, RegisterReply::Accepted { ballot })]
+            }
+            (Mutant::NewSetAlone, RegisterReply::Accepted { ballot }) => {
+                self.accepted.insert(from);
+                let mut senders = vec![from];
+                senders.extend(self.uncounted_old_members());
+                senders.into_iter().map(|from| (from, RegisterReply::Accepted { ballot })).collect()
+            }
+            (Mutant::SecondHalfOnUnchosen, RegisterReply::PromisedWith { ballot, accepted, value }) => {
+                if is_joint(&value) && self.joint_found.as_ref().is_none_or(|(found, _)| *found < accepted)
+                {
+                    self.joint_found = Some((accepted, value.clone()));
+                }
+                vec![(from, self.as_if_chosen(RegisterReply::PromisedWith { ballot, accepted, value }))]
+            }
+            (Mutant::SecondHalfOnUnchosen, reply) => vec![(from, self.as_if_chosen(reply))],
+            (_, reply) => vec![(from, reply)],
+        }
+    }
+
+    /// A promise, as if its member had accepted the joint value that was found before.
+    fn as_if_chosen(&self, reply: RegisterReply) -> RegisterReply {
+        let (RegisterReply::Promised { ballot, accepted }
+        | RegisterReply::PromisedWith { ballot, accepted, .. }) = reply
+        else {
+            return reply;
+        };
+        match &self.joint_found {
+            Some((found, value)) if accepted < *found => {
+                RegisterReply::PromisedWith { ballot, accepted: *found, value: value.clone() }
+            }
+            _ => reply,
+        }
+    }
+
+    /// The members of the old set, once a majority of the new one has accepted the first half of a change.
+    fn uncounted_old_members(&self) -> Vec<Member> {
+        let Some(value) = self.sent.as_ref().filter(|value| is_joint(value)) else { return Vec::new() };
+        let new = members_of(value);
+        let accepted = new.iter().filter(|member| self.accepted.contains(member)).count();
+        if accepted < majority_of(new.len()) {
+            return Vec::new();
+        }
+        sets_of(value).into_iter().flatten().collect()
+    }
+}
+
+/// Whether a request is refused by this answer.
+pub fn is_refusal(answer: Option<ReplaceAnswer>) -> bool {
+    matches!(answer, Some(ReplaceAnswer::VersionMismatch(_) | ReplaceAnswer::VersionNotIncreasing(_)))
+}
+
+/// Decides on the value that was found, and what a request is to be told.
+pub fn decide(
+    purpose: &Purpose,
+    current: Option<&Value>,
+    terms: &Terms,
+) -> (Decision, Option<ReplaceAnswer>) {
+    let mutant = terms.mutant;
+    match purpose {
+        Purpose::Replace(request) => {
+            let (decision, answer) = decide_request(request, current, terms);
+            (decision, Some(answer))
+        }
+        Purpose::Read => (Decision::Read, None),
+        Purpose::Members(next) => {
+            (current.map_or(Decision::Read, |value| table_kept(replace_members(value, next), mutant)), None)
+        }
+        Purpose::Finish => {
+            (current.map_or(Decision::Read, |value| table_kept(finish_membership(value), mutant)), None)
+        }
+    }
+}
+
+fn decide_request(
+    request: &ReplaceConfig,
+    current: Option<&Value>,
+    terms: &Terms,
+) -> (Decision, ReplaceAnswer) {
+    let mut request = request.clone();
+    if terms.mutant == Mutant::DigestTruncated {
+        request.digest = RequestDigest::from_legacy(request.version);
+    }
+    let (mut decision, answer) = request.decide_within(current, &terms.first, terms.max_applied);
+    if terms.mutant == Mutant::AppliedForgotten
+        && let Decision::Propose(value) = &mut decision
+    {
+        value.applied = Vec::new().into();
+    }
+    (decision, refused_anyway(&request, current, answer, terms.mutant))
+}
+
+/// An answer that is not certain, as a mutant gives it.
+fn refused_anyway(
+    request: &ReplaceConfig,
+    current: Option<&Value>,
+    answer: ReplaceAnswer,
+    mutant: Mutant,
+) -> ReplaceAnswer {
+    let version = current.map_or(0, |value| value.version);
+    let floor = current.map_or(0, |value| value.floor);
+    let refused = match mutant {
+        Mutant::FloorForgotten => request.version <= floor,
+        Mutant::BaseAboveRefused => request.base > version,
+        _ => false,
+    };
+    if refused && answer == ReplaceAnswer::Indeterminate {
+        return ReplaceAnswer::VersionMismatch(version);
+    }
+    answer
+}
+
+fn table_kept(mut decision: Decision, mutant: Mutant) -> Decision {
+    if mutant == Mutant::TableLostAtMembership
+        && let Decision::Propose(value) = &mut decision
+    {
+        value.applied = Vec::new().into();
+    }
+    decision
+}
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -1,7 +1,10 @@
 //! Members in memory whose messages arrive at once, unless they are cut off.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod attempt;
 pub mod checker;
+pub mod mutants;
+pub mod node;
 pub mod world;
 
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value, Watermark};
