fleetconfig: reading, wire and model are modules apart; the circle of check and fleet is opened

Cause: `fleet` called `check` to read a configuration, and `check` took its types from `fleet`. Change: wire types move to `wire`, reading and its errors to `read`; checks of kinds and weights are functions of their own.

--- a/crates/fleetconfig/src/check.rs
+++ b/crates/fleetconfig/src/check.rs
@@ -1,10 +1,8 @@
 //! Checks a configuration as a whole and makes it the fleet's.
 
 use crate::Finding;
-use crate::fleet::{
-    ConfigWire, Engine, FleetConfig, Limits, LimitsWire, Route, RouteKind, RouteWire, Service, ServiceWire,
-    Share,
-};
+use crate::fleet::{Engine, FleetConfig, Limits, Route, RouteKind, Service, Share};
+use crate::wire::{ConfigWire, LimitsWire, RouteWire, ServiceWire, ShareWire};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -89,16 +87,7 @@
     if !wire.path_prefix.starts_with('/') || !wire.path_prefix.ends_with('/') {
         findings.add(place("pathPrefix"), "does not begin and end with a slash");
     }
-    let kind = match wire.kind.as_str() {
-        "idempotent" => RouteKind::Idempotent,
-        "streaming" => RouteKind::Streaming,
-        "non_idempotent" => RouteKind::NonIdempotent,
-        other => {
-            findings
-                .add(place("kind"), format!("{other:?} is none of idempotent, non_idempotent, streaming"));
-            RouteKind::NonIdempotent
-        }
-    };
+    let kind = route_kind(&wire.kind, place("kind"), findings);
     let timeout = findings.time(place("timeoutMs"), wire.timeout_ms);
     if timeout.is_zero() {
         findings.add(place("timeoutMs"), "is 0");
@@ -120,10 +109,22 @@
     }
 }
 
+fn route_kind(kind: &str, place: String, findings: &mut Findings) -> RouteKind {
+    match kind {
+        "idempotent" => RouteKind::Idempotent,
+        "streaming" => RouteKind::Streaming,
+        "non_idempotent" => RouteKind::NonIdempotent,
+        other => {
+            findings.add(place, format!("{other:?} is none of idempotent, non_idempotent, streaming"));
+            RouteKind::NonIdempotent
+        }
+    }
+}
+
 fn shares(
     index: usize,
     service: Option<String>,
-    split: Option<Vec<crate::fleet::ShareWire>>,
+    split: Option<Vec<ShareWire>>,
     services: &HashMap<String, usize>,
     findings: &mut Findings,
 ) -> Vec<Share> {
@@ -152,6 +153,11 @@
         let service = find(&share.service, format!("routes[{index}].split[{part}].service"));
         shares.push(Share { service, weight: share.weight });
     }
+    check_weights(index, &shares, findings);
+    shares
+}
+
+fn check_weights(index: usize, shares: &[Share], findings: &mut Findings) {
     for (part, share) in shares.iter().enumerate() {
         if !share.weight.is_finite() || share.weight < 0.0 {
             findings.add(
@@ -163,7 +169,6 @@
     if shares.iter().map(|share| share.weight).sum::<f64>() <= 0.0 {
         findings.add(format!("routes[{index}].split"), "the weights add up to 0");
     }
-    shares
 }
 
 fn limits(wire: Option<LimitsWire>, findings: &mut Findings) -> Limits {
--- a/crates/fleetconfig/src/fleet.rs
+++ b/crates/fleetconfig/src/fleet.rs
@@ -1,29 +1,7 @@
 //! The operator's configuration as the fleet works with it.
 
-use crate::{Finding, MAX_CONFIG, check};
-use miniserde::{Deserialize, json};
-use quick_error::quick_error;
 use std::time::Duration;
 
-quick_error! {
-    /// A configuration that is refused.
-    #[derive(Debug, PartialEq, Eq)]
-    pub enum ConfigError {
-        /// It is larger than [`MAX_CONFIG`].
-        TooLarge(bytes: usize) {
-            display("the configuration has {bytes} bytes; {MAX_CONFIG} is the most")
-        }
-        /// It can't be read whole.
-        Unreadable {
-            display("the configuration can't be read: it is cut short, or a field is missing or of another type")
-        }
-        /// It makes no sense; all that was found.
-        Invalid(findings: Vec<Finding>) {
-            display("{}", findings.iter().map(Finding::to_string).collect::<Vec<_>>().join("; "))
-        }
-    }
-}
-
 /// What a repeat of a route's requests may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -136,78 +114,3 @@
     /// Limits of clients.
     pub limits: Limits,
 }
-
-impl FleetConfig {
-    /// Reads and checks a configuration as the operator sends it.
-    pub fn read(body: &[u8]) -> Result<Self, ConfigError> {
-        if body.len() > MAX_CONFIG {
-            return Err(ConfigError::TooLarge(body.len()));
-        }
-        let text = std::str::from_utf8(body).map_err(|_| ConfigError::Unreadable)?;
-        let wire: ConfigWire = json::from_str(text).map_err(|_| ConfigError::Unreadable)?;
-        check::check(wire).map_err(ConfigError::Invalid)
-    }
-}
-
-/// A configuration on the wire (`api/operator.yaml`).
-#[derive(Deserialize)]
-pub(crate) struct ConfigWire {
-    pub version: u64,
-    pub routes: Vec<RouteWire>,
-    pub services: Vec<ServiceWire>,
-    pub limits: Option<LimitsWire>,
-}
-
-#[derive(Deserialize)]
-pub(crate) struct RouteWire {
-    pub name: Option<String>,
-    pub host: String,
-    #[serde(rename = "pathPrefix")]
-    pub path_prefix: String,
-    pub kind: String,
-    #[serde(rename = "timeoutMs")]
-    pub timeout_ms: f64,
-    #[serde(rename = "setpointMs")]
-    pub setpoint_ms: Option<f64>,
-    pub priority: Option<f64>,
-    pub service: Option<String>,
-    pub split: Option<Vec<ShareWire>>,
-    #[serde(rename = "maxTries")]
-    pub max_tries: Option<f64>,
-    pub pinned: Option<bool>,
-    pub resumable: Option<bool>,
-    pub gap_aim_ms: Option<f64>,
-}
-
-#[derive(Deserialize)]
-pub(crate) struct ShareWire {
-    pub service: String,
-    pub weight: f64,
-}
-
-#[derive(Deserialize)]
-pub(crate) struct ServiceWire {
-    pub name: String,
-    #[serde(rename = "connLimit")]
-    pub conn_limit: Option<f64>,
-    pub engine: Option<EngineWire>,
-}
-
-#[derive(Deserialize)]
-pub(crate) struct EngineWire {
-    pub capacity: Option<f64>,
-    #[serde(rename = "kvCapacity")]
-    pub kv_capacity: Option<f64>,
-}
-
-#[derive(Deserialize)]
-pub(crate) struct LimitsWire {
-    #[serde(rename = "maxHeaderBytes")]
-    pub header_bytes: Option<f64>,
-    #[serde(rename = "maxBodyBytes")]
-    pub body_bytes: Option<f64>,
-    #[serde(rename = "headerMs")]
-    pub header_ms: Option<f64>,
-    #[serde(rename = "idleMs")]
-    pub idle_ms: Option<f64>,
-}
--- a/crates/fleetconfig/src/lib.rs
+++ b/crates/fleetconfig/src/lib.rs
@@ -6,10 +6,13 @@
 mod check;
 mod fleet;
 mod node;
+mod read;
 mod routes;
+mod wire;
 
-pub use fleet::{ConfigError, Engine, FleetConfig, Limits, Route, RouteKind, Service, Share};
+pub use fleet::{Engine, FleetConfig, Limits, Route, RouteKind, Service, Share};
 pub use node::{Bounds, Node, SettingsError, Tolerance};
+pub use read::ConfigError;
 pub use routes::{RouteTable, Routed};
 
 /// The largest configuration that is read.
