Controller: a member that is cut off, in virtual time; who has confirmed is counted free of I/O

Change: one-way cuts in the world of controllers; cuts, freezes and an agent beside; the tally of confirmations apart, against the sets in force.

--- a/crates/controller/src/confirmations.rs
+++ b/crates/controller/src/confirmations.rs
@@ -1,10 +1,9 @@
 //! Records that a majority of the members must have merged before an endpoint is answered.
 
 use crate::contact::MajorityContact;
+use crate::tally::{ConfirmationTally, SessionKey};
 use runtrack_link::{Gossip, Session};
 use runtrack_message::{Endpoint, Member, Message, Role};
-use runtrack_net::mutant;
-use runtrack_register::has_majority;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -15,9 +14,6 @@
 /// An endpoint waits a second for its acknowledgement.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// A link on which a confirmation came, by its place among the links.
-type SessionKey = usize;
-
 /// Confirmations that are waited for.
 pub struct Confirmations {
     gossip: Rc<Gossip>,
@@ -26,12 +22,11 @@
     waiting: RefCell<BTreeMap<u64, UnboundedSender<SessionKey>>>,
 }
 
-/// Who was asked for one record, and who has it.
+/// One record that is to be confirmed.
 struct Confirmation {
     number: u64,
     record: Endpoint,
-    asked: BTreeMap<SessionKey, Member>,
-    confirmed: BTreeSet<SessionKey>,
+    tally: ConfirmationTally,
 }
 
 impl Confirmations {
@@ -59,8 +54,7 @@
         self.next_number.set(number.wrapping_add(1));
         let (confirms, came) = unbounded_channel();
         self.waiting.borrow_mut().insert(number, confirms);
-        let confirmation =
-            Confirmation { number, record, asked: BTreeMap::new(), confirmed: BTreeSet::new() };
+        let confirmation = Confirmation { number, record, tally: ConfirmationTally::default() };
         let done = tokio::select! {
             biased;
             done = self.wait(confirmation, came) => done,
@@ -77,7 +71,7 @@
         let mut changes = self.gossip.changes();
         loop {
             let sets = self.contact.sets();
-            if has_majorities(&sets, &confirmation.members(&self.gossip)) {
+            if confirmation.tally.has_majorities(self.gossip.me().member, &self.links(), &sets) {
                 return true;
             }
             self.ask(&mut confirmation, &sets);
@@ -88,7 +82,7 @@
                 }
             });
             match next.await {
-                Ok(from) => confirmation.confirmed.extend(from),
+                Ok(from) => from.into_iter().for_each(|link| confirmation.tally.on_confirmed(link)),
                 Err(_) => return false,
             }
         }
@@ -100,32 +94,15 @@
         for session in self.gossip.peers(Role::Controller) {
             let Some(member) = session.dialled_member() else { continue };
             let is_member = sets.iter().any(|set| set.contains(&member));
-            if is_member && !confirmation.asked.contains_key(&session.key) {
-                confirmation.asked.insert(session.key, member);
+            if is_member && confirmation.tally.ask(session.key, member) {
                 session.send(&message);
             }
         }
     }
-}
-
-impl Confirmation {
-    /// The members that have the record: this one, and those that confirmed on a link that is still up. Behind a link
-    /// that ended may be a process that has started again and has forgotten what it confirmed.
-    fn members(&self, gossip: &Gossip) -> BTreeSet<Member> {
-        let sessions = gossip.sessions().into_iter();
-        let confirmed = sessions.filter(|session| self.confirmed.contains(&session.key));
-        let same = confirmed.filter_map(|session| {
-            session.dialled_member().filter(|member| self.asked.get(&session.key) == Some(member))
-        });
-        same.chain([gossip.me().member]).collect()
-    }
-}
 
-/// Whether a majority of each set is among these members.
-fn has_majorities(sets: &[BTreeSet<Member>], members: &BTreeSet<Member>) -> bool {
-    if mutant("confirmations-by-address") {
-        let addresses: BTreeSet<_> = members.iter().map(Member::address).collect();
-        return sets.iter().all(|set| has_majority(set, |member| addresses.contains(&member.address())));
+    /// The links that are up, and the members at their other sides.
+    fn links(&self) -> BTreeMap<SessionKey, Member> {
+        let sessions = self.gossip.peers(Role::Controller).into_iter();
+        sessions.filter_map(|session| Some((session.key, session.dialled_member()?))).collect()
     }
-    !sets.is_empty() && sets.iter().all(|set| has_majority(set, |member| members.contains(member)))
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pending;
 mod proposer;
 pub mod request_queue;
+pub mod tally;
 
 use crate::api::Api;
 use crate::backlog::Backlogs;
--- /dev/null
+++ b/crates/controller/src/tally.rs
@@ -0,0 +1,48 @@
+//! Who has confirmed a record, free of I/O.
+
+use runtrack_message::Member;
+use runtrack_net::mutant;
+use runtrack_register::has_majority;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A link, by its place among all that this process has had: one that came up again is another one.
+pub type SessionKey = usize;
+
+/// Who was asked for one record on which link, and on which links it was confirmed.
+#[derive(Clone, Debug, Default)]
+pub struct ConfirmationTally {
+    asked: BTreeMap<SessionKey, Member>,
+    confirmed: BTreeSet<SessionKey>,
+}
+
+impl ConfirmationTally {
+    /// Notes that a member is asked on a link; whether it has not been before.
+    pub fn ask(&mut self, link: SessionKey, member: Member) -> bool {
+        self.asked.insert(link, member).is_none()
+    }
+
+    /// The record was confirmed on a link.
+    pub fn on_confirmed(&mut self, link: SessionKey) {
+        self.confirmed.insert(link);
+    }
+
+    /// Whether a majority of each set has the record: `me`, and those that confirmed on a link that is still up, as the
+    /// member that was asked on it. Behind a link that ended may be a process that has started again, and has forgotten
+    /// what it confirmed.
+    pub fn has_majorities(
+        &self,
+        me: Member,
+        links: &BTreeMap<SessionKey, Member>,
+        sets: &[BTreeSet<Member>],
+    ) -> bool {
+        let confirmed = self.asked.iter().filter(|(link, _)| self.confirmed.contains(link));
+        let still_there = confirmed.filter(|(link, member)| links.get(link) == Some(member));
+        let members: BTreeSet<Member> = still_there.map(|(_, member)| *member).chain([me]).collect();
+        let has = |member: &Member| {
+            let address = member.address();
+            members.contains(member)
+                || mutant("confirmations-by-address") && members.iter().any(|has| has.address() == address)
+        };
+        !sets.is_empty() && sets.iter().all(|set| has_majority(set, has))
+    }
+}
--- /dev/null
+++ b/crates/controller/tests/confirmations.rs
@@ -0,0 +1,101 @@
+//! Who counts as having confirmed that an endpoint leaves.
+
+use runtrack_controller::tally::ConfirmationTally;
+use runtrack_message::Member;
+use runtrack_net::plant;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn member(last: u8, incarnation: u64) -> Member {
+    Member::new(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7660), incarnation)
+}
+
+fn set(members: &[Member]) -> BTreeSet<Member> {
+    members.iter().copied().collect()
+}
+
+fn links(links: &[(usize, Member)]) -> BTreeMap<usize, Member> {
+    links.iter().copied().collect()
+}
+
+/// The second member was asked on link 4 and has confirmed.
+fn confirmed_by_the_second() -> ConfirmationTally {
+    let mut tally = ConfirmationTally::default();
+    assert!(tally.ask(4, member(2, 0)));
+    assert!(!tally.ask(4, member(2, 0)), "once on each link");
+    tally.on_confirmed(4);
+    tally
+}
+
+#[test]
+fn this_member_and_one_other_are_a_majority_of_three() {
+    let (one, two, three) = (member(1, 0), member(2, 0), member(3, 0));
+    let sets = [set(&[one, two, three])];
+    assert!(!ConfirmationTally::default().has_majorities(one, &links(&[(4, two)]), &sets));
+    assert!(confirmed_by_the_second().has_majorities(one, &links(&[(4, two)]), &sets));
+    assert!(!confirmed_by_the_second().has_majorities(one, &links(&[(4, two)]), &[]), "of no set");
+    assert!(
+        !confirmed_by_the_second().has_majorities(member(9, 0), &links(&[(4, two)]), &sets),
+        "no member itself"
+    );
+}
+
+#[test]
+fn who_was_not_asked_on_a_link_does_not_confirm_on_it() {
+    let (one, two, three) = (member(1, 0), member(2, 0), member(3, 0));
+    let mut tally = ConfirmationTally::default();
+    tally.ask(4, two);
+    tally.on_confirmed(5);
+    assert!(!tally.has_majorities(one, &links(&[(4, two), (5, three)]), &[set(&[one, two, three])]));
+}
+
+#[test]
+fn a_member_whose_link_came_up_again_has_not_confirmed() {
+    let (one, two, three) = (member(1, 0), member(2, 0), member(3, 0));
+    let sets = [set(&[one, two, three])];
+    let mut tally = confirmed_by_the_second();
+    assert!(!tally.has_majorities(one, &links(&[(5, two)]), &sets), "it may have started again");
+    assert!(tally.ask(5, two), "it is asked again");
+    tally.on_confirmed(5);
+    assert!(tally.has_majorities(one, &links(&[(5, two)]), &sets));
+}
+
+/// What one confirmation was for is no longer in force: another incarnation has taken the member's place.
+fn counts_a_wiped_member() -> bool {
+    let (one, three) = (member(1, 0), member(3, 0));
+    let in_force = [set(&[one, member(2, 77), three])];
+    confirmed_by_the_second().has_majorities(one, &links(&[(4, member(2, 0))]), &in_force)
+}
+
+#[test]
+fn a_confirmation_of_a_member_that_was_wiped_does_not_count() {
+    assert!(!counts_a_wiped_member());
+    let (one, two, three) = (member(1, 0), member(2, 0), member(3, 0));
+    let answered_by_another = links(&[(4, member(2, 77))]);
+    assert!(!confirmed_by_the_second().has_majorities(
+        one,
+        &answered_by_another,
+        &[set(&[one, two, three])]
+    ));
+}
+
+#[test]
+fn the_sets_in_force_at_the_end_count() {
+    let (one, two) = (member(1, 0), member(2, 0));
+    let replaced = [set(&[one, member(4, 9), member(3, 0)])];
+    assert!(!confirmed_by_the_second().has_majorities(one, &links(&[(4, two)]), &replaced));
+    let joint = [set(&[one, two, member(3, 0)]), set(&[one, member(4, 9), member(3, 0)])];
+    let mut tally = confirmed_by_the_second();
+    assert!(!tally.has_majorities(one, &links(&[(4, two)]), &joint), "a majority of each");
+    tally.ask(6, member(4, 9));
+    tally.on_confirmed(6);
+    assert!(tally.has_majorities(one, &links(&[(4, two), (6, member(4, 9))]), &joint));
+}
+
+#[test]
+fn who_counts_by_address_is_found() {
+    plant(Some("confirmations-by-address"));
+    let found = counts_a_wiped_member();
+    plant(None);
+    assert!(found);
+}
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -1,5 +1,6 @@
 //! Controllers in one thread and in virtual time: links in memory that can be cut, disks in memory that can be made to
 //! refuse, processes that can be frozen.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use runtrack_controller::disk::{MemberDisk, Persisting, Record, Rings};
 use runtrack_controller::{new_incarnation, run_in};
@@ -28,6 +29,8 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 /// The operator's machine.
 const OPERATOR: usize = 99;
+/// A machine with an agent.
+const EDGE: usize = 98;
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 const BUFFER: usize = 1 << 20;
 const CONTROL: u16 = 8146;
@@ -37,6 +40,8 @@
 struct Link {
     stream: DuplexStream,
     cut: Rc<Cell<bool>>,
+    /// What is written at this end does not arrive.
+    mute: Rc<Cell<bool>>,
 }
 
 impl Connection for Link {
@@ -58,7 +63,7 @@
 
 impl AsyncWrite for Link {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        if self.cut.get() {
+        if self.cut.get() || self.mute.get() {
             Poll::Ready(Ok(bytes.len()))
         } else {
             Pin::new(&mut self.stream).poll_write(cx, bytes)
@@ -82,6 +87,8 @@
     listening: BTreeMap<SocketAddr, Incoming>,
     cut: BTreeSet<(usize, usize)>,
     links: Vec<(usize, usize, Rc<Cell<bool>>)>,
+    /// Ends of links: whose words to whom are lost while this is set.
+    mutes: Vec<(usize, usize, Rc<Cell<bool>>)>,
 }
 
 fn pair(one: usize, other: usize) -> (usize, usize) {
@@ -114,11 +121,15 @@
         let Some(incoming) = wires.listening.get(&to).cloned() else { return refused() };
         let (here, there) = tokio::io::duplex(BUFFER);
         let cut = Rc::new(Cell::new(false));
-        if incoming.send(Box::new(Link { stream: there, cut: cut.clone() })).is_err() {
+        let (mute, their_mute) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+        let link = Link { stream: there, cut: cut.clone(), mute: their_mute.clone() };
+        if incoming.send(Box::new(link)).is_err() {
             return refused();
         }
         wires.links.push((one, other, cut.clone()));
-        Box::pin(async move { Ok(Box::new(Link { stream: here, cut }) as Box<dyn Connection>) })
+        wires.mutes.push((self.machine, target, mute.clone()));
+        wires.mutes.push((target, self.machine, their_mute));
+        Box::pin(async move { Ok(Box::new(Link { stream: here, cut, mute }) as Box<dyn Connection>) })
     }
 
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
@@ -239,6 +250,38 @@
         spawn_local(unless_frozen(process, state.frozen.clone(), state.thaw.clone()));
     }
 
+    /// A connection of an edge machine to a controller's port for links.
+    pub async fn dial_link(&self, machine: usize) -> Box<dyn Connection> {
+        let network = Wired { machine: EDGE, wires: self.wires.clone() };
+        network.connect(address(machine, FIRST_PORT).into()).await.expect("it listens")
+    }
+
+    /// One call over HTTP, and how long its answer took.
+    pub async fn timed(
+        &self,
+        machine: usize,
+        method: &str,
+        path: &str,
+        headers: &str,
+        body: &str,
+    ) -> (u16, Duration) {
+        let from = tokio::time::Instant::now();
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let status = timeout(PATIENCE, self.call(machine, request)).await;
+        (status.expect("in time").expect("an answer"), from.elapsed())
+    }
+
+    /// From now on what one machine says to another does not arrive, on links that are up; new ones can't be made.
+    pub fn cut_one_way(&self, from: usize, to: usize) {
+        let mut wires = self.wires.borrow_mut();
+        wires.cut.insert(pair(from, to));
+        let muted = wires.mutes.iter().filter(|(one, other, _)| (*one, *other) == (from, to));
+        muted.for_each(|(_, _, mute)| mute.set(true));
+    }
+
     /// One call over HTTP, from a machine that is not one of the members; the status, once there is one.
     async fn call(&self, machine: usize, request: String) -> Option<u16> {
         let network = Wired { machine: OPERATOR, wires: self.wires.clone() };
