--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -159,6 +159,19 @@
         }
     }
 
+    /// Where the machines' folders are.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Whether a machine's disk holds a record with this in it.
+    pub fn holds(&self, machine: usize, body: &str) -> bool {
+        value_files().any(|file| {
+            let content = std::fs::read(self.disk(machine).join(file)).unwrap_or_default();
+            content.windows(body.len()).any(|part| part == body.as_bytes())
+        })
+    }
+
     /// A copy of a machine's disk, to be put back later. The machine is down.
     pub fn save_disk(&self, machine: usize) {
         let saved = self.folder.join(format!("saved-{machine}"));
