weirwharf: value in place of worth; MAX_ and MIN_ constants

Cause: names of our own (`worth`, `worthiest`, `HEAT_MOST`) where the field says value, highest value, maximum. Change: `Class::value`, `Settings::over_share_value`, `value_per_second`, constants and three names of tests; the wire's keys and the texts of findings stay.

--- a/crates/benchlink/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -44,7 +44,7 @@
     };
     assert_eq!((settings.balancers, settings.me, settings.zone), (2, 1, ZoneId(1)));
     assert_eq!(settings.discovery, Discovery::Ask);
-    assert_eq!(settings.classes[0].worth, 3.0);
+    assert_eq!(settings.classes[0].value, 3.0);
     let window = Duration::from_millis(400);
     assert_eq!(settings.classes[1].semantics, Semantics::Keyed { group: Group::Cell, window });
     assert_eq!(settings.load_reports.via, ReportVia::Probe);
--- a/crates/weirwharf/src/balance/admission.rs
+++ b/crates/weirwharf/src/balance/admission.rs
@@ -20,7 +20,7 @@
 }
 
 impl Balancer {
-    /// Own calls in flight leave room for one more of such value: while worthier ones are refused, a part is
+    /// Own calls in flight leave room for one more of such value: while higher ones are refused, a part is
     /// theirs alone. A caller inside a tier holds a slot while it waits: what got so far is not held up.
     pub(super) fn has_room(&self, now: Duration, value: f64, side: usize) -> bool {
         let part = (value / self.missed.read(now, MISSED_SECONDS).max(1e-9)).sqrt().min(1.0);
@@ -31,7 +31,7 @@
         self.settings.tier > 0 || (fits && spared)
     }
 
-    /// Some zone with endpoints has room for the worthiest.
+    /// Some zone with endpoints has room for the highest value.
     fn any_room(&self, now: Duration) -> bool {
         (0..2).any(|side| self.pools.len(2 + side) > 0 && self.has_room(now, f64::MAX, side))
     }
@@ -39,11 +39,11 @@
     /// What serving a request adds to the result for the time it keeps a server busy.
     pub(super) fn value(&self, id: RequestId) -> f64 {
         let Some(pending) = self.requests.get(&id) else { return 0.0 };
-        self.worth_a_second(pending.class, pending.part)
+        self.value_per_second(pending.class, pending.part)
     }
 
-    fn worth_a_second(&self, class: usize, part: f64) -> f64 {
-        self.settings.classes[class].worth * part / self.latency[class].usual().max(0.001)
+    fn value_per_second(&self, class: usize, part: f64) -> f64 {
+        self.settings.classes[class].value * part / self.latency[class].usual().max(0.001)
     }
 
     /// Counts a tenant's request and tells whether it lies above the tenant's share. A balancer sees
@@ -67,9 +67,9 @@
         if self.held.is_empty() || !self.any_room(now) {
             return;
         }
-        // The worthiest first. Of equals the one that came first, while it has time: the others can wait as
-        // long. In a jam the one that came last: the oldest would only be answered after its objective, and
-        // so would all behind it.
+        // The highest value first. Of equals the one that came first, while it has time: the others can wait
+        // as long. In a jam the one that came last: the oldest would only be answered after its objective,
+        // and so would all behind it.
         let start = |(key, group): (&Alike, &BTreeSet<Place>)| {
             let patience = self.settings.classes[key.0].objective.mul_f64(PATIENT_PART);
             let oldest = group.first().map_or(now, |place| place.0);
@@ -91,11 +91,11 @@
         }
     }
 
-    /// The worthiest held request that was not looked at yet.
+    /// The held request of highest value that was not looked at yet.
     fn next_held(&self, cursors: &HashMap<Alike, Cursor>) -> Option<(Alike, Place)> {
         let next = |(key, group): (&Alike, &BTreeSet<Place>)| {
             let place = cursors.get(key)?.next(group)?;
-            Some((self.worth_a_second(key.0, f64::from_bits(key.1)), place, *key))
+            Some((self.value_per_second(key.0, f64::from_bits(key.1)), place, *key))
         };
         let next = self.held.iter().filter_map(next);
         let (_, place, key) = next.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
--- a/crates/weirwharf/src/balance/choice.rs
+++ b/crates/weirwharf/src/balance/choice.rs
@@ -50,7 +50,7 @@
     fn memory(&self, now: Duration) -> f64 {
         let used = (self.pools.len(0) + self.pools.len(1)) as f64;
         let rate = self.arrivals.rate(now, RATE_SECONDS, self.born);
-        (DRAG_CALLS * used / rate.max(1e-3)).clamp(DRAG_SECONDS, DRAG_MOST)
+        (DRAG_CALLS * used / rate.max(1e-3)).clamp(DRAG_SECONDS, MAX_DRAG_SECONDS)
     }
 
     /// The heat of the best quarter, of all endpoints or of every so many.
@@ -74,7 +74,7 @@
         let endpoint = &self.endpoints[i];
         let drag = (endpoint.drag.read(now, self.memory) - DRAG_FREE).max(0.0);
         let tried = pending.attempts.iter().any(|a| a.endpoint == endpoint.info.id);
-        self.load(now, i) + drag + if tried { HEAT_MOST } else { 0.0 }
+        self.load(now, i) + drag + if tried { MAX_HEAT } else { 0.0 }
     }
 
     /// Hard limits: the list, the cold budget, and rule 2 for a keyed request that may have run.
--- a/crates/weirwharf/src/balance/dispatch.rs
+++ b/crates/weirwharf/src/balance/dispatch.rs
@@ -12,9 +12,9 @@
         self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_SAVED);
         let class = request.class.0.min(self.settings.classes.len() - 1);
         let over_share = self.over_share(now, request.tenant.0);
-        let mut part = if over_share { self.settings.over_share_worth } else { 1.0 };
+        let mut part = if over_share { self.settings.over_share_value } else { 1.0 };
         if request.client_retry {
-            part *= self.settings.classes[class].late_value.max(REPEAT_LEAST);
+            part *= self.settings.classes[class].late_value.max(MIN_REPEAT);
         }
         let (arrived, deadline) = (now, now + request.time_left);
         let (attempts, due, finished, streaming) = Default::default();
--- a/crates/weirwharf/src/balance/endpoint.rs
+++ b/crates/weirwharf/src/balance/endpoint.rs
@@ -81,12 +81,12 @@
     }
 
     pub(super) fn add_heat(&mut self, now: Duration, memory: f64) {
-        self.heat.set(now, (self.heat(now, memory) + FAILURE_HEAT).min(HEAT_MOST));
+        self.heat.set(now, (self.heat(now, memory) + FAILURE_HEAT).min(MAX_HEAT));
     }
 
     pub(super) fn heat(&self, now: Duration, memory: f64) -> f64 {
         let heat = self.heat.read(now, if self.ill { memory.max(HEAT_SECONDS) } else { HEAT_SECONDS });
-        if heat < HEAT_LEAST { 0.0 } else { heat }
+        if heat < MIN_HEAT { 0.0 } else { heat }
     }
 }
 
--- a/crates/weirwharf/src/balance/membership.rs
+++ b/crates/weirwharf/src/balance/membership.rs
@@ -35,7 +35,7 @@
     fn retry_discovery(&mut self, now: Duration) {
         let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(4));
         let stated = self.settings.rules.ask_within.as_secs_f64();
-        let most = if stated > 0.0 { ASK_BACKOFF_MOST.min(stated) } else { ASK_BACKOFF_MOST };
+        let most = if stated > 0.0 { MAX_ASK_BACKOFF.min(stated) } else { MAX_ASK_BACKOFF };
         let wait = doubled.min(most) * (0.5 + self.draws.uniform());
         self.ask_failures += 1;
         self.set_timer(now + Duration::from_secs_f64(wait), Timer::Ask);
@@ -159,7 +159,7 @@
         let side = usize::from(zone != self.settings.zone);
         // Those of a zone send there first, and have to even out among themselves.
         let zones = if side == 0 { f64::from(self.settings.zones.max(1)) } else { 1.0 };
-        let wanted = (size * PART_CALLERS * zones / callers).max(PART_LEAST);
+        let wanted = (size * PART_CALLERS * zones / callers).max(MIN_PART);
         let (pools, index) = (&mut self.pools, &self.index);
         ring.arc(start, wanted.ceil() as usize, new, |id, within| pools.set(side, index[&id], within));
     }
--- a/crates/weirwharf/src/balance/mod.rs
+++ b/crates/weirwharf/src/balance/mod.rs
@@ -63,7 +63,7 @@
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
     windows: [Window; 2],
     recheck_set: bool,
-    /// The value of the worthiest request refused of late without having been sent.
+    /// The highest value of a request refused of late without having been sent.
     missed: Fading,
     /// What comes due when. What is over is taken out: deadlines of answered requests must not pile up.
     timers: TimerQueue<Timer>,
--- a/crates/weirwharf/src/balance/outcome.rs
+++ b/crates/weirwharf/src/balance/outcome.rs
@@ -111,7 +111,7 @@
     fn late_after(&self, class: usize) -> f64 {
         let by_objective = self.objective_part(class).as_secs_f64();
         let unhurried = self.latency[class].unhurried();
-        unhurried.map_or(by_objective, |mean| by_objective.min((mean * LATE_MULTIPLE).max(LATE_LEAST)))
+        unhurried.map_or(by_objective, |mean| by_objective.min((mean * LATE_MULTIPLE).max(MIN_LATE)))
     }
 
     /// The part of its objective that an answer may take at most.
--- a/crates/weirwharf/src/balance/request.rs
+++ b/crates/weirwharf/src/balance/request.rs
@@ -29,7 +29,7 @@
     pub(super) class: usize,
     pub(super) arrived: Duration,
     pub(super) deadline: Duration,
-    /// Part of its class's worth: little above its tenant's share, and for a repeat.
+    /// Part of its class's value: little above its tenant's share, and for a repeat.
     pub(super) part: f64,
     pub(super) attempts: Vec<Attempt>,
     /// Its timers, to be dropped with it.
--- a/crates/weirwharf/src/balance/silence.rs
+++ b/crates/weirwharf/src/balance/silence.rs
@@ -22,11 +22,11 @@
 
     /// An attempt stays without an answer; its connection had lain idle for so long.
     fn note(&mut self, now: Duration, idle: Duration) {
-        self.level.set(now, (self.level.read(now, SILENCE_SECONDS) + 1.0).min(SILENCE_MOST));
+        self.level.set(now, (self.level.read(now, SILENCE_SECONDS) + 1.0).min(MAX_SILENCE));
         if idle.is_zero() {
             self.stale -= 1.0;
         } else {
-            self.stale = (self.stale + 1.0).min(SILENCE_MOST);
+            self.stale = (self.stale + 1.0).min(MAX_SILENCE);
             self.reaped_after = Some(self.reaped_after.map_or(idle, |known| known.min(idle)));
         }
     }
--- a/crates/weirwharf/src/balance/tuning.rs
+++ b/crates/weirwharf/src/balance/tuning.rs
@@ -9,9 +9,9 @@
 /// A failure weighs like this many calls in flight, or quick errors would win every sample.
 pub(super) const FAILURE_HEAT: f64 = 1.0;
 /// Failures weigh no more than this together, so that an endpoint cools within some seconds.
-pub(super) const HEAT_MOST: f64 = 12.0;
+pub(super) const MAX_HEAT: f64 = 12.0;
 /// Less heat than this is none: a trace of it would lose every tie and bar an idle endpoint for good.
-pub(super) const HEAT_LEAST: f64 = 0.5;
+pub(super) const MIN_HEAT: f64 = 0.5;
 /// Seconds in which the weight of failures falls to a third: long enough for a streak to add up.
 pub(super) const HEAT_SECONDS: f64 = 4.0;
 /// An endpoint's answers may take longer than the unhurried mean by this multiple of it before that counts.
@@ -23,7 +23,7 @@
 /// Or the time of so many calls to one endpoint, where that is longer: of hundreds of callers each meets an
 /// endpoint once in seconds, would have forgotten it by then, and all of them together would keep it busy.
 pub(super) const DRAG_CALLS: f64 = 8.0;
-pub(super) const DRAG_MOST: f64 = 60.0;
+pub(super) const MAX_DRAG_SECONDS: f64 = 60.0;
 /// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money.
 pub(super) const CROSS_MARGIN: f64 = 1.0;
 /// Retries that each new request earns; all tiers retry, so the product must stay near one.
@@ -44,7 +44,7 @@
 /// Silences less those that answers refute, before they are acted on: above one in ten attempts.
 pub(super) const SILENCE_ACTS: f64 = 1.5;
 pub(super) const SILENCE_REFUTED: f64 = 0.1;
-pub(super) const SILENCE_MOST: f64 = 6.0;
+pub(super) const MAX_SILENCE: f64 = 6.0;
 /// Seconds in which silence is forgotten to a third, so that old connections are trusted again.
 pub(super) const SILENCE_SECONDS: f64 = 15.0;
 /// What an answer on an old connection says against its kind being dropped unseen.
@@ -82,21 +82,21 @@
 pub(super) const FLOOR_CALLS: f64 = 8.0;
 /// An answer is also late beyond this multiple of its class's unhurried mean: work times spread.
 pub(super) const LATE_MULTIPLE: f64 = 2.5;
-/// But never within this: what is over so soon keeps no queue worth the name, and a few times a mean of
+/// But never within this: what is over so soon keeps no queue to speak of, and a few times a mean of
 /// microseconds is the noise of any machine. It would hide a jam only where all answers take less.
-pub(super) const LATE_LEAST: f64 = 0.005;
+pub(super) const MIN_LATE: f64 = 0.005;
 /// Balancers that share each endpoint. One that uses many learns too little of each (i44da9d); its idle
 /// connections fill their tables, which takes capacity. The sum of n unlike loads is uneven by the root of n
 /// less: with nine, where some balancers carry several times the mean, by a third of it.
 pub(super) const PART_CALLERS: f64 = 9.0;
 /// Endpoints of a zone that a caller uses at least, so that d samples still find a choice among failing ones.
-pub(super) const PART_LEAST: f64 = 4.0;
+pub(super) const MIN_PART: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
 pub(super) const PLACE_STEP: f64 = 0.618_033_988_75;
 /// Seconds in which the value of a refused request fades to a third.
 pub(super) const MISSED_SECONDS: f64 = 2.0;
 /// A client's repeat has spent some of its objective: it counts as a late answer does, or at least so much.
-pub(super) const REPEAT_LEAST: f64 = 0.1;
+pub(super) const MIN_REPEAT: f64 = 0.1;
 /// Held requests are looked at again this often, besides whenever a call ends.
 pub(super) const HOLD_RECHECK: Duration = Duration::from_millis(20);
 /// Part of their objective for which held requests wait in the order of their coming.
@@ -108,4 +108,4 @@
 /// ... up to this: what discovery has to tell counts as told after 6 s (PROTOCOL, "Figures"), and with half
 /// as much again the wait is no longer. Nor much shorter: calls that are refused take their part of
 /// discovery's time, and many callers that came again sooner would keep each other out for good.
-pub(super) const ASK_BACKOFF_MOST: f64 = 4.0;
+pub(super) const MAX_ASK_BACKOFF: f64 = 4.0;
--- a/crates/weirwharf/src/fleet.rs
+++ b/crates/weirwharf/src/fleet.rs
@@ -33,19 +33,19 @@
 /// What others have sent counts for this long after it was told.
 const TOLD_FOR: Duration = Duration::from_millis(400);
 /// Prompts and endpoints that are remembered as read, and as many again.
-const READ_MOST: usize = 8192;
+const MAX_READ: usize = 8192;
 /// A failure weighs like this many calls in flight.
 const FAILURE_HEAT: f64 = 2.0;
 /// Failures weigh no more than this together.
-const HEAT_MOST: f64 = 12.0;
+const MAX_HEAT: f64 = 12.0;
 /// Less heat than this is none: a trace of it would lose every tie and bar an idle endpoint for good.
-const HEAT_LEAST: f64 = 0.25;
+const MIN_HEAT: f64 = 0.25;
 /// Seconds in which the weight of failures falls to a third.
 const HEAT_SECONDS: f64 = 3.0;
 /// An endpoint that could not be reached, or fell silent, is left out for this long; doubles each time ...
 const EJECT_FIRST: Duration = Duration::from_millis(600);
 /// ... up to this.
-const EJECT_MOST: Duration = Duration::from_secs(5);
+const MAX_EJECTION: Duration = Duration::from_secs(5);
 /// Second sends stay below this part of what the fleet may make: members come and go, and counts are late.
 const BUDGET_PART: f64 = 0.5;
 /// When a client is to come back, at the least, and up to as much more: a crowd that was refused together must not
@@ -237,7 +237,7 @@
         let told = self.told.is_some_and(|told| now.saturating_sub(told) < TOLD_FOR);
         let unread = load.unread + if told { load.unread_of_others } else { 0 };
         f64::from(load.in_flight)
-            + if heat < HEAT_LEAST { 0.0 } else { heat }
+            + if heat < MIN_HEAT { 0.0 } else { heat }
             + f64::from(unread) / TOKENS_A_CALL
     }
 
@@ -261,7 +261,7 @@
 
     /// An endpoint has read a prompt, and keeps its shared parts for a while.
     pub fn keeps(&mut self, id: EndpointId, prompt: Prompt) {
-        if self.read[0].len() >= READ_MOST {
+        if self.read[0].len() >= MAX_READ {
             self.read.swap(0, 1);
             self.read[0].clear();
         }
@@ -323,14 +323,14 @@
 impl Load {
     fn fail(&mut self, now: Duration) {
         let heat = self.heat.read(now, HEAT_SECONDS) + FAILURE_HEAT;
-        self.heat.set(now, heat.min(HEAT_MOST));
+        self.heat.set(now, heat.min(MAX_HEAT));
     }
 
     fn eject(&mut self, now: Duration) {
         if self.ejected_until > now {
             return; // several calls tell of one failure
         }
-        self.ejected_for = (self.ejected_for * 2).clamp(EJECT_FIRST, EJECT_MOST);
+        self.ejected_for = (self.ejected_for * 2).clamp(EJECT_FIRST, MAX_EJECTION);
         self.ejected_until = now + self.ejected_for;
     }
 }
--- a/crates/weirwharf/src/ring.rs
+++ b/crates/weirwharf/src/ring.rs
@@ -4,7 +4,7 @@
 use crate::types::EndpointId;
 
 /// A bucket that grows beyond this is split: between the cost of a sum over all buckets and of a move within one.
-const BUCKET_MOST: usize = 128;
+const MAX_BUCKET: usize = 128;
 /// Boundaries of an arc that moved by so many places at most are followed; else the whole ring is looked at.
 const FOLLOWED: usize = 64;
 
@@ -121,8 +121,8 @@
                 self.buckets[b].insert(at, (id, warm));
                 self.warm[b] += usize::from(warm);
                 self.size += 1;
-                if self.buckets[b].len() > BUCKET_MOST {
-                    let upper = self.buckets[b].split_off(BUCKET_MOST / 2);
+                if self.buckets[b].len() > MAX_BUCKET {
+                    let upper = self.buckets[b].split_off(MAX_BUCKET / 2);
                     let warm = upper.iter().filter(|e| e.1).count();
                     self.warm[b] -= warm;
                     self.warm.insert(b + 1, warm);
--- a/crates/weirwharf/src/types/settings.rs
+++ b/crates/weirwharf/src/types/settings.rs
@@ -22,8 +22,8 @@
     pub classes: Vec<Class>,
     /// Tenants; may be empty.
     pub tenants: Vec<Tenant>,
-    /// Worth of a request above its tenant's share, as a fraction of the class's worth.
-    pub over_share_worth: f64,
+    /// Value of a request above its tenant's share, as a fraction of the class's value.
+    pub over_share_value: f64,
     /// How the endpoint list reaches the balancer.
     pub discovery: Discovery,
     /// What the deployment allows.
@@ -51,18 +51,18 @@
 /// A class of requests.
 #[derive(Clone, Debug)]
 pub struct Class {
-    /// Answers within this time earn the full worth.
+    /// Answers within this time earn the full value.
     pub objective: Duration,
     /// The time a client waits in all.
     pub deadline: Duration,
     /// What a repeat may do.
     pub semantics: Semantics,
-    /// Fraction of the worth for an answer after the objective.
+    /// Fraction of the value for an answer after the objective.
     pub late_value: f64,
     /// The answer is streamed.
     pub streamed: bool,
-    /// Worth of one request.
-    pub worth: f64,
+    /// Value of one request.
+    pub value: f64,
     /// The objective grows by this multiple of the request's own work, up to the deadline.
     pub aim_stretch: f64,
 }
@@ -112,12 +112,12 @@
     Ask,
 }
 
-/// What worth is reckoned by.
+/// What value is counted by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CountedBy {
     /// Each request counts alike within its class.
     Request,
-    /// Worth is for each unit of work, see [`Request::work_hint`].
+    /// Value is for each unit of work, see [`Request::work_hint`].
     Work,
 }
 
@@ -136,7 +136,7 @@
     pub nines: f64,
     /// So many such steps earn that weight in full; not a weight.
     pub nines_wanted: f64,
-    /// What worth is reckoned by.
+    /// What value is counted by.
     pub counted_by: CountedBy,
 }
 
@@ -155,7 +155,7 @@
     pub handshake: f64,
     /// Probes, a first try.
     pub probe: f64,
-    /// Worth left unserved after its objective had passed.
+    /// Value left unserved after its objective had passed.
     pub late_fail: f64,
 }
 
@@ -223,7 +223,7 @@
             tiers: 1,
             classes: vec![Class::default()],
             tenants: Vec::new(),
-            over_share_worth: 1.0,
+            over_share_value: 1.0,
             discovery: Discovery::Push,
             limits: Limits::default(),
             rules: Rules::default(),
@@ -247,7 +247,7 @@
             semantics: Semantics::Safe,
             late_value: 0.5,
             streamed: false,
-            worth: 1.0,
+            value: 1.0,
             aim_stretch: 0.0,
         }
     }
--- a/crates/weirwharf/src/types/validate.rs
+++ b/crates/weirwharf/src/types/validate.rs
@@ -33,7 +33,7 @@
         within("limits.max_attempts", f64::from(self.limits.max_attempts), 1.0, 1e6)?;
         within("rules.cold_share", self.rules.cold_share, 0.0, 1.0)?;
         within("rules.fall_multiple", self.rules.fall_multiple, 0.0, 1e6)?;
-        within("over_share_worth", self.over_share_worth, 0.0, 1.0)?;
+        within("over_share_worth", self.over_share_value, 0.0, 1.0)?;
         validate_goal(&self.goal)?;
         self.classes.iter().try_for_each(validate_class)?;
         self.tenants.iter().try_for_each(validate_tenant)
@@ -50,7 +50,7 @@
 }
 
 fn validate_class(class: &Class) -> Result<(), SettingsError> {
-    within("classes[].worth", class.worth, 0.0, 1e12)?;
+    within("classes[].worth", class.value, 0.0, 1e12)?;
     within("classes[].late_value", class.late_value, 0.0, 1.0)?;
     within("classes[].aim_stretch", class.aim_stretch, 0.0, 1e6)?;
     within("classes[].objective", class.objective.as_secs_f64(), 1e-6, 1e6)?;
--- a/crates/weirwharf/src/wire/settings.rs
+++ b/crates/weirwharf/src/wire/settings.rs
@@ -41,7 +41,7 @@
         tiers: conf.tiers.len().max(1) as u32,
         classes: classes.collect::<Result<_, _>>()?,
         tenants: conf.tenants.into_iter().map(Tenant::from).collect(),
-        over_share_worth: conf.over_share_worth,
+        over_share_value: conf.over_share_worth,
         discovery: conf.discovery.into(),
         limits: convert_limits(line, &conf.limits)?,
         rules: convert_rules(line, &conf.rules)?,
@@ -70,7 +70,7 @@
         },
         late_value: class.late_value,
         streamed: class.streamed,
-        worth: class.worth,
+        value: class.worth,
         aim_stretch: class.aim_stretch,
     })
 }
--- a/crates/weirwharf/tests/contract.rs
+++ b/crates/weirwharf/tests/contract.rs
@@ -135,7 +135,7 @@
     assert!(matches!(new(settings), Some(SettingsError::OutOfRange { field: "rules.cold_share", .. })));
     let settings = Settings { balancers: 0, ..Settings::default() };
     assert!(matches!(new(settings), Some(SettingsError::OutOfRange { field: "balancers", .. })));
-    let classes = vec![Class { worth: -1.0, ..Class::default() }];
+    let classes = vec![Class { value: -1.0, ..Class::default() }];
     assert!(new(Settings { classes, ..Settings::default() }).is_some());
 }
 
--- a/crates/weirwharf/tests/failures.rs
+++ b/crates/weirwharf/tests/failures.rs
@@ -88,8 +88,8 @@
 }
 
 #[test]
-fn held_requests_leave_worthiest_first() {
-    let classes = vec![Class::default(), Class { worth: 10.0, ..Class::default() }];
+fn held_requests_leave_by_value() {
+    let classes = vec![Class::default(), Class { value: 10.0, ..Class::default() }];
     let mut d = Driver::new(Settings { classes, ..Settings::default() }, endpoints(1));
     d.fill();
     let (cheap, _) = d.request_of(0, 0, ms(60_000));
@@ -246,7 +246,7 @@
 #[test]
 fn a_tenant_far_over_its_share_waits_behind_the_others() {
     let tenants = vec![Tenant { allowance_per_s: 100.0, portion: 0.33 }; 3];
-    let settings = Settings { tenants, over_share_worth: 0.05, ..Settings::default() };
+    let settings = Settings { tenants, over_share_value: 0.05, ..Settings::default() };
     let mut d = Driver::new(settings, endpoints(1));
     let (mut asked, mut served) = ([0.0; 3], [0.0; 3]);
     let mut whose = HashMap::new();
@@ -489,8 +489,8 @@
 }
 
 /// Calls of the lesser class that go out after one of the given class was refused unsent.
-fn lesser_out_after_refusal_of(class: usize) -> usize {
-    let classes = vec![Class::default(), Class { worth: 10.0, ..Class::default() }];
+fn low_value_out_after_refusal_of(class: usize) -> usize {
+    let classes = vec![Class::default(), Class { value: 10.0, ..Class::default() }];
     let mut d = Driver::new(Settings { classes, balancers: 4, ..Settings::default() }, endpoints(16));
     for round in 0..60 {
         let (id, _) = d.request_of(round % 2, 0, ms(2000));
@@ -508,10 +508,11 @@
 }
 
 #[test]
-fn lesser_requests_find_less_room_while_worthier_ones_are_refused() {
+fn low_values_find_less_room_while_higher_ones_are_refused() {
     // i9329e9: each of many balancers had so few calls out that nothing was held to be put in order.
-    let (after_worthy, after_lesser) = (lesser_out_after_refusal_of(1), lesser_out_after_refusal_of(0));
-    assert!(after_worthy * 2 < after_lesser, "{after_worthy} and {after_lesser} calls");
+    let (after_higher, after_lower) =
+        (low_value_out_after_refusal_of(1), low_value_out_after_refusal_of(0));
+    assert!(after_higher * 2 < after_lower, "{after_higher} and {after_lower} calls");
 }
 
 /// The zone of an endpoint of `three_zones` is the balancer's own.
--- a/crates/weirwharf/tests/properties.rs
+++ b/crates/weirwharf/tests/properties.rs
@@ -62,7 +62,7 @@
             class(Semantics::Keyed { group: Group::All, window }),
         ],
         tenants: vec![Tenant { allowance_per_s: 5.0, portion: 0.3 }; 3],
-        over_share_worth: 0.1,
+        over_share_value: 0.1,
         discovery,
         ..Settings::default()
     };
