control: single_instance, replicated and serving_state in place of keeper, together and served

Cause: names of our own for the two ways of following desired state and for what is served. Change: modules, types and variables renamed; `Keeps` becomes `StateSource`; texts that the service prints stay. The files of tests are unchanged.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -2,7 +2,7 @@
 
 use crate::rollout::Rollout;
 use crate::shared::Shared;
-use crate::{cluster, together};
+use crate::{cluster, replicated};
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::{get, post};
@@ -47,7 +47,7 @@
 /// Ready is who can serve; in a cluster, who can decide with the others.
 async fn ready(State(shared): State<Arc<Shared>>) -> (StatusCode, String) {
     match shared.cluster.as_ref().filter(|handle| !handle.has_majority()) {
-        Some(handle) => (StatusCode::SERVICE_UNAVAILABLE, together::trouble_of(&handle.view()) + "\n"),
+        Some(handle) => (StatusCode::SERVICE_UNAVAILABLE, replicated::trouble_of(&handle.view()) + "\n"),
         None => (StatusCode::OK, "ready\n".to_owned()),
     }
 }
--- a/crates/control/src/together.rs
+++ b/crates/control/src/replicated.rs
@@ -1,4 +1,4 @@
-//! Keeps what is served in step with what the instances of a cluster have agreed; and has agreed what this one hears.
+//! StateSource what is served in step with what the instances of a cluster have agreed; and has agreed what this one hears.
 //!
 //! What is desired, how far a roll-out has come, which endpoints there are and which are held back comes from the log
 //! alone, so a proxy that moves between instances never goes back. With one exception, which only takes away: a drain
@@ -8,7 +8,7 @@
 use crate::errors::Tolerance;
 use crate::memory::replace;
 use crate::rollout::{Cohort, Next, Progress, Rollout};
-use crate::served::{Served, halted, locked};
+use crate::serving_state::{ServingState, halted, locked};
 use crate::shared::Shared;
 use crate::source::Sources;
 use runtrack_agree::host::{Handle, View};
@@ -75,9 +75,9 @@
 }
 
 /// One that keeps what is served in step with the log.
-pub struct Together {
+pub struct Replicated {
     shared: Arc<Shared>,
-    served: Served,
+    serving: ServingState,
     handle: Handle,
     tolerance: Tolerance,
     /// What this instance's own sources told, believed and doubted as everywhere.
@@ -158,7 +158,7 @@
     })
 }
 
-impl Together {
+impl Replicated {
     /// Nothing is served before something is agreed.
     pub fn new(
         shared: Arc<Shared>,
@@ -166,12 +166,12 @@
         folder: &Path,
         seed: u64,
         tolerance: Tolerance,
-    ) -> Together {
+    ) -> Replicated {
         let now = shared.clock.now();
         let drains = read_drains(folder);
         shared.hub.move_to(0, 0);
-        let mut together = Together {
-            served: Served::new(shared.clone(), seed),
+        let mut replicated = Replicated {
+            serving: ServingState::new(shared.clone(), seed),
             shared,
             handle,
             tolerance,
@@ -185,18 +185,18 @@
             promoted: None,
             stage_since: Duration::ZERO,
         };
-        together.publish();
-        together
+        replicated.publish();
+        replicated
     }
 
     /// The sources to follow.
     pub fn sources(&self) -> Sources {
-        self.served.sources()
+        self.serving.sources()
     }
 
     /// Whether there is anything to publish.
     pub fn is_dirty(&self) -> bool {
-        self.served.is_dirty() || !self.is_up_to_date()
+        self.serving.is_dirty() || !self.is_up_to_date()
     }
 
     fn is_up_to_date(&self) -> bool {
@@ -303,14 +303,14 @@
         for (pool, uid) in agreed.chain(self.drains.keys().cloned()) {
             held.entry(pool).or_default().insert(uid);
         }
-        self.served.both(|core| core.hold_back(&held));
+        self.serving.both(|core| core.hold_back(&held));
     }
 
     /// Looks at the clock; says whether the sources may have changed.
     pub fn tick(&mut self) -> bool {
         let now = self.shared.clock.now();
         self.heard.tick(now);
-        self.served.both(|core| core.tick(now));
+        self.serving.both(|core| core.tick(now));
         let pools: BTreeSet<String> = self.heard.sources().into_iter().map(|(pool, _)| pool).collect();
         self.differs.retain(|pool, _| pools.contains(pool));
         pools.iter().for_each(|pool| self.hear(pool));
@@ -318,7 +318,7 @@
         let view = self.handle.view();
         self.roll(&view);
         self.promote(&view);
-        self.served.show();
+        self.serving.show();
         let alone = (!self.handle.has_majority()).then(|| trouble_of(&view));
         self.shared.trouble("cluster", alone);
         false
@@ -329,13 +329,13 @@
         let state = self.handle.view().state.clone();
         let news = state.filter(|state| !self.seen.as_ref().is_some_and(|seen| Arc::ptr_eq(seen, state)));
         let Some(state) = news else {
-            self.served.publish(false, drop);
+            self.serving.publish(false, drop);
             return false;
         };
         let before = self.seen.replace(state.clone());
         let was = before.as_ref().map(|before| (before.epoch, before.served));
         if was == Some((state.epoch, state.served)) {
-            self.served.publish(false, drop);
+            self.serving.publish(false, drop);
             return false;
         }
         self.shared.hub.move_to(state.epoch, state.served);
@@ -347,7 +347,7 @@
         self.take_lists(&state, before.as_deref(), moved);
         self.settle_drains();
         self.hold_back();
-        self.served.publish(moved, drop);
+        self.serving.publish(moved, drop);
         self.take_stage(&state);
         self.shared.hub.arrive();
         moved
@@ -378,19 +378,19 @@
         }
         match state.rollout.as_ref().and_then(|rollout| self.fleet(state, rollout.from)) {
             Some(from) => {
-                if self.served.is_parted() {
-                    self.served.settle();
+                if self.serving.is_parted() {
+                    self.serving.settle();
                 }
-                self.served.core(|core| core.replace(now, from));
-                self.served.publish(true, drop);
-                self.served.part(fleet);
+                self.serving.core(|core| core.replace(now, from));
+                self.serving.publish(true, drop);
+                self.serving.part(fleet);
                 self.stage_since = self.shared.hub.now();
             }
             None => {
-                self.served.core(|core| core.replace(now, fleet));
-                if self.served.is_parted() {
-                    self.served.publish(true, drop);
-                    self.served.settle();
+                self.serving.core(|core| core.replace(now, fleet));
+                if self.serving.is_parted() {
+                    self.serving.publish(true, drop);
+                    self.serving.settle();
                 }
             }
         }
@@ -407,7 +407,7 @@
                 continue;
             }
             let list = list_of(pool);
-            self.served.both(|core| core.agreed(now, name, list.clone()));
+            self.serving.both(|core| core.agreed(now, name, list.clone()));
         }
     }
 
@@ -415,8 +415,8 @@
     fn take_stage(&mut self, state: &Agreed) {
         let Some((agreed, version)) = state.rollout.as_ref().zip(state.current()) else {
             self.shared.trouble("rollout", None);
-            if self.served.is_parted() {
-                self.served.settle();
+            if self.serving.is_parted() {
+                self.serving.settle();
             }
             locked(&self.shared.rollout, |shown| *shown = None);
             return;
@@ -446,7 +446,7 @@
     /// The leader looks at all proxies of the stage and proposes what follows; the others tell it how theirs stand.
     fn roll(&mut self, view: &View) {
         let Some(rollout) = locked(&self.shared.rollout, |rollout| rollout.clone()) else { return };
-        let own = self.served.cohort(&rollout, self.stage_since, self.tolerance);
+        let own = self.serving.cohort(&rollout, self.stage_since, self.tolerance);
         let progress = rollout.progress().clone();
         if !view.leads() {
             let mut note = CohortNote {
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -2,13 +2,13 @@
 
 use crate::core::Core;
 use crate::desired::{self, DesiredError};
-use crate::keeper::Keeper;
 use crate::memory::{self, Memory};
 use crate::progress::ProgressFile;
+use crate::replicated::Replicated;
 use crate::settings::{Cluster, Settings, SettingsError};
 use crate::shared::Shared;
+use crate::single_instance::SingleInstance;
 use crate::source::{self, News, Sources};
-use crate::together::Together;
 use crate::{admin, cluster};
 use runtrack_agree::host::{Handle, View};
 use runtrack_discovery::{Clock, Told};
@@ -72,8 +72,8 @@
     let mut hup = signal(SignalKind::hangup()).map_err(system("SIGHUP"))?;
     let mut term = signal(SignalKind::terminate()).map_err(system("SIGTERM"))?;
     let (shared, mut keeps) = match &settings.cluster {
-        Some(cluster) => together(cluster, &settings).await?,
-        None => alone(&settings)?,
+        Some(cluster) => replicated(cluster, &settings).await?,
+        None => single_instance(&settings)?,
     };
     let (hub, clock) = (shared.hub.clone(), shared.clock);
     let mut agreed = shared.cluster.as_ref().map(Handle::watch);
@@ -186,7 +186,7 @@
 }
 
 /// One instance for itself, whose desired state comes from a file or a store.
-fn alone(settings: &Settings) -> Result<(Arc<Shared>, Keeps), ServeError> {
+fn single_instance(settings: &Settings) -> Result<(Arc<Shared>, StateSource), ServeError> {
     let from = desired::Origin::settings(settings);
     let desired = from.read()?;
     let (epoch, memory, held) = match &settings.state {
@@ -200,13 +200,13 @@
     let shared = shared(Hub::new(epoch, settings.xds()), Clock::start(), None);
     let progress = settings.state.as_deref().map(ProgressFile::new);
     let tolerance = settings.rollouts.tolerance();
-    let mut keeper = Keeper::new(shared.clone(), from, memory, progress, epoch, tolerance);
-    keeper.start(desired, held);
-    Ok((shared, Keeps::Alone(Box::new(keeper))))
+    let mut instance = SingleInstance::new(shared.clone(), from, memory, progress, epoch, tolerance);
+    instance.start(desired, held);
+    Ok((shared, StateSource::SingleInstance(Box::new(instance))))
 }
 
 /// One instance of a cluster. What is desired comes from what is agreed.
-async fn together(of: &Cluster, settings: &Settings) -> Result<(Arc<Shared>, Keeps), ServeError> {
+async fn replicated(of: &Cluster, settings: &Settings) -> Result<(Arc<Shared>, StateSource), ServeError> {
     let (handle, peers) = cluster::start(of, settings).map_err(system(of.member.display().to_string()))?;
     let listener = TcpListener::bind(of.listen).await.map_err(system(format!("cluster: {}", of.listen)))?;
     let router = server(settings)?.add_service(peers);
@@ -218,67 +218,68 @@
     });
     let shared = shared(Hub::new(0, settings.xds()), Clock::start(), Some(handle.clone()));
     let seed = memory::clock_epoch();
-    let together = Together::new(shared.clone(), handle, &of.member, seed, settings.rollouts.tolerance());
-    Ok((shared, Keeps::Together(Box::new(together))))
+    let replicated =
+        Replicated::new(shared.clone(), handle, &of.member, seed, settings.rollouts.tolerance());
+    Ok((shared, StateSource::Replicated(Box::new(replicated))))
 }
 
 /// What keeps what is served in step with what is desired.
-enum Keeps {
-    Alone(Box<Keeper>),
-    Together(Box<Together>),
+enum StateSource {
+    SingleInstance(Box<SingleInstance>),
+    Replicated(Box<Replicated>),
 }
 
-impl Keeps {
+impl StateSource {
     fn sources(&self) -> Sources {
         match self {
-            Keeps::Alone(keeper) => keeper.sources(),
-            Keeps::Together(together) => together.sources(),
+            StateSource::SingleInstance(instance) => instance.sources(),
+            StateSource::Replicated(replicated) => replicated.sources(),
         }
     }
 
     fn is_dirty(&self) -> bool {
         match self {
-            Keeps::Alone(keeper) => keeper.is_dirty(),
-            Keeps::Together(together) => together.is_dirty(),
+            StateSource::SingleInstance(instance) => instance.is_dirty(),
+            StateSource::Replicated(replicated) => replicated.is_dirty(),
         }
     }
 
     fn told(&mut self, now: Duration, pool: &str, from: SocketAddr, told: Told) {
         match self {
-            Keeps::Alone(keeper) => keeper.told(now, pool, from, told),
-            Keeps::Together(together) => together.told(now, pool, from, told),
+            StateSource::SingleInstance(instance) => instance.told(now, pool, from, told),
+            StateSource::Replicated(replicated) => replicated.told(now, pool, from, told),
         }
     }
 
     /// Says whether the sources may have changed.
     fn tick(&mut self) -> bool {
         match self {
-            Keeps::Alone(keeper) => keeper.tick(),
-            Keeps::Together(together) => together.tick(),
+            StateSource::SingleInstance(instance) => instance.tick(),
+            StateSource::Replicated(replicated) => replicated.tick(),
         }
     }
 
     /// Says whether the sources may have changed.
     fn publish(&mut self) -> bool {
         match self {
-            Keeps::Alone(keeper) => {
-                keeper.publish(false);
+            StateSource::SingleInstance(instance) => {
+                instance.publish(false);
                 false
             }
-            Keeps::Together(together) => together.publish(),
+            StateSource::Replicated(replicated) => replicated.publish(),
         }
     }
 
     fn resume(&mut self) {
-        if let Keeps::Alone(keeper) = self {
-            keeper.resume(); // in a cluster it is agreed first
+        if let StateSource::SingleInstance(instance) = self {
+            instance.resume(); // in a cluster it is agreed first
         }
     }
 
     fn reload(&mut self) {
         match self {
-            Keeps::Alone(keeper) => drop(keeper.reload()),
-            Keeps::Together(_) => eprintln!("SIGHUP: in a cluster there is no file to read again"),
+            StateSource::SingleInstance(instance) => drop(instance.reload()),
+            StateSource::Replicated(_) => eprintln!("SIGHUP: in a cluster there is no file to read again"),
         }
     }
 }
--- a/crates/control/src/served.rs
+++ b/crates/control/src/serving_state.rs
@@ -18,7 +18,7 @@
 }
 
 /// What is served.
-pub struct Served {
+pub struct ServingState {
     /// What all parts know.
     pub shared: Arc<Shared>,
     seed: u64,
@@ -27,10 +27,10 @@
     before: Option<Core>,
 }
 
-impl Served {
+impl ServingState {
     /// Nothing is served yet.
-    pub fn new(shared: Arc<Shared>, seed: u64) -> Served {
-        Served { shared, seed, before: None }
+    pub fn new(shared: Arc<Shared>, seed: u64) -> ServingState {
+        ServingState { shared, seed, before: None }
     }
 
     /// Looks at the newest state.
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/single_instance.rs
@@ -1,4 +1,4 @@
-//! Keeps what is served in step with what is desired and what sources tell: commits first, then publishes; and takes
+//! StateSource what is served in step with what is desired and what sources tell: commits first, then publishes; and takes
 //! a version that is handed out in stages through them.
 
 use crate::core::Core;
@@ -7,7 +7,7 @@
 use crate::memory::Memory;
 use crate::progress::ProgressFile;
 use crate::rollout::{Next, Progress, Rollout};
-use crate::served::{Served, halted, locked};
+use crate::serving_state::{ServingState, halted, locked};
 use crate::shared::Shared;
 use crate::source::Sources;
 use runtrack_discovery::{List, Told};
@@ -17,9 +17,9 @@
 use std::time::Duration;
 
 /// Commits and publishes what the core makes necessary.
-pub struct Keeper {
+pub struct SingleInstance {
     shared: Arc<Shared>,
-    served: Served,
+    serving: ServingState,
     from: Origin,
     memory: Option<Memory>,
     progress: Option<ProgressFile>,
@@ -28,7 +28,7 @@
     waits: Option<u64>,
 }
 
-impl Keeper {
+impl SingleInstance {
     /// Nothing is served yet.
     pub fn new(
         shared: Arc<Shared>,
@@ -37,9 +37,9 @@
         progress: Option<ProgressFile>,
         seed: u64,
         tolerance: Tolerance,
-    ) -> Keeper {
-        let served = Served::new(shared.clone(), seed);
-        Keeper { shared, served, from, memory, progress, tolerance, waits: None }
+    ) -> SingleInstance {
+        let serving = ServingState::new(shared.clone(), seed);
+        SingleInstance { shared, serving, from, memory, progress, tolerance, waits: None }
     }
 
     /// Serves what is desired, with the lists that were held before a restart; a roll-out goes on where it was.
@@ -54,12 +54,12 @@
         let before = under_way.and_then(|progress| Some((self.from.fleet_of(progress.from)?, progress)));
         match before {
             Some((before, progress)) => {
-                self.served.begin(before, held);
+                self.serving.begin(before, held);
                 self.publish(true);
                 self.hand_out(desired, progress);
             }
             None => {
-                self.served.begin(desired.fleet, held);
+                self.serving.begin(desired.fleet, held);
                 locked(&self.shared.version, |version| *version = desired.version);
                 self.publish(true);
             }
@@ -68,26 +68,26 @@
 
     /// The sources to follow.
     pub fn sources(&self) -> Sources {
-        self.served.sources()
+        self.serving.sources()
     }
 
     /// Whether there is anything to publish.
     pub fn is_dirty(&self) -> bool {
-        self.served.is_dirty()
+        self.serving.is_dirty()
     }
 
     /// Takes what a source told.
     pub fn told(&mut self, now: Duration, pool: &str, from: SocketAddr, told: Told) {
-        self.served.both(|core| core.told(now, pool, from, told.clone()));
+        self.serving.both(|core| core.told(now, pool, from, told.clone()));
     }
 
     /// Looks at the clock, the store and the roll-out; says whether the sources may have changed.
     pub fn tick(&mut self) -> bool {
         let now = self.shared.clock.now();
-        self.served.both(|core| core.tick(now));
+        self.serving.both(|core| core.tick(now));
         let followed = self.follow();
         let ended = self.roll();
-        self.served.show();
+        self.serving.show();
         followed || ended
     }
 
@@ -95,7 +95,7 @@
     /// drain up.
     pub fn publish(&mut self, whole: bool) {
         let (shared, memory) = (&self.shared, &mut self.memory);
-        self.served.publish(whole, |lists| {
+        self.serving.publish(whole, |lists| {
             let Some(memory) = memory.as_mut().filter(|_| !lists.is_empty()) else { return };
             let mut done = memory.commit(lists);
             if memory.wants_rewrite() {
@@ -117,7 +117,7 @@
                 self.shared.trouble("reload", None);
                 false
             }
-            Some(Ok(serial)) if self.waits == Some(serial) && self.served.is_parted() => false,
+            Some(Ok(serial)) if self.waits == Some(serial) && self.serving.is_parted() => false,
             // A bad one is told by the reload, once.
             Some(_) => self.reload(),
         }
@@ -135,10 +135,10 @@
         let serial = desired.version.as_ref().map(|version| version.serial);
         let served = locked(&self.shared.version, |version| version.as_ref().map(|version| version.serial));
         let staged = desired.version.as_ref().is_some_and(|version| !version.stages.is_empty());
-        if self.served.is_parted() && serial == served {
+        if self.serving.is_parted() && serial == served {
             return false; // it is being handed out
         }
-        if self.served.is_parted() && staged {
+        if self.serving.is_parted() && staged {
             self.waits = serial;
             let what = "waits for the roll-out under way: resume that, or abort it";
             self.shared.trouble("reload", Some(format!("serial {}: {what}", serial.unwrap_or_default())));
@@ -150,7 +150,7 @@
             self.hand_out(desired, progress);
         } else {
             // What is not staged goes to all at once, and ends a roll-out: so does going back in a hurry.
-            self.served.core(|core| core.replace(now, desired.fleet));
+            self.serving.core(|core| core.replace(now, desired.fleet));
             locked(&self.shared.version, |version| *version = desired.version);
             self.publish(true);
             self.end_rollout();
@@ -168,7 +168,7 @@
     fn hand_out(&mut self, desired: Desired, progress: Progress) {
         let Desired { fleet, version: Some(version) } = desired else { return };
         let hub = self.shared.hub.clone();
-        self.served.part(fleet);
+        self.serving.part(fleet);
         let pause = Duration::from_millis(version.pause_ms);
         let rollout = Rollout::new(progress, &version.stages, pause, hub.now());
         if let Some(why) = &rollout.progress().halted {
@@ -186,7 +186,7 @@
         let Some(mut rollout) = locked(&self.shared.rollout, |rollout| rollout.clone()) else {
             return false;
         };
-        let cohort = self.served.cohort(&rollout, rollout.since(), self.tolerance);
+        let cohort = self.serving.cohort(&rollout, rollout.since(), self.tolerance);
         let next = rollout.look(self.shared.hub.now(), &cohort);
         if next == Next::Wait {
             return false;
@@ -226,7 +226,7 @@
     }
 
     fn end_rollout(&mut self) {
-        self.served.settle();
+        self.serving.settle();
         self.waits = None;
     }
 
