--- a/crates/scale/src/endpoints.rs
+++ b/crates/scale/src/endpoints.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for endpoints: hollow ones that only say that they are there, and some that answer with streams.
+//! Stand-ins for endpoints: simulated ones that only say that they are there, and some that answer with streams.
 
 use crate::operator::{connect, post};
 use std::cell::Cell;
@@ -28,7 +28,7 @@
     format!("/runtrack/instances/{id}/heartbeat")
 }
 
-/// Heartbeats of hollow endpoints from `first` on, over one connection, spread over the period.
+/// Heartbeats of simulated endpoints from `first` on, over one connection, spread over the period.
 pub async fn beat_for_ever(
     members: Vec<SocketAddrV4>,
     first: usize,
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -27,7 +27,7 @@
         #[bpaf(argument("RATE"), fallback(40.0))]
         rate: f64,
     },
-    /// Real control members under hollow agents and endpoints of several sizes: times to the last agent, processor time and
+    /// Real control members under simulated agents and endpoints of several sizes: times to the last agent, processor time and
     /// memory of the members, and how they grow
     #[bpaf(command)]
     Sizes {
--- a/crates/scale/src/sizes.rs
+++ b/crates/scale/src/sizes.rs
@@ -1,4 +1,4 @@
-//! Real control members under hollow agents and endpoints of several sizes.
+//! Real control members under simulated agents and endpoints of several sizes.
 
 use crate::endpoints::{HEARTBEAT, beat_for_ever, heartbeat, path};
 use crate::machines::{Machines, Process, Program};
@@ -84,11 +84,11 @@
     _tasks: JoinSet<()>,
 }
 
-fn hollow_agent(machines: &Machines, members: usize, number: usize) -> Agent {
+fn simulated_agent(machines: &Machines, members: usize, number: usize) -> Agent {
     let hello = Hello {
         wire: WIRE_VERSION,
         role: Role::Agent,
-        node: format!("hollow-{number}").as_str().into(),
+        node: format!("simulated-{number}").as_str().into(),
         member: Member::none(),
     };
     let gossip = Gossip::new(hello, HEARTBEAT, Logger::root(Discard, o!()), Box::new(()));
@@ -138,14 +138,15 @@
         .collect::<Result<_, _>>()?;
     let controls: Vec<SocketAddrV4> = (0..members).map(|member| machines.control(member)).collect();
     order(&controls, 0, &config(1, ROUTES)).await?;
-    let hollow: Vec<Agent> = (0..agents).map(|number| hollow_agent(&machines, members, number)).collect();
+    let simulated: Vec<Agent> =
+        (0..agents).map(|number| simulated_agent(&machines, members, number)).collect();
     let acknowledged = Rc::new(Cell::new(0));
     let mut beats = JoinSet::new();
     for first in (0..endpoints).step_by(BUNDLE) {
         let count = BUNDLE.min(endpoints - first);
         beats.spawn_local(beat_for_ever(controls.clone(), first, count, acknowledged.clone()));
     }
-    reached(&hollow, move |gossip| {
+    reached(&simulated, move |gossip| {
         gossip.replica().registry().len() >= endpoints && gossip.replica().version() == 1
     })
     .await?;
@@ -157,7 +158,7 @@
     let rate = (acknowledged.get() - told) as f64 / rest;
     let second = config(2, ROUTES);
     let (change, _) = tokio::join!(
-        reached(&hollow, |gossip| gossip.replica().version() == 2),
+        reached(&simulated, |gossip| gossip.replica().version() == 2),
         order(&controls, 1, &second)
     );
     let leaving = key_of("i-0");
@@ -168,7 +169,7 @@
             .get(leaving)
             .is_some_and(|record| record.state == EndpointState::Draining)
     };
-    let (drain, _) = tokio::join!(reached(&hollow, drained), drain_first(controls[0]));
+    let (drain, _) = tokio::join!(reached(&simulated, drained), drain_first(controls[0]));
     let memory = processes.iter().filter_map(|process| process.peak_memory().ok()).max().unwrap_or(0);
     processes.iter().for_each(Process::terminate);
     Ok(Measured {
