Proxy: forwarding split by concern, with the field's names

Cause: forward.rs and streaming.rs had over 300 lines with several concerns each, and names that say little (Call, Counted, Running). Change: routed.rs (a request and its route), in_flight.rs, attempts.rs, whole.rs, passage.rs beside forward.rs and streaming.rs; Call is RoutedRequest, Counted InFlight, Running ActiveResponse; reading a request's body and an answer's next bytes are steps of their own. Behaviour unchanged, tests unchanged.

--- /dev/null
+++ b/crates/proxy/src/attempts.rs
@@ -0,0 +1,109 @@
+//! The attempts of a request: which endpoint is next, and whether there is a next one.
+
+use crate::attempt::{AttemptError, attempt};
+use crate::forward::Forwarder;
+use crate::in_flight::{ActiveResponse, InFlight};
+use crate::routed::{AttemptState, RequestError, RoutedRequest};
+use crate::state::{Target, service_key};
+use hyper::header::HeaderValue;
+use runtrack_net::mutant;
+use tokio::time::Instant;
+use weirwharf::Outcome;
+use weirwharf::fleet::Ask;
+
+/// Connections that come up badly are not counted as attempts of the route, but there is an end to them.
+const CONNECT_TRIES: usize = 5;
+
+impl Forwarder {
+    /// Whether a request that was dispatched to an endpoint may be sent to another one.
+    pub(crate) fn may_retry(&self, request: &RoutedRequest, attempts: &mut AttemptState) -> bool {
+        let acquired = std::mem::take(&mut attempts.retry_acquired);
+        if attempts.dispatched >= request.max_tries || Instant::now() >= request.outgoing.deadline {
+            return false;
+        }
+        let now = self.state.now();
+        acquired || self.state.router().may_send_again(now, service_key(&request.service))
+    }
+
+    fn choose(&self, request: &RoutedRequest, attempts: &AttemptState) -> Option<Target> {
+        let pool = self.state.pool(&request.service);
+        let ask = Ask {
+            now: self.state.now(),
+            ready: &pool.ready,
+            tried: &attempts.tried,
+            prompt: request.prompt,
+        };
+        let key = self.state.router().choose(ask)?;
+        pool.target(key).cloned()
+    }
+
+    /// Asks endpoints until one begins to answer.
+    pub(crate) async fn begin(
+        &self,
+        request: &RoutedRequest,
+        attempts: &mut AttemptState,
+        after: Option<&HeaderValue>,
+    ) -> Result<ActiveResponse, RequestError> {
+        loop {
+            let Some(target) = self.choose(request, attempts) else {
+                return Err(end_of(request, attempts));
+            };
+            let mut in_flight = InFlight::new(&self.state, target.key, request.prompt);
+            let sent = attempt(
+                &self.state,
+                &self.connections,
+                &target,
+                request.connection_limit,
+                &request.outgoing,
+                after,
+            )
+            .await;
+            attempts.tried.push(target.key);
+            let failed = match sent {
+                Ok(started) => {
+                    attempts.dispatched += 1;
+                    return Ok(ActiveResponse { started, in_flight });
+                }
+                Err(failed) => failed,
+            };
+            in_flight.outcome = failed.outcome;
+            drop(in_flight);
+            if failed.outcome != Outcome::Full {
+                self.connections.close_idle(target.key);
+            }
+            if !self.after_failure(request, attempts, failed) {
+                return Err(end_of(request, attempts));
+            }
+        }
+    }
+
+    fn after_failure(
+        &self,
+        request: &RoutedRequest,
+        attempts: &mut AttemptState,
+        failed: AttemptError,
+    ) -> bool {
+        if !failed.dispatched {
+            attempts.unconnected += 1;
+            return attempts.unconnected < CONNECT_TRIES && request.outgoing.is_wanted();
+        }
+        attempts.dispatched += 1;
+        if !failed.never_ran() {
+            attempts.may_have_run = true;
+            if !request.outgoing.idempotent && !mutant("proxy_repeats_what_runs_once") {
+                return false;
+            }
+        }
+        self.may_retry(request, attempts)
+    }
+}
+
+/// Why a request is given up now.
+pub(crate) fn end_of(request: &RoutedRequest, attempts: &AttemptState) -> RequestError {
+    match attempts.may_have_run {
+        _ if mutant("proxy_refuses_what_was_sent") => RequestError::Refused,
+        false => RequestError::Refused,
+        true if Instant::now() >= request.outgoing.deadline => RequestError::TimedOut,
+        true => RequestError::Failed,
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,17 +6,22 @@
 //! a refusal is given only for what never ran, an answer that was cut short looks cut short.
 
 mod attempt;
+mod attempts;
 mod client;
 mod events;
 mod forward;
 mod headers;
+mod in_flight;
 mod ingress;
 mod judge;
+mod passage;
 mod pool;
 mod prompt;
 mod relay;
+mod routed;
 mod state;
 mod streaming;
+mod whole;
 
 pub use events::EventTracker;
 pub use prompt::prompt_of;
--- /dev/null
+++ b/crates/proxy/src/whole.rs
@@ -0,0 +1,77 @@
+//! Answers that are read whole before they go on.
+
+use crate::attempt::ResponseStarted;
+use crate::forward::{Forwarder, Reply};
+use crate::headers::{closes, keep_alive, remove_hop_headers};
+use crate::in_flight::ActiveResponse;
+use crate::passage::Passage;
+use crate::pool::Reuse;
+use crate::relay::{BodyAborted, next_bytes, whole};
+use crate::routed::{AttemptState, RoutedRequest, TruncatedResponse};
+use bytes::{Bytes, BytesMut};
+use hyper::Response;
+use std::rc::Rc;
+use tokio::time::timeout_at;
+use weirwharf::Outcome;
+
+/// Bytes of an answer that is read whole before any of it goes on; a longer one goes on as it comes.
+const MAX_WHOLE: usize = 256 << 10;
+
+impl Forwarder {
+    /// Reads an answer whole before it goes on, so that one that breaks off can be asked for again or fails cleanly.
+    pub(crate) async fn pass_on_whole(
+        self: Rc<Self>,
+        request: &Rc<RoutedRequest>,
+        mut active: ActiveResponse,
+        attempts: &AttemptState,
+    ) -> Result<Reply, TruncatedResponse> {
+        let mut read = BytesMut::new();
+        while let Some(bytes) = self.next_in_time(request, &mut active).await? {
+            read.extend_from_slice(&bytes);
+            if read.len() > MAX_WHOLE {
+                return Ok(self.relay_from(request, active, attempts, Passage::of_bytes(), read.freeze()));
+            }
+        }
+        let head = reply_head(&active);
+        let failed = active.started.response.status().is_server_error();
+        self.finish(request, active, if failed { Outcome::Error } else { Outcome::Ok });
+        Ok(head.map(|()| whole(read.freeze())))
+    }
+
+    /// The next bytes of an answer of which nothing has gone on; none at its end.
+    pub(crate) async fn next_in_time(
+        &self,
+        request: &RoutedRequest,
+        active: &mut ActiveResponse,
+    ) -> Result<Option<Bytes>, TruncatedResponse> {
+        let body = active.started.response.body_mut();
+        let outcome = match timeout_at(request.outgoing.deadline, next_bytes(body)).await {
+            Ok(None) => return Ok(None),
+            Ok(Some(Ok(bytes))) => return Ok(Some(bytes)),
+            Ok(Some(Err(BodyAborted))) => Outcome::Reset,
+            Err(_) => Outcome::TimedOut,
+        };
+        active.in_flight.outcome = outcome;
+        Err(TruncatedResponse)
+    }
+
+    /// Takes an answer that came to its end off the counts, and keeps its connection for the next request.
+    pub(crate) fn finish(&self, request: &RoutedRequest, mut active: ActiveResponse, outcome: Outcome) {
+        active.in_flight.outcome = outcome;
+        let ResponseStarted { response, connection, .. } = active.started;
+        let headers = response.headers();
+        if !closes(headers) && request.outgoing.reuse() != Reuse::None {
+            self.connections.put_back(active.in_flight.key, connection, keep_alive(headers));
+        }
+    }
+}
+
+/// Status and headers of an answer, without what concerns its connection only.
+pub(crate) fn reply_head(active: &ActiveResponse) -> Response<()> {
+    let response = &active.started.response;
+    let mut head = Response::new(());
+    *head.status_mut() = response.status();
+    *head.headers_mut() = response.headers().clone();
+    remove_hop_headers(head.headers_mut());
+    head
+}
