--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -366,6 +366,18 @@
         }
     }
 
+    /// Calls as endpoints do: again and again, until it is acknowledged.
+    pub fn acknowledged(&self, machine: usize, path: &str, body: &str) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.try_call(machine, "POST", path, "", body) {
+                Some(got) if got.status == 200 => return,
+                Some(got) if got.status != 503 => panic!("{path}: {got:?}"),
+                got => assert!(Instant::now() < until, "{path} is not acknowledged: {got:?}"),
+            }
+        }
+    }
+
     /// Reads until there is an answer.
     pub fn read(&self, machine: usize) -> String {
         let until = Instant::now() + PATIENCE;
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -289,8 +289,19 @@
         warn!(self.logger, "link.broken"; "session" => session.key, "problem" => problem);
     }
 
+    /// A link stood still: what its other side said of the moment counts no more.
+    pub(crate) fn on_standstill(&self, session: &Session) {
+        session.stale.set(true);
+        self.on_majority_contact(session, false);
+    }
+
     pub(crate) fn on_message(self: &Rc<Self>, session: &Rc<Session>, message: Message) {
         match message {
+            // Records only rise: late ones are taken, and may be known to nobody else any more.
+            Message::Entries(records) | Message::Confirm(_, records) if session.stale.get() => {
+                self.merge(records.into_vec(), Some(session.key));
+            }
+            _ if session.stale.get() => {}
             Message::Hello(hello) => {
                 *session.peer.borrow_mut() = Some(hello);
                 self.handler.on_connect(self, session);
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -44,6 +44,8 @@
     pub(crate) suspects: RefCell<BTreeSet<u64>>,
     /// The other side is a controller in contact with a majority, as it told last.
     pub(crate) in_contact: Cell<bool>,
+    /// One of the two sides stood still: what comes is old, and the link is about to end.
+    pub(crate) stale: Cell<bool>,
     /// Newest version that the other side has told of.
     pub noticed: Cell<u64>,
     /// Live proxies as the other side counts them.
@@ -107,6 +109,7 @@
             compared: Cell::new(false),
             suspects: RefCell::default(),
             in_contact: Cell::new(false),
+            stale: Cell::new(false),
             noticed: Cell::new(0),
             proxies: Cell::new(0),
             queue,
@@ -139,6 +142,31 @@
     }
 }
 
+/// Reads what has come; whether anything has. Where this process or the link stood still, what has come is old, and
+/// nobody says how old: the link ends once that is read.
+async fn read_more(
+    gossip: &Rc<Gossip>,
+    session: &Rc<Session>,
+    reader: &mut ReadHalf<Box<dyn Connection>>,
+    buffer: &mut BytesMut,
+) -> bool {
+    let reading = reader.read_buf(buffer);
+    let count = if session.stale.get() {
+        timeout(Duration::ZERO, reading).await.unwrap_or(Ok(0))
+    } else {
+        reading.await
+    };
+    if !matches!(count, Ok(1..)) {
+        return false;
+    }
+    if has_fallen_silent(session) && !mutant("link-reads-on-after-standstill") {
+        gossip.on_standstill(session);
+    } else {
+        session.heard.set(Instant::now());
+    }
+    true
+}
+
 async fn read(gossip: &Rc<Gossip>, session: &Rc<Session>, mut reader: ReadHalf<Box<dyn Connection>>) {
     use tokio_util::codec::Decoder;
     let mut codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).little_endian().new_codec();
@@ -151,13 +179,8 @@
             },
             Ok(None) => {
                 buffer.reserve(READ);
-                match reader.read_buf(&mut buffer).await {
-                    Ok(0) | Err(_) => return,
-                    // This process stood still, or the link did: what has come is old, and nobody says how old.
-                    Ok(_) if has_fallen_silent(session) && !mutant("link-reads-on-after-standstill") => {
-                        return;
-                    }
-                    Ok(_) => session.heard.set(Instant::now()),
+                if !read_more(gossip, session, &mut reader, &mut buffer).await {
+                    return;
                 }
             }
             Err(problem) => return gossip.log_broken(session, &problem.to_string()),
--- a/crates/link/tests/trust.rs
+++ b/crates/link/tests/trust.rs
@@ -4,8 +4,9 @@
 mod support;
 
 use runtrack_link::START_WAIT;
-use runtrack_message::{Config, Message};
+use runtrack_message::{Config, Endpoint, EndpointState, Message};
 use runtrack_net::plant;
+use runtrack_registry::key_of;
 use std::time::Duration;
 use support::{Agent, in_virtual_time};
 
@@ -23,6 +24,21 @@
     Message::Suspects(keys.to_vec().into())
 }
 
+fn leaving(id: &str) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        service: "s".into(),
+        ip: 1,
+        port: 8080,
+        zone: "a".into(),
+        capacity: 1,
+        state: EndpointState::Draining,
+        cold_left_ms: 0,
+        call_seq: 1,
+        models: Vec::new().into(),
+    }
+}
+
 /// An agent that starts beside a controller that is cut off takes its word only after the wait.
 async fn starts_beside_one_that_is_cut_off() -> Checked {
     let agent = Agent::start();
@@ -91,9 +107,15 @@
     check(agent.gossip.silent() == [7], "it was told so")?;
     link.say(suspects(&[7, 8])).await;
     link.introduce(true, 6).await;
+    link.say(Message::Entries(vec![leaving("i-1")].into())).await;
     tokio::time::advance(Duration::from_secs(20)).await;
     agent.settle().await;
     check(agent.gossip.silent().is_empty(), "neither what it held nor what waited for it counts")?;
+    let known = agent.gossip.replica().registry().get(key_of("i-1")).map(|record| record.state);
+    check(
+        known == Some(EndpointState::Draining),
+        "that an endpoint leaves is true however late it is heard",
+    )?;
     let again = tokio::time::timeout(LONG, controller.linked()).await;
     let mut again = again.map_err(|_| "it must dial again")?;
     again.introduce(false, 6).await;
