Controller: a member takes part only once the others have said whether its disk is older

Cause: a member whose disk was put back from an older copy promised and accepted as if it had forgotten nothing. Change: DiskGuard asks the others after the start and holds the member back until the verdict; what it remembers of them comes from replies and probes. With an older disk it leaves a new incarnation there, ends and joins again as another.

--- /dev/null
+++ b/crates/controller/src/disk_guard.rs
@@ -0,0 +1,130 @@
+//! Holds a member back after its start until the others have said whether its disk is the newest one, and answers
+//! others that ask.
+
+use crate::member::MemberTask;
+use crate::proposer::Proposer;
+use runtrack_link::{Gossip, Session};
+use runtrack_message::{
+    Ballot, CONTACT_WIRE_VERSION, Member, Message, RegisterReply, Role, Watermark, WatermarkReply,
+};
+use runtrack_net::mutant;
+use runtrack_register::{DiskCheck, DiskVerdict, DurableWatermarks};
+use slog::{info, warn};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+/// How often members that have not answered are asked.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The check of this member's disk, and what it remembers of others.
+pub(crate) struct DiskGuard {
+    gossip: Rc<Gossip>,
+    proposer: Rc<Proposer>,
+    member: Rc<MemberTask>,
+    me: Member,
+    started: Instant,
+    check: RefCell<DiskCheck>,
+    watermarks: RefCell<DurableWatermarks>,
+}
+
+impl DiskGuard {
+    /// A member that has this on its disk.
+    pub fn new(
+        gossip: Rc<Gossip>,
+        proposer: Rc<Proposer>,
+        member: Rc<MemberTask>,
+        me: Member,
+        own: Watermark,
+    ) -> Rc<Self> {
+        let check = DiskCheck::new(me, own, proposer.sets());
+        Rc::new(DiskGuard {
+            gossip,
+            proposer,
+            member,
+            me,
+            started: Instant::now(),
+            check: RefCell::new(check),
+            watermarks: RefCell::default(),
+        })
+    }
+
+    /// A member asks what is remembered of it.
+    pub fn on_question(&self, session: &Session, member: Member) {
+        let remembered = self.watermarks.borrow().of(&member);
+        session.send(&Message::WatermarkReply(WatermarkReply { member, remembered }));
+    }
+
+    /// Its answer.
+    pub fn on_answer(&self, session: &Session, answer: &WatermarkReply) {
+        if let Some(from) = controller_of(session).filter(|_| answer.member == self.me) {
+            self.check.borrow_mut().on_answer(from, answer.remembered);
+        }
+    }
+
+    /// A member replied to a round of this process.
+    pub fn on_register_reply(&self, session: &Session, reply: &RegisterReply) {
+        if let Some(from) = controller_of(session) {
+            self.watermarks.borrow_mut().on_reply(from, reply);
+        }
+    }
+
+    /// A member says what it has on disk.
+    pub fn on_accepted(&self, session: &Session, ballot: Ballot) {
+        if let Some(from) = controller_of(session) {
+            self.watermarks.borrow_mut().on_accepted(from, ballot);
+        }
+    }
+
+    /// Asks until it is known whether the disk is the newest, and lets the member take part then; returns only where
+    /// the disk is an older one.
+    pub async fn run(&self) {
+        let mut ticks = interval(QUESTION_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let verdict = self.ask();
+            match verdict {
+                DiskVerdict::Waiting => continue,
+                DiskVerdict::Older(seen) if !mutant("older-disk-goes-on") => {
+                    warn!(self.gossip.logger(), "disk.older";
+                        "promised" => seen.promised.round, "accepted" => seen.accepted.round);
+                    return;
+                }
+                verdict => {
+                    let known = verdict != DiskVerdict::Unknown;
+                    info!(self.gossip.logger(), "disk.checked"; "known" => known);
+                    self.member.release();
+                    return std::future::pending().await;
+                }
+            }
+        }
+    }
+
+    /// Asks those who have not answered; what is known so far.
+    fn ask(&self) -> DiskVerdict {
+        let mut check = self.check.borrow_mut();
+        check.set_sets(self.proposer.sets());
+        let unanswered = check.unanswered();
+        for session in self.gossip.peers(Role::Controller) {
+            let Some(peer) = controller_of(&session) else { continue };
+            // Another incarnation has taken the place of one that can't remember anything any more.
+            for gone in
+                unanswered.iter().filter(|other| other.address() == peer.address() && **other != peer)
+            {
+                check.on_answer(*gone, Watermark::default());
+            }
+            if unanswered.contains(&peer) && session.peer_wire() >= CONTACT_WIRE_VERSION {
+                session.send(&Message::Watermark(self.me));
+            }
+        }
+        check.verdict(self.started.elapsed())
+    }
+}
+
+/// The controller at the other side of a link.
+fn controller_of(session: &Session) -> Option<Member> {
+    let peer = session.peer.borrow();
+    peer.as_ref().filter(|peer| peer.role == Role::Controller).map(|peer| peer.member)
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,6 +8,7 @@
 mod copies;
 mod dials;
 pub mod disk;
+mod disk_guard;
 mod endpoints;
 mod member;
 mod membership;
@@ -19,7 +20,8 @@
 use crate::api::Api;
 use crate::backlog::Backlogs;
 use crate::contact::MajorityContact;
-use crate::disk::{Disk, DiskThread, MemberDisk};
+use crate::disk::{Disk, DiskThread, MemberDisk, Record};
+use crate::disk_guard::DiskGuard;
 use crate::endpoints::Endpoints;
 use crate::member::MemberTask;
 use crate::membership::{Membership, MembershipSettings};
@@ -28,12 +30,13 @@
 use runtrack_link::{
     Environment, Gossip, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals, listen,
 };
-use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
-use runtrack_register::{Acceptor, MembershipTimes};
+use runtrack_message::{Ballot, Hello, Member, Message, Role, WIRE_VERSION};
+use runtrack_register::{Acceptor, MembershipTimes, PromiseRecord};
 use slog::info;
 use std::cell::OnceCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -41,6 +44,8 @@
 
 /// Calls that are under way at SIGTERM get so long.
 const LAST_CALLS: Duration = Duration::from_millis(300);
+/// Wait before a disk that refused is tried again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 
 /// What messages of the register and of the membership go to.
 #[derive(Default)]
@@ -51,6 +56,7 @@
     endpoints: OnceCell<Rc<Endpoints>>,
     backlogs: OnceCell<Rc<Backlogs>>,
     contact: OnceCell<Rc<MajorityContact>>,
+    guard: OnceCell<Rc<DiskGuard>>,
 }
 
 struct Routing(Rc<Parts>);
@@ -58,6 +64,9 @@
 impl MessageHandler for Routing {
     fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
         let parts = &self.0;
+        if let Some(guard) = parts.guard.get() {
+            note_disk(guard, session, &message);
+        }
         let (Some(member), Some(proposer), Some(membership), Some(endpoints), Some(contact)) = (
             parts.member.get(),
             parts.proposer.get(),
@@ -115,6 +124,17 @@
     }
 }
 
+/// What a message says of the speaker's disk, or of this process's.
+fn note_disk(guard: &DiskGuard, session: &Session, message: &Message) {
+    match message {
+        Message::Reply(_, reply) => guard.on_register_reply(session, reply),
+        Message::ProbeReply(reply) => guard.on_accepted(session, reply.accepted),
+        Message::Watermark(member) => guard.on_question(session, *member),
+        Message::WatermarkReply(answer) => guard.on_answer(session, answer),
+        _ => {}
+    }
+}
+
 /// Where a machine's own links come in.
 fn peer_address(control: SocketAddrV4, first_port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(*control.ip(), first_port)
@@ -138,6 +158,16 @@
     if node.first_boot && seeds_of(node).contains(&address) { 0 } else { fastrand::u64(1..) }
 }
 
+/// Leaves a new incarnation on a disk that was found to be an older copy, and says why the process ends: it comes back
+/// as another member.
+async fn take_new_incarnation(disk: &dyn MemberDisk) -> String {
+    let record = PromiseRecord { incarnation: fastrand::u64(1..), promised: Ballot::default() };
+    while disk.persist(Record::Promise(record.clone())).await.is_err() {
+        sleep(REFUSED_PAUSE).await;
+    }
+    "the disk was an older copy; its next start is as another member".to_owned()
+}
+
 /// Runs the control member that was recovered from its disk, in an environment, until it is told to end.
 pub async fn run_in(
     environment: Environment,
@@ -158,7 +188,8 @@
         Hello { wire: WIRE_VERSION, role: Role::Controller, node: node.name.as_str().into(), member: me };
     let gossip = Gossip::new_in(environment, hello, node.heartbeat, Box::new(Routing(parts.clone())));
     let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
-    let member = MemberTask::start(acceptor, Disk(disk), logger.clone());
+    let own = acceptor.watermark();
+    let member = MemberTask::start(acceptor, Disk(disk.clone()), logger.clone());
     let times = MembershipTimes::new(node.bounds.settle, node.bounds.grace);
     let proposer = Proposer::new(gossip.clone(), member.clone(), me, first.clone());
     let contact =
@@ -171,6 +202,8 @@
         MembershipSettings { seeds, wanted: 2 * node.tolerance.machines as usize + 1, times },
     );
     let endpoints = Endpoints::new(gossip.clone(), contact.clone());
+    let guard = DiskGuard::new(gossip.clone(), proposer.clone(), member.clone(), me, own);
+    let _ = parts.guard.set(guard.clone());
     let _ = parts.member.set(member);
     let _ = parts.proposer.set(proposer.clone());
     let _ = parts.membership.set(membership.clone());
@@ -187,8 +220,13 @@
     spawn_local(membership.clone().run());
     spawn_local(contact.run());
     spawn_local(endpoints.run(node.heartbeat));
+    let mut older_disk = pin!(guard.run());
     loop {
-        match events.recv().await {
+        let event = tokio::select! {
+            event = events.recv() => event,
+            () = &mut older_disk => return Err(take_new_incarnation(disk.as_ref()).await),
+        };
+        match event {
             Some(ProcessEvent::Settings(Ok(node))) => membership.set_seeds(seeds_of(&node)),
             Some(ProcessEvent::Settings(Err(problem))) => {
                 info!(logger, "settings.refused"; "problem" => problem);
--- a/crates/controller/src/member.rs
+++ b/crates/controller/src/member.rs
@@ -33,6 +33,8 @@
     durable_accepted: Cell<Ballot>,
     /// Its incarnation is on disk.
     durable: Cell<bool>,
+    /// The others have said whether its disk is the newest: before that it takes no part.
+    released: Cell<bool>,
     queue: RefCell<RequestQueue<Asked>>,
     /// The newest value that is known to be committed, where it may not be on disk yet.
     committed: RefCell<Option<Accepted>>,
@@ -48,6 +50,7 @@
             acceptor: RefCell::new(acceptor),
             durable_accepted: Cell::new(on_disk),
             durable: Cell::new(false),
+            released: Cell::new(false),
             queue: RefCell::default(),
             committed: RefCell::default(),
             wake: Notify::new(),
@@ -72,6 +75,12 @@
         }
     }
 
+    /// Lets it take part from now on.
+    pub fn release(&self) {
+        self.released.set(true);
+        self.wake.notify_one();
+    }
+
     /// Whether its incarnation is on disk: before that it must not become a member, since it would be another one after
     /// a restart.
     pub fn is_durable(&self) -> bool {
@@ -95,6 +104,9 @@
             sleep(REFUSED_PAUSE).await;
         }
         self.durable.set(true);
+        while !self.released.get() {
+            self.wake.notified().await;
+        }
         let mut retry = Instant::now();
         loop {
             if Instant::now() >= retry && !self.copy_committed(&disk, &logger).await {
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -121,7 +121,7 @@
 
     /// The sets of members to begin with: of what is told to be chosen, or of what this member has accepted, whichever
     /// is newer. After the end of all processes there is nobody to tell.
-    fn sets(&self) -> Vec<BTreeSet<Member>> {
+    pub fn sets(&self) -> Vec<BTreeSet<Member>> {
         let replica = self.gossip.replica();
         let told = replica.members();
         match self.member.accepted() {
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -282,6 +282,13 @@
         self.make_disk(machine);
     }
 
+    /// Waits until a process has ended by itself.
+    pub fn ended(&mut self, machine: usize) {
+        let process = self.nodes[machine].process.as_mut().expect("it runs");
+        process.child.wait().expect("it ends");
+        self.nodes[machine].process = None;
+    }
+
     /// Waits until a process has logged this event with this in it.
     pub fn logged(&self, machine: usize, event: &str, with: &str) -> String {
         let event = format!("\"event\":\"{event}\"");
--- a/crates/register/src/watermark.rs
+++ b/crates/register/src/watermark.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// Once a majority has answered, the others get so much longer.
-pub const LATE_ANSWERS_TIMEOUT: Duration = Duration::from_millis(500);
+pub const LATE_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// What members have shown to have on disk, as far as this process has seen since its start.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -95,8 +95,10 @@
 
     /// Newer sets than those on the disk have become known. An older copy may name members of long ago.
     pub fn set_sets(&mut self, sets: Vec<BTreeSet<Member>>) {
-        self.sets = sets;
-        self.majority_since = None;
+        if self.sets != sets {
+            self.sets = sets;
+            self.majority_since = None;
+        }
     }
 
     /// Who has still to be asked.
