Membership: members whose seeds have all been replaced find each other after the end of all

Cause: at its start a process dialled its seeds alone; where these had all been replaced nobody found anybody, for good.

--- a/crates/controller/tests/copies.rs
+++ b/crates/controller/tests/copies.rs
@@ -169,6 +169,29 @@
     assert_eq!(cluster.read(0), config(2));
 }
 
+#[test]
+fn members_whose_seeds_have_all_been_replaced_find_each_other_after_the_end_of_all() {
+    let mut cluster = Cluster::started("all-replaced", 6);
+    assert_eq!(cluster.order(0, 0, 1), 200);
+    for (old, new) in [(0, 3), (1, 4), (2, 5)] {
+        cluster.kill(old);
+        cluster.set_seeds(&[2, 3]);
+        cluster.start(new, false);
+        cluster.logged(new, "member.joined", "");
+        cluster.logged(new, "copies.whole", "");
+    }
+    cluster.set_seeds(&[0, 1, 2]);
+    assert_eq!(cluster.order(3, 1, 2), 200);
+    for machine in [3, 4, 5] {
+        cluster.kill(machine);
+    }
+    for machine in [3, 4, 5] {
+        cluster.start(machine, false);
+    }
+    assert_eq!(cluster.read(4), config(2), "nobody but their own disks names the members");
+    assert_eq!(cluster.order(5, 2, 3), 200);
+}
+
 #[test]
 fn a_disk_put_back_from_an_older_copy_leads_nobody() {
     let mut cluster = Cluster::started("restored", 3);
