Register rounds wait longer where the disk is slow, and changes get through

Cause: a round gave up after 450 ms and asked for more writes; with disks slower than that none ever came to an end. Change: rounds and settling wait for three writes of the own disk, up to 1.8 s; requests wait two seconds in the queue.

--- a/crates/controller/src/member.rs
+++ b/crates/controller/src/member.rs
@@ -39,6 +39,8 @@
     /// The newest value that is known to be committed, where it may not be on disk yet.
     committed: RefCell<Option<Accepted>>,
     wake: Notify,
+    /// How long the last write took.
+    write_time: Cell<Duration>,
 }
 
 impl MemberTask {
@@ -54,6 +56,7 @@
             queue: RefCell::default(),
             committed: RefCell::default(),
             wake: Notify::new(),
+            write_time: Cell::default(),
         });
         spawn_local(task.clone().run(disk, logger));
         task
@@ -97,6 +100,11 @@
         self.durable_accepted.get()
     }
 
+    /// How long the last write to its disk took.
+    pub fn write_time(&self) -> Duration {
+        self.write_time.get()
+    }
+
     async fn run(self: Rc<Self>, disk: Disk, logger: Logger) {
         let (incarnation, promised) =
             (self.acceptor.borrow().incarnation(), self.acceptor.borrow().promised());
@@ -169,7 +177,10 @@
             Durable::Value(accepted) => Some(accepted.ballot),
             Durable::Promise(_) => None,
         };
-        if !disk.keep(before.incarnation(), durable).await {
+        let began = Instant::now();
+        let kept = disk.keep(before.incarnation(), durable).await;
+        self.write_time.set(began.elapsed());
+        if !kept {
             // What is not on disk was never promised: the others are a majority without this member.
             info!(logger, "member.silent"; "promised" => before.promised().round);
             *self.acceptor.borrow_mut() = before;
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -18,6 +18,10 @@
 
 /// A round that hears nothing new for so long is given up: some reply is lost, and another round asks again.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(450);
+/// Where disks are slow a round waits for so many writes, up to a bound: given up sooner it would only ask for more
+/// writes, and never be done with any.
+const ROUND_TIMEOUT_WRITES: u32 = 3;
+const MAX_ROUND_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Wait after a round that a higher ballot got in the way of, times the tries so far, and up to as much more.
 const ROUND_BACKOFF: Duration = Duration::from_millis(8);
 const MAX_BACKOFF_STEPS: u32 = 8;
@@ -154,6 +158,11 @@
         });
     }
 
+    /// A wait, or a longer one where this member's disk is slow: the others' disks may well be alike.
+    fn at_least_writes(&self, wait: Duration) -> Duration {
+        wait.max((self.member.write_time() * ROUND_TIMEOUT_WRITES).min(MAX_ROUND_TIMEOUT))
+    }
+
     /// One round; nothing where it fell silent.
     async fn round(&self, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Option<Outcome> {
         let ballot = Ballot { round: self.round.get() + 1, boot: self.boot };
@@ -162,8 +171,9 @@
         let (replies, mut came) = unbounded_channel();
         self.pending.borrow_mut().clear(); // of a round that was given up half-way
         self.send(sends, &replies);
+        let patience = self.at_least_writes(ROUND_TIMEOUT);
         let outcome = loop {
-            let Ok(Some((from, reply))) = timeout(ROUND_TIMEOUT, came.recv()).await else { break None };
+            let Ok(Some((from, reply))) = timeout(patience, came.recv()).await else { break None };
             match round.reply(from, reply, decide) {
                 Progress::Send(sends) => self.send(sends, &replies),
                 Progress::Done(outcome) => break Some(outcome),
@@ -245,7 +255,8 @@
     /// Finds out what is chosen: at the start, and where others or this member's own disk know of more.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let pause = if self.informed.get() { SETTLE } else { ASK_AT_START };
+            let settle = self.at_least_writes(SETTLE);
+            let pause = if self.informed.get() { settle } else { ASK_AT_START };
             let _ = timeout(pause.mul_f64(1.0 + fastrand::f64()), self.unsettled.notified()).await;
             let accepted = self.member.accepted().map(|accepted| accepted.ballot);
             let known = self.known.borrow().as_ref().map(|(ballot, _)| *ballot);
@@ -256,7 +267,7 @@
             }
             if self.informed.get() {
                 // Word of it may still be on its way.
-                sleep(SETTLE.mul_f64(fastrand::f64())).await;
+                sleep(settle.mul_f64(fastrand::f64())).await;
             }
             if self.read().await.is_ok() {
                 info!(self.gossip.logger(), "register.settled";
--- a/crates/controller/src/request_queue.rs
+++ b/crates/controller/src/request_queue.rs
@@ -9,7 +9,7 @@
 /// Requests that wait at most; of more, the oldest are dropped.
 pub const MAX_QUEUED_REQUESTS: usize = 64;
 /// A request that has waited for longer is dropped: the round that it belongs to is over.
-pub const REQUEST_LIFETIME: Duration = Duration::from_millis(1000);
+pub const REQUEST_LIFETIME: Duration = Duration::from_millis(2000);
 
 /// Requests in the order of their coming.
 #[derive(Debug)]
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -139,12 +139,20 @@
     }
 }
 
-struct MemoryDisk(RefCell<Rings<Memory>>);
+struct MemoryDisk {
+    rings: RefCell<Rings<Memory>>,
+    /// How long a write takes.
+    delay: Rc<Cell<Duration>>,
+}
 
 impl MemberDisk for MemoryDisk {
     fn persist(&self, record: Record) -> Persisting {
-        let result = self.0.borrow_mut().write(&record).map_err(|error| error.to_string());
-        Box::pin(async move { result })
+        let result = self.rings.borrow_mut().write(&record).map_err(|error| error.to_string());
+        let delay = self.delay.get();
+        Box::pin(async move {
+            sleep(delay).await;
+            result
+        })
     }
 }
 
@@ -182,6 +190,7 @@
 
 struct Machine {
     disk: Memory,
+    disk_delay: Rc<Cell<Duration>>,
     lines: Lines,
     read: usize,
     frozen: Rc<Cell<bool>>,
@@ -210,6 +219,7 @@
     pub fn new(machines: usize, settle_s: f64) -> Self {
         let machine = |_| Machine {
             disk: Memory::default(),
+            disk_delay: Rc::default(),
             lines: Lines::default(),
             read: 0,
             frozen: Rc::default(),
@@ -239,7 +249,10 @@
         let node = Node::read(&text).expect("the settings are right");
         let opened = Rings::open(self.machines[machine].disk.clone(), || new_incarnation(&node));
         let (rings, acceptor) = opened.expect("the disk can be read");
-        let disk = Rc::new(MemoryDisk(RefCell::new(rings)));
+        let disk = Rc::new(MemoryDisk {
+            rings: RefCell::new(rings),
+            delay: self.machines[machine].disk_delay.clone(),
+        });
         let network = Rc::new(Wired { machine, wires: self.wires.clone() });
         let state = &mut self.machines[machine];
         let environment = Environment { network, logger: state.lines.logger() };
@@ -310,6 +323,11 @@
         assert_eq!(timeout(PATIENCE, acknowledged).await, Ok(200));
     }
 
+    /// From now on each write to a machine's disk takes so long.
+    pub fn slow_disk(&self, machine: usize, delay: Duration) {
+        self.machines[machine].disk_delay.set(delay);
+    }
+
     /// Cuts the link between two machines, or joins them again.
     pub fn cut(&self, one: usize, other: usize, cut: bool) {
         let ends = pair(one, other);
