--- /dev/null
+++ b/crates/register/tests/support/world/operations.rs
@@ -0,0 +1,278 @@
+//! Requests, reads and changes of members: rounds until one ends well, or the caller gives up.
+
+use super::faults::MAX_CHANGES;
+use super::{Process, World};
+use crate::support::attempt::{Attempt, Decided, Purpose, Step};
+use crate::support::checker::{Event, Known};
+use crate::support::mutants::Mutant;
+use runtrack_message::{Ballot, Member, RegisterReply, Value};
+use runtrack_register::{Outcome, Progress, ReplaceAnswer, ReplaceConfig, is_joint, members_of};
+use std::rc::Rc;
+
+/// Rounds of one operation.
+const MAX_ATTEMPTS: u32 = 6;
+/// Steps after which a round that heard nothing is given up.
+const IDLE_STEPS: u32 = 40;
+
+/// Something that a process is asked for.
+pub struct Operation {
+    pub id: usize,
+    /// The process that was asked.
+    pub at: usize,
+    pub purpose: Purpose,
+    /// Number of the request in the history.
+    pub request: Option<usize>,
+    attempt: Option<Attempt>,
+    answer: Option<ReplaceAnswer>,
+    attempts: u32,
+    idle: u32,
+    /// A value of its own has been sent out.
+    sent: bool,
+}
+
+impl World {
+    /// A request of an operator: a new one, perhaps with a rival at once, or one that was sent before.
+    pub(super) fn start_request(&mut self) {
+        if self.operations.len() >= self.profile.max_operations {
+            return;
+        }
+        if !self.requests.is_empty() && self.rng.u32(..100) < self.profile.repeats {
+            let request = self.some_request();
+            return self.start_request_at(request);
+        }
+        let at = self.rng.usize(..self.processes.len());
+        self.start_new_request(at);
+    }
+
+    /// A new request at this process, perhaps with a rival on the same base or a successor at others.
+    pub(super) fn start_new_request(&mut self, at: usize) {
+        let base = self.draw_base();
+        let request = self.new_request(base);
+        self.start(at, Purpose::Replace(self.requests[request].clone()), Some(request));
+        if self.rng.u32(..100) < self.profile.rivals {
+            let rival = self.new_request(base);
+            self.start_request_at(rival);
+        }
+        if self.rng.u32(..100) < self.profile.successors {
+            let successor = self.new_request(self.requests[request].version);
+            self.start_request_at(successor);
+        }
+    }
+
+    /// One that was sent before: often one of the last.
+    fn some_request(&mut self) -> usize {
+        let all = self.requests.len();
+        let last = if self.rng.bool() { all.min(4) } else { all };
+        all - 1 - self.rng.usize(..last)
+    }
+
+    /// The newest version that any process knows, or now and then what some process knows.
+    fn draw_base(&mut self) -> u64 {
+        let knows = |process: &Process| process.known.as_ref().map_or(0, |(_, value)| value.version);
+        if self.rng.u32(..4) == 0 {
+            let at = self.rng.usize(..self.processes.len());
+            return knows(&self.processes[at]);
+        }
+        self.processes.iter().map(knows).max().unwrap_or(0)
+    }
+
+    fn new_request(&mut self, base: u64) -> usize {
+        let rival = self.requests.last().filter(|last| last.version > base).map(|last| last.version);
+        let version = match rival.filter(|_| self.rng.u32(..100) < self.profile.same_version) {
+            Some(version) => version,
+            None => {
+                self.version += 1 + self.rng.u64(..3);
+                self.version
+            }
+        };
+        let body = (self.requests.len() as u64).to_le_bytes().to_vec();
+        self.add_request(ReplaceConfig::new(base, version, body))
+    }
+
+    pub(super) fn add_request(&mut self, request: ReplaceConfig) -> usize {
+        self.history.requests.push(Known { base: request.base, version: request.version });
+        self.requests.push(request);
+        self.requests.len() - 1
+    }
+
+    fn start_request_at(&mut self, request: usize) {
+        let at = self.rng.usize(..self.processes.len());
+        self.start(at, Purpose::Replace(self.requests[request].clone()), Some(request));
+    }
+
+    pub(super) fn start_read(&mut self) {
+        if self.operations.len() < self.profile.max_operations {
+            let at = self.rng.usize(..self.processes.len());
+            self.start(at, Purpose::Read, None);
+        }
+    }
+
+    pub(super) fn start(&mut self, at: usize, purpose: Purpose, request: Option<usize>) {
+        let id = self.next;
+        self.next += 1;
+        match (&purpose, request) {
+            (_, Some(request)) => self.history.events.push(Event::Requested { id, request }),
+            (Purpose::Read, _) => self.history.events.push(Event::ReadBegan { id }),
+            _ => {}
+        }
+        let operation = Operation {
+            id,
+            at,
+            purpose,
+            request,
+            attempt: None,
+            answer: None,
+            attempts: 0,
+            idle: 0,
+            sent: false,
+        };
+        self.operations.insert(id, operation);
+        self.begin_attempt(id);
+    }
+
+    fn begin_attempt(&mut self, id: usize) {
+        let Some(operation) = self.operations.get_mut(&id) else { return };
+        operation.attempts += 1;
+        operation.idle = 0;
+        if operation.attempts > MAX_ATTEMPTS {
+            self.operations.remove(&id); // nobody is told what came of it
+            return;
+        }
+        let process = &mut self.processes[operation.at];
+        process.round += 1 + self.rng.u64(..=self.profile.ballot_gap);
+        let ballot = Ballot { round: process.round, boot: process.boot };
+        let (attempt, sends) = Attempt::new(ballot, process.view.1.clone(), process.known.clone());
+        operation.attempt = Some(attempt);
+        self.send(id, ballot, sends);
+    }
+
+    pub(super) fn on_reply(&mut self, id: usize, ballot: Ballot, from: Member, reply: RegisterReply) {
+        let Some(operation) = self.operations.get_mut(&id) else { return };
+        self.processes[operation.at].watermarks.on_reply(from, &reply);
+        let Some(attempt) = operation.attempt.as_mut().filter(|attempt| attempt.ballot() == ballot) else {
+            return;
+        };
+        operation.idle = 0;
+        let Step { progress, decided, answered_early } =
+            attempt.reply(from, reply, &operation.purpose, &self.terms);
+        let sends = matches!(&progress, Progress::Send(sends) if !sends.is_empty());
+        operation.sent |= sends && attempt.may_write();
+        if let Some(Decided { answer, .. }) = &decided {
+            operation.answer = *answer;
+        }
+        if answered_early {
+            return self.end(id, decided.and_then(|decided| decided.found));
+        }
+        match progress {
+            Progress::Send(sends) => self.send(id, ballot, sends),
+            Progress::Done(outcome) => self.attempt_ended(id, outcome),
+        }
+    }
+
+    fn attempt_ended(&mut self, id: usize, outcome: Outcome) {
+        let Some(Operation { at, sent, .. }) = self.operations.get(&id) else { return };
+        let (at, sent) = (*at, *sent);
+        match outcome {
+            Outcome::Read(ballot, value) | Outcome::Committed(ballot, value) => {
+                self.learn(at, ballot, &value);
+                self.end(id, Some(value.clone()));
+                if is_joint(&value) && self.changes() < MAX_CHANGES {
+                    self.start(at, Purpose::Finish, None);
+                }
+            }
+            Outcome::MembershipCommitted(ballot, value) => {
+                self.learn(at, ballot, &value);
+                self.begin_attempt(id);
+            }
+            Outcome::Empty => self.end(id, None),
+            Outcome::Preempted(highest) => {
+                let process = &mut self.processes[at];
+                process.round = process.round.max(highest.round);
+                if self.terms.mutant == Mutant::UnknownRefused && sent {
+                    return self.refuse_unknown(id);
+                }
+                self.back_off(id);
+            }
+        }
+    }
+
+    /// A higher ballot is about: the next round waits for a while.
+    fn back_off(&mut self, id: usize) {
+        let pause = self.rng.u32(..self.profile.max_backoff);
+        if let Some(operation) = self.operations.get_mut(&id) {
+            operation.attempt = None;
+            operation.idle = IDLE_STEPS - pause;
+        }
+    }
+
+    fn refuse_unknown(&mut self, id: usize) {
+        if let Some(operation) = self.operations.get_mut(&id) {
+            operation.answer = Some(ReplaceAnswer::VersionNotIncreasing(0));
+        }
+        self.end(id, None);
+    }
+
+    /// A process takes a value for committed, and others may hear of it.
+    fn learn(&mut self, at: usize, ballot: Ballot, value: &Rc<Value>) {
+        let request = self.request_of(value);
+        self.history.events.push(Event::Chosen { sequence: value.sequence, request });
+        if !self.committed.iter().any(|(known, _)| *known == ballot) {
+            self.committed.push((ballot, value.clone()));
+        }
+        if !is_joint(value) && self.wanted.as_ref() == Some(&members_of(value)) {
+            self.wanted = None;
+        }
+        let process = &mut self.processes[at];
+        process.round = process.round.max(ballot.round);
+        if process.known.as_ref().is_none_or(|(known, _)| *known < ballot) {
+            process.known = Some((ballot, value.clone()));
+            process.view = (value.sequence, vec![members_of(value)]);
+        }
+        for other in &mut self.processes {
+            if self.rng.u32(..100) < self.profile.heard {
+                other.hear(value.sequence, &[members_of(value)]);
+            }
+        }
+    }
+
+    /// The request that brought the configuration of a value.
+    fn request_of(&self, value: &Value) -> Option<usize> {
+        self.requests.iter().position(|request| request.body == value.config.as_slice())
+    }
+
+    fn end(&mut self, id: usize, value: Option<Rc<Value>>) {
+        let Some(operation) = self.operations.remove(&id) else { return };
+        let event = match (operation.request, operation.answer) {
+            (Some(request), Some(ReplaceAnswer::Applied)) => Event::Acknowledged { id, request },
+            (Some(request), Some(ReplaceAnswer::VersionMismatch(current))) => {
+                Event::Refused { id, request, current: Some(current) }
+            }
+            (Some(request), Some(ReplaceAnswer::VersionNotIncreasing(_))) => {
+                Event::Refused { id, request, current: None }
+            }
+            (None, _) if operation.purpose == Purpose::Read => {
+                Event::Read { id, request: value.and_then(|value| self.request_of(&value)) }
+            }
+            _ => return,
+        };
+        self.history.events.push(event);
+    }
+
+    /// Processes with a round whose own value has been sent out.
+    pub(super) fn sending(&self) -> impl Iterator<Item = usize> + '_ {
+        self.operations.values().filter(|operation| operation.sent).map(|operation| operation.at)
+    }
+
+    pub(super) fn give_up_idle(&mut self) {
+        let mut idle = Vec::new();
+        for operation in self.operations.values_mut() {
+            operation.idle += 1;
+            if operation.idle > IDLE_STEPS {
+                idle.push(operation.id);
+            }
+        }
+        for id in idle {
+            self.begin_attempt(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/register/tests/support/world/profile.rs
@@ -0,0 +1,178 @@
+//! What a world is like: drawn from its seed, so that each error has worlds in which it shows.
+
+use fastrand::Rng;
+use runtrack_register::MAX_APPLIED_REQUESTS;
+
+/// How often each thing happens, in a thousand steps. Each step delivers one or two packets as well.
+#[derive(Clone, Debug, Default)]
+pub struct Rates {
+    pub request: u32,
+    pub read: u32,
+    pub drop_packet: u32,
+    pub kill_or_start: u32,
+    pub restart_member: u32,
+    pub restart_process: u32,
+    pub wipe: u32,
+    pub restore: u32,
+    pub change_members: u32,
+    pub retry_change: u32,
+    pub adopt: u32,
+    pub gossip: u32,
+}
+
+/// One world.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    /// Members of the first set.
+    pub members: u8,
+    pub steps: usize,
+    /// Requests and reads at a time.
+    pub max_operations: usize,
+    /// Bound on the table of applied requests.
+    pub max_applied: usize,
+    /// Requests that were applied before the world begins.
+    pub applied_before: u64,
+    /// Of a hundred requests so many are one that was sent before.
+    pub repeats: u32,
+    /// Of a hundred new requests so many have the version of another one and another body.
+    pub same_version: u32,
+    /// Of a hundred new requests so many have a successor at once, on a version that may never come into force.
+    pub successors: u32,
+    /// Of a hundred new requests so many have a rival on the same base at once.
+    pub rivals: u32,
+    /// Of a hundred changes of members so many replace two at once.
+    pub double_changes: u32,
+    /// Of a hundred processes so many hear at once of what another one takes for committed.
+    pub heard: u32,
+    /// A process leaves out up to so many ballots between its rounds.
+    pub ballot_gap: u64,
+    /// Longest pause, in steps, after a higher ballot got in the way.
+    pub max_backoff: u32,
+    /// Other packets take at most so many steps.
+    pub usual_delay: usize,
+    /// Half of all values are very late at the first member.
+    pub has_lagging_member: bool,
+    /// Of a hundred packets so many are very late.
+    pub late: u32,
+    /// How late these are at most, in steps.
+    pub latest: usize,
+    pub rates: Rates,
+}
+
+/// More than the table holds.
+const LONG_HISTORY: u64 = MAX_APPLIED_REQUESTS as u64 + 40;
+
+impl Profile {
+    /// Draws one: something of everything, and one thing that there is much of.
+    pub fn draw(rng: &mut Rng) -> Self {
+        let mut profile = Profile {
+            members: if rng.u32(..4) == 0 { 5 } else { 3 },
+            steps: rng.usize(700..1600),
+            max_operations: rng.usize(2..5),
+            max_applied: if rng.bool() { rng.usize(1..4) } else { MAX_APPLIED_REQUESTS },
+            applied_before: 0,
+            repeats: rng.u32(20..60),
+            same_version: rng.u32(..30),
+            successors: rng.u32(..60),
+            rivals: rng.u32(..100),
+            double_changes: 15,
+            heard: 50,
+            max_backoff: rng.u32(1..30),
+            usual_delay: 12,
+            ballot_gap: 0,
+            has_lagging_member: false,
+            late: rng.u32(..30),
+            latest: rng.usize(50..250),
+            rates: something_of_everything(rng),
+        };
+        match rng.u32(..20) {
+            0..2 => profile.restarting_members(rng),
+            2..4 => profile.restarting_processes(rng),
+            4..11 => profile.changing_members(rng),
+            11..15 => profile.late_copies(rng),
+            15..18 => profile.lost_disks(rng),
+            18 => profile.applied_before = LONG_HISTORY,
+            _ => {}
+        }
+        profile
+    }
+
+    fn restarting_members(&mut self, rng: &mut Rng) {
+        self.rates.restart_member = rng.u32(100..250);
+        self.rates.request = rng.u32(40..100);
+        self.late = rng.u32(20..60);
+    }
+
+    fn restarting_processes(&mut self, rng: &mut Rng) {
+        self.usual_delay = rng.usize(20..50);
+        self.rates.restart_process = rng.u32(10..60);
+        self.late = rng.u32(10..50);
+        self.rates.request = rng.u32(40..100);
+        self.rates.drop_packet = rng.u32(..20);
+        self.rates.kill_or_start = 0;
+        self.rates.change_members = 0;
+        self.rates.wipe = 0;
+    }
+
+    fn changing_members(&mut self, rng: &mut Rng) {
+        self.max_operations = 5;
+        self.max_backoff = rng.u32(1..20);
+        self.late = rng.u32(20..60);
+        self.heard = rng.u32(..40);
+        self.rates.restart_process = rng.u32(..30);
+        self.double_changes = rng.u32(40..100);
+        self.rates.gossip = rng.u32(..10);
+        self.rates.request = rng.u32(40..100);
+        self.rates.change_members = rng.u32(20..60);
+        self.rates.retry_change = rng.u32(40..120);
+        self.rates.drop_packet = rng.u32(..120);
+    }
+
+    /// Values reach one member late or never in their rounds, and are copied to it.
+    fn late_copies(&mut self, rng: &mut Rng) {
+        self.members = 3;
+        self.has_lagging_member = true;
+        self.ballot_gap = rng.u64(2..8);
+        self.late = rng.u32(10..40);
+        self.rivals = 100;
+        self.successors = 0;
+        self.max_operations = 5;
+        self.max_backoff = rng.u32(1..10);
+        self.rates = Rates {
+            request: rng.u32(50..150),
+            read: rng.u32(10..40),
+            adopt: rng.u32(100..250),
+            drop_packet: rng.u32(20..100),
+            gossip: 10,
+            ..Rates::default()
+        };
+    }
+
+    /// Disks are lost or put back one at a time, with all members up, while values stand at bare majorities.
+    fn lost_disks(&mut self, rng: &mut Rng) {
+        self.rates.restore = rng.u32(10..60);
+        self.rates.wipe = rng.u32(..20);
+        self.rates.drop_packet = rng.u32(30..150);
+        self.rates.retry_change = rng.u32(40..120);
+        self.rates.kill_or_start = 0;
+        self.rates.change_members = 0;
+        self.rates.adopt = 0;
+    }
+}
+
+fn something_of_everything(rng: &mut Rng) -> Rates {
+    Rates {
+        request: rng.u32(20..60),
+        read: rng.u32(10..40),
+        drop_packet: rng.u32(..60),
+        kill_or_start: rng.u32(..15),
+        restart_member: rng.u32(..30),
+        restart_process: rng.u32(..15),
+        wipe: rng.u32(..4),
+        restore: rng.u32(..5),
+        change_members: rng.u32(..5),
+        retry_change: 10,
+        adopt: rng.u32(..20),
+        gossip: 10,
+    }
+}
