Fleet module: names of the field for selection, prefill and the retry budget

Change: SelectionRequest, RetryBudget, try_acquire_retry, preferred_endpoints, prefill_cost, record_cached_prefix, prefill_finished. Behaviour unchanged, tests unchanged but for names.

--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -9,7 +9,7 @@
 use runtrack_net::mutant;
 use tokio::time::Instant;
 use weirwharf::Outcome;
-use weirwharf::fleet::Ask;
+use weirwharf::fleet::SelectionRequest;
 
 /// Connections that come up badly are not counted as attempts of the route, but there is an end to them.
 const CONNECT_TRIES: usize = 5;
@@ -22,18 +22,18 @@
             return false;
         }
         let now = self.state.now();
-        acquired || self.state.router().may_send_again(now, service_key(&request.service))
+        acquired || self.state.router().try_acquire_retry(now, service_key(&request.service))
     }
 
     fn choose(&self, request: &RoutedRequest, attempts: &AttemptState) -> Option<Target> {
         let pool = self.state.pool(&request.service);
-        let ask = Ask {
+        let selection = SelectionRequest {
             now: self.state.now(),
             ready: &pool.ready,
             tried: &attempts.tried,
             prompt: request.prompt,
         };
-        let key = self.state.router().choose(ask)?;
+        let key = self.state.router().choose(selection)?;
         pool.target(key).cloned()
     }
 
--- a/crates/proxy/src/in_flight.rs
+++ b/crates/proxy/src/in_flight.rs
@@ -26,13 +26,13 @@
     pub(crate) fn answers(&mut self, prompt: Option<Prompt>) {
         self.nothing_more_to_read();
         if let Some(prompt) = prompt {
-            self.state.router().keeps(self.key, prompt);
+            self.state.router().record_cached_prefix(self.key, prompt);
         }
     }
 
     fn nothing_more_to_read(&mut self) {
         let unread = std::mem::take(&mut self.unread);
-        self.state.router().read(self.key, unread);
+        self.state.router().prefill_finished(self.key, unread);
         self.state.backlog_changed(unread);
     }
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 use weirwharf::EndpointId;
-use weirwharf::fleet::{Router, SecondSends};
+use weirwharf::fleet::{RetryBudget, Router};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Least time between two words on what endpoints have to read.
@@ -74,7 +74,7 @@
 impl State {
     /// Nothing is known.
     pub fn new(gossip: Rc<Gossip>, node: &Node) -> Rc<Self> {
-        let second = SecondSends {
+        let second = RetryBudget {
             ratio: node.bounds.retry_ratio,
             slack: node.bounds.retry_slack,
             window: node.bounds.retry_window,
--- a/crates/scale/src/choices.rs
+++ b/crates/scale/src/choices.rs
@@ -8,12 +8,12 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
-use weirwharf::fleet::{Ask, Router, SecondSends};
+use weirwharf::fleet::{RetryBudget, Router, SelectionRequest};
 use weirwharf::{EndpointId, Outcome};
 
 /// Requests that are counted, after as many that only fill the fleet.
 const REQUESTS: usize = 100_000;
-const SECOND: SecondSends = SecondSends { ratio: 0.0, slack: 0.0, window: Duration::from_secs(1) };
+const SECOND: RetryBudget = RetryBudget { ratio: 0.0, slack: 0.0, window: Duration::from_secs(1) };
 
 /// How a request's endpoint is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,7 +85,7 @@
                 if loads[one.0 as usize] <= loads[other.0 as usize] { one } else { other }
             }
             Way::OwnCounts => {
-                let ask = Ask { now: at, ready: &parts[proxy], tried: &[], prompt: None };
+                let ask = SelectionRequest { now: at, ready: &parts[proxy], tried: &[], prompt: None };
                 routers[proxy].choose(ask).unwrap_or(ids[0])
             }
         };
--- a/crates/weirwharf/src/fleet.rs
+++ b/crates/weirwharf/src/fleet.rs
@@ -54,7 +54,7 @@
 
 /// What the fleet may do in second sends.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SecondSends {
+pub struct RetryBudget {
     /// For each request of a service.
     pub ratio: f64,
     /// Over the whole fleet beyond that.
@@ -76,7 +76,7 @@
 
 /// A request that wants an endpoint.
 #[derive(Clone, Copy, Debug)]
-pub struct Ask<'a> {
+pub struct SelectionRequest<'a> {
     /// Now, on the caller's clock.
     pub now: Duration,
     /// The service's ready endpoints.
@@ -121,17 +121,17 @@
     draws: Draws,
     loads: HashMap<EndpointId, Load>,
     sends: HashMap<u64, Sends>,
-    second: SecondSends,
+    second: RetryBudget,
     proxies: u32,
     /// When the backlogs of others were told.
     told: Option<Duration>,
     /// Prompts whose home has read their shared parts for this proxy, and the prompts before these.
-    read: [HashSet<u64>; 2],
+    cached_prefixes: [HashSet<u64>; 2],
 }
 
 impl Router {
     /// A router that has sent nothing yet. Until it is told, it takes the fleet for `proxies` large.
-    pub fn new(seed: u64, second: SecondSends, proxies: u32) -> Self {
+    pub fn new(seed: u64, second: RetryBudget, proxies: u32) -> Self {
         Router {
             draws: Draws::new(seed),
             loads: HashMap::new(),
@@ -139,7 +139,7 @@
             second,
             proxies,
             told: None,
-            read: Default::default(),
+            cached_prefixes: Default::default(),
         }
     }
 
@@ -166,7 +166,7 @@
     }
 
     /// Whether a request of a service may be sent to a second endpoint; counts it if so.
-    pub fn may_send_again(&mut self, now: Duration, service: u64) -> bool {
+    pub fn try_acquire_retry(&mut self, now: Duration, service: u64) -> bool {
         let share = self.second.slack / f64::from(self.proxies.max(1));
         let sends = self.sends.entry(service).or_default();
         sends.forget(now.saturating_sub(self.second.window));
@@ -189,22 +189,22 @@
     }
 
     /// The endpoint to send to; none where there is none that was not tried.
-    pub fn choose(&mut self, ask: Ask<'_>) -> Option<EndpointId> {
-        let untried = || ask.ready.iter().copied().filter(|id| !ask.tried.contains(id));
+    pub fn choose(&mut self, request: SelectionRequest<'_>) -> Option<EndpointId> {
+        let untried = || request.ready.iter().copied().filter(|id| !request.tried.contains(id));
         let in_service =
-            |id: &EndpointId| self.loads.get(id).is_none_or(|load| load.ejected_until <= ask.now);
+            |id: &EndpointId| self.loads.get(id).is_none_or(|load| load.ejected_until <= request.now);
         let mut eligible: Vec<EndpointId> = untried().filter(in_service).collect();
         if eligible.is_empty() {
             eligible = untried().collect();
         }
-        let shared = ask.prompt.filter(|prompt| prompt.shared_tokens > 0);
-        let homes = shared.map_or([None; HOMES], |prompt| homes(prompt.key, &eligible));
+        let shared = request.prompt.filter(|prompt| prompt.shared_tokens > 0);
+        let homes = shared.map_or([None; HOMES], |prompt| preferred_endpoints(prompt.key, &eligible));
         let mut best: Option<(f64, EndpointId)> = None;
         let mut ties = 0;
         let sample = self.sample(&eligible);
         let joined = homes.iter().flatten().copied().filter(|home| !sample.contains(home));
         for id in sample.iter().copied().chain(joined.collect::<Vec<_>>()) {
-            let occupancy = self.occupancy(ask.now, id) + reading(shared, &homes, id);
+            let occupancy = self.occupancy(request.now, id) + prefill_cost(shared, &homes, id);
             match best {
                 Some((least, _)) if occupancy > least => {}
                 Some((least, _)) if occupancy == least => {
@@ -244,7 +244,7 @@
     /// A call goes to an endpoint; the tokens that it will have to read for it.
     pub fn sent(&mut self, id: EndpointId, prompt: Option<Prompt>) -> u32 {
         let tokens = prompt.map_or(0, |prompt| {
-            let kept = self.read.iter().any(|read| read.contains(&mark(prompt.key, id)));
+            let kept = self.cached_prefixes.iter().any(|read| read.contains(&mark(prompt.key, id)));
             prompt.own_tokens.saturating_add(if kept { 0 } else { prompt.shared_tokens })
         });
         let load = self.loads.entry(id).or_default();
@@ -254,18 +254,18 @@
     }
 
     /// An endpoint has begun to answer, or will not: it has nothing more to read for a call.
-    pub fn read(&mut self, id: EndpointId, tokens: u32) {
+    pub fn prefill_finished(&mut self, id: EndpointId, tokens: u32) {
         let load = self.loads.entry(id).or_default();
         load.unread = load.unread.saturating_sub(tokens);
     }
 
     /// An endpoint has read a prompt, and keeps its shared parts for a while.
-    pub fn keeps(&mut self, id: EndpointId, prompt: Prompt) {
-        if self.read[0].len() >= MAX_READ {
-            self.read.swap(0, 1);
-            self.read[0].clear();
+    pub fn record_cached_prefix(&mut self, id: EndpointId, prompt: Prompt) {
+        if self.cached_prefixes[0].len() >= MAX_READ {
+            self.cached_prefixes.swap(0, 1);
+            self.cached_prefixes[0].clear();
         }
-        self.read[0].insert(mark(prompt.key, id));
+        self.cached_prefixes[0].insert(mark(prompt.key, id));
     }
 
     /// What endpoints have to read for this proxy's calls, of those that have anything.
@@ -336,7 +336,7 @@
 }
 
 /// The endpoints with the highest weights for a key.
-fn homes(key: u64, eligible: &[EndpointId]) -> [Option<EndpointId>; HOMES] {
+fn preferred_endpoints(key: u64, eligible: &[EndpointId]) -> [Option<EndpointId>; HOMES] {
     let mut best: [Option<(u64, EndpointId)>; HOMES] = [None; HOMES];
     for id in eligible.iter().copied() {
         let mut next = Some((mark(key, id), id));
@@ -350,7 +350,7 @@
 }
 
 /// What reading a prompt's shared parts at an endpoint weighs.
-fn reading(prompt: Option<Prompt>, homes: &[Option<EndpointId>; HOMES], id: EndpointId) -> f64 {
+fn prefill_cost(prompt: Option<Prompt>, homes: &[Option<EndpointId>; HOMES], id: EndpointId) -> f64 {
     let Some(prompt) = prompt else { return 0.0 };
     let calls = f64::from(prompt.shared_tokens) * READ_AGAIN / TOKENS_A_CALL;
     match homes.iter().position(|home| *home == Some(id)) {
--- a/crates/weirwharf/tests/fleet.rs
+++ b/crates/weirwharf/tests/fleet.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
-use weirwharf::fleet::{Ask, Prompt, Router, SecondSends};
+use weirwharf::fleet::{Prompt, RetryBudget, Router, SelectionRequest};
 use weirwharf::{EndpointId, Outcome};
 
-const SECOND: SecondSends = SecondSends { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
+const SECOND: RetryBudget = RetryBudget { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
 
 fn router(seed: u64) -> Router {
     Router::new(seed, SECOND, 8)
@@ -25,7 +25,7 @@
     ready: &[EndpointId],
     tried: &[EndpointId],
 ) -> Option<EndpointId> {
-    router.choose(Ask { now, ready, tried, prompt: None })
+    router.choose(SelectionRequest { now, ready, tried, prompt: None })
 }
 
 /// How often each endpoint is chosen in so many calls of which none ends.
@@ -37,7 +37,9 @@
 ) -> BTreeMap<EndpointId, u32> {
     let mut shares = BTreeMap::new();
     for _ in 0..calls {
-        let id = router.choose(Ask { now: at(0), ready, tried: &[], prompt }).expect("there are endpoints");
+        let id = router
+            .choose(SelectionRequest { now: at(0), ready, tried: &[], prompt })
+            .expect("there are endpoints");
         router.sent(id, None);
         *shares.entry(id).or_default() += 1;
     }
@@ -177,7 +179,12 @@
     let ready = endpoints(9);
     for key in 0..50 {
         let home = |seed| {
-            router(seed).choose(Ask { now: at(0), ready: &ready, tried: &[], prompt: prompt(key, 13_000) })
+            router(seed).choose(SelectionRequest {
+                now: at(0),
+                ready: &ready,
+                tried: &[],
+                prompt: prompt(key, 13_000),
+            })
         };
         let first = home(1);
         assert!((2..10).all(|seed| home(seed) == first));
@@ -189,7 +196,7 @@
     let ready = endpoints(9);
     let home = |ready: &[EndpointId], key| {
         router(1)
-            .choose(Ask { now: at(0), ready, tried: &[], prompt: prompt(key, 13_000) })
+            .choose(SelectionRequest { now: at(0), ready, tried: &[], prompt: prompt(key, 13_000) })
             .expect("a home")
     };
     let mut shares: BTreeMap<EndpointId, u32> = BTreeMap::new();
@@ -221,10 +228,11 @@
     let ready = endpoints(2);
     let mut router = router(11);
     let home = router
-        .choose(Ask { now: at(0), ready: &ready, tried: &[], prompt: prompt(5, 350) })
+        .choose(SelectionRequest { now: at(0), ready: &ready, tried: &[], prompt: prompt(5, 350) })
         .expect("a home");
     router.sent(home, None);
-    let next = router.choose(Ask { now: at(0), ready: &ready, tried: &[], prompt: prompt(5, 350) });
+    let next =
+        router.choose(SelectionRequest { now: at(0), ready: &ready, tried: &[], prompt: prompt(5, 350) });
     assert_ne!(next, Some(home));
 }
 
@@ -238,7 +246,7 @@
         let now = at(step * 4);
         routers[which].arrived(now, 1);
         requests += 1.0;
-        if routers[which].may_send_again(now, 1) {
+        if routers[which].try_acquire_retry(now, 1) {
             seconds += 1.0;
         }
     }
@@ -251,20 +259,20 @@
 
 #[test]
 fn budgets_of_services_are_apart_and_windows_slide() {
-    let mut router = Router::new(1, SecondSends { slack: 2.0, ..SECOND }, 1);
+    let mut router = Router::new(1, RetryBudget { slack: 2.0, ..SECOND }, 1);
     router.arrived(at(0), 1);
-    assert!(router.may_send_again(at(0), 1));
-    assert!(!router.may_send_again(at(1), 1));
+    assert!(router.try_acquire_retry(at(0), 1));
+    assert!(!router.try_acquire_retry(at(1), 1));
     router.arrived(at(2), 2);
-    assert!(router.may_send_again(at(2), 2), "another service has its own");
-    assert!(router.may_send_again(at(10_001), 1), "the window has gone by");
+    assert!(router.try_acquire_retry(at(2), 2), "another service has its own");
+    assert!(router.try_acquire_retry(at(10_001), 1), "the window has gone by");
 }
 
 #[test]
 fn more_proxies_share_the_same_slack() {
     let count = |proxies| {
         let mut router = Router::new(1, SECOND, proxies);
-        (0..100).filter(|_| router.may_send_again(at(0), 1)).count()
+        (0..100).filter(|_| router.try_acquire_retry(at(0), 1)).count()
     };
     assert_eq!((count(1), count(4), count(28)), (28, 7, 1));
 }
@@ -293,7 +301,7 @@
         Some(ready[1]),
         "five calls take less than 20,000 tokens"
     );
-    router.read(ready[0], tokens);
+    router.prefill_finished(ready[0], tokens);
     assert_eq!(choose(&mut router, at(0), &ready, &[]), Some(ready[0]));
     assert!(router.backlog().is_empty());
 }
@@ -330,7 +338,7 @@
     let mut router = router(15);
     let prompt = Prompt { key: 9, shared_tokens: 13_000, own_tokens: 100 };
     assert_eq!(router.sent(ready[0], Some(prompt)), 13_100);
-    router.keeps(ready[0], prompt);
+    router.record_cached_prefix(ready[0], prompt);
     assert_eq!(router.sent(ready[0], Some(prompt)), 100);
     assert_eq!(router.sent(ready[1], Some(prompt)), 13_100, "another endpoint has not read them");
 }
@@ -340,12 +348,22 @@
     let ready = endpoints(9);
     let mut router = router(16);
     let home = router
-        .choose(Ask { now: at(0), ready: &ready, tried: &[], prompt: prompt(3, 13_000) })
+        .choose(SelectionRequest { now: at(0), ready: &ready, tried: &[], prompt: prompt(3, 13_000) })
         .expect("a home");
     router.set_fleet_backlog(at(0), &[(home, 20_000)], &[]);
-    let still = router.choose(Ask { now: at(0), ready: &ready, tried: &[], prompt: prompt(3, 13_000) });
+    let still = router.choose(SelectionRequest {
+        now: at(0),
+        ready: &ready,
+        tried: &[],
+        prompt: prompt(3, 13_000),
+    });
     assert_eq!(still, Some(home), "what is read again also takes the place of what is kept");
     router.set_fleet_backlog(at(0), &[(home, 60_000)], &[]);
-    let next = router.choose(Ask { now: at(0), ready: &ready, tried: &[], prompt: prompt(3, 13_000) });
+    let next = router.choose(SelectionRequest {
+        now: at(0),
+        ready: &ready,
+        tried: &[],
+        prompt: prompt(3, 13_000),
+    });
     assert_ne!(next, Some(home), "the second home has less to read");
 }
