--- a/crates/proxy/tests/attempts.rs
+++ b/crates/proxy/tests/attempts.rs
@@ -54,6 +54,34 @@
     });
 }
 
+#[test]
+fn what_may_run_once_is_sent_once_however_its_endpoint_ends() {
+    let never = Rc::new(Notify::new());
+    let ends: Vec<(&str, Vec<Act>, StatusCode)> = vec![
+        ("a close", vec![Act::Close], StatusCode::BAD_GATEWAY),
+        ("a half-close", vec![Act::HalfClose, Act::Wait(never.clone())], StatusCode::BAD_GATEWAY),
+        (
+            "a close within the head",
+            vec![Act::Send("HTTP/1.1 20".into()), Act::Close],
+            StatusCode::BAD_GATEWAY,
+        ),
+        ("silence", vec![Act::Wait(never)], StatusCode::GATEWAY_TIMEOUT),
+    ];
+    run(async move {
+        let mut wrong = Vec::new();
+        for (name, end, status) in ends {
+            let script: support::Script = Rc::new(std::cell::RefCell::new(vec![end.clone(), end].into()));
+            let one = Stand::start_shared("i-1", script.clone()).await;
+            let other = Stand::start_shared("i-2", script).await;
+            let fleet = Fleet::start(&routes(), &[&one, &other]).await;
+            let got = fleet.ask(ONCE, "a1", &[("x-time-budget-ms", "600")], "x").await;
+            let runs = one.seen.borrow().len() + other.seen.borrow().len();
+            wrong.extend(((got.status, runs) != (status, 1)).then_some((name, got.status, runs)));
+        }
+        assert_eq!(wrong, []);
+    });
+}
+
 #[test]
 fn what_may_run_again_is_sent_elsewhere_after_a_reset() {
     run(async {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -53,6 +53,8 @@
     Wait(Rc<Notify>),
     /// Closes the connection.
     Close,
+    /// Sends nothing more, but reads on.
+    HalfClose,
     /// Resets the connection.
     Reset,
 }
@@ -175,6 +177,9 @@
                     }
                 },
                 Act::Close => return,
+                Act::HalfClose => {
+                    let _ = stream.shutdown().await; // the caller may have gone
+                }
                 Act::Reset => {
                     let std = stream.into_std().expect("a socket");
                     let _ = std.set_nonblocking(true);
