--- /dev/null
+++ b/crates/rig/src/world/faults.rs
@@ -0,0 +1,193 @@
+//! What goes wrong, as a script says.
+
+use super::{ANSWER, BACK, ENDPOINTS, World};
+use crate::history::Did;
+use crate::link::{Rule, flap, locked};
+use crate::process::Process;
+use crate::script::{How, What, Who};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+impl World {
+    pub(super) fn place(&self, who: Who) -> usize {
+        let place = match who {
+            Who::Leader => self.leader.load(Ordering::SeqCst),
+            Who::Instance(place) => place,
+        };
+        (place % self.script.instances) as usize
+    }
+
+    /// Waits, at most until everything is healed.
+    pub(super) async fn lasts(&self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end && !self.healing.load(Ordering::SeqCst) {
+            sleep(Duration::from_millis(20).min(end - Instant::now())).await;
+        }
+    }
+
+    pub(super) async fn fault(&self, what: &What, lasts: Duration) {
+        let say = |who: &str, what: &str| self.history.now_that(who, Did::Fault { what: what.to_owned() });
+        let others =
+            |place: usize| (0..self.script.instances as usize).filter(move |other| *other != place);
+        let name = |place: usize| format!("i{place}");
+        match *what {
+            What::Cut { who, how } => {
+                let place = self.place(who);
+                let pairs = others(place)
+                    .flat_map(|other| [(name(place), name(other)), (name(other), name(place))]);
+                self.spoil(&pairs.collect::<Vec<_>>(), place, how, lasts).await;
+            }
+            What::Link { from, to, how } => {
+                let (from, to) = (self.place(from), self.place(to));
+                let pairs = [(name(from), name(to)), (name(to), name(from))];
+                self.spoil(&pairs, from, how, lasts).await;
+            }
+            What::Blind { who } => {
+                let place = self.place(who);
+                say(&name(place), "blind");
+                let set = |held| {
+                    self.links.set(&name(place), "discovery", |rule| {
+                        (rule.there.held, rule.back.held) = (held, held)
+                    })
+                };
+                set(true);
+                self.lasts(lasts).await;
+                set(false);
+                say(&name(place), "sees");
+            }
+            What::Kill { who } | What::End { who } => {
+                let place = self.place(who);
+                say(&name(place), "down");
+                let process = |with: fn(&mut Process)| with(&mut locked(&self.instances)[place].process);
+                process(if matches!(what, What::End { .. }) { Process::end } else { Process::kill });
+                self.flee(place).await;
+                self.lasts(lasts).await;
+                let _ = self.launch(place);
+                say(&name(place), "up");
+            }
+            What::Lose { who } => {
+                let place = self.place(who);
+                say(&name(place), "lost");
+                self.replace(place, lasts).await;
+                say(&name(place), "replaced");
+            }
+            What::Stop { who } => {
+                let place = self.place(who);
+                say(&name(place), "stopped");
+                locked(&self.instances)[place].process.stop();
+                self.lasts(lasts).await;
+                locked(&self.instances)[place].process.go_on();
+                say(&name(place), "goes on");
+            }
+            What::PowerOff => {
+                say("all", "power off");
+                for place in 0..self.script.instances as usize {
+                    say(&name(place), "down");
+                }
+                locked(&self.instances).iter_mut().for_each(|instance| instance.process.kill());
+                self.lasts(lasts).await;
+                for place in 0..self.script.instances as usize {
+                    let _ = self.launch(place);
+                    say(&name(place), "up");
+                }
+            }
+            What::Drain => {
+                let endpoint = {
+                    let mut drained = locked(&self.drained);
+                    let next = drained.len();
+                    drained.push(next);
+                    next
+                };
+                if endpoint + 2 < ENDPOINTS {
+                    let count = endpoint as u64 + 1;
+                    self.discovery.drain(&format!("e{endpoint}"));
+                    let endpoint = self.endpoints[endpoint].address.to_string();
+                    self.history.now_that("discovery", Did::Drained { endpoint, count });
+                }
+            }
+            What::Apply => self.apply().await,
+            What::Move { proxy, to } => self.lead(proxy as usize, to as usize),
+            What::Transfer { to } => {
+                say(&name(to as usize), "is to lead");
+                let name = locked(&self.instances)[to as usize].name.clone();
+                let _ = timeout(ANSWER, self.ctl(&["cluster", "transfer", &name])).await; // it may be in vain
+            }
+        }
+    }
+
+    pub(super) async fn spoil(&self, pairs: &[(String, String)], place: usize, how: How, lasts: Duration) {
+        self.history
+            .now_that(&format!("i{place}"), Did::Fault { what: format!("links {how:?} {pairs:?}") });
+        let set = |change: &dyn Fn(&mut Rule, bool)| {
+            for (from, to) in pairs {
+                // There is away from the one that is cut off, whoever connects.
+                let away = *from == format!("i{place}");
+                self.links.set(from, to, |rule| change(rule, away));
+            }
+        };
+        match how {
+            How::Held => set(&|rule, _| (rule.there.held, rule.back.held) = (true, true)),
+            How::HeldThere => {
+                set(&|rule, away| if away { rule.there.held = true } else { rule.back.held = true })
+            }
+            How::HeldBack => {
+                set(&|rule, away| if away { rule.back.held = true } else { rule.there.held = true })
+            }
+            How::Refused => set(&|rule, _| rule.refused = true),
+            How::Reset => set(&|rule, _| rule.resets += 1),
+            How::Late(ms) => set(&|rule, _| {
+                (rule.there.late, rule.back.late) =
+                    (Duration::from_millis(ms.into()), Duration::from_millis(ms.into()))
+            }),
+            How::Slow(kib) => set(&|rule, _| (rule.there.rate, rule.back.rate) = (kib << 10, kib << 10)),
+            How::Flaps(times) => {
+                let flaps = flap(&self.links, pairs, times);
+                tokio::select! {
+                    () = flaps => {}
+                    () = self.lasts(lasts) => {}
+                }
+            }
+        }
+        self.lasts(if matches!(how, How::Flaps(_)) { Duration::ZERO } else { lasts }).await;
+        set(&|rule, _| *rule = Rule { resets: rule.resets, ..Rule::default() });
+        self.history.now_that(&format!("i{place}"), Did::Fault { what: "links open".to_owned() });
+    }
+
+    /// A member's folder is lost: it is removed, and another one takes its place.
+    pub(super) async fn replace(&self, place: usize, lasts: Duration) {
+        let (old, folder) = {
+            let instance = &mut locked(&self.instances)[place];
+            instance.process.kill();
+            (instance.name.clone(), instance.member.clone())
+        };
+        let _ = std::fs::remove_dir_all(folder);
+        self.flee(place).await;
+        self.lasts(lasts).await;
+        let new = format!("{old}n");
+        let Ok(instance) = self.instance(place, &new).await else { return };
+        let end = Instant::now() + 2 * BACK;
+        // Each step is repeated until a majority has taken it.
+        let steps = [vec!["cluster", "remove", &old]];
+        for step in &steps {
+            while let Err(problem) = self.ctl(step).await {
+                if problem.to_string().contains("no member") || Instant::now() >= end {
+                    break;
+                }
+            }
+        }
+        while let Err(problem) = self.invite(&instance).await {
+            if Instant::now() >= end {
+                return self
+                    .history
+                    .now_that("rig", Did::Fault { what: format!("not replaced: {problem}") });
+            }
+        }
+        let xds = instance.xds;
+        locked(&self.instances)[place] = instance;
+        let _ = self.launch(place);
+        for proxy in locked(&self.proxies).iter().filter(|proxy| proxy.at == place) {
+            proxy.target.send_replace(xds);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/world/instances.rs
@@ -0,0 +1,79 @@
+//! Instances: their settings, their start, and what they answer.
+
+use super::{ANSWER, BACK, Instance, TICK_MS, World, at};
+use crate::link::locked;
+use crate::process::Process;
+use runtrack_testkit::{ask, free_port};
+use serde_json::Value;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::time::timeout;
+
+impl World {
+    pub(super) async fn instance(&self, place: usize, name: &str) -> io::Result<Instance> {
+        let host = 20 + place as u8;
+        let (listen, address) = (at(host, free_port()), at(100 + place as u8, free_port()));
+        let (xds, admin) = (at(host, free_port()), at(host, free_port()));
+        let member = self.folder.path().join(name);
+        let text = format!(
+            "listen = \"{xds}\"\nadmin = \"{admin}\"\n[cluster]\nmember = \"{name}\"\nlisten = \"{listen}\"\ntick_ms = {TICK_MS}\nlog_bytes = 20000\n"
+        );
+        let config = self.folder.write(&format!("{name}.toml"), &text);
+        let args = vec!["serve".to_owned(), "--config".to_owned(), config.display().to_string()];
+        let log = self.folder.path().join(format!("{name}.log"));
+        let process = Process::new(self.control.clone(), args, &log, self.mutant.as_deref());
+        let links = self.links.stand_before(&format!("i{place}"), address, listen).await?;
+        Ok(Instance { name: name.to_owned(), process, member, xds, admin, address, _links: links })
+    }
+
+    /// Runs `runtrackctl`, for as long as a person would wait.
+    pub(super) async fn ctl(&self, args: &[&str]) -> io::Result<String> {
+        let admins: Vec<String> = locked(&self.instances).iter().map(|i| i.admin.to_string()).collect();
+        let mut command = tokio::process::Command::new(&self.ctl);
+        command.args(args).env("RUNTRACK_CLUSTER", admins.join(",")).kill_on_drop(true);
+        let done = timeout(BACK, command.output()).await.map_err(|_| io::ErrorKind::TimedOut)??;
+        match done.status.success() {
+            true => Ok(String::from_utf8_lossy(&done.stdout).into_owned()),
+            false => Err(io::Error::other(format!("{args:?}: {}", String::from_utf8_lossy(&done.stderr)))),
+        }
+    }
+
+    /// Adds a member and makes its folder.
+    pub(super) async fn invite(&self, instance: &Instance) -> io::Result<()> {
+        let file = self.folder.path().join(format!("{}.json", instance.name)).display().to_string();
+        self.ctl(&["cluster", "add", &instance.name, &instance.address.to_string(), "-o", &file]).await?;
+        self.ctl(&["cluster", "join", &file, "--member", &instance.member.display().to_string()]).await?;
+        Ok(())
+    }
+
+    pub(crate) fn launch(&self, place: usize) -> io::Result<()> {
+        let instance = &mut locked(&self.instances)[place];
+        if instance.process.pid().is_none() || instance.process.has_ended() {
+            let pid = instance.process.start()?;
+            self.links.name(pid, &format!("i{place}"));
+            self.runs.fetch_add(1, Ordering::SeqCst);
+        }
+        Ok(())
+    }
+
+    pub(super) fn admin(&self, place: usize) -> SocketAddr {
+        locked(&self.instances)[place].admin
+    }
+
+    pub(crate) async fn get(&self, place: usize, path: &str) -> Option<Value> {
+        let answer = timeout(ANSWER, ask(self.admin(place), "GET", path, "")).await.ok()?.ok()?;
+        (answer.0 == 200).then(|| serde_json::from_str(&answer.1).ok()).flatten()
+    }
+
+    pub(super) async fn answers(self: Arc<Self>, place: usize) -> bool {
+        self.get(place, "/cluster").await.is_some()
+    }
+
+    pub(super) async fn voters(&self) -> usize {
+        let said = self.get(0, "/cluster").await.unwrap_or_default();
+        let members = said["members"].as_array().into_iter().flatten();
+        members.filter(|member| member["voter"] == true).count()
+    }
+}
