Controller: listen.peer says where links come in when others dial another address

Cause: a controller binds the address that others dial, so it can't run behind an address translation or a forwarder. Result: settings tests pass; a member is still known by ip and the first port.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -212,7 +212,9 @@
     let _ = parts.backlogs.set(backlogs.clone());
     let _ = parts.contact.set(contact.clone());
     spawn_local(backlogs.run());
-    listen(gossip.clone(), address).await.map_err(|error| format!("listen: {address}: {error}"))?;
+    listen(gossip.clone(), node.peer)
+        .await
+        .map_err(|error| format!("listen.peer: {}: {error}", node.peer))?;
     let api = Api::new(gossip.clone(), proposer.clone(), endpoints.clone(), contact.clone());
     let calls = api.listen(control).map_err(|error| format!("listen: {control}: {error}"))?;
     spawn_local(gossip.clone().run());
--- a/crates/fleetconfig/src/node.rs
+++ b/crates/fleetconfig/src/node.rs
@@ -74,6 +74,9 @@
     pub feed: SocketAddrV4,
     /// First port for what the fleet's processes say to each other.
     pub first_port: u16,
+    /// Where a control member's links come in: `ip` and the first port, which others dial, unless it binds elsewhere
+    /// behind an address translation.
+    pub peer: SocketAddrV4,
     /// Control addresses of some control members.
     pub seeds: Vec<SocketAddrV4>,
     /// The whole system starts for the first time, with empty disks.
@@ -166,9 +169,11 @@
         let seeds = self.text("seeds").unwrap_or_default().to_owned();
         let seeds = seeds.split(',').filter(|seed| !seed.trim().is_empty());
         let seeds = seeds.filter_map(|seed| self.parsed("seeds", seed)).collect();
+        let name = self.required("node", String::new());
+        let ip = self.required("ip", Ipv4Addr::UNSPECIFIED);
         Node {
-            name: self.required("node", String::new()),
-            ip: self.required("ip", Ipv4Addr::UNSPECIFIED),
+            name,
+            ip,
             zone: self.or("zone", String::new()),
             front: self.optional("listen.front"),
             ready: self.optional("listen.ready"),
@@ -176,6 +181,7 @@
             feed: self
                 .or("listen.feed", SocketAddrV4::new(Ipv4Addr::LOCALHOST, first_port.saturating_add(1))),
             first_port,
+            peer: self.or("listen.peer", SocketAddrV4::new(ip, first_port)),
             seeds,
             first_boot: self.or("firstBoot", false),
             data_dir: self.optional("dataDir"),
--- a/crates/fleetconfig/tests/settings.rs
+++ b/crates/fleetconfig/tests/settings.rs
@@ -49,6 +49,19 @@
     assert_eq!(node.tolerance.machines, 1);
 }
 
+#[test]
+fn links_come_in_at_the_machine_s_address_unless_the_file_says_otherwise() {
+    let node = Node::read(FILE).expect("it is valid");
+    assert_eq!(node.peer.to_string(), "10.1.0.38:7660");
+    let elsewhere = Node::read(&format!("{FILE}listen.peer=192.168.7.2:7700\n")).expect("it is valid");
+    assert_eq!(elsewhere.peer.to_string(), "192.168.7.2:7700");
+    assert_eq!(
+        (elsewhere.ip, elsewhere.first_port),
+        (node.ip, node.first_port),
+        "others dial the same address"
+    );
+}
+
 fn findings(file: &str) -> String {
     match Node::read(file) {
         Err(problem @ SettingsError::Invalid(_)) => problem.to_string(),
