Rig: rounds of the fleet's own processes with several faults at a time

Change: a script drawn from a seed, operators, endpoints and listeners at agents' feeds, links told apart by their first frame, a checker of its own; verbs fleet, fleet-replay and fleet-judge.

--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -28,32 +28,38 @@
 
 /// A broken rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Breach {
+pub struct Breach<R = Rule> {
     /// Which.
-    pub rule: Rule,
+    pub rule: R,
     /// When, in microseconds.
     pub at: u64,
     /// What shows it.
     pub why: String,
 }
 
-impl fmt::Display for Breach {
+impl<R: fmt::Debug> fmt::Display for Breach<R> {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "{:?} at {:.3} s: {}", self.rule, self.at as f64 / 1e6, self.why)
     }
 }
 
 /// What a judgement found, and how much it looked at.
-#[derive(Clone, Debug, Default)]
-pub struct Judgement {
+#[derive(Clone, Debug)]
+pub struct Judgement<R = Rule> {
     /// Broken rules.
-    pub breaches: Vec<Breach>,
+    pub breaches: Vec<Breach<R>>,
     /// Keys whose search was given up: nothing is said of them.
     pub unjudged: Vec<String>,
     /// Reads, writes, versions and sights looked at.
     pub looked_at: usize,
 }
 
+impl<R> Default for Judgement<R> {
+    fn default() -> Self {
+        Judgement { breaches: Vec::new(), unjudged: Vec::new(), looked_at: 0 }
+    }
+}
+
 /// Judges a history.
 pub fn judge(events: &[Event]) -> Judgement {
     let mut judgement = Judgement { looked_at: events.len(), ..Judgement::default() };
--- /dev/null
+++ b/crates/rig/src/fleet/draw.rs
@@ -0,0 +1,141 @@
+//! Rounds of the fleet drawn from a seed.
+//!
+//! A round has two phases. In the first, members are killed, stopped and cut off in any number at a time; their disks stay.
+//! In the second, which some rounds have, disks are lost or put back from an older copy: never more at once than the
+//! fleet's tolerance bears, with everything else calm from [`SETTLE_MS`] before, and often a loss of power right after
+//! it has settled.
+
+use super::script::{Cut, Fault, Script, What};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// A member counts as lost for so long after it is back.
+pub const SETTLE_MS: u32 = 5_000;
+/// A long stop or cut.
+const LONG_MS: u32 = 20_000;
+
+struct Draws(Pcg32);
+
+impl Draws {
+    fn below(&mut self, most: u32) -> u32 {
+        self.0.next_u32() % most.max(1)
+    }
+
+    fn one_in(&mut self, many: u32) -> bool {
+        self.below(many) == 0
+    }
+
+    fn member(&mut self, members: usize) -> usize {
+        self.below(members as u32) as usize
+    }
+
+    fn cut(&mut self) -> Cut {
+        match self.below(6) {
+            0..=2 => Cut::Both,
+            3 => Cut::Outbound,
+            4 => Cut::Inbound,
+            _ => Cut::Refused,
+        }
+    }
+
+    fn outage(&mut self, members: usize) -> What {
+        let member = self.member(members);
+        let other = (member + 1 + self.member(members - 1)) % members;
+        match self.below(12) {
+            0..=2 => What::Kill { member },
+            3 => What::Terminate { member },
+            4 => What::PowerOff,
+            5 | 6 => What::Stop { member },
+            7..=9 => What::CutMember { member, cut: self.cut() },
+            _ => What::CutPair { member, other },
+        }
+    }
+
+    fn agent_outage(&mut self, agents: usize) -> What {
+        let agent = self.member(agents);
+        match self.below(3) {
+            0 => What::CutAgent { agent },
+            1 => What::KillAgent { agent },
+            _ => What::StopAgent { agent },
+        }
+    }
+
+    fn disk_loss(&mut self, member: usize) -> What {
+        match self.below(3) {
+            0 => What::Wipe { member },
+            1 => What::Restore { member, age: 500 + self.below(3_000) },
+            _ => What::Replace { member },
+        }
+    }
+
+    /// Outages that overlap; gives when the last of them is over.
+    fn first_phase(&mut self, script: &mut Script) -> u32 {
+        let window = 3_000 + self.below(3_000);
+        let mut over = window;
+        for _ in 0..2 + self.below(4) {
+            let fault = Fault {
+                at: self.below(window),
+                lasts: 200 + self.below(4_000),
+                what: self.outage(script.members),
+            };
+            over = over.max(fault.at + fault.lasts);
+            script.faults.push(fault);
+        }
+        if self.one_in(4) {
+            let member = self.member(script.members);
+            let what = if self.one_in(2) {
+                What::Stop { member }
+            } else {
+                What::CutMember { member, cut: self.cut() }
+            };
+            script.faults.push(Fault { at: 500, lasts: LONG_MS, what });
+            over = over.max(500 + LONG_MS);
+        }
+        over
+    }
+
+    /// Disks that are lost, and a loss of power right after; gives when all is over.
+    fn second_phase(&mut self, script: &mut Script, from: u32) -> u32 {
+        let at = from + SETTLE_MS;
+        let first = self.member(script.members);
+        let mut over = at;
+        for n in 0..if script.members == 5 { 1 + self.below(2) as usize } else { 1 } {
+            let what = self.disk_loss((first + n) % script.members);
+            let age = if let What::Restore { age, .. } = what { age } else { 0 };
+            let fault = Fault { at: at + self.below(500), lasts: 200 + self.below(2_000), what };
+            over = over.max(fault.at + fault.lasts + age);
+            script.faults.push(fault);
+        }
+        over += SETTLE_MS;
+        if self.one_in(2) {
+            let member = (first + 1) % script.members;
+            let what = if self.one_in(2) { What::PowerOff } else { What::Kill { member } };
+            script.faults.push(Fault { at: over, lasts: 300, what });
+            over += 600;
+        }
+        over
+    }
+}
+
+/// The round of a seed.
+pub fn script(seed: u64) -> Script {
+    let mut draws = Draws(Pcg32::seed_from_u64(seed ^ 0x666c_6565));
+    let members = if draws.one_in(4) { 5 } else { 3 };
+    let pause = [5, 60, 250][draws.below(3) as usize];
+    let mut script =
+        Script { seed, members, agents: 2, lasts: 0, pause, quiet_from: None, faults: Vec::new() };
+    let mut over = draws.first_phase(&mut script);
+    if draws.one_in(2) {
+        if draws.one_in(3) {
+            script.quiet_from = Some(over);
+        }
+        over = draws.second_phase(&mut script, over);
+    }
+    for _ in 0..draws.below(3) {
+        let what = draws.agent_outage(script.agents);
+        script.faults.push(Fault { at: draws.below(over), lasts: 200 + draws.below(4_000), what });
+    }
+    script.lasts = over + 500;
+    script.faults.sort_by_key(|fault| fault.at);
+    script
+}
--- /dev/null
+++ b/crates/rig/src/fleet/endpoint.rs
@@ -0,0 +1,90 @@
+//! Endpoints: they beat, drain, deregister and come again under another id.
+
+use super::cluster::{Cluster, HEARTBEAT};
+use super::history::{Did, State};
+use super::http::Call;
+use super::operator::ANSWER_LIMIT;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Wait before a call that was not acknowledged is sent to another member.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// An endpoint beats so often at most before it drains.
+const MAX_BEATS: u32 = 8;
+
+/// One endpoint, through all its incarnations.
+pub struct Caller {
+    cluster: Arc<Cluster>,
+    number: u64,
+    incarnation: u32,
+    call_seq: u64,
+    member: usize,
+    draws: Pcg32,
+}
+
+impl Caller {
+    /// One of so many endpoints of a round.
+    pub fn new(cluster: Arc<Cluster>, number: u64) -> Caller {
+        let seed = cluster.script.seed.wrapping_mul(37).wrapping_add(number);
+        let member = number as usize % cluster.script.members;
+        Caller { cluster, number, incarnation: 0, call_seq: 0, member, draws: Pcg32::seed_from_u64(seed) }
+    }
+
+    fn id(&self) -> String {
+        format!("e{}-{}", self.number, self.incarnation)
+    }
+
+    /// Works until everything is to be healed.
+    pub async fn run(mut self) {
+        while !self.cluster.is_healing() {
+            for _ in 0..1 + self.draws.next_u32() % MAX_BEATS {
+                self.call(State::Ready).await;
+                sleep(HEARTBEAT).await;
+            }
+            self.until_acknowledged(State::Draining).await;
+            sleep(HEARTBEAT).await;
+            self.until_acknowledged(State::Gone).await;
+            self.incarnation += 1;
+        }
+    }
+
+    async fn until_acknowledged(&mut self, state: State) {
+        while !self.cluster.is_healing() && !self.call(state).await {
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    fn heartbeat(&self, state: &str) -> String {
+        let (seq, port) = (self.call_seq, 9_000 + self.number);
+        format!(
+            r#"{{"service":"s","address":"10.0.0.1:{port}","zone":"a","version":"v1","capacity":4,"state":"{state}","coldLeftMs":0,"callSeq":{seq}}}"#
+        )
+    }
+
+    /// Calls a member; whether it acknowledged. Otherwise the next one is called the next time.
+    async fn call(&mut self, state: State) -> bool {
+        self.call_seq += 1;
+        let (verb, body) = match state {
+            State::Ready => ("heartbeat", self.heartbeat("ready")),
+            State::Draining => ("heartbeat", self.heartbeat("draining")),
+            State::Gone => ("deregister", format!(r#"{{"callSeq":{}}}"#, self.call_seq)),
+        };
+        let path = format!("/runtrack/instances/{}/{verb}", self.id());
+        let call =
+            Call { method: "POST", path: &path, header: "Content-Type: application/json\r\n", body: &body };
+        let member = self.member;
+        let began = self.cluster.history.now();
+        let status =
+            call.send(self.cluster.control(member), ANSWER_LIMIT).await.map(|answer| answer.status);
+        let ended = status.map(|_| self.cluster.history.now());
+        let did = Did::Call { member, endpoint: self.id(), state, status };
+        self.cluster.history.note(&self.id(), began, ended, did);
+        if status != Some(200) {
+            self.member = (member + 1) % self.cluster.script.members;
+        }
+        status == Some(200)
+    }
+}
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -1,5 +1,6 @@
 //! What happened, on one monotonic clock, a JSON line each.
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::io::{self, Write};
 use std::path::Path;
@@ -8,7 +9,7 @@
 
 /// Something that happened. Times are microseconds from the start of the round.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Event {
+pub struct Event<D = Did> {
     /// When it began.
     pub began: u64,
     /// When it was known to have ended; none: whether it took place is not known.
@@ -16,7 +17,7 @@
     /// Who did it.
     pub who: String,
     /// What.
-    pub what: Did,
+    pub what: D,
 }
 
 /// What somebody did or saw.
@@ -107,18 +108,18 @@
 
 /// The history of a round.
 #[derive(Clone)]
-pub struct History {
+pub struct History<D = Did> {
     from: Instant,
-    events: Arc<Mutex<Vec<Event>>>,
+    events: Arc<Mutex<Vec<Event<D>>>>,
 }
 
-impl Default for History {
+impl<D> Default for History<D> {
     fn default() -> Self {
         History { from: Instant::now(), events: Arc::default() }
     }
 }
 
-impl History {
+impl<D: Clone> History<D> {
     /// Now.
     pub fn now(&self) -> u64 {
         self.at(Instant::now())
@@ -130,19 +131,19 @@
     }
 
     /// Notes something that took a time.
-    pub fn note(&self, who: &str, began: u64, ended: Option<u64>, what: Did) {
+    pub fn note(&self, who: &str, began: u64, ended: Option<u64>, what: D) {
         let event = Event { began, ended, who: who.to_owned(), what };
         self.events.lock().unwrap_or_else(PoisonError::into_inner).push(event);
     }
 
     /// Notes something that happened now.
-    pub fn now_that(&self, who: &str, what: Did) {
+    pub fn now_that(&self, who: &str, what: D) {
         let now = self.now();
         self.note(who, now, Some(now), what);
     }
 
     /// All that happened, by when it began.
-    pub fn events(&self) -> Vec<Event> {
+    pub fn events(&self) -> Vec<Event<D>> {
         let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner).clone();
         events.sort_by_key(|event| event.began);
         events
@@ -150,7 +151,7 @@
 }
 
 /// Writes a history, a line an event.
-pub fn write(path: &Path, events: &[Event]) -> io::Result<()> {
+pub fn write<D: Serialize>(path: &Path, events: &[Event<D>]) -> io::Result<()> {
     let mut text = Vec::new();
     for event in events {
         serde_json::to_writer(&mut text, event)?;
@@ -160,7 +161,7 @@
 }
 
 /// Reads a history.
-pub fn read(path: &Path) -> io::Result<Vec<Event>> {
+pub fn read<D: DeserializeOwned>(path: &Path) -> io::Result<Vec<Event<D>>> {
     let text = std::fs::read_to_string(path)?;
     text.lines().map(|line| serde_json::from_str(line).map_err(io::Error::from)).collect()
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod check;
 pub mod draw;
+pub mod fleet;
 pub mod history;
 pub mod link;
 pub mod measure;
--- a/crates/rig/src/link.rs
+++ b/crates/rig/src/link.rs
@@ -48,6 +48,16 @@
 
 type Pair = (String, String);
 
+/// What the first bytes of a connection say.
+pub enum Greeting {
+    /// More of them are needed.
+    Incomplete,
+    /// Who connects.
+    From(String),
+    /// They are none that this project's processes send.
+    Malformed,
+}
+
 /// All links of a round.
 #[derive(Clone, Default)]
 pub struct Links {
@@ -122,6 +132,33 @@
             })
     }
 
+    /// Stands before a process as [`Links::stand_before`] does, and tells by the first bytes of a connection who connects:
+    /// its kernel's table need not be searched, which takes long on a machine with many connections.
+    pub async fn stand_before_greeted(
+        &self,
+        to: &str,
+        at: SocketAddr,
+        behind: SocketAddr,
+        greeting: fn(&[u8]) -> Greeting,
+    ) -> io::Result<JoinSet<()>> {
+        let (links, to, target) = (self.clone(), to.to_owned(), watch::Sender::new(behind));
+        let listener = TcpListener::bind(at).await?;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(async move {
+            let mut connections = JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let (links, to, target) = (links.clone(), to.clone(), target.subscribe());
+                connections.spawn(async move {
+                    if let Some((stream, from, first)) = greeted(stream, greeting).await {
+                        carry(stream, links.rule(&from, &to), target, links.bytes.clone(), first).await;
+                    }
+                });
+                while connections.try_join_next().is_some() {}
+            }
+        });
+        Ok(tasks)
+    }
+
     fn rule_of(&self, (from, to): Pair) -> watch::Receiver<Rule> {
         self.rule(&from, &to)
     }
@@ -155,6 +192,22 @@
     })
 }
 
+/// Reads who connects; gives the bytes that were read for it too.
+async fn greeted(
+    mut stream: TcpStream,
+    greeting: fn(&[u8]) -> Greeting,
+) -> Option<(TcpStream, String, Vec<u8>)> {
+    let mut first = Vec::new();
+    loop {
+        match greeting(&first) {
+            Greeting::From(name) => return Some((stream, name, first)),
+            Greeting::Malformed => return None,
+            Greeting::Incomplete if stream.read_buf(&mut first).await.ok()? == 0 => return None,
+            Greeting::Incomplete => {}
+        }
+    }
+}
+
 async fn listen(
     at: SocketAddr,
     bytes: Arc<AtomicU64>,
@@ -167,7 +220,7 @@
         let mut connections = JoinSet::new();
         while let Ok((stream, peer)) = listener.accept().await {
             let Ok(me) = stream.local_addr() else { continue };
-            connections.spawn(carry(stream, rule(peer, me), target.clone(), bytes.clone()));
+            connections.spawn(carry(stream, rule(peer, me), target.clone(), bytes.clone(), Vec::new()));
             while connections.try_join_next().is_some() {}
         }
     });
@@ -184,6 +237,7 @@
     mut rule: watch::Receiver<Rule>,
     mut target: watch::Receiver<SocketAddr>,
     bytes: Arc<AtomicU64>,
+    first: Vec<u8>,
 ) {
     let began = rule.borrow_and_update().resets;
     let over = |rule: &Rule| rule.refused || rule.resets != began;
@@ -198,8 +252,8 @@
     if let (Ok(near_again), Ok(far_again)) = (again(&near), again(&far)) {
         let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
         let mut pumps = JoinSet::new();
-        pumps.spawn(pump(near_in, far_out, rule.clone(), |rule| rule.there, bytes.clone()));
-        pumps.spawn(pump(far_in, near_out, rule.clone(), |rule| rule.back, bytes));
+        pumps.spawn(pump(near_in, far_out, rule.clone(), |rule| rule.there, bytes.clone(), first));
+        pumps.spawn(pump(far_in, near_out, rule.clone(), |rule| rule.back, bytes, Vec::new()));
         let both = async { while pumps.join_next().await.is_some() {} };
         tokio::select! {
             () = both => {}
@@ -228,12 +282,17 @@
     mut rule: watch::Receiver<Rule>,
     way: fn(&Rule) -> Way,
     through: Arc<AtomicU64>,
+    first: Vec<u8>,
 ) {
     let (give, mut take) = mpsc::channel::<(Instant, Vec<u8>)>(ON_THE_WAY);
     let mut draws = Pcg32::seed_from_u64(7);
     let mut clock = rule.clone();
     let read = async move {
         let mut due = Instant::now();
+        through.fetch_add(first.len() as u64, Ordering::Relaxed);
+        if give.send((due, first)).await.is_err() {
+            return;
+        }
         loop {
             let mut bytes = vec![0; CHUNK];
             match from.read(&mut bytes).await {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,5 +1,7 @@
 //! `runtrack-rig`: plays rounds of real processes with faults between them, and judges what happened.
 
+mod fleet_verbs;
+
 use clap::{Parser, Subcommand};
 use runtrack_rig::check::{Judgement, judge};
 use runtrack_rig::history::{self, Event};
@@ -67,6 +69,27 @@
         #[arg(long, default_value_t = 10_000)]
         pools: usize,
     },
+    /// Play rounds of the fleet's controllers and agents, and say which break a rule.
+    Fleet {
+        #[command(flatten)]
+        which: Seeds,
+        /// Where scripts and histories of rounds that break a rule go.
+        #[arg(long, default_value = "found", value_name = "FOLDER")]
+        out: PathBuf,
+    },
+    /// Play a script of the fleet.
+    FleetReplay {
+        /// The script (JSON).
+        script: PathBuf,
+        /// Write what happened here, a JSON line an event.
+        #[arg(long, value_name = "FILE")]
+        history: Option<PathBuf>,
+    },
+    /// Judge a history of the fleet again.
+    FleetJudge {
+        /// The history.
+        history: PathBuf,
+    },
     /// Judge a history again.
     Judge {
         /// The history.
@@ -133,6 +156,9 @@
         Command::Replay { script, history } => {
             read(&script).and_then(|script| one(&script, history.as_deref(), mutant))
         }
+        Command::Fleet { which, out } => fleet_verbs::search(&which, &out),
+        Command::FleetReplay { script, history } => fleet_verbs::replay(&script, history.as_deref()),
+        Command::FleetJudge { history } => fleet_verbs::judge_again(&history),
         Command::Measure { kills, pools } => figures(kills, pools),
         Command::Judge { history } => {
             history::read(&history).map_err(named(&history)).map(|events| report(&judge(&events)))
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -22,13 +22,21 @@
     args: Vec<String>,
     log: PathBuf,
     mutant: Option<String>,
+    variables: Vec<(String, String)>,
     child: Option<Child>,
 }
 
 impl Process {
     /// One that is not started yet. `mutant` is an error planted in it, where it was built with those.
     pub fn new(program: PathBuf, args: Vec<String>, log: &Path, mutant: Option<&str>) -> Process {
-        Process { program, args, log: log.to_owned(), mutant: mutant.map(str::to_owned), child: None }
+        let (log, mutant) = (log.to_owned(), mutant.map(str::to_owned));
+        Process { program, args, log, mutant, variables: Vec::new(), child: None }
+    }
+
+    /// The same with an environment variable.
+    pub fn with_variable(mut self, name: &str, value: &str) -> Process {
+        self.variables.push((name.to_owned(), value.to_owned()));
+        self
     }
 
     /// Starts it; gives its id.
@@ -40,6 +48,7 @@
             Some(mutant) => command.env("RUNTRACK_MUTANT", mutant),
             None => command.env_remove("RUNTRACK_MUTANT"),
         };
+        command.envs(self.variables.iter().map(|(name, value)| (name, value)));
         let child = command.spawn()?;
         let pid = child.id();
         self.child = Some(child);
