--- a/crates/rig/src/fleet/check.rs
+++ b/crates/rig/src/fleet/check.rs
@@ -18,6 +18,9 @@
 const WAKE_LIMIT: u64 = SECOND;
 const START_LIMIT: u64 = 5 * SECOND;
 
+/// The kind of trouble when a process has ended by itself.
+pub const ENDED: &str = "ended";
+
 /// A rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
@@ -31,7 +34,7 @@
     Back,
     /// An acknowledged drain reaches every agent in touch in time.
     Drain,
-    /// A member that runs answers in time, and one that is cut off acknowledges no endpoint's call.
+    /// A member ends by itself only after its disk was put back from an older copy, answers in time while it runs, and one that is cut off acknowledges no endpoint's call.
     Answer,
     /// After healing all comes back in time.
     Return,
@@ -167,6 +170,7 @@
 
 fn answers(events: &[Event], breaches: &mut Vec<Breach<Rule>>) {
     let troubles = troubles(events);
+    own_ends(&troubles, breaches);
     for event in events {
         let Some(call) = call(event) else { continue };
         let (began, latest) = (event.began, event.ended.unwrap_or(event.began + ANSWER_LIMIT));
@@ -186,6 +190,19 @@
     }
 }
 
+/// Only a member whose disk is an older copy may end by itself: it comes again as another member.
+fn own_ends(troubles: &[Trouble], breaches: &mut Vec<Breach<Rule>>) {
+    for end in troubles.iter().filter(|trouble| trouble.kind == ENDED) {
+        for member in end.members {
+            let restored = |other: &Trouble| other.kind == "restore" && other.members.contains(member);
+            if !troubles.iter().any(|other| restored(other) && other.began < end.began) {
+                let why = format!("member {member} ended by itself");
+                breaches.push(Breach { rule: Rule::Answer, at: end.began, why });
+            }
+        }
+    }
+}
+
 /// Whether a member's process has run without trouble for long enough, and goes on to.
 fn runs(member: usize, began: u64, troubles: &[Trouble]) -> bool {
     troubles.iter().filter(|trouble| trouble.members.contains(&member)).all(|trouble| {
--- a/crates/rig/src/fleet/cluster.rs
+++ b/crates/rig/src/fleet/cluster.rs
@@ -198,6 +198,17 @@
         Ok(())
     }
 
+    /// Starts members again whose processes have ended by themselves, as a supervisor does; gives their places.
+    pub fn restart_ended(&self) -> io::Result<Vec<usize>> {
+        let ended = |process: &mut Process| process.pid().is_some() && process.has_ended();
+        let places: Vec<usize> = {
+            let mut places = locked(&self.places);
+            (0..places.len()).filter(|member| ended(&mut places[*member].process)).collect()
+        };
+        places.iter().try_for_each(|member| self.start(*member, false))?;
+        Ok(places)
+    }
+
     /// Starts an agent unless it runs.
     pub fn start_agent(&self, agent: usize) -> io::Result<()> {
         let name = format!("a{agent}");
--- a/crates/rig/src/fleet/round.rs
+++ b/crates/rig/src/fleet/round.rs
@@ -1,6 +1,6 @@
 //! A round from its first process to its last read.
 
-use super::check::acknowledged_drains;
+use super::check::{ENDED, acknowledged_drains};
 use super::cluster::Cluster;
 use super::endpoint::Caller;
 use super::feed;
@@ -31,6 +31,8 @@
     let mut operators: Vec<Operator> = (0..OPERATORS).map(operator).collect();
     build(&cluster, &mut operators[0], &mut listeners).await?;
     note_start(&cluster);
+    let mut supervisor = JoinSet::new();
+    supervisor.spawn(supervise(cluster.clone()));
     let mut callers = JoinSet::new();
     operators.into_iter().for_each(|operator| drop(callers.spawn(operator.run())));
     for number in 0..ENDPOINTS {
@@ -44,6 +46,20 @@
     Ok(cluster.history.events())
 }
 
+/// Starts members again that end by themselves, and notes that they did.
+async fn supervise(cluster: Arc<Cluster>) {
+    loop {
+        let began = cluster.history.now();
+        sleep(LOOK).await;
+        // A start that fails is tried again at the next look.
+        let members = cluster.restart_ended().unwrap_or_default();
+        if !members.is_empty() {
+            let did = Did::Trouble { kind: ENDED.to_owned(), members, agents: Vec::new(), isolated: None };
+            cluster.history.note("rig", began, Some(cluster.history.now()), did);
+        }
+    }
+}
+
 async fn build(
     cluster: &Arc<Cluster>,
     operator: &mut Operator,
--- a/crates/rig/tests/fleet_check.rs
+++ b/crates/rig/tests/fleet_check.rs
@@ -234,3 +234,12 @@
     assert_eq!(broken(&[back(true)]), []);
     assert_eq!(broken(&[back(false)]), [Rule::Return]);
 }
+
+#[test]
+fn a_member_that_ends_by_itself_is_found_unless_its_disk_was_an_older_copy() {
+    let restore = trouble(SECOND, 2 * SECOND, "restore", 0, false);
+    let end = |member| trouble(3 * SECOND, 3 * SECOND + 1, "ended", member, false);
+    assert_eq!(broken(&[restore.clone(), end(0)]), []);
+    assert_eq!(broken(&[restore, end(1)]), [Rule::Answer]);
+    assert_eq!(broken(&[end(0)]), [Rule::Answer]);
+}
