Controller: planted errors for repeats, disks and messages; select! is biased everywhere

Change: thirteen hooks of the feature mutants in proposer, disk, confirmations and lib; biased select! in contact, confirmations and membership. Result: without the feature the code is as before.

--- a/crates/controller/src/confirmations.rs
+++ b/crates/controller/src/confirmations.rs
@@ -4,6 +4,7 @@
 use crate::tally::{ConfirmationTally, SessionKey};
 use runtrack_link::{Gossip, Session};
 use runtrack_message::{Endpoint, Member, Message, Role};
+use runtrack_net::mutant;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -71,12 +72,16 @@
         let mut changes = self.gossip.changes();
         loop {
             let sets = self.contact.sets();
+            if mutant("confirmed-when-asked") {
+                self.links().into_keys().for_each(|link| confirmation.tally.on_confirmed(link));
+            }
             if confirmation.tally.has_majorities(self.gossip.me().member, &self.links(), &sets) {
                 return true;
             }
             self.ask(&mut confirmation, &sets);
             let next = timeout_at(until, async {
                 tokio::select! {
+                    biased;
                     from = came.recv() => from,
                     _ = changes.changed() => None,
                 }
--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -213,6 +213,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                biased;
                 _ = ticks.tick() => self.probe_all(),
                 () = self.proven.notified() => {}
                 () = self.lost(), if self.told.get() => {}
--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -4,6 +4,7 @@
 use crate::new_incarnation;
 use deku::prelude::*;
 use runtrack_fleetconfig::Node;
+use runtrack_net::mutant;
 use runtrack_register::{Acceptor, Durable, PromiseRecord, Recovery, ValueRecord, recover};
 use runtrack_ringstore::{Files, Folder, Ring, StoreError};
 use slog::{Logger, warn};
@@ -54,7 +55,11 @@
                 value: (*accepted.value).clone(),
             })),
         };
-        self.0.persist(record).await.is_ok()
+        let promise = matches!(record, Record::Promise(_));
+        if promise && mutant("promise-not-kept") || !promise && mutant("value-not-kept") {
+            return true;
+        }
+        self.0.persist(record).await.is_ok() || mutant("refused-write-counts")
     }
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -30,7 +30,8 @@
 use runtrack_link::{
     Environment, Gossip, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals, listen,
 };
-use runtrack_message::{Ballot, Hello, Member, Message, Role, WIRE_VERSION};
+use runtrack_message::{Ballot, Hello, Member, Message, RegisterRequest, Role, WIRE_VERSION};
+use runtrack_net::mutant;
 use runtrack_register::{Acceptor, MembershipTimes, PromiseRecord};
 use slog::info;
 use std::cell::OnceCell;
@@ -61,6 +62,13 @@
 
 struct Routing(Rc<Parts>);
 
+/// A planted error: what this member is asked to accept is told to agents, whether it is committed or not.
+fn tell_accepted(gossip: &Gossip, request: &RegisterRequest) {
+    if let RegisterRequest::Accept { value, .. } = request {
+        gossip.take_config(value.version, value.config.as_slice().to_vec());
+    }
+}
+
 impl MessageHandler for Routing {
     fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
         let parts = &self.0;
@@ -78,6 +86,9 @@
         };
         match message {
             Message::Request(number, request) => {
+                if mutant("told-before-committed") {
+                    tell_accepted(gossip, &request);
+                }
                 let session = session.clone();
                 member.ask(request, move |reply| session.send(&Message::Reply(number, reply)));
             }
@@ -86,7 +97,9 @@
             Message::Join(joining) => membership.on_join_request(session, joining),
             Message::Leave(leaving) => membership.on_leave_request(leaving),
             Message::Confirm(number, records) => {
-                gossip.merge(records.into_vec(), Some(session.key));
+                if !mutant("confirmed-without-merge") {
+                    gossip.merge(records.into_vec(), Some(session.key));
+                }
                 session.send(&Message::Confirmed(number));
             }
             Message::Confirmed(number) => endpoints.confirmed(number, session),
@@ -155,7 +168,8 @@
 /// this is one of its first members, a new one otherwise.
 pub fn new_incarnation(node: &Node) -> u64 {
     let address = SocketAddrV4::new(node.ip, node.first_port);
-    if node.first_boot && seeds_of(node).contains(&address) { 0 } else { fastrand::u64(1..) }
+    let first_boot = node.first_boot || mutant("wiped-member-votes");
+    if first_boot && seeds_of(node).contains(&address) { 0 } else { fastrand::u64(1..) }
 }
 
 /// Leaves a new incarnation on a disk that was found to be an older copy, and says why the process ends: it comes back
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -258,6 +258,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                biased;
                 _ = ticks.tick() => {}
                 () = self.wake.notified() => {}
             }
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -4,6 +4,7 @@
 use crate::pending::PendingRequests;
 use runtrack_link::Gossip;
 use runtrack_message::{Ballot, Member, Message, RegisterReply, RegisterRequest, Role, Value};
+use runtrack_net::mutant;
 use runtrack_register::{
     Decision, Outcome, Progress, ReplaceAnswer, ReplaceConfig, Round, Send, members_of, sets_of,
 };
@@ -45,6 +46,17 @@
 
 type Replies = UnboundedSender<(Member, RegisterReply)>;
 
+/// Planted errors: what a round makes of the value that it found.
+fn planted_value(current: Option<&Value>, order: &ReplaceConfig) -> Option<Value> {
+    let mut value = current.filter(|_| mutant("repeat-forgotten") || mutant("base-not-checked"))?.clone();
+    if mutant("repeat-forgotten") {
+        value.applied = Vec::new().into();
+    } else if value.version < order.version {
+        value.version = order.base;
+    }
+    Some(value)
+}
+
 /// Runs rounds, one at a time.
 pub struct Proposer {
     gossip: Rc<Gossip>,
@@ -76,7 +88,7 @@
             member,
             me,
             first,
-            boot: fastrand::u64(1..),
+            boot: if mutant("ballot-without-boot") { 1 } else { fastrand::u64(1..) },
             round: Cell::new(0),
             known: RefCell::default(),
             informed: Cell::new(false),
@@ -104,7 +116,9 @@
             return;
         }
         match self.member.accepted() {
-            Some(accepted) if accepted.ballot == ballot => self.learn(ballot, accepted.value),
+            Some(accepted) if accepted.ballot == ballot || mutant("commit-of-any-ballot") => {
+                self.learn(ballot, accepted.value);
+            }
             _ => self.unsettled.notify_one(),
         }
     }
@@ -228,17 +242,24 @@
         let mut answer = None;
         let outcome = self
             .decide(Instant::now() + REQUEST_TIMEOUT, &mut |current| {
-                let (decision, found) = order.decide(current, &first);
+                let planted = planted_value(current, order);
+                let (decision, found) = order.decide(planted.as_ref().or(current), &first);
                 answer = Some(found);
                 decision
             })
             .await;
         match (outcome, answer) {
-            (_, Some(ReplaceAnswer::Indeterminate)) => ReplaceOutcome::Indeterminate,
+            (_, Some(ReplaceAnswer::Indeterminate)) if !mutant("unknown-is-refused") => {
+                ReplaceOutcome::Indeterminate
+            }
             (Some(Outcome::Empty), Some(answer))
             | (Some(Outcome::Read(..) | Outcome::Committed(..)), Some(answer)) => {
                 ReplaceOutcome::Definite(answer)
             }
+            (None, Some(answer)) if mutant("answered-before-committed") => ReplaceOutcome::Definite(answer),
+            _ if mutant("unknown-is-refused") => {
+                ReplaceOutcome::Definite(ReplaceAnswer::VersionMismatch(0))
+            }
             _ => ReplaceOutcome::Indeterminate,
         }
     }
