The control plane in virtual time: real controllers and agents under seeds, faults and an oracle

Change: crates/sim/src/fleet with hosts, disks, operators, endpoints, observers, director, oracle, shrinking and timeline; runtrack-sim fleet play, search, shrink, replay, mutants.

--- /dev/null
+++ b/crates/sim/src/fleet/facts.rs
@@ -0,0 +1,141 @@
+//! What operators, endpoints and those who look on at agents have seen, and what was done to the machines. Times are since
+//! the start of the run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// An order: a configuration on top of a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The version that it builds on.
+    pub base: u64,
+    /// Its own.
+    pub version: u64,
+    /// What sets its body apart from all others.
+    pub marker: u64,
+    /// Its body is valid.
+    pub valid: bool,
+}
+
+/// What was asked of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// To take the order of this number.
+    Replace(usize),
+    /// The configuration.
+    Read,
+    /// To take a heartbeat of a ready endpoint.
+    Heartbeat(usize),
+    /// To take it that an endpoint drains.
+    Drain(usize),
+    /// To take it that an endpoint has ended.
+    Deregister(usize),
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Version and marker of the configuration in it; of a refusal, the version that it names.
+    pub config: Option<(u64, u64)>,
+    /// It names a version in its reason.
+    pub named: Option<u64>,
+}
+
+/// A call to a member.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What was asked.
+    pub asked: Asked,
+    /// The core machine.
+    pub core: u32,
+    /// When it began.
+    pub began: Duration,
+    /// When it was over: by its answer, or given up.
+    pub ended: Option<Duration>,
+    /// The caller had a connection.
+    pub connected: bool,
+    /// The caller goes before an answer can come.
+    pub left: bool,
+    /// The answer.
+    pub answer: Option<Answer>,
+    /// More came behind the answer.
+    pub surplus: bool,
+}
+
+/// What an agent told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// The newest version that it has.
+    Version(u64),
+    /// A configuration: version and marker.
+    Config(u64, u64),
+    /// An endpoint's state: 0 ready, 1 draining, 2 gone.
+    Endpoint(usize, u8),
+    /// Endpoints that are silent.
+    Suspects(Vec<usize>),
+}
+
+/// A word of an agent.
+#[derive(Clone, Debug)]
+pub struct Word {
+    /// Which agent.
+    pub agent: u32,
+    /// In which of its lives.
+    pub life: u32,
+    /// When it came.
+    pub at: Duration,
+    /// What.
+    pub told: Told,
+}
+
+/// A time through which something was wrong with a machine, or with its links.
+#[derive(Clone, Debug)]
+pub struct Harm {
+    /// The core machine, or none.
+    pub core: Option<u32>,
+    /// The agent, or none.
+    pub agent: Option<u32>,
+    /// From when.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+    /// The core machine had no way, both ways, to any other core machine all that time, while its process ran.
+    pub isolates: bool,
+    /// It is slower or lossy, all the time.
+    pub slows: bool,
+    /// It is the disk's alone.
+    pub disk: bool,
+}
+
+/// What happened.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    /// Orders, by number.
+    pub orders: Vec<Order>,
+    /// Calls in the order of their beginning.
+    pub calls: Vec<Call>,
+    /// What agents told, in the order of time.
+    pub words: Vec<Word>,
+    /// What was done to machines.
+    pub harms: Vec<Harm>,
+    /// When all connections of a core machine were reset.
+    pub resets: Vec<(u32, Duration)>,
+    /// When agents' processes started.
+    pub agent_starts: Vec<(u32, Duration)>,
+    /// All is mended from here on.
+    pub healed: Duration,
+    /// Processes that ended by themselves, and why.
+    pub crashed: Vec<(String, Duration, String)>,
+    /// The last change, after all was mended, was acknowledged.
+    pub last_acknowledged: bool,
+    /// Core machines that gave no clear answer to the last read.
+    pub unread: Vec<u32>,
+    /// At the end: version on the disk of each controller that runs, and its marker.
+    pub disks: BTreeMap<u32, Option<(u64, u64)>>,
+    /// When each endpoint crashed, of those that did.
+    pub silent_since: BTreeMap<usize, Duration>,
+    /// The end.
+    pub end: Duration,
+}
--- /dev/null
+++ b/crates/sim/src/fleet/oracle/mod.rs
@@ -0,0 +1,81 @@
+//! What must hold, judged from what callers and agents' observers saw alone. It knows nothing of the code under test.
+
+mod agents;
+mod contact;
+mod healing;
+mod register;
+
+use crate::fleet::facts::Facts;
+use crate::fleet::script::Script;
+use std::fmt;
+use std::time::Duration;
+
+/// What must hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// One version is one configuration.
+    OneConfiguration,
+    /// What is in force was sent by an operator, and is valid.
+    Sent,
+    /// What was refused never comes into force, and what came into force is never refused.
+    Refused,
+    /// What was acknowledged or seen in force is part of one history.
+    Durable,
+    /// Reads and refusals show what was acknowledged before they were asked for.
+    Current,
+    /// A member that is cut off acknowledges, serves and refuses nothing.
+    CutOffSilent,
+    /// It gives a clear answer within a second.
+    CutOffAnswers,
+    /// One answer to each caller.
+    OneAnswer,
+    /// An agent never goes back within a life.
+    AgentMonotone,
+    /// An agent in touch hears of an acknowledged leaver in time.
+    LeaverHeard,
+    /// A leaver never becomes ready again.
+    LeaverStays,
+    /// An agent in touch has an acknowledged configuration in time.
+    AgentCurrent,
+    /// Nobody whose heartbeats are acknowledged is named silent.
+    NotSilent,
+    /// Once all is mended, changes and reads come through at each member.
+    Heals,
+    /// Once all is mended, the newest value is on as many disks as are wanted.
+    Copies,
+    /// No process ends by itself.
+    Runs,
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Breach {
+    /// Which.
+    pub rule: Rule,
+    /// When it showed.
+    pub at: Duration,
+    /// What showed it.
+    pub what: String,
+}
+
+impl Breach {
+    fn new(rule: Rule, at: Duration, what: impl Into<String>) -> Self {
+        Breach { rule, at, what: what.into() }
+    }
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{:?} at {:.3}: {}", self.rule, self.at.as_secs_f64(), self.what)
+    }
+}
+
+/// The broken rules, in the order of time.
+pub fn judge(script: &Script, facts: &Facts) -> Vec<Breach> {
+    let mut breaches = register::judge(facts);
+    breaches.extend(contact::judge(facts));
+    breaches.extend(agents::judge(script, facts));
+    breaches.extend(healing::judge(script, facts));
+    breaches.sort_by_key(|breach| (breach.at, breach.rule));
+    breaches
+}
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod draw;
 mod endpoint;
 pub mod facts;
+pub mod fleet;
+mod gate;
 pub mod http;
 pub mod mutants;
 pub mod net;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -4,7 +4,7 @@
 use runtrack_sim::campaign::{Pairs, Seeds, Starts, named, read};
 use runtrack_sim::run::{Outcome, run};
 use runtrack_sim::script::Script;
-use runtrack_sim::{agreement, campaign, draw, mutants, shrink, timeline};
+use runtrack_sim::{agreement, campaign, draw, fleet, mutants, shrink, timeline};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::{Mutex, PoisonError};
@@ -66,6 +66,9 @@
     /// Several control instances that agree, in place of the sidecar.
     #[command(subcommand)]
     Cluster(Cluster),
+    /// The fleet's controllers and agents, in place of the sidecar.
+    #[command(subcommand)]
+    Fleet(fleet::command::Fleet),
     /// Plant each error in turn, and count the seeds until it is found and the lines of its smallest script.
     Mutants(Starts),
 }
@@ -127,17 +130,22 @@
     if outcome.breaches.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// All planted errors that there are, each with what it does.
+fn known_mutants() -> impl Iterator<Item = (&'static str, &'static str)> {
+    let of_fleet = fleet::MUTANTS.iter().map(|mutant| (mutant.name, mutant.what));
+    mutants::ALL.into_iter().chain(agreement::MUTANTS).chain(of_fleet)
+}
+
 fn main() -> ExitCode {
     let cli: Cli = match campaign::parse() {
         Ok(cli) => cli,
         Err(code) => return code,
     };
     if let Some(name) = &cli.mutant
-        && mutants::ALL.iter().chain(&agreement::MUTANTS).all(|(known, _)| known != name)
+        && known_mutants().all(|(known, _)| known != name)
     {
         eprintln!("there is no mutant `{name}`; those that there are:");
-        let all = mutants::ALL.iter().chain(&agreement::MUTANTS);
-        all.for_each(|(name, what)| eprintln!("  {name}: {what}"));
+        known_mutants().for_each(|(name, what)| eprintln!("  {name}: {what}"));
         return ExitCode::from(2);
     }
     let mutant = cli.mutant.as_deref();
@@ -164,6 +172,7 @@
             report(&outcome)
         }),
         Command::Cluster(ask) => cluster(ask, mutant),
+        Command::Fleet(verb) => fleet::command::carry_out(verb, mutant),
         Command::Mutants(starts) => Ok(plant_all(starts)),
     };
     done.unwrap_or_else(|problem| {
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -22,6 +22,8 @@
 
 /// Bytes that may be on the way and unread: then a writer waits.
 const WINDOW: usize = 64 * 1024;
+/// A lost packet is sent again after this at first.
+const RETRANSMIT: Duration = Duration::from_millis(200);
 
 /// What is wrong with the network between two moments.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,6 +36,10 @@
     Hangs(IpAddr),
     /// New connections to this host come up this much late.
     Late(IpAddr, Duration),
+    /// All that this host sends and gets takes so much longer.
+    Slow(IpAddr, Duration),
+    /// So many of 100 packets of this host are lost, and come when they are sent again.
+    Lossy(IpAddr, u32),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -164,10 +170,31 @@
             stalls.filter(|window| window.from <= now).map(|window| window.until).fold(now, Instant::max);
         let (least, most) = self.latency;
         let extra = (most - least).mul_f64(f64::from(draw) / f64::from(u32::MAX));
-        let at = begin + least + extra;
+        let at = begin + least + extra + self.delay(from, to, draw);
         (!silent(at)).then_some(at)
     }
 
+    /// How much longer it takes by slow links, and by packets that are sent again.
+    fn delay(&self, from: IpAddr, to: IpAddr, draw: u32) -> Duration {
+        let now = Instant::now();
+        let running = self.windows.iter().filter(|window| window.from <= now && now < window.until);
+        let delays = running.map(|window| match window.trouble {
+            Trouble::Slow(host, by) if host == from || host == to => by,
+            Trouble::Lossy(host, percent) if host == from || host == to => {
+                // The timer for sending again doubles each time.
+                let lost = [draw >> 3, draw >> 11, draw >> 19].map(|draw| draw % 100 < percent);
+                match lost {
+                    [true, true, true] => RETRANSMIT * 7,
+                    [true, true, false] => RETRANSMIT * 3,
+                    [true, false, _] => RETRANSMIT,
+                    [false, _, _] => Duration::ZERO,
+                }
+            }
+            _ => Duration::ZERO,
+        });
+        delays.sum()
+    }
+
     /// When a silent machine of two is back, if one is silent now.
     fn back(&self, hosts: [IpAddr; 2]) -> Option<Instant> {
         let now = Instant::now();
@@ -274,6 +301,17 @@
         }
     }
 
+    /// A host has lost power: what is sent to it finds nobody who knows of the connection.
+    pub fn lost_power(&self, host: IpAddr) {
+        let mut state = self.0.borrow_mut();
+        state.ports.retain(|at, _| at.ip() != host);
+        for number in state.links_of(host) {
+            if let Some(link) = state.links.get_mut(&number) {
+                link.cut = true;
+            }
+        }
+    }
+
     /// Resets the connections of a host, which goes on.
     pub fn reset_all(&self, host: IpAddr) {
         let mut state = self.0.borrow_mut();
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -4,6 +4,7 @@
 use crate::discovery::Discovery;
 use crate::endpoint::{self, Endpoint};
 use crate::facts::{Facts, Life};
+use crate::gate::{Gate, Gated};
 use crate::oracle::{self, Breach};
 use crate::script::{Fault, Script};
 use crate::world::{DEADLINE, UNIX, World, ms, sidecar_ip};
@@ -11,11 +12,8 @@
 use runtrack::sidecar::{self, Order};
 use runtrack_discovery::Clock;
 use serde_json::{Value, json};
-use std::cell::{Cell, RefCell};
-use std::future::Future;
-use std::pin::Pin;
+use std::cell::Cell;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -44,39 +42,6 @@
     pub lasted: Duration,
 }
 
-/// Lets a process run, or not.
-#[derive(Default)]
-struct Gate {
-    paused: Cell<bool>,
-    waker: RefCell<Option<Waker>>,
-}
-
-impl Gate {
-    fn pause(&self, paused: bool) {
-        self.paused.set(paused);
-        if let Some(waker) = self.waker.take() {
-            waker.wake();
-        }
-    }
-}
-
-struct Gated<F> {
-    gate: Rc<Gate>,
-    inner: Pin<Box<F>>,
-}
-
-impl<F: Future> Future for Gated<F> {
-    type Output = F::Output;
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
-        if self.gate.paused.get() {
-            *self.gate.waker.borrow_mut() = Some(cx.waker().clone());
-            return Poll::Pending;
-        }
-        self.inner.as_mut().poll(cx)
-    }
-}
-
 /// A sidecar's process.
 struct Process {
     gate: Rc<Gate>,
--- /dev/null
+++ b/crates/sim/tests/fleet.rs
@@ -0,0 +1,99 @@
+//! The control plane in virtual time: fixed seeds, the same run for the same seed, and planted errors.
+
+use runtrack_sim::fleet::run::run;
+use runtrack_sim::fleet::script::Script;
+use runtrack_sim::fleet::{MUTANTS, draw, shrink, timeline};
+use runtrack_sim::mutants;
+use std::ops::Range;
+use std::process::Command;
+
+/// Two threads, as CI has two cores.
+fn each(seeds: Range<u64>, check: impl Fn(u64) + Sync) {
+    let middle = seeds.start + (seeds.end - seeds.start) / 2;
+    std::thread::scope(|scope| {
+        scope.spawn(|| (seeds.start..middle).for_each(&check));
+        (middle..seeds.end).for_each(&check);
+    });
+}
+
+#[test]
+fn no_seed_of_the_fixed_set_breaks_a_rule() {
+    each(0..100, |seed| {
+        let outcome = run(&draw::script(seed), false);
+        assert!(outcome.breaches.is_empty(), "seed {seed}: {}", outcome.breaches[0]);
+        assert!(outcome.facts.last_acknowledged, "seed {seed}: nothing was acknowledged at the end");
+    });
+}
+
+/// The last line of `fleet play`, which has the hash of all that went over the network and all that was seen.
+fn in_a_process(seed: u64) -> String {
+    let done = Command::new(env!("CARGO_BIN_EXE_runtrack-sim"))
+        .args(["fleet", "play", &seed.to_string()])
+        .output();
+    let out = String::from_utf8(done.expect("it runs").stdout).expect("text");
+    out.lines().last().expect("a summary").to_owned()
+}
+
+#[test]
+fn the_same_seed_is_the_same_run_in_another_process() {
+    each(0..16, |seed| {
+        let there = in_a_process(seed);
+        let here = format!("hash {:016x};", run(&draw::script(seed), false).hash);
+        assert!(there.contains(&here), "seed {seed}: {there}, here {here}");
+    });
+    assert_ne!(in_a_process(1), in_a_process(2));
+}
+
+#[test]
+fn what_is_written_down_is_what_was_drawn() {
+    for seed in 0..100 {
+        let script = draw::script(seed);
+        let text = serde_json::to_string(&script).expect("a script is data");
+        assert_eq!(serde_json::from_str::<Script>(&text).expect("the same"), script);
+    }
+}
+
+/// Seeds that show a planted error; `runtrack-sim fleet mutants` measures how many it takes.
+const SHOWN_BY: [(&str, u64); 11] = [
+    ("repeat-forgotten", 0),
+    ("base-not-checked", 0),
+    ("heartbeats-out-of-contact", 6),
+    ("contact-of-one-side", 18),
+    ("copies-never-repaired", 0),
+    ("promise-not-kept", 0),
+    ("value-not-kept", 0),
+    ("wiped-member-votes", 0),
+    ("ballot-without-boot", 0),
+    ("commit-of-any-ballot", 3),
+    ("told-before-committed", 6),
+];
+/// Runs that the test of shrinking may take.
+const SHRINK_RUNS: usize = 40;
+
+#[test]
+fn each_planted_error_is_found_by_its_seed() {
+    let names: Vec<&str> = MUTANTS.iter().map(|mutant| mutant.name).collect();
+    each(0..SHOWN_BY.len() as u64, |number| {
+        let (name, seed) = SHOWN_BY[number as usize];
+        assert!(names.contains(&name), "{name}");
+        let outcome = mutants::with(Some(name), || run(&draw::script(seed), false));
+        assert!(!outcome.breaches.is_empty(), "{name}: seed {seed} breaks nothing");
+    });
+}
+
+#[test]
+fn a_script_that_breaks_a_rule_becomes_a_small_one_with_a_timeline() {
+    let (name, seed) = SHOWN_BY[0];
+    let script = draw::script(seed);
+    let (small, again) = mutants::with(Some(name), || {
+        let rule = run(&script, false).breaches.first().expect("it breaks a rule").rule;
+        let (small, _) = shrink::shrink(&script, rule, SHRINK_RUNS);
+        let again = run(&small, true);
+        assert!(again.breaches.iter().any(|breach| breach.rule == rule));
+        (small, again)
+    });
+    assert!(small.faults.len() + small.requests.len() < script.faults.len() + script.requests.len());
+    let text = timeline::whole(&small, &again.facts, &again.log, &again.breaches);
+    assert!(text.contains("controller.start") && text.contains("BROKEN"), "{text}");
+    assert!(run(&small, false).breaches.is_empty(), "without the error it breaks nothing");
+}
