Proposer: a value under a higher ballot elsewhere is looked into, until it is known

Change: probes tell under which ballot others hold a value; where that is newer than what is known, one round finds out. Checked again after the wait, so that a change on its way costs no round.

--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -146,6 +146,7 @@
         }
         // Replies count in the order of their probes: a disk that was put back from an older copy holds less.
         self.accepted.borrow_mut().insert(from, reply.accepted);
+        self.proposer.on_peer_accepted(reply.accepted);
         self.proven.notify_one();
     }
 
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -71,6 +71,10 @@
     informed: Cell<bool>,
     /// Who was asked, and where the replies go.
     pending: RefCell<PendingRequests<(Member, Replies)>>,
+    /// The newest ballot under which another controller says that it has a value.
+    newest_elsewhere: Cell<Ballot>,
+    /// Ballots up to this one were elsewhere before a round of this process came to its end: they are accounted for.
+    settled: Cell<Ballot>,
     turn: Mutex<()>,
     unsettled: Notify,
 }
@@ -93,6 +97,8 @@
             known: RefCell::default(),
             informed: Cell::new(false),
             pending: RefCell::new(PendingRequests::starting_at(fastrand::u64(..))),
+            newest_elsewhere: Cell::default(),
+            settled: Cell::default(),
             turn: Mutex::new(()),
             unsettled: Notify::new(),
         })
@@ -110,8 +116,29 @@
         }
     }
 
+    /// Another controller says under which ballot it has a value on disk. Where that is newer than what is known here,
+    /// a round finds out what is chosen: the same value may have been accepted again under a higher ballot, and word of
+    /// that is told once and may be lost.
+    pub fn on_peer_accepted(&self, ballot: Ballot) {
+        self.newest_elsewhere.set(self.newest_elsewhere.get().max(ballot));
+    }
+
+    /// Whether there is something newer than what is known here, on this disk, in others' words or on their disks.
+    fn is_behind(&self) -> bool {
+        let accepted = self.member.accepted().map(|accepted| accepted.ballot);
+        let told = self.gossip.replica().members().sequence;
+        let known = self.known.borrow();
+        let (ballot, sequence) =
+            known.as_ref().map_or_else(Default::default, |(ballot, value)| (*ballot, value.sequence));
+        let settled = self.settled.get().max(ballot);
+        accepted.is_some_and(|accepted| accepted > ballot)
+            || sequence < told
+            || self.newest_elsewhere.get() > settled
+    }
+
     /// Another member says that the value of this ballot is chosen.
     pub fn on_committed(&self, ballot: Ballot) {
+        self.on_peer_accepted(ballot);
         if self.known.borrow().as_ref().is_some_and(|(known, _)| *known >= ballot) {
             return;
         }
@@ -279,18 +306,19 @@
             let settle = self.at_least_writes(SETTLE);
             let pause = if self.informed.get() { settle } else { ASK_AT_START };
             let _ = timeout(pause.mul_f64(1.0 + fastrand::f64()), self.unsettled.notified()).await;
-            let accepted = self.member.accepted().map(|accepted| accepted.ballot);
-            let known = self.known.borrow().as_ref().map(|(ballot, _)| *ballot);
-            let behind = self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence)
-                < self.gossip.replica().members().sequence;
-            if self.informed.get() && accepted <= known && !behind {
+            if self.informed.get() && !self.is_behind() {
                 continue;
             }
             if self.informed.get() {
                 // Word of it may still be on its way.
                 sleep(settle.mul_f64(fastrand::f64())).await;
+                if !self.is_behind() {
+                    continue;
+                }
             }
+            let elsewhere = self.newest_elsewhere.get();
             if self.read().await.is_ok() {
+                self.settled.set(elsewhere);
                 info!(self.gossip.logger(), "register.settled";
                     "sequence" => self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence));
             }
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -269,6 +269,17 @@
         network.connect(address(machine, FIRST_PORT).into()).await.expect("it listens")
     }
 
+    /// Takes links in at a machine's port for links, for a member that is played by a test.
+    pub fn listen_for_links(&self, machine: usize) -> Box<dyn Listener> {
+        let network = Wired { machine, wires: self.wires.clone() };
+        network.listen(address(machine, FIRST_PORT).into()).expect("nobody listens there")
+    }
+
+    /// A machine's address as a member.
+    pub fn link_address(&self, machine: usize) -> SocketAddrV4 {
+        address(machine, FIRST_PORT)
+    }
+
     /// One call over HTTP, and how long its answer took.
     pub async fn timed(
         &self,
