Proposer: who was preempted leaps over the rounds that others take meanwhile

Cause: two members that are read from one after another raise the ballot while a third waits after it was preempted, so that its next ballot is too low again; it answered 503 for as long as they were read from. Change: each preemption in a row doubles the distance that the next ballot keeps from the highest one seen.

--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -26,6 +26,8 @@
 /// Wait after a round that a higher ballot got in the way of, times the tries so far, and up to as much more.
 const ROUND_BACKOFF: Duration = Duration::from_millis(8);
 const MAX_BACKOFF_STEPS: u32 = 8;
+/// A proposer that was preempted leaps over so many rounds of others at most, as a power of two.
+const MAX_LEAP_STEPS: u32 = 10;
 /// An order or a read that has not come through by then gets no clear answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
 /// A value that was accepted here and not heard to be chosen is settled by a round of our own after this, and up to as
@@ -250,6 +252,8 @@
         for tries in 1.. {
             match timeout_at(until, self.round(decide)).await.ok()? {
                 Some(Outcome::Preempted(_)) => {
+                    // The others' rounds go on during the wait: a ballot just above theirs of now would be too low then.
+                    self.round.set(self.round.get() + (1 << tries.min(MAX_LEAP_STEPS)));
                     sleep(ROUND_BACKOFF * tries.min(MAX_BACKOFF_STEPS) * fastrand::u32(100..200) / 100)
                         .await;
                 }
--- /dev/null
+++ b/crates/controller/tests/contention.rs
@@ -0,0 +1,50 @@
+//! Reads at all members at once, over slow disks, in virtual time: each member comes through in the end.
+
+mod virtual_time;
+
+use std::time::Duration;
+use tokio::time::Instant;
+use virtual_time::{World, run};
+
+const READ: &str = "/runtrack/config/read";
+/// Virtual time for which each member is read from.
+const LENGTH: Duration = Duration::from_secs(10);
+/// The longest time without an answer at one member.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// Reads one after another at a member; the longest time between two that came through.
+async fn longest_wait(world: &World, machine: usize) -> Duration {
+    let began = Instant::now();
+    let (mut last, mut longest) = (began, Duration::ZERO);
+    while began.elapsed() < LENGTH {
+        let (status, _) = world.timed(machine, "GET", READ, "", "").await;
+        longest = longest.max(last.elapsed());
+        if status == 200 {
+            last = Instant::now();
+        }
+    }
+    longest
+}
+
+#[test]
+fn reads_at_all_members_at_once_come_through_over_slow_disks() {
+    for delay_ms in [1, 30, 100] {
+        run(async move {
+            let mut world = World::new(3, 4.0);
+            for machine in 0..3 {
+                world.start(machine, true);
+            }
+            for machine in 0..3 {
+                world.logged(machine, "contact.majority", "").await;
+            }
+            world.order(0, 0, 1).await;
+            for machine in 0..3 {
+                world.slow_disk(machine, Duration::from_millis(delay_ms));
+            }
+            let waits =
+                tokio::join!(longest_wait(&world, 0), longest_wait(&world, 1), longest_wait(&world, 2));
+            println!("{delay_ms} ms a write: {waits:?}");
+            assert!(waits.0.max(waits.1).max(waits.2) <= MAX_WAIT, "{delay_ms} ms a write: {waits:?}");
+        });
+    }
+}
