Controller: the parts and what goes to them have a module of their own

Change: parts.rs makes the parts and routes messages to them; lib.rs starts and ends the process. Behaviour unchanged.

--- /dev/null
+++ b/crates/controller/src/parts.rs
@@ -0,0 +1,153 @@
+//! The parts of a control member and which messages go to which of them.
+
+use crate::backlog::Backlogs;
+use crate::contact::MajorityContact;
+use crate::disk::Disk;
+use crate::disk_guard::DiskGuard;
+use crate::endpoints::Endpoints;
+use crate::member::MemberTask;
+use crate::membership::{Membership, MembershipSettings};
+use crate::proposer::Proposer;
+use crate::seeds_of;
+use runtrack_fleetconfig::Node;
+use runtrack_link::{Gossip, MessageHandler, Session};
+use runtrack_message::{Member, Message, RegisterRequest, Role};
+use runtrack_net::mutant;
+use runtrack_register::{Acceptor, MembershipTimes};
+use std::cell::OnceCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use tokio::task::spawn_local;
+
+/// The parts of a control member, each with its own state.
+pub(crate) struct Parts {
+    pub(crate) proposer: Rc<Proposer>,
+    pub(crate) membership: Rc<Membership>,
+    pub(crate) endpoints: Rc<Endpoints>,
+    pub(crate) contact: Rc<MajorityContact>,
+    pub(crate) guard: Rc<DiskGuard>,
+    member: Rc<MemberTask>,
+    backlogs: Rc<Backlogs>,
+}
+
+impl Parts {
+    /// The parts of a member that was recovered from this disk.
+    pub(crate) fn new(gossip: &Rc<Gossip>, disk: Disk, acceptor: Acceptor, node: &Node) -> Rc<Self> {
+        let me = gossip.me().member;
+        let seeds = seeds_of(node);
+        let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
+        let times = MembershipTimes::new(node.bounds.settle, node.bounds.grace);
+        let own = acceptor.watermark();
+        let member = MemberTask::start(acceptor, disk, gossip.logger().clone());
+        let proposer = Proposer::new(gossip.clone(), member.clone(), me, first.clone());
+        let contact =
+            MajorityContact::new(gossip.clone(), proposer.clone(), member.clone(), first, times.suspicion);
+        let settings =
+            MembershipSettings { seeds, wanted: 2 * node.tolerance.machines as usize + 1, times };
+        let membership =
+            Membership::new(gossip.clone(), proposer.clone(), member.clone(), contact.clone(), settings);
+        Rc::new(Parts {
+            endpoints: Endpoints::new(gossip.clone(), contact.clone()),
+            guard: DiskGuard::new(gossip.clone(), proposer.clone(), member.clone(), me, own),
+            backlogs: Backlogs::new(gossip.clone()),
+            proposer,
+            membership,
+            contact,
+            member,
+        })
+    }
+
+    /// Starts what the parts do by themselves, for as long as the process runs.
+    pub(crate) fn spawn(&self, node: &Node) {
+        spawn_local(self.backlogs.clone().run());
+        spawn_local(self.proposer.clone().run());
+        spawn_local(self.membership.clone().run());
+        spawn_local(self.contact.clone().run());
+        spawn_local(self.endpoints.clone().run(node.heartbeat));
+    }
+
+    fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
+        match message {
+            Message::Request(number, request) => {
+                if mutant("told-before-committed") {
+                    tell_accepted(gossip, &request);
+                }
+                let session = session.clone();
+                self.member.ask(request, move |reply| session.send(&Message::Reply(number, reply)));
+            }
+            Message::Reply(number, reply) => self.proposer.replied(session.key, number, reply),
+            Message::Commit(ballot) => self.proposer.on_committed(ballot),
+            Message::Join(joining) => self.membership.on_join_request(session, joining),
+            Message::Leave(leaving) => self.membership.on_leave_request(leaving),
+            Message::Confirm(number, records) => {
+                if !mutant("confirmed-without-merge") {
+                    gossip.merge(records.into_vec(), Some(session.key));
+                }
+                session.send(&Message::Confirmed(number));
+            }
+            Message::Confirmed(number) => self.endpoints.confirmed(number, session),
+            Message::Probe(number) => self.contact.on_probe(session, number),
+            Message::ProbeReply(reply) => self.contact.on_reply(session, reply),
+            Message::HeartbeatRelay(keys) => self.endpoints.relayed(keys.items()),
+            Message::OwnBacklog(part) => self.backlogs.told(session, part),
+            _ => {}
+        }
+    }
+
+    /// What a message says of the speaker's disk, or of this process's.
+    fn note_disk(&self, session: &Session, message: &Message) {
+        match message {
+            Message::Reply(_, reply) => self.guard.on_register_reply(session, reply),
+            Message::ProbeReply(reply) => self.guard.on_accepted(session, reply.accepted),
+            Message::Watermark(member) => self.guard.on_question(session, *member),
+            Message::WatermarkReply(answer) => self.guard.on_answer(session, answer),
+            _ => {}
+        }
+    }
+}
+
+/// Hands messages to the parts, once they are there.
+#[derive(Clone, Default)]
+pub(crate) struct Routing(Rc<OnceCell<Rc<Parts>>>);
+
+impl Routing {
+    /// From now on messages go to these.
+    pub(crate) fn set(&self, parts: Rc<Parts>) {
+        let _ = self.0.set(parts); // called once, right after the parts are made
+    }
+}
+
+impl MessageHandler for Routing {
+    fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
+        if let Some(parts) = self.0.get() {
+            parts.note_disk(session, &message);
+            parts.on_message(gossip, session, message);
+        }
+    }
+
+    fn on_connect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
+        let role = session.peer.borrow().as_ref().map(|peer| peer.role);
+        let Some(parts) = self.0.get() else { return };
+        match role {
+            Some(Role::Agent) => {
+                parts.contact.on_agent_connect(session);
+                parts.endpoints.greet(session);
+            }
+            Some(Role::Controller) => parts.contact.probe(session),
+            Some(Role::Proxy) | None => {}
+        }
+    }
+
+    fn on_disconnect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
+        if let Some(parts) = self.0.get() {
+            parts.backlogs.forget(session);
+        }
+    }
+}
+
+/// A planted error: what this member is asked to accept is told to agents, whether it is committed or not.
+fn tell_accepted(gossip: &Gossip, request: &RegisterRequest) {
+    if let RegisterRequest::Accept { value, .. } = request {
+        gossip.take_config(value.version, value.config.as_slice().to_vec());
+    }
+}
