--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -120,7 +120,7 @@
     pub fn on_probe(&self, session: &Session, number: u64) {
         let members = self.members();
         let unreachable = self.table.borrow_mut().unreachable(self.gossip.now(), &members);
-        let accepted = self.member.durable_accepted();
+        let accepted = self.member.shown_accepted();
         session.send(&Message::ProbeReply(ProbeReply {
             number,
             accepted,
--- a/crates/controller/src/disk_guard.rs
+++ b/crates/controller/src/disk_guard.rs
@@ -11,12 +11,15 @@
 use runtrack_register::{DiskCheck, DiskVerdict, DurableWatermarks};
 use slog::{info, warn};
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// How often members that have not answered are asked.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(50);
+/// Where more members are remembered than this, those are forgotten that are neither in force nor connected.
+const MAX_REMEMBERED_MEMBERS: usize = 64;
 
 /// The check of this member's disk, and what it remembers of others.
 pub(crate) struct DiskGuard {
@@ -67,6 +70,7 @@
     pub fn on_register_reply(&self, session: &Session, reply: &RegisterReply) {
         if let Some(from) = controller_of(session) {
             self.watermarks.borrow_mut().on_reply(from, reply);
+            self.forget_others();
         }
     }
 
@@ -74,9 +78,21 @@
     pub fn on_accepted(&self, session: &Session, ballot: Ballot) {
         if let Some(from) = controller_of(session) {
             self.watermarks.borrow_mut().on_accepted(from, ballot);
+            self.forget_others();
         }
     }
 
+    /// Keeps what is remembered within bounds. A member that is only down is in force, and is not forgotten.
+    fn forget_others(&self) {
+        if self.watermarks.borrow().remembered_members() <= MAX_REMEMBERED_MEMBERS {
+            return;
+        }
+        let sessions = self.gossip.peers(Role::Controller);
+        let connected = sessions.iter().filter_map(|session| controller_of(session));
+        let kept: BTreeSet<Member> = self.proposer.sets().into_iter().flatten().chain(connected).collect();
+        self.watermarks.borrow_mut().retain(&kept);
+    }
+
     /// Asks until it is known whether the disk is the newest, and lets the member take part then; returns only where
     /// the disk is an older one.
     pub async fn run(&self) {
@@ -109,11 +125,10 @@
         let unanswered = check.unanswered();
         for session in self.gossip.peers(Role::Controller) {
             let Some(peer) = controller_of(&session) else { continue };
-            // Another incarnation has taken the place of one that can't remember anything any more.
             for gone in
                 unanswered.iter().filter(|other| other.address() == peer.address() && **other != peer)
             {
-                check.on_answer(*gone, Watermark::default());
+                check.on_replaced(*gone);
             }
             if unanswered.contains(&peer) && session.peer_wire() >= CONTACT_WIRE_VERSION {
                 session.send(&Message::Watermark(self.me));
--- a/crates/controller/src/member.rs
+++ b/crates/controller/src/member.rs
@@ -100,6 +100,12 @@
         self.durable_accepted.get()
     }
 
+    /// What it tells others that it has on disk. Nothing before the check of its disk: they would remember it, and take
+    /// what an older disk holds for what was there before.
+    pub fn shown_accepted(&self) -> Ballot {
+        if self.released.get() { self.durable_accepted() } else { Ballot::default() }
+    }
+
     /// How long the last write to its disk took.
     pub fn write_time(&self) -> Duration {
         self.write_time.get()
--- a/crates/register/src/watermark.rs
+++ b/crates/register/src/watermark.rs
@@ -56,6 +56,11 @@
         self.seen.get(member).copied().unwrap_or_default()
     }
 
+    /// How many members it remembers.
+    pub fn remembered_members(&self) -> usize {
+        self.seen.len()
+    }
+
     /// Forgets all members but these.
     pub fn retain(&mut self, members: &BTreeSet<Member>) {
         self.seen.retain(|member, _| members.contains(member));
@@ -83,6 +88,8 @@
     own: Watermark,
     sets: Vec<BTreeSet<Member>>,
     answers: BTreeMap<Member, Watermark>,
+    /// Members whose place another incarnation has taken.
+    replaced: BTreeSet<Member>,
     /// When a majority of each set had answered.
     majority_since: Option<Duration>,
 }
@@ -90,7 +97,14 @@
 impl DiskCheck {
     /// A member that has this on its disk, and asks the members of these sets.
     pub fn new(me: Member, own: Watermark, sets: Vec<BTreeSet<Member>>) -> Self {
-        DiskCheck { me, own, sets, answers: BTreeMap::new(), majority_since: None }
+        DiskCheck {
+            me,
+            own,
+            sets,
+            answers: BTreeMap::new(),
+            replaced: BTreeSet::new(),
+            majority_since: None,
+        }
     }
 
     /// Newer sets than those on the disk have become known. An older copy may name members of long ago.
@@ -112,6 +126,12 @@
         *answer = answer.highest(&remembered);
     }
 
+    /// Another incarnation has taken the place of this member, which remembers nothing any more: nobody waits for it.
+    /// That is no answer, and does not count towards a majority.
+    pub fn on_replaced(&mut self, member: Member) {
+        self.replaced.insert(member);
+    }
+
     /// What is known at this moment of a steady clock. It is asked again after each answer and each tick until it is
     /// something else than [`DiskVerdict::Waiting`]. Without a majority it waits on, which costs nothing: nothing could
     /// be committed with this member either.
@@ -126,7 +146,8 @@
             return DiskVerdict::Waiting;
         }
         let since = *self.majority_since.get_or_insert(now);
-        if !self.unanswered().is_empty() && now.saturating_sub(since) < LATE_ANSWERS_TIMEOUT {
+        let late = self.unanswered().iter().any(|member| !self.replaced.contains(member));
+        if late && now.saturating_sub(since) < LATE_ANSWERS_TIMEOUT {
             return DiskVerdict::Waiting;
         }
         if remembered == Watermark::default() { DiskVerdict::Unknown } else { DiskVerdict::Current }
--- a/crates/register/tests/watermarks.rs
+++ b/crates/register/tests/watermarks.rs
@@ -45,6 +45,7 @@
     seen.on_accepted(at, ballot(11));
     assert_eq!(seen.of(&at), watermark(11, 11));
     assert_eq!(seen.of(&member(1, 7)), Watermark::default(), "another incarnation is another member");
+    assert_eq!(seen.remembered_members(), 1);
     seen.retain(&[member(0, 0)].into_iter().collect());
     assert_eq!(seen.of(&at), Watermark::default());
 }
@@ -100,6 +101,15 @@
     assert_eq!(check.verdict(START + LATE_ANSWERS_TIMEOUT), DiskVerdict::Current);
 }
 
+#[test]
+fn a_member_that_was_replaced_is_not_waited_for_and_counts_for_nothing() {
+    let mut check = check(watermark(7, 5));
+    check.on_replaced(member(0, 0));
+    assert_eq!(check.verdict(START + 2 * LATE_ANSWERS_TIMEOUT), DiskVerdict::Waiting);
+    check.on_answer(member(1, 0), watermark(7, 5));
+    assert_eq!(check.verdict(START), DiskVerdict::Current, "a majority has answered and nobody else will");
+}
+
 #[test]
 fn both_sets_of_a_change_of_members_are_asked() {
     let next = [member(2, 0), member(3, 9), member(4, 9)].into_iter().collect();
