--- a/crates/register/src/copies.rs
+++ b/crates/register/src/copies.rs
@@ -1,7 +1,7 @@
 //! Who holds the committed value on disk. No I/O and no clock: time comes in as a [`Duration`] on a steady clock.
 //!
 //! A committed value is on the disks of a majority. After a change of members, or once a member can be reached again,
-//! the [`CopyTable`] watches until every member that can be reached holds it too.
+//! the [`CopyTable`] watches until every member can be reached and holds it too.
 
 use crate::membership::PresentMember;
 use crate::sets::{is_joint, members_of};
@@ -16,7 +16,7 @@
 /// What became of the copies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CopyEvent {
-    /// Every member that can be reached holds the value of this sequence number, so long after it was first wanted.
+    /// Every member can be reached and holds the value of this sequence number, so long after it was first wanted.
     Whole {
         /// Sequence number of the value.
         sequence: u64,
@@ -133,9 +133,11 @@
         self.lacking.get(member).is_some_and(|since| now.saturating_sub(*since) > self.wait)
     }
 
-    /// Whether every member that can be reached holds the value of this ballot, or a newer one.
+    /// Whether every member can be reached and holds the value of this ballot, or a newer one. Beside one that can't be
+    /// reached the next loss may leave no majority, however whole the copies of the others are.
     pub fn is_whole(&self, ballot: Ballot) -> bool {
-        self.reached.values().all(|accepted| *accepted >= ballot)
+        let holds = |member| self.reached.get(member).is_some_and(|accepted| *accepted >= ballot);
+        self.set.iter().all(holds)
     }
 
     /// Ballot of the value by which the current set came into force.
--- a/crates/register/tests/copy_table.rs
+++ b/crates/register/tests/copy_table.rs
@@ -47,7 +47,19 @@
 }
 
 #[test]
-fn copies_are_whole_once_all_members_that_can_be_reached_hold_the_value() {
+fn copies_are_not_whole_beside_a_member_that_can_not_be_reached() {
+    let mut table = three();
+    let joined_beside_one_that_is_lost = value(3, &[&[1, 2, 3, 4]]);
+    let others = || holding(&[(1, 7), (2, 7), (4, 7)]);
+    assert_eq!(table.observe(at(100), ballot(7), &joined_beside_one_that_is_lost, others()), []);
+    assert!(!table.is_whole(ballot(7)), "two of four would be no majority");
+    let removed = value(5, &[&[1, 2, 4]]);
+    let events = table.observe(at(900), ballot(9), &removed, holding(&[(1, 9), (2, 9), (4, 9)]));
+    assert_eq!(events, whole(5, 0));
+}
+
+#[test]
+fn copies_are_whole_once_all_members_can_be_reached_and_hold_the_value() {
     let mut table = three();
     let changed = value(3, &[&[1, 2, 4]]);
     assert_eq!(table.observe(at(100), ballot(7), &changed, holding(&[(1, 7), (2, 5), (4, 5)])), []);
