weirwharf: links of the documentation reach across the files of types

Cause: types.rs was split, and nine links named what is in another file now; the build of the documentation refused them. Change: the links name the crate's own items.

--- a/crates/weirwharf/src/types/endpoint.rs
+++ b/crates/weirwharf/src/types/endpoint.rs
@@ -16,7 +16,7 @@
     pub cell: CellId,
     /// Whether it may be sent to.
     pub state: EndpointState,
-    /// Its weight, see [`WeightKind`].
+    /// Its weight, see [`WeightKind`](crate::WeightKind).
     pub weight: f64,
     /// When its process last started; `None` means long ago.
     pub started: Option<Duration>,
--- a/crates/weirwharf/src/types/event.rs
+++ b/crates/weirwharf/src/types/event.rs
@@ -33,7 +33,7 @@
         outcome: Outcome,
         /// Time since sending.
         elapsed: Duration,
-        /// The values of [`LoadReports::fields`], if any came.
+        /// The values of [`LoadReports::fields`](crate::LoadReports::fields), if any came.
         report: Option<Vec<f64>>,
     },
     /// A message from another balancer of this tier.
@@ -97,7 +97,7 @@
     pub elapsed: Duration,
     /// The request is finished, by this outcome or before it.
     pub finished: bool,
-    /// The values of [`LoadReports::fields`], if any came.
+    /// The values of [`LoadReports::fields`](crate::LoadReports::fields), if any came.
     pub report: Option<Vec<f64>>,
 }
 
--- a/crates/weirwharf/src/types/ids.rs
+++ b/crates/weirwharf/src/types/ids.rs
@@ -10,10 +10,10 @@
 /// Number of an attempt within its request: 0, 1, 2 ... in the order sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AttemptNo(pub u32);
-/// Index into [`Settings::classes`].
+/// Index into [`Settings::classes`](crate::Settings::classes).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ClassId(pub usize);
-/// Index into [`Settings::tenants`].
+/// Index into [`Settings::tenants`](crate::Settings::tenants).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TenantId(pub usize);
 /// A zone (data centre); crossing zones may cost.
--- a/crates/weirwharf/src/types/limits.rs
+++ b/crates/weirwharf/src/types/limits.rs
@@ -63,7 +63,7 @@
 /// Figures of the four rules.
 #[derive(Clone, Debug)]
 pub struct Rules {
-    /// With [`Discovery::Ask`]: ask again within this.
+    /// With [`Discovery::Ask`](crate::Discovery::Ask): ask again within this.
     pub ask_within: Duration,
     /// A cold endpoint starts at this fraction of its capacity or more.
     pub cold_share: f64,
--- a/crates/weirwharf/src/types/settings.rs
+++ b/crates/weirwharf/src/types/settings.rs
@@ -36,7 +36,7 @@
     pub costs: Costs,
     /// What load reports hold and how they come.
     pub load_reports: LoadReports,
-    /// What [`EndpointInfo::weight`] means.
+    /// What [`EndpointInfo::weight`](crate::EndpointInfo::weight) means.
     pub weights: WeightKind,
     /// Least time between two rounds of events.
     pub tick: Duration,
@@ -44,7 +44,7 @@
     pub passes_deadline: bool,
     /// An endpoint that served a key of late serves it with less work.
     pub warm_keys: bool,
-    /// Clients mark their repeats, see [`Request::client_retry`].
+    /// Clients mark their repeats, see [`Request::client_retry`](crate::Request::client_retry).
     pub clients_mark_retries: bool,
 }
 
@@ -117,7 +117,7 @@
 pub enum CountedBy {
     /// Each request counts alike within its class.
     Request,
-    /// Value is for each unit of work, see [`Request::work_hint`].
+    /// Value is for each unit of work, see [`Request::work_hint`](crate::Request::work_hint).
     Work,
 }
 
