Controller: tests of copies read logs as fast as they are written, and wait for contact

Change: the scenario waits for copies.whole first; all lines that are there are looked at in a turn. Assertions are unchanged.

--- a/crates/controller/tests/copies.rs
+++ b/crates/controller/tests/copies.rs
@@ -26,6 +26,7 @@
     cluster.first_boot();
     assert_eq!(cluster.order(0, 0, 1), 200);
     cluster.logged(2, "config.taken", "\"version\":1");
+    cluster.logged(0, "copies.whole", ""); // it reaches both
     cluster.refuse_values(2);
     assert_eq!(cluster.order(0, 1, 2), 200, "two of three are a majority");
     cluster.logged(2, "register.settled", "\"sequence\":2");
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -311,8 +311,10 @@
         while Instant::now() < until {
             for machine in machines {
                 let log = &self.nodes[*machine].process.as_ref().expect("it runs").log;
-                let line = log.recv_timeout(LOG_TURN).unwrap_or_default();
-                if line.contains(&name) && line.contains(with) {
+                // All that is there: one that logs a lot must not be read more slowly than it writes.
+                let first = log.recv_timeout(LOG_TURN).ok();
+                let mut lines = first.into_iter().chain(log.try_iter());
+                if lines.any(|line| line.contains(&name) && line.contains(with)) {
                     return *machine;
                 }
             }
