One piece for draws of scripts and for three members in a test; an accessor that nobody calls goes

Cause: Draws stood in both drawing modules of the simulation, the start of three members in five test files, and Session::heard had no caller. Change: the fleet's scripts are drawn with the sidecar's Draws; World::with_three_members starts what the tests began with. Behaviour and assertions unchanged.

--- a/crates/controller/tests/contention.rs
+++ b/crates/controller/tests/contention.rs
@@ -30,14 +30,7 @@
 fn reads_at_all_members_at_once_come_through_over_slow_disks() {
     for delay_ms in [1, 30, 100] {
         run(async move {
-            let mut world = World::new(3, 4.0);
-            for machine in 0..3 {
-                world.start(machine, true);
-            }
-            for machine in 0..3 {
-                world.logged(machine, "contact.majority", "").await;
-            }
-            world.order(0, 0, 1).await;
+            let world = World::with_three_members(3, 4.0).await;
             for machine in 0..3 {
                 world.slow_disk(machine, Duration::from_millis(delay_ms));
             }
--- a/crates/controller/tests/cut_off.rs
+++ b/crates/controller/tests/cut_off.rs
@@ -35,15 +35,7 @@
 
 /// Three members in contact, with a configuration.
 async fn three() -> World {
-    let mut world = World::new(3, SETTLE_S);
-    for machine in 0..3 {
-        world.start(machine, true);
-    }
-    for machine in 0..3 {
-        world.logged(machine, "contact.majority", "").await;
-    }
-    world.order(0, 0, 1).await;
-    world
+    World::with_three_members(3, SETTLE_S).await
 }
 
 type Heard = Rc<RefCell<Vec<Message>>>;
--- a/crates/controller/tests/disk_check.rs
+++ b/crates/controller/tests/disk_check.rs
@@ -17,14 +17,7 @@
 
 /// Three members that hold version 1.
 async fn three() -> World {
-    let mut world = World::new(3, SETTLE_S);
-    for machine in 0..3 {
-        world.start(machine, true);
-    }
-    for machine in 0..3 {
-        world.logged(machine, "contact.majority", "").await;
-    }
-    world.order(0, 0, 1).await;
+    let mut world = World::with_three_members(3, SETTLE_S).await;
     for machine in 0..3 {
         world.logged(machine, "config.taken", "\"version\":1").await;
     }
--- a/crates/controller/tests/slow_disks.rs
+++ b/crates/controller/tests/slow_disks.rs
@@ -12,14 +12,7 @@
 #[test]
 fn changes_get_through_where_all_disks_are_slower_than_a_round_waits_at_first() {
     run(async {
-        let mut world = World::new(3, SETTLE_S);
-        for machine in 0..3 {
-            world.start(machine, true);
-        }
-        for machine in 0..3 {
-            world.logged(machine, "contact.majority", "").await;
-        }
-        world.order(0, 0, 1).await;
+        let world = World::with_three_members(3, SETTLE_S).await;
         (0..3).for_each(|machine| world.slow_disk(machine, SLOW));
         for version in 2..=4 {
             world.order(version as usize % 3, version - 1, version).await;
--- a/crates/controller/tests/suspicion.rs
+++ b/crates/controller/tests/suspicion.rs
@@ -15,14 +15,7 @@
 
 /// Three members, and a fourth process that takes the place of whoever is lost.
 async fn three_and_one_to_join(cut: &[(usize, usize)]) -> World {
-    let mut world = World::new(4, SETTLE_S);
-    for machine in 0..3 {
-        world.start(machine, true);
-    }
-    for machine in 0..3 {
-        world.logged(machine, "contact.majority", "").await;
-    }
-    world.order(0, 0, 1).await;
+    let mut world = World::with_three_members(4, SETTLE_S).await;
     for (one, other) in cut {
         world.cut(*one, *other, true);
     }
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -232,6 +232,19 @@
         World { machines: (0..machines).map(machine).collect(), wires: Rc::default(), settle_s }
     }
 
+    /// So many machines, of which the first three run, are in contact with each other and hold version 1.
+    pub async fn with_three_members(machines: usize, settle_s: f64) -> Self {
+        let mut world = World::new(machines, settle_s);
+        for machine in 0..3 {
+            world.start(machine, true);
+        }
+        for machine in 0..3 {
+            world.logged(machine, "contact.majority", "").await;
+        }
+        world.order(0, 0, 1).await;
+        world
+    }
+
     /// A machine's name as a member.
     pub fn member(&self, machine: usize) -> String {
         address(machine, FIRST_PORT).to_string()
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -89,11 +89,6 @@
         self.peer.borrow().as_ref().map_or(0, |peer| peer.wire)
     }
 
-    /// When the other side was last heard.
-    pub fn heard(&self) -> Instant {
-        self.heard.get()
-    }
-
     /// Runs a link until it breaks, falls silent or says nonsense.
     pub(crate) async fn run(
         gossip: &Rc<Gossip>,
--- a/crates/sim/src/draw.rs
+++ b/crates/sim/src/draw.rs
@@ -17,15 +17,17 @@
 /// Requests begin once the sidecars listen.
 const READY: u32 = 300;
 
-struct Draws(Pcg32);
+/// What a script is drawn from.
+pub(crate) struct Draws(pub(crate) Pcg32);
 
 impl Draws {
     /// From the least up to the most, both included.
-    fn of(&mut self, least: u32, most: u32) -> u32 {
+    pub(crate) fn of(&mut self, least: u32, most: u32) -> u32 {
         least + self.0.next_u32() % (most - least + 1)
     }
 
-    fn one_in(&mut self, count: u32) -> bool {
+    /// Whether one of so many cases has come up.
+    pub(crate) fn one_in(&mut self, count: u32) -> bool {
         self.0.next_u32().is_multiple_of(count)
     }
 }
--- a/crates/sim/src/fleet/draw.rs
+++ b/crates/sim/src/fleet/draw.rs
@@ -1,10 +1,11 @@
 //! Scripts from seeds. A seed draws a part of the kinds of fault (swarm testing), so that rare combinations come about that
 //! a mixture of all would bury; no more core machines are lost at once than the tolerance bears.
 
+use crate::draw::Draws;
 use crate::fleet::script::{
     DiskFault, EndpointPlan, Fault, From, Leaving, Manner, Request, RequestKind, Script, Way,
 };
-use rand_core::{RngCore, SeedableRng};
+use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 
 /// The members have come together by then.
@@ -14,19 +15,6 @@
 /// Operators.
 const OPERATORS: u32 = 4;
 
-struct Draws(Pcg32);
-
-impl Draws {
-    /// From the least up to the most, both included.
-    fn of(&mut self, least: u32, most: u32) -> u32 {
-        least + self.0.next_u32() % (most - least + 1)
-    }
-
-    fn one_in(&mut self, count: u32) -> bool {
-        self.0.next_u32().is_multiple_of(count)
-    }
-}
-
 /// The script of a seed.
 pub fn script(seed: u64) -> Script {
     let mut draws = Draws(Pcg32::seed_from_u64(seed ^ 0xf1ee7));
