One piece keeps links dialled, and one knows the seeds' addresses

Cause: the agent dialled and dropped addresses with the same loop as the controller's dials.rs, and both worked out the addresses of the seeds. Change: Dials stands in the link crate and serves both; Node::seed_members and Node::member_address. Behaviour unchanged.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,17 +5,16 @@
 
 use runtrack_fleetconfig::Node;
 use runtrack_link::{
-    Environment, Gossip, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals, dial_for_ever,
-    listen,
+    Dials, Environment, Gossip, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals, listen,
 };
 use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
 use runtrack_ring::{Ring, hash, rendezvous};
 use slog::info;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 /// Members that an agent is linked to: its watchers. With five or fewer members these are all of them.
@@ -75,7 +74,7 @@
     gossip: Rc<Gossip>,
     name: String,
     seeds: BTreeSet<SocketAddrV4>,
-    dials: BTreeMap<SocketAddrV4, JoinHandle<()>>,
+    dials: Dials,
     answered: Instant,
 }
 
@@ -98,27 +97,10 @@
         if !self.gossip.peers(Role::Controller).is_empty() {
             self.answered = Instant::now();
         }
-        let wanted = self.wanted();
-        self.dials.retain(|address, dial| {
-            let keep = wanted.contains(address);
-            if !keep {
-                dial.abort();
-            }
-            keep
-        });
-        for address in wanted {
-            let gossip = &self.gossip;
-            self.dials
-                .entry(address)
-                .or_insert_with(|| spawn_local(dial_for_ever(gossip.clone(), address)));
-        }
+        self.dials.keep(&self.wanted());
     }
 }
 
-fn seeds_of(node: &Node) -> BTreeSet<SocketAddrV4> {
-    node.seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), node.first_port)).collect()
-}
-
 /// Runs an agent until SIGTERM.
 pub async fn run(node: Node, signals: Signals) -> Result<(), String> {
     run_in(Environment::system("agent", &node), node, signals.events()).await
@@ -142,8 +124,8 @@
     let mut links = Links {
         gossip: gossip.clone(),
         name: node.name.clone(),
-        seeds: seeds_of(&node),
-        dials: BTreeMap::new(),
+        seeds: node.seed_members(),
+        dials: Dials::new(gossip.clone()),
         answered: Instant::now(),
     };
     let mut ticks = interval(TICK);
@@ -153,7 +135,7 @@
         tokio::select! {
             biased;
             event = events.recv() => match event {
-                Some(ProcessEvent::Settings(Ok(node))) => links.seeds = seeds_of(&node),
+                Some(ProcessEvent::Settings(Ok(node))) => links.seeds = node.seed_members(),
                 Some(ProcessEvent::Settings(Err(problem))) => {
                     info!(logger, "settings.refused"; "problem" => problem);
                 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,7 +6,6 @@
 mod confirmations;
 mod contact;
 mod copies;
-mod dials;
 pub mod disk;
 mod disk_guard;
 mod endpoints;
@@ -27,8 +26,6 @@
 use runtrack_net::mutant;
 use runtrack_register::{Acceptor, PromiseRecord};
 use slog::info;
-use std::collections::BTreeSet;
-use std::net::SocketAddrV4;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,11 +37,6 @@
 /// Wait before a disk that refused is tried again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 
-/// Where a machine's own links come in.
-fn peer_address(control: SocketAddrV4, first_port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(*control.ip(), first_port)
-}
-
 /// Runs a control member until SIGTERM.
 pub async fn run(node: Node, signals: Signals) -> Result<(), String> {
     let environment = Environment::system("controller", &node);
@@ -52,16 +44,11 @@
     run_in(environment, Rc::new(disk), acceptor, node, signals.events()).await
 }
 
-fn seeds_of(node: &Node) -> BTreeSet<SocketAddrV4> {
-    node.seeds.iter().map(|seed| peer_address(*seed, node.first_port)).collect()
-}
-
 /// The incarnation of a member whose disk holds none: the first one where the whole system starts for the first time and
 /// this is one of its first members, a new one otherwise.
 pub fn new_incarnation(node: &Node) -> u64 {
-    let address = SocketAddrV4::new(node.ip, node.first_port);
     let first_boot = node.first_boot || mutant("wiped-member-votes");
-    if first_boot && seeds_of(node).contains(&address) { 0 } else { fastrand::u64(1..) }
+    if first_boot && node.seed_members().contains(&node.member_address()) { 0 } else { fastrand::u64(1..) }
 }
 
 /// Leaves a new incarnation on a disk that was found to be an older copy, and says why the process ends: it comes back
@@ -84,7 +71,7 @@
 ) -> Result<(), String> {
     let logger = environment.logger.clone();
     let control = node.control.ok_or("listen.control: is missing")?;
-    let me = Member::new(SocketAddrV4::new(node.ip, node.first_port), acceptor.incarnation());
+    let me = Member::new(node.member_address(), acceptor.incarnation());
     info!(logger, "controller.start"; "member" => %me.address(), "incarnation" => me.incarnation,
         "first_boot" => node.first_boot, "recovered" => acceptor.accepted().is_some());
     let hello =
@@ -131,7 +118,7 @@
             () = &mut older_disk => return End::OlderDisk,
         };
         match event {
-            Some(ProcessEvent::Settings(Ok(node))) => parts.membership.set_seeds(seeds_of(&node)),
+            Some(ProcessEvent::Settings(Ok(node))) => parts.membership.set_seeds(node.seed_members()),
             Some(ProcessEvent::Settings(Err(problem))) => {
                 info!(logger, "settings.refused"; "problem" => problem);
             }
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -6,10 +6,9 @@
 
 use crate::contact::MajorityContact;
 use crate::copies::Copies;
-use crate::dials::Dials;
 use crate::member::MemberTask;
 use crate::proposer::Proposer;
-use runtrack_link::{Gossip, Session};
+use runtrack_link::{Dials, Gossip, Session};
 use runtrack_message::{Ballot, Member, Message, Role, Value};
 use runtrack_net::mutant;
 use runtrack_register::{
--- a/crates/controller/src/parts.rs
+++ b/crates/controller/src/parts.rs
@@ -8,7 +8,6 @@
 use crate::member::MemberTask;
 use crate::membership::{Membership, MembershipSettings};
 use crate::proposer::Proposer;
-use crate::seeds_of;
 use runtrack_fleetconfig::Node;
 use runtrack_link::{Gossip, MessageHandler, Session};
 use runtrack_message::{Member, Message, RegisterRequest, Role};
@@ -34,7 +33,7 @@
     /// The parts of a member that was recovered from this disk.
     pub(crate) fn new(gossip: &Rc<Gossip>, disk: Disk, acceptor: Acceptor, node: &Node) -> Rc<Self> {
         let me = gossip.me().member;
-        let seeds = seeds_of(node);
+        let seeds = node.seed_members();
         let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
         let times = MembershipTimes::new(node.bounds.settle, node.bounds.grace);
         let own = acceptor.watermark();
--- a/crates/fleetconfig/src/node.rs
+++ b/crates/fleetconfig/src/node.rs
@@ -3,6 +3,7 @@
 use crate::Finding;
 use ini::{Ini, ParseOption};
 use quick_error::quick_error;
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::str::FromStr;
 use std::time::Duration;
@@ -139,6 +140,16 @@
 }
 
 impl Node {
+    /// This process's address as others of the fleet dial it.
+    pub fn member_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, self.first_port)
+    }
+
+    /// The seeds' addresses for links: ports are alike on all machines.
+    pub fn seed_members(&self) -> BTreeSet<SocketAddrV4> {
+        self.seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), self.first_port)).collect()
+    }
+
     /// The settings in the file that the environment names.
     pub fn from_env() -> Result<Self, SettingsError> {
         let path = std::env::var(FILE_VARIABLE).map_err(|_| SettingsError::NoFile)?;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,6 +5,7 @@
 //! hears of each change at once. A link that has been silent for [`IDLE_LINK_TIMEOUT`] is given up, since behind a cut
 //! nothing ever ends by itself.
 
+mod dials;
 mod environment;
 mod gossip;
 mod logs;
@@ -12,6 +13,7 @@
 mod session;
 mod trust;
 
+pub use dials::Dials;
 pub use environment::{Environment, ProcessEvent, ProcessEvents};
 pub use gossip::{Gossip, MessageHandler};
 pub use logs::json_logger;
