--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,13 +6,15 @@
 mod discovery;
 mod disk;
 mod endpoint;
+mod ports;
 mod proxy;
 mod scripted;
 
-pub use control::{Control, Folder, ask, free_port, memory_kib, platform_fleet};
+pub use control::{Control, Folder, ask, memory_kib, platform_fleet};
 pub use discovery::{Discovery, target};
 pub use disk::Disk;
 pub use endpoint::Endpoint;
+pub use ports::{ReservedPort, free_address, free_port, is_listened_at, listener, reserve_port};
 pub use proxy::{Proxy, ProxyState, ProxyTo, Told};
 pub use scripted::{Scripted, ScriptedDelta, ScriptedLoad, connect, delta_request, node, request, url};
 
