Link: running a connection stands apart from what is known of the link

Cause: session.rs held both the state of a link and the tasks that read and write it, so session used gossip, gossip used trust and trust used session: a circle.

Change: connection.rs dials, accepts, reads and writes; session.rs keeps what is known of a link and its queue of messages, and uses no other module of the crate. Behaviour and public names are unchanged.

--- a/crates/link/src/dials.rs
+++ b/crates/link/src/dials.rs
@@ -1,7 +1,7 @@
 //! Links that this process keeps up.
 
+use crate::connection::dial_for_ever;
 use crate::gossip::Gossip;
-use crate::session::dial_for_ever;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Keeps the copies of linked processes alike.
 
 use crate::environment::Environment;
-use crate::session::{IDLE_LINK_TIMEOUT, Session};
+use crate::session::{IDLE_LINK_TIMEOUT, SendQueue, Session};
 use crate::trust::{agreed_suspects, config_sources};
 use runtrack_message::{Endpoint, Hello, Message, Role, StateSummary, encode};
 use runtrack_net::{Network, Tcp};
@@ -9,6 +9,7 @@
 use slog::{Logger, info, warn};
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -255,12 +256,13 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    pub(crate) fn enter(&self, make: impl FnOnce(usize) -> Session) -> Rc<Session> {
+    pub(crate) fn enter(&self, dialled: Option<SocketAddrV4>) -> (Rc<Session>, SendQueue) {
         let key = self.next.get();
         self.next.set(key + 1);
-        let session = Rc::new(make(key));
+        let (session, queue) = Session::new(key, dialled);
+        let session = Rc::new(session);
         self.sessions.borrow_mut().push(session.clone());
-        session
+        (session, queue)
     }
 
     pub(crate) fn on_connect(&self, session: &Session) {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,6 +5,7 @@
 //! hears of each change at once. A link that has been silent for [`IDLE_LINK_TIMEOUT`] is given up, since behind a cut
 //! nothing ever ends by itself.
 
+mod connection;
 mod dials;
 mod environment;
 mod gossip;
@@ -13,11 +14,12 @@
 mod session;
 mod trust;
 
+pub use connection::{CONNECT_TIMEOUT, PING_INTERVAL, dial_for_ever, listen};
 pub use dials::Dials;
 pub use environment::{Environment, ProcessEvent, ProcessEvents};
 pub use gossip::{Gossip, MessageHandler};
 pub use logs::json_logger;
 pub use process::{Signals, program, run_single_threaded};
-pub use session::{CONNECT_TIMEOUT, IDLE_LINK_TIMEOUT, PING_INTERVAL, Session, dial_for_ever, listen};
+pub use session::{IDLE_LINK_TIMEOUT, Session};
 pub use slog::{self, Logger};
 pub use trust::START_WAIT;
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -1,34 +1,19 @@
-//! One link to another process.
+//! What this process knows of one link to another process, and the queue of what goes out on it.
 
-use crate::gossip::Gossip;
-use bytes::{Bytes, BytesMut};
-use runtrack_message::{Hello, MAX_FRAME, Member, Message, Role, decode, encode};
-use runtrack_net::{Connection, mutant};
+use bytes::Bytes;
+use runtrack_message::{Hello, MAX_FRAME, Member, Message, Role, encode};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
-use std::future::poll_fn;
-use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf, split};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::task::spawn_local;
-use tokio::time::{Instant, interval, sleep, timeout};
-use tokio_util::codec::{Encoder, LengthDelimitedCodec};
+use tokio::time::Instant;
 
-/// A sign of life goes out this often.
-pub const PING_INTERVAL: Duration = Duration::from_millis(400);
 /// A link on which nothing has come for this long is given up.
 pub const IDLE_LINK_TIMEOUT: Duration = Duration::from_millis(1400);
-/// A connection that has not come up by then is given up.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Wait before a link is dialled again, and up to as much more.
-const REDIAL: Duration = Duration::from_millis(100);
 /// Bytes that may wait for a peer that reads slowly: one configuration of the largest size and some change.
 const MAX_QUEUE: usize = 2 * MAX_FRAME;
-/// Bytes read at once.
-const READ: usize = 16 << 10;
 
 /// A link that is up.
 pub struct Session {
@@ -89,15 +74,11 @@
         self.peer.borrow().as_ref().map_or(0, |peer| peer.wire)
     }
 
-    /// Runs a link until it breaks, falls silent or says nonsense.
-    pub(crate) async fn run(
-        gossip: &Rc<Gossip>,
-        connection: Box<dyn Connection>,
-        dialled: Option<SocketAddrV4>,
-    ) {
+    /// A link that has just come up, and the messages that are to be written to it.
+    pub(crate) fn new(key: usize, dialled: Option<SocketAddrV4>) -> (Self, SendQueue) {
         let (queue, waiting) = unbounded_channel();
         let queued = Rc::new(Cell::new(0));
-        let session = gossip.enter(|key| Session {
+        let session = Session {
             key,
             dialled,
             peer: RefCell::default(),
@@ -110,142 +91,42 @@
             queue,
             queued: queued.clone(),
             heard: Cell::new(Instant::now()),
-        });
-        let _entered = Entered { gossip, session: &session };
-        let (reader, writer) = split(connection);
-        gossip.on_connect(&session);
-        tokio::select! {
-            biased;
-            () = read(gossip, &session, reader) => {}
-            () = write(writer, waiting, &queued) => {}
-            () = watch(&session) => {}
-        }
+        };
+        (session, SendQueue { waiting, queued })
     }
-}
 
-/// A session among the others of the gossip. It leaves however its link ends, also where the task is aborted because the
-/// address is dialled no more: otherwise what is sent to that address later would go to a link that is gone.
-struct Entered<'a> {
-    gossip: &'a Rc<Gossip>,
-    session: &'a Rc<Session>,
-}
-
-impl Drop for Entered<'_> {
-    fn drop(&mut self) {
-        self.gossip.leave(self.session);
+    /// Something has just come from the other side.
+    pub(crate) fn note_received(&self) {
+        self.heard.set(Instant::now());
     }
-}
 
-fn has_fallen_silent(session: &Session) -> bool {
-    session.heard.get().elapsed() >= IDLE_LINK_TIMEOUT
-}
-
-/// Ends once the other side has been silent for too long; sends signs of life until then.
-async fn watch(session: &Session) {
-    let mut ticks = interval(PING_INTERVAL);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    while !has_fallen_silent(session) {
-        ticks.tick().await;
-        session.send(&Message::Ping);
+    /// Whether nothing has come for [`IDLE_LINK_TIMEOUT`].
+    pub(crate) fn has_fallen_silent(&self) -> bool {
+        self.heard.get().elapsed() >= IDLE_LINK_TIMEOUT
     }
 }
 
-/// Reads what has come; whether anything has. Where this process or the link stood still, what has come is old, and
-/// nobody says how old: the link ends once that is read.
-async fn read_more(
-    gossip: &Rc<Gossip>,
-    session: &Rc<Session>,
-    reader: &mut ReadHalf<Box<dyn Connection>>,
-    buffer: &mut BytesMut,
-) -> bool {
-    let reading = reader.read_buf(buffer);
-    let count = if session.stale.get() {
-        timeout(Duration::ZERO, reading).await.unwrap_or(Ok(0))
-    } else {
-        reading.await
-    };
-    if !matches!(count, Ok(1..)) {
-        return false;
-    }
-    if has_fallen_silent(session) && !mutant("link-reads-on-after-standstill") {
-        gossip.on_standstill(session);
-    } else {
-        session.heard.set(Instant::now());
-    }
-    true
+/// The messages of a session that wait to be written, oldest first.
+pub(crate) struct SendQueue {
+    waiting: UnboundedReceiver<Bytes>,
+    queued: Rc<Cell<usize>>,
 }
 
-async fn read(gossip: &Rc<Gossip>, session: &Rc<Session>, mut reader: ReadHalf<Box<dyn Connection>>) {
-    use tokio_util::codec::Decoder;
-    let mut codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).little_endian().new_codec();
-    let mut buffer = BytesMut::with_capacity(READ);
-    loop {
-        match codec.decode(&mut buffer) {
-            Ok(Some(frame)) => match decode(&frame) {
-                Ok(message) => gossip.on_message(session, message),
-                Err(problem) => return gossip.log_broken(session, &problem.to_string()),
-            },
-            Ok(None) => {
-                buffer.reserve(READ);
-                if !read_more(gossip, session, &mut reader, &mut buffer).await {
-                    return;
-                }
-            }
-            Err(problem) => return gossip.log_broken(session, &problem.to_string()),
-        }
+impl SendQueue {
+    /// The oldest message, once there is one; none after the session has gone.
+    pub(crate) async fn next(&mut self) -> Option<Bytes> {
+        let payload = self.waiting.recv().await?;
+        Some(self.taken(payload))
     }
-}
 
-async fn write(
-    mut writer: WriteHalf<Box<dyn Connection>>,
-    mut waiting: UnboundedReceiver<Bytes>,
-    queued: &Cell<usize>,
-) {
-    let mut codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).little_endian().new_codec();
-    let mut buffer = BytesMut::new();
-    while let Some(first) = waiting.recv().await {
-        let mut next = Some(first);
-        while let Some(payload) = next {
-            queued.set(queued.get().saturating_sub(payload.len()));
-            if codec.encode(payload, &mut buffer).is_err() {
-                return;
-            }
-            next = waiting.try_recv().ok();
-        }
-        if writer.write_all_buf(&mut buffer).await.is_err() {
-            return;
-        }
-        if buffer.capacity() > 4 * READ {
-            buffer = BytesMut::new(); // one large message must not be remembered in memory
-        }
+    /// The oldest message, if one waits.
+    pub(crate) fn try_next(&mut self) -> Option<Bytes> {
+        let payload = self.waiting.try_recv().ok()?;
+        Some(self.taken(payload))
     }
-}
 
-/// Keeps a link to an address up until the caller drops this.
-pub async fn dial_for_ever(gossip: Rc<Gossip>, to: SocketAddrV4) {
-    loop {
-        let connecting = gossip.network().connect(to.into());
-        if let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT, connecting).await {
-            Session::run(&gossip, connection, Some(to)).await;
-        }
-        sleep(REDIAL + REDIAL.mul_f64(fastrand::f64())).await;
+    fn taken(&self, payload: Bytes) -> Bytes {
+        self.queued.set(self.queued.get().saturating_sub(payload.len()));
+        payload
     }
 }
-
-/// Takes links in at an address.
-pub async fn listen(gossip: Rc<Gossip>, at: SocketAddrV4) -> io::Result<()> {
-    let listener = gossip.network().listen(at.into())?;
-    spawn_local(async move {
-        loop {
-            match poll_fn(|cx| listener.poll_accept(cx)).await {
-                Ok(connection) => {
-                    let gossip = gossip.clone();
-                    spawn_local(async move { Session::run(&gossip, connection, None).await });
-                }
-                // Out of descriptors it would fail again at once, and spin.
-                Err(_) => sleep(REDIAL).await,
-            }
-        }
-    });
-    Ok(())
-}
