Proxy: the outgoing request has a module of its own; two circles are open

Cause: judge used attempt for the type of a request as it is sent on, and attempt used judge; forward used attempts for the reason why a request is given up, and attempts used forward.

Change: the type Outgoing stands in outgoing.rs, which both use; the reason is RequestError::after in routed.rs, beside the type. Behaviour is unchanged.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,16 +1,15 @@
 //! One attempt: a request on its way to one endpoint, up to the head of its answer.
 
-use crate::client::Presence;
 use crate::headers::{LAST_EVENT_ID, PRIORITY, TARGET, TIME_BUDGET};
 use crate::judge::{Judgement, judge};
-use crate::pool::{Connection, Connections, NoConnection, Reuse};
+use crate::outgoing::Outgoing;
+use crate::pool::{Connection, Connections, NoConnection};
 use crate::state::{State, Target};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, Uri};
-use runtrack_net::mutant;
+use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Request, Response};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -19,44 +18,6 @@
 /// Kept back from the time that an endpoint gets, for its answer to come back.
 const WAY_BACK: Duration = Duration::from_millis(25);
 
-/// A request as it goes on.
-pub struct Outgoing {
-    /// Method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// Headers, without what concerns one connection only.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-    /// The client's id of this try.
-    pub id: Option<HeaderValue>,
-    /// Rank of its route.
-    pub priority: u8,
-    /// It may run twice.
-    pub idempotent: bool,
-    /// When its answer must have come.
-    pub deadline: Instant,
-    /// Who waits for the answer.
-    pub client: Presence,
-}
-
-impl Outgoing {
-    /// Whether its answer would be in time for somebody.
-    pub fn is_wanted(&self) -> bool {
-        Instant::now() < self.deadline && (!self.client.has_left() || mutant("proxy_sends_for_who_left"))
-    }
-
-    /// Which idle connections it may go out on.
-    pub fn reuse(&self) -> Reuse {
-        match (&self.id, self.idempotent) {
-            (None, _) => Reuse::None,
-            (_, false) => Reuse::RecentlyUsed,
-            (_, true) => Reuse::Any,
-        }
-    }
-}
-
 /// An answer that has begun.
 pub struct ResponseStarted {
     /// Its head and what comes of its body.
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -46,7 +46,7 @@
     ) -> Result<ActiveResponse, RequestError> {
         loop {
             let Some(target) = self.choose(request, attempts) else {
-                return Err(end_of(request, attempts));
+                return Err(RequestError::after(request, attempts));
             };
             let mut in_flight = InFlight::new(&self.state, target.key, request.prompt);
             let sent = attempt(
@@ -72,7 +72,7 @@
                 self.connections.close_idle(target.key);
             }
             if !self.after_failure(request, attempts, failed) {
-                return Err(end_of(request, attempts));
+                return Err(RequestError::after(request, attempts));
             }
         }
     }
@@ -97,13 +97,3 @@
         self.may_retry(request, attempts)
     }
 }
-
-/// Why a request is given up now.
-pub(crate) fn end_of(request: &RoutedRequest, attempts: &AttemptState) -> RequestError {
-    match attempts.may_have_run {
-        _ if mutant("proxy_refuses_what_was_sent") => RequestError::Refused,
-        false => RequestError::Refused,
-        true if Instant::now() >= request.outgoing.deadline => RequestError::TimedOut,
-        true => RequestError::Failed,
-    }
-}
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,5 @@
 //! A request from its head to its final answer: the route, the attempts, the way back.
 
-use crate::attempts::end_of;
 use crate::client::Presence;
 use crate::pool::Connections;
 use crate::relay::{ReplyBody, whole};
@@ -86,7 +85,7 @@
                 Err(TruncatedResponse) => {
                     attempts.may_have_run = true;
                     if !request.outgoing.idempotent || !self.may_retry(&request, &mut attempts) {
-                        return self.error_reply(end_of(&request, &attempts));
+                        return self.error_reply(RequestError::after(&request, &attempts));
                     }
                 }
             }
--- a/crates/proxy/src/judge.rs
+++ b/crates/proxy/src/judge.rs
@@ -1,7 +1,7 @@
 //! What a head that came in the place of an answer is: this request's answer, a promise that it never ran, or neither.
 
-use crate::attempt::Outgoing;
 use crate::headers::{ATTEMPT_ID, INSTANCE, NOT_EXECUTED, SEAL};
+use crate::outgoing::Outgoing;
 use hyper::header::{CONTENT_ENCODING, HeaderMap};
 use hyper::{Response, StatusCode};
 use runtrack_net::mutant;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod in_flight;
 mod ingress;
 mod judge;
+mod outgoing;
 mod passage;
 mod pool;
 mod prompt;
--- a/crates/proxy/src/routed.rs
+++ b/crates/proxy/src/routed.rs
@@ -1,13 +1,14 @@
 //! A request with what its route says of it, and what has become of it so far.
 
-use crate::attempt::Outgoing;
 use crate::client::Presence;
 use crate::headers::{ATTEMPT_ID, PROMPT_PREFIX, TIME_BUDGET, remove_hop_headers};
+use crate::outgoing::Outgoing;
 use crate::prompt::prompt_of;
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use runtrack_fleetconfig::{Route, RouteKind, Service};
+use runtrack_net::mutant;
 use std::time::Duration;
 use tokio::time::Instant;
 use weirwharf::EndpointId;
@@ -106,3 +107,15 @@
     /// It may have run.
     Failed,
 }
+
+impl RequestError {
+    /// Why a request is given up now, after these attempts.
+    pub(crate) fn after(request: &RoutedRequest, attempts: &AttemptState) -> Self {
+        match attempts.may_have_run {
+            _ if mutant("proxy_refuses_what_was_sent") => RequestError::Refused,
+            false => RequestError::Refused,
+            true if Instant::now() >= request.outgoing.deadline => RequestError::TimedOut,
+            true => RequestError::Failed,
+        }
+    }
+}
