--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,7 +5,8 @@
 
 use runtrack_fleetconfig::Node;
 use runtrack_link::{
-    Dials, Environment, Gossip, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals, listen,
+    Dials, Environment, Gossip, Logger, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals,
+    listen,
 };
 use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
 use runtrack_ring::{Ring, hash, rendezvous};
@@ -79,6 +80,16 @@
 }
 
 impl Links {
+    fn new(gossip: Rc<Gossip>, node: &Node) -> Self {
+        Links {
+            name: node.name.clone(),
+            seeds: node.seed_members(),
+            dials: Dials::new(gossip.clone()),
+            answered: Instant::now(),
+            gossip,
+        }
+    }
+
     fn wanted(&self) -> BTreeSet<SocketAddrV4> {
         let members: BTreeSet<SocketAddrV4> =
             self.gossip.replica().members().set.iter().map(Member::address).collect();
@@ -110,27 +121,27 @@
 pub async fn run_in(environment: Environment, node: Node, mut events: ProcessEvents) -> Result<(), String> {
     let logger = environment.logger.clone();
     info!(logger, "agent.start"; "first_boot" => node.first_boot);
-    let hello = Hello {
-        wire: WIRE_VERSION,
-        role: Role::Agent,
-        node: node.name.as_str().into(),
-        member: Member::none(),
-    };
-    let gossip = Gossip::new_in(environment, hello, node.heartbeat, Box::new(Relay));
+    let gossip = Gossip::new_in(environment, hello_of(&node), node.heartbeat, Box::new(Relay));
     listen(gossip.clone(), node.feed)
         .await
         .map_err(|error| format!("listen.feed: {}: {error}", node.feed))?;
     spawn_local(gossip.clone().run());
-    let mut links = Links {
-        gossip: gossip.clone(),
-        name: node.name.clone(),
-        seeds: node.seed_members(),
-        dials: Dials::new(gossip.clone()),
-        answered: Instant::now(),
-    };
+    keep_links(Links::new(gossip.clone(), &node), &mut events, &logger).await;
+    info!(logger, "agent.terminate");
+    let _ = timeout(node.bounds.grace.saturating_sub(END_EARLY), proxy_gone(&gossip)).await;
+    Ok(())
+}
+
+/// How an agent introduces itself on its links.
+fn hello_of(node: &Node) -> Hello {
+    Hello { wire: WIRE_VERSION, role: Role::Agent, node: node.name.as_str().into(), member: Member::none() }
+}
+
+/// Keeps the links that are wanted up until the process is told to end.
+async fn keep_links(mut links: Links, events: &mut ProcessEvents, logger: &Logger) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut changes = gossip.changes();
+    let mut changes = links.gossip.changes();
     loop {
         tokio::select! {
             biased;
@@ -139,15 +150,12 @@
                 Some(ProcessEvent::Settings(Err(problem))) => {
                     info!(logger, "settings.refused"; "problem" => problem);
                 }
-                Some(ProcessEvent::Terminate) | None => break,
+                Some(ProcessEvent::Terminate) | None => return,
             },
             _ = ticks.tick() => links.look(),
             _ = changes.changed() => links.look(),
         }
     }
-    info!(logger, "agent.terminate");
-    let _ = timeout(node.bounds.grace.saturating_sub(END_EARLY), proxy_gone(&gossip)).await;
-    Ok(())
 }
 
 /// Waits until the proxy has ended.
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -3,7 +3,7 @@
 use crate::environment::Environment;
 use crate::session::{IDLE_LINK_TIMEOUT, SendQueue, Session};
 use crate::trust::{agreed_suspects, config_sources};
-use runtrack_message::{Endpoint, Hello, Message, Role, StateSummary, encode};
+use runtrack_message::{Digest, Endpoint, Hello, Message, Role, StateSummary, encode};
 use runtrack_net::{Network, Tcp};
 use runtrack_registry::{HeartbeatTable, Replica, StoredConfig};
 use slog::{Logger, info, warn};
@@ -298,37 +298,24 @@
     }
 
     pub(crate) fn on_message(self: &Rc<Self>, session: &Rc<Session>, message: Message) {
+        if session.stale.get() {
+            return self.on_stale_message(session, message);
+        }
         match message {
-            // Records only rise: late ones are taken, and may be known to nobody else any more.
-            Message::Entries(records) | Message::Confirm(_, records) if session.stale.get() => {
-                self.merge(records.into_vec(), Some(session.key));
-            }
-            _ if session.stale.get() => {}
             Message::Hello(hello) => {
                 *session.peer.borrow_mut() = Some(hello);
                 self.handler.on_connect(self, session);
                 self.changed();
             }
-            Message::Digest(have) => {
-                // Right behind a change the other side may only not have heard yet; not so on a new link.
-                let first = !session.compared.replace(true);
-                let settled = self.changed_at.get().elapsed() >= IN_FLIGHT;
-                let answer = self.replica.borrow().answer_have(&have).filter(|_| first || settled);
-                if let Some(answer) = answer {
-                    session.send(&answer);
-                }
-                if have.version < self.replica.borrow().version() {
-                    session.send(&self.replica.borrow().notice(self.proxies()));
-                }
-            }
+            Message::Digest(digest) => self.on_digest(session, &digest),
             Message::RangeDigests(ranges) => {
                 if let Some(answer) = self.replica.borrow().answer_ranges(ranges.items()) {
                     session.send(&answer);
                 }
             }
-            Message::StateSummary(notice) => self.on_summary(session, notice),
-            Message::Fetch(than) => {
-                if let Some(answer) = self.replica.borrow().answer_fetch(than) {
+            Message::StateSummary(summary) => self.on_summary(session, summary),
+            Message::Fetch(version) => {
+                if let Some(answer) = self.replica.borrow().answer_fetch(version) {
                     session.send(&answer);
                 }
             }
@@ -348,6 +335,26 @@
         }
     }
 
+    /// Records only rise: late ones are merged, since nobody else may hold them any more. All else that is late is dropped.
+    fn on_stale_message(&self, session: &Session, message: Message) {
+        if let Message::Entries(records) | Message::Confirm(_, records) = message {
+            self.merge(records.into_vec(), Some(session.key));
+        }
+    }
+
+    fn on_digest(&self, session: &Session, digest: &Digest) {
+        // Right behind a change the other side may only not have heard yet; not so on a new link.
+        let first = !session.compared.replace(true);
+        let settled = self.changed_at.get().elapsed() >= IN_FLIGHT;
+        let answer = self.replica.borrow().answer_have(digest).filter(|_| first || settled);
+        if let Some(answer) = answer {
+            session.send(&answer);
+        }
+        if digest.version < self.replica.borrow().version() {
+            session.send(&self.replica.borrow().notice(self.proxies()));
+        }
+    }
+
     /// Sends to all links whose other side has this role.
     pub fn broadcast_to(&self, role: Role, message: &Message) {
         let Ok(payload) = encode(message) else { return };
--- a/crates/scale/src/choices.rs
+++ b/crates/scale/src/choices.rs
@@ -54,53 +54,100 @@
 }
 
 fn play(way: Way, proxies: usize, endpoints: usize, subset: usize, load: f64) -> Found {
-    let mut rng = Rng::with_seed(1);
-    let ids: Vec<EndpointId> = (0..endpoints as u64).map(EndpointId).collect();
-    // Each proxy uses an arc of the ring of endpoints; the arcs' starts are spread evenly.
-    let part = |proxy: usize| -> Vec<EndpointId> {
-        let start = proxy * endpoints / proxies;
-        (0..subset).map(|at| ids[(start + at) % endpoints]).collect()
-    };
-    let parts: Vec<Vec<EndpointId>> = (0..proxies).map(part).collect();
-    let mut routers: Vec<Router> = (0..proxies).map(|seed| Router::new(seed as u64, SECOND, 1)).collect();
-    let mut loads = vec![0usize; endpoints];
-    let mut ends: BinaryHeap<Reverse<(Duration, usize, EndpointId)>> = BinaryHeap::new();
+    let mut fleet = SimulatedFleet::new(proxies, endpoints, subset);
     let (mut now, rate) = (0.0, endpoints as f64 * load);
     let mut found = vec![0usize; 1];
     for request in 0..2 * REQUESTS {
-        now += -rng.f64().max(1e-12).ln() / rate;
+        now += fleet.draw_exponential() / rate;
         let at = Duration::from_secs_f64(now);
+        fleet.end_requests_until(at);
+        let proxy = fleet.rng.usize(..proxies);
+        let id = fleet.choose(way, proxy, at);
+        let load = fleet.start_request(proxy, id, at);
+        if request >= REQUESTS {
+            if found.len() <= load {
+                found.resize(load + 1, 0);
+            }
+            found[load] += 1;
+        }
+    }
+    summary(&found)
+}
+
+/// Proxies, the endpoints that they share, and the requests in flight between them.
+struct SimulatedFleet {
+    rng: Rng,
+    endpoints: Vec<EndpointId>,
+    /// The endpoints that each proxy uses.
+    subsets: Vec<Vec<EndpointId>>,
+    routers: Vec<Router>,
+    /// Requests in flight at each endpoint.
+    loads: Vec<usize>,
+    /// When each request in flight ends, at which proxy and endpoint; the next one first.
+    ends: BinaryHeap<Reverse<(Duration, usize, EndpointId)>>,
+}
+
+impl SimulatedFleet {
+    /// Each proxy uses an arc of the ring of endpoints; the arcs' starts are spread evenly.
+    fn new(proxies: usize, endpoints: usize, subset: usize) -> Self {
+        let ids: Vec<EndpointId> = (0..endpoints as u64).map(EndpointId).collect();
+        let arc = |proxy: usize| -> Vec<EndpointId> {
+            let start = proxy * endpoints / proxies;
+            (0..subset).map(|at| ids[(start + at) % endpoints]).collect()
+        };
+        SimulatedFleet {
+            rng: Rng::with_seed(1),
+            subsets: (0..proxies).map(arc).collect(),
+            routers: (0..proxies).map(|seed| Router::new(seed as u64, SECOND, 1)).collect(),
+            loads: vec![0; endpoints],
+            ends: BinaryHeap::new(),
+            endpoints: ids,
+        }
+    }
+
+    /// A draw from the exponential distribution of mean 1.
+    fn draw_exponential(&mut self) -> f64 {
+        -self.rng.f64().max(1e-12).ln()
+    }
+
+    fn end_requests_until(&mut self, now: Duration) {
         while let Some(Reverse((end, proxy, id))) =
-            ends.peek().copied().filter(|Reverse((end, _, _))| *end <= at)
+            self.ends.peek().copied().filter(|Reverse((end, _, _))| *end <= now)
         {
-            ends.pop();
-            loads[id.0 as usize] -= 1;
-            routers[proxy].ended(end, id, Outcome::Ok);
+            self.ends.pop();
+            self.loads[id.0 as usize] -= 1;
+            self.routers[proxy].ended(end, id, Outcome::Ok);
         }
-        let proxy = rng.usize(..proxies);
-        let id = match way {
-            Way::Random => ids[rng.usize(..endpoints)],
+    }
+
+    fn choose(&mut self, way: Way, proxy: usize, now: Duration) -> EndpointId {
+        match way {
+            Way::Random => self.draw_endpoint(),
             Way::TrueCounts => {
-                let (one, other) = (ids[rng.usize(..endpoints)], ids[rng.usize(..endpoints)]);
-                if loads[one.0 as usize] <= loads[other.0 as usize] { one } else { other }
+                let (one, other) = (self.draw_endpoint(), self.draw_endpoint());
+                if self.loads[one.0 as usize] <= self.loads[other.0 as usize] { one } else { other }
             }
             Way::OwnCounts => {
-                let ask = SelectionRequest { now: at, ready: &parts[proxy], tried: &[], prompt: None };
-                routers[proxy].choose(ask).unwrap_or(ids[0])
+                let ready = &self.subsets[proxy];
+                let request = SelectionRequest { now, ready, tried: &[], prompt: None };
+                self.routers[proxy].choose(request).unwrap_or(self.endpoints[0])
             }
-        };
-        routers[proxy].sent(id, None);
-        let place = &mut loads[id.0 as usize];
-        if request >= REQUESTS {
-            if found.len() <= *place {
-                found.resize(*place + 1, 0);
-            }
-            found[*place] += 1;
         }
-        *place += 1;
-        ends.push(Reverse((at + Duration::from_secs_f64(-rng.f64().max(1e-12).ln()), proxy, id)));
     }
-    summary(&found)
+
+    fn draw_endpoint(&mut self) -> EndpointId {
+        self.endpoints[self.rng.usize(..self.endpoints.len())]
+    }
+
+    /// Sends a request to an endpoint; how many were in flight there before it.
+    fn start_request(&mut self, proxy: usize, id: EndpointId, now: Duration) -> usize {
+        self.routers[proxy].sent(id, None);
+        let end = now + Duration::from_secs_f64(self.draw_exponential());
+        self.ends.push(Reverse((end, proxy, id)));
+        let load = self.loads[id.0 as usize];
+        self.loads[id.0 as usize] += 1;
+        load
+    }
 }
 
 fn summary(found: &[usize]) -> Found {
--- a/crates/scale/src/demo.rs
+++ b/crates/scale/src/demo.rs
@@ -36,69 +36,108 @@
         let first_event = Histogram::new(3).map_err(|error| format!("{error:?}"))?;
         Ok(Second { asked: 0, whole: 0, failed: 0, first_event })
     }
+
+    fn print(&self, number: u64) {
+        let Second { asked, whole, failed, first_event } = self;
+        let ms = |quantile| first_event.value_at_quantile(quantile) as f64 / 1000.0;
+        println!("{number:6} {asked:6} {whole:6} {failed:7}  {:.1}/{:.1}", ms(0.5), ms(0.99));
+    }
 }
 
 /// Runs the fleet, and says what happens.
 pub async fn run(seconds: u64, rate: f64) -> Result<(), String> {
-    let machines = Machines::new(MEMBERS)?;
-    let controls: Vec<SocketAddrV4> = (0..MEMBERS).map(|member| machines.control(member)).collect();
-    let mut members: Vec<Option<Process>> = Vec::new();
-    for member in 0..MEMBERS {
-        members.push(Some(machines.start(Program::Controller, member, true)?));
-    }
-    let mut edges = Vec::new();
-    for edge in 0..EDGES {
-        edges.push((
-            machines.start(Program::Agent, edge, true)?,
-            machines.start(Program::Proxy, edge, true)?,
-        ));
-    }
+    let mut fleet = Fleet::start()?;
     println!("{MEMBERS} control members, {EDGES} proxies with their agents, {ENDPOINTS} endpoints");
-    let status = order(&controls, 0, &config(1, 0)).await?;
+    let status = order(&fleet.controls, 0, &config(1, 0)).await?;
     println!("configuration 1: {status}");
     for number in 0..ENDPOINTS {
-        serve(format!("i-{}", number + 1), controls.clone()).await?;
-    }
-    let fronts: Vec<SocketAddrV4> = (0..EDGES).map(|edge| machines.front(edge)).collect();
-    let began = Instant::now();
-    while stream(fronts[0], 0).await.is_none() || stream(fronts[1], 0).await.is_none() {
-        if began.elapsed() > START_TIMEOUT {
-            return Err(format!("the fleet does not serve after {} s", START_TIMEOUT.as_secs()));
-        }
-        sleep(AGAIN).await;
+        serve(format!("i-{}", number + 1), fleet.controls.clone()).await?;
     }
+    let took = wait_until_served(&fleet.fronts).await?;
     println!(
         "it serves {:.1} s after its start\n\nsecond  asked  whole  failed  first event p50/p99 ms",
-        began.elapsed().as_secs_f64()
+        took.as_secs_f64()
     );
     let current = Rc::new(RefCell::new(Second::new()?));
-    spawn_local(load(fronts, rate, current.clone()));
+    spawn_local(load(fleet.fronts.clone(), rate, current.clone()));
     let mut ticks = interval(Duration::from_secs(1));
     ticks.tick().await;
     for second in 1..=seconds {
         ticks.tick().await;
-        let Second { asked, whole, failed, first_event } = current.replace(Second::new()?);
-        let ms = |quantile| first_event.value_at_quantile(quantile) as f64 / 1000.0;
-        println!("{second:6} {asked:6} {whole:6} {failed:7}  {:.1}/{:.1}", ms(0.5), ms(0.99));
+        current.replace(Second::new()?).print(second);
         if second == seconds / 3 {
-            let status = order(&controls, 1, &config(2, 20)).await?;
+            let status = order(&fleet.controls, 1, &config(2, 20)).await?;
             println!("        configuration 2, with 20 more routes: {status}");
         }
         if second == seconds * 2 / 3 {
-            members[0] = None;
+            fleet.kill_first_member();
             println!("        control member 1 is killed");
-            let status = order(&controls[1..], 2, &config(3, 0)).await?;
+            let status = order(&fleet.controls, 2, &config(3, 0)).await?;
             println!("        configuration 3, at the other two: {status}");
         }
     }
-    edges.iter().for_each(|(agent, proxy)| {
-        proxy.terminate();
-        agent.terminate();
-    });
+    fleet.terminate_edges();
     println!("\nended");
     Ok(())
 }
 
+/// The processes of the small fleet; they end with it.
+struct Fleet {
+    members: Vec<Process>,
+    /// Where the members that run take operators' requests.
+    controls: Vec<SocketAddrV4>,
+    /// An agent and a proxy on each edge machine.
+    edges: Vec<(Process, Process)>,
+    /// Where the proxies take clients' requests.
+    fronts: Vec<SocketAddrV4>,
+    /// The folder of their data, which goes after them.
+    _machines: Machines,
+}
+
+impl Fleet {
+    fn start() -> Result<Self, String> {
+        let machines = Machines::new(MEMBERS)?;
+        let start_member = |member| machines.start(Program::Controller, member, true);
+        let start_edge = |edge| -> Result<(Process, Process), String> {
+            let agent = machines.start(Program::Agent, edge, true)?;
+            Ok((agent, machines.start(Program::Proxy, edge, true)?))
+        };
+        Ok(Fleet {
+            members: (0..MEMBERS).map(start_member).collect::<Result<_, _>>()?,
+            controls: (0..MEMBERS).map(|member| machines.control(member)).collect(),
+            edges: (0..EDGES).map(start_edge).collect::<Result<_, _>>()?,
+            fronts: (0..EDGES).map(|edge| machines.front(edge)).collect(),
+            _machines: machines,
+        })
+    }
+
+    fn kill_first_member(&mut self) {
+        self.members.remove(0);
+        self.controls.remove(0);
+    }
+
+    fn terminate_edges(&self) {
+        self.edges.iter().for_each(|(agent, proxy)| {
+            proxy.terminate();
+            agent.terminate();
+        });
+    }
+}
+
+/// Waits until each proxy brings a stream whole; how long that took.
+async fn wait_until_served(fronts: &[SocketAddrV4]) -> Result<Duration, String> {
+    let began = Instant::now();
+    for front in fronts {
+        while stream(*front, 0).await.is_none() {
+            if began.elapsed() > START_TIMEOUT {
+                return Err(format!("the fleet does not serve after {} s", START_TIMEOUT.as_secs()));
+            }
+            sleep(AGAIN).await;
+        }
+    }
+    Ok(began.elapsed())
+}
+
 /// Requests at this rate, whatever becomes of those before (open loop).
 async fn load(fronts: Vec<SocketAddrV4>, rate: f64, current: Rc<RefCell<Second>>) {
     let mut next = Instant::now();
--- a/crates/scale/src/sizes.rs
+++ b/crates/scale/src/sizes.rs
@@ -141,46 +141,67 @@
     let simulated: Vec<Agent> =
         (0..agents).map(|number| simulated_agent(&machines, members, number)).collect();
     let acknowledged = Rc::new(Cell::new(0));
-    let mut beats = JoinSet::new();
-    for first in (0..endpoints).step_by(BUNDLE) {
-        let count = BUNDLE.min(endpoints - first);
-        beats.spawn_local(beat_for_ever(controls.clone(), first, count, acknowledged.clone()));
-    }
+    let _heartbeats = send_heartbeats(&controls, endpoints, &acknowledged);
     reached(&simulated, move |gossip| {
         gossip.replica().registry().len() >= endpoints && gossip.replica().version() == 1
     })
     .await?;
-    // A quiet stretch, for what the members spend at rest.
-    let (began, before, told) = (Instant::now(), processor(&processes)?, acknowledged.get());
+    let (processor, acknowledged) = measure_at_rest(&processes, &acknowledged, seconds).await?;
+    let change = measure_change(&simulated, &controls).await?;
+    let drain = measure_drain(&simulated, controls[0]).await?;
+    let memory = processes.iter().filter_map(|process| process.peak_memory().ok()).max().unwrap_or(0);
+    processes.iter().for_each(Process::terminate);
+    Ok(Measured { agents, endpoints, change, drain, processor, memory, acknowledged })
+}
+
+/// Sends the heartbeats of simulated endpoints until the caller drops this.
+fn send_heartbeats(
+    controls: &[SocketAddrV4],
+    endpoints: usize,
+    acknowledged: &Rc<Cell<u64>>,
+) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    for first in (0..endpoints).step_by(BUNDLE) {
+        let count = BUNDLE.min(endpoints - first);
+        tasks.spawn_local(beat_for_ever(controls.to_vec(), first, count, acknowledged.clone()));
+    }
+    tasks
+}
+
+/// What the members do while nothing changes: cores that one of them uses, heartbeats acknowledged a second by all.
+async fn measure_at_rest(
+    processes: &[Process],
+    acknowledged: &Cell<u64>,
+    seconds: u64,
+) -> Result<(f64, f64), String> {
+    let (began, processor_before, acknowledged_before) =
+        (Instant::now(), processor(processes)?, acknowledged.get());
     sleep(Duration::from_secs(seconds)).await;
-    let rest = began.elapsed().as_secs_f64();
-    let processor_at_rest = (processor(&processes)? - before).as_secs_f64() / rest / members as f64;
-    let rate = (acknowledged.get() - told) as f64 / rest;
+    let elapsed = began.elapsed().as_secs_f64();
+    let processor = (processor(processes)? - processor_before).as_secs_f64();
+    let rate = (acknowledged.get() - acknowledged_before) as f64 / elapsed;
+    Ok((processor / elapsed / processes.len() as f64, rate))
+}
+
+/// How long a change of the configuration takes to each agent.
+async fn measure_change(agents: &[Agent], controls: &[SocketAddrV4]) -> Result<Histogram<u64>, String> {
     let second = config(2, ROUTES);
-    let (change, _) = tokio::join!(
-        reached(&simulated, |gossip| gossip.replica().version() == 2),
-        order(&controls, 1, &second)
+    let (times, _) = tokio::join!(
+        reached(agents, |gossip| gossip.replica().version() == 2),
+        order(controls, 1, &second)
     );
+    times
+}
+
+/// How long the news that an endpoint is draining takes to each agent.
+async fn measure_drain(agents: &[Agent], control: SocketAddrV4) -> Result<Histogram<u64>, String> {
     let leaving = key_of("i-0");
-    let drained = move |gossip: &Gossip| {
-        gossip
-            .replica()
-            .registry()
-            .get(leaving)
-            .is_some_and(|record| record.state == EndpointState::Draining)
+    let is_draining = move |gossip: &Gossip| {
+        let state = gossip.replica().registry().get(leaving).map(|record| record.state);
+        state == Some(EndpointState::Draining)
     };
-    let (drain, _) = tokio::join!(reached(&simulated, drained), drain_first(controls[0]));
-    let memory = processes.iter().filter_map(|process| process.peak_memory().ok()).max().unwrap_or(0);
-    processes.iter().for_each(Process::terminate);
-    Ok(Measured {
-        agents,
-        endpoints,
-        change: change?,
-        drain: drain?,
-        processor: processor_at_rest,
-        memory,
-        acknowledged: rate,
-    })
+    let (times, _) = tokio::join!(reached(agents, is_draining), drain_first(control));
+    times
 }
 
 fn processor(processes: &[Process]) -> Result<Duration, String> {
