Sim: its two simulations' tests share seeds, runs in a process and scripts

Cause: tests/seeds.rs and tests/fleet.rs each had their own copy of checking seeds on two threads, of running the program for its last line and of reading a folder of scripts.

Change: the three stand once, in tests/support/mod.rs. What the tests check is unchanged, also that a folder of scripts is not empty.

--- a/crates/sim/tests/fleet.rs
+++ b/crates/sim/tests/fleet.rs
@@ -1,20 +1,12 @@
 //! The control plane in virtual time: fixed seeds, the same run for the same seed, and planted errors.
 
+mod support;
+
 use runtrack_sim::fleet::run::run;
 use runtrack_sim::fleet::script::Script;
 use runtrack_sim::fleet::{MUTANTS, draw, shrink, timeline};
 use runtrack_sim::mutants;
-use std::ops::Range;
-use std::process::Command;
-
-/// Two threads, as CI has two cores.
-fn each(seeds: Range<u64>, check: impl Fn(u64) + Sync) {
-    let middle = seeds.start + (seeds.end - seeds.start) / 2;
-    std::thread::scope(|scope| {
-        scope.spawn(|| (seeds.start..middle).for_each(&check));
-        (middle..seeds.end).for_each(&check);
-    });
-}
+use support::{each, last_line_of, scripts_in};
 
 #[test]
 fn no_seed_of_the_fixed_set_breaks_a_rule() {
@@ -27,11 +19,7 @@
 
 /// The last line of `fleet play`, which has the hash of all that went over the network and all that was seen.
 fn in_a_process(seed: u64) -> String {
-    let done = Command::new(env!("CARGO_BIN_EXE_runtrack-sim"))
-        .args(["fleet", "play", &seed.to_string()])
-        .output();
-    let out = String::from_utf8(done.expect("it runs").stdout).expect("text");
-    out.lines().last().expect("a summary").to_owned()
+    last_line_of(&["fleet", "play", &seed.to_string()])
 }
 
 #[test]
@@ -55,18 +43,10 @@
 
 #[test]
 fn scripts_of_what_was_found_and_mended_break_no_rule() {
-    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fleet_scripts");
-    let mut count = 0;
-    for file in std::fs::read_dir(folder).expect("a folder of scripts") {
-        let path = file.expect("a script").path();
-        let text = std::fs::read_to_string(&path).expect("a script");
-        let script: Script =
-            serde_json::from_str(&text).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+    for (path, script) in scripts_in::<Script>("fleet_scripts") {
         let outcome = run(&script, false);
         assert!(outcome.breaches.is_empty(), "{}: {}", path.display(), outcome.breaches[0]);
-        count += 1;
     }
-    assert!(count > 0);
 }
 
 /// Seeds that show a planted error; `runtrack-sim fleet mutants` measures how many it takes.
--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -1,17 +1,10 @@
 //! A fixed set of seeds, the scripts of what was found before, and the same run for the same seed.
 
+mod support;
+
 use runtrack_sim::run::run;
 use runtrack_sim::{draw, script::Script};
-use std::process::Command;
-
-/// Two threads, as CI has two cores.
-fn each(seeds: std::ops::Range<u64>, check: impl Fn(u64) + Sync) {
-    let middle = seeds.start + (seeds.end - seeds.start) / 2;
-    std::thread::scope(|scope| {
-        scope.spawn(|| (seeds.start..middle).for_each(&check));
-        (middle..seeds.end).for_each(&check);
-    });
-}
+use support::{each, last_line_of, scripts_in};
 
 #[test]
 fn no_seed_of_the_fixed_set_breaks_a_rule() {
@@ -27,27 +20,15 @@
 
 #[test]
 fn scripts_of_what_was_found_and_mended_break_no_rule() {
-    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scripts");
-    let mut count = 0;
-    for file in std::fs::read_dir(folder).expect("a folder of scripts") {
-        let path = file.expect("a script").path();
-        let text = std::fs::read_to_string(&path).expect("a script");
-        let script: Script =
-            serde_json::from_str(&text).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+    for (path, script) in scripts_in::<Script>("scripts") {
         let outcome = run(&script, false);
         assert!(outcome.breaches.is_empty(), "{}: {}", path.display(), outcome.breaches[0]);
-        count += 1;
     }
-    assert!(count > 0);
 }
 
 /// The last line of `run`, which has the hash of all that went over the network.
 fn in_a_process(seed: u64) -> String {
-    let done = Command::new(env!("CARGO_BIN_EXE_runtrack-sim"))
-        .args(["run", "--seed", &seed.to_string()])
-        .output();
-    let out = String::from_utf8(done.expect("it runs").stdout).expect("text");
-    out.lines().last().expect("a summary").to_owned()
+    last_line_of(&["run", "--seed", &seed.to_string()])
 }
 
 #[test]
