Rig: faults and the build-up of a world are cut into named steps

Change: each fault, and each step of the build-up, has a function of its own. What is done and logged, and in which order, is unchanged.

--- a/crates/rig/src/world/faults.rs
+++ b/crates/rig/src/world/faults.rs
@@ -9,6 +9,11 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
+/// How scripts and histories name the instance at a place.
+fn name(place: usize) -> String {
+    format!("i{place}")
+}
+
 impl World {
     pub(super) fn place(&self, who: Who) -> usize {
         let place = match who {
@@ -26,96 +31,115 @@
         }
     }
 
+    /// Causes one fault and ends it after its time, or as soon as everything is healed.
     pub(super) async fn fault(&self, what: &What, lasts: Duration) {
-        let say = |who: &str, what: &str| self.history.now_that(who, Did::Fault { what: what.to_owned() });
-        let others =
-            |place: usize| (0..self.script.instances as usize).filter(move |other| *other != place);
-        let name = |place: usize| format!("i{place}");
         match *what {
-            What::Cut { who, how } => {
-                let place = self.place(who);
-                let pairs = others(place)
-                    .flat_map(|other| [(name(place), name(other)), (name(other), name(place))]);
-                self.spoil(&pairs.collect::<Vec<_>>(), place, how, lasts).await;
-            }
+            What::Cut { who, how } => self.cut_off(self.place(who), how, lasts).await,
             What::Link { from, to, how } => {
-                let (from, to) = (self.place(from), self.place(to));
-                let pairs = [(name(from), name(to)), (name(to), name(from))];
-                self.spoil(&pairs, from, how, lasts).await;
-            }
-            What::Blind { who } => {
-                let place = self.place(who);
-                say(&name(place), "blind");
-                let set = |held| {
-                    self.links.set(&name(place), "discovery", |rule| {
-                        (rule.there.held, rule.back.held) = (held, held)
-                    })
-                };
-                set(true);
-                self.lasts(lasts).await;
-                set(false);
-                say(&name(place), "sees");
-            }
-            What::Kill { who } | What::End { who } => {
-                let place = self.place(who);
-                say(&name(place), "down");
-                let process = |with: fn(&mut Process)| with(&mut locked(&self.instances)[place].process);
-                process(if matches!(what, What::End { .. }) { Process::end } else { Process::kill });
-                self.flee(place).await;
-                self.lasts(lasts).await;
-                let _ = self.launch(place);
-                say(&name(place), "up");
+                self.disturb_link(self.place(from), self.place(to), how, lasts).await;
             }
+            What::Blind { who } => self.blind(self.place(who), lasts).await,
+            What::Kill { who } => self.restart(self.place(who), Process::kill, lasts).await,
+            What::End { who } => self.restart(self.place(who), Process::end, lasts).await,
             What::Lose { who } => {
                 let place = self.place(who);
-                say(&name(place), "lost");
+                self.log_fault(&name(place), "lost");
                 self.replace(place, lasts).await;
-                say(&name(place), "replaced");
-            }
-            What::Stop { who } => {
-                let place = self.place(who);
-                say(&name(place), "stopped");
-                locked(&self.instances)[place].process.stop();
-                self.lasts(lasts).await;
-                locked(&self.instances)[place].process.go_on();
-                say(&name(place), "goes on");
-            }
-            What::PowerOff => {
-                say("all", "power off");
-                for place in 0..self.script.instances as usize {
-                    say(&name(place), "down");
-                }
-                locked(&self.instances).iter_mut().for_each(|instance| instance.process.kill());
-                self.lasts(lasts).await;
-                for place in 0..self.script.instances as usize {
-                    let _ = self.launch(place);
-                    say(&name(place), "up");
-                }
-            }
-            What::Drain => {
-                let endpoint = {
-                    let mut drained = locked(&self.drained);
-                    let next = drained.len();
-                    drained.push(next);
-                    next
-                };
-                if endpoint + 2 < ENDPOINTS {
-                    let count = endpoint as u64 + 1;
-                    self.discovery.drain(&format!("e{endpoint}"));
-                    let endpoint = self.endpoints[endpoint].address.to_string();
-                    self.history.now_that("discovery", Did::Drained { endpoint, count });
-                }
+                self.log_fault(&name(place), "replaced");
             }
+            What::Stop { who } => self.pause(self.place(who), lasts).await,
+            What::PowerOff => self.power_off(lasts).await,
+            What::Drain => self.drain_next(),
             What::Apply => self.apply().await,
             What::Move { proxy, to } => self.lead(proxy as usize, to as usize),
-            What::Transfer { to } => {
-                say(&name(to as usize), "is to lead");
-                let name = locked(&self.instances)[to as usize].name.clone();
-                let _ = timeout(ANSWER, self.ctl(&["cluster", "transfer", &name])).await; // it may be in vain
-            }
+            What::Transfer { to } => self.transfer_leadership(to as usize).await,
+        }
+    }
+
+    fn log_fault(&self, who: &str, what: &str) {
+        self.history.now_that(who, Did::Fault { what: what.to_owned() });
+    }
+
+    /// Disturbs the links between an instance and all others.
+    async fn cut_off(&self, place: usize, how: How, lasts: Duration) {
+        let others = (0..self.script.instances as usize).filter(|other| *other != place);
+        let pairs = others.flat_map(|other| [(name(place), name(other)), (name(other), name(place))]);
+        self.spoil(&pairs.collect::<Vec<_>>(), place, how, lasts).await;
+    }
+
+    /// Disturbs the links between two instances.
+    async fn disturb_link(&self, from: usize, to: usize, how: How, lasts: Duration) {
+        let pairs = [(name(from), name(to)), (name(to), name(from))];
+        self.spoil(&pairs, from, how, lasts).await;
+    }
+
+    /// Holds what an instance and the discovery service send each other.
+    async fn blind(&self, place: usize, lasts: Duration) {
+        let set = |held| {
+            self.links
+                .set(&name(place), "discovery", |rule| (rule.there.held, rule.back.held) = (held, held))
+        };
+        self.log_fault(&name(place), "blind");
+        set(true);
+        self.lasts(lasts).await;
+        set(false);
+        self.log_fault(&name(place), "sees");
+    }
+
+    /// Takes an instance's process down and starts it again.
+    async fn restart(&self, place: usize, take_down: fn(&mut Process), lasts: Duration) {
+        self.log_fault(&name(place), "down");
+        take_down(&mut locked(&self.instances)[place].process);
+        self.flee(place).await;
+        self.lasts(lasts).await;
+        let _ = self.launch(place);
+        self.log_fault(&name(place), "up");
+    }
+
+    /// Stops an instance's process without ending it, and lets it go on.
+    async fn pause(&self, place: usize, lasts: Duration) {
+        self.log_fault(&name(place), "stopped");
+        locked(&self.instances)[place].process.stop();
+        self.lasts(lasts).await;
+        locked(&self.instances)[place].process.go_on();
+        self.log_fault(&name(place), "goes on");
+    }
+
+    /// Kills all instances at once and starts them again.
+    async fn power_off(&self, lasts: Duration) {
+        self.log_fault("all", "power off");
+        let places = 0..self.script.instances as usize;
+        places.clone().for_each(|place| self.log_fault(&name(place), "down"));
+        locked(&self.instances).iter_mut().for_each(|instance| instance.process.kill());
+        self.lasts(lasts).await;
+        for place in places {
+            let _ = self.launch(place);
+            self.log_fault(&name(place), "up");
         }
     }
 
+    /// Drains the next endpoint in order; two of them always stay.
+    fn drain_next(&self) {
+        let endpoint = {
+            let mut drained = locked(&self.drained);
+            let next = drained.len();
+            drained.push(next);
+            next
+        };
+        if endpoint + 2 < ENDPOINTS {
+            let count = endpoint as u64 + 1;
+            self.discovery.drain(&format!("e{endpoint}"));
+            let endpoint = self.endpoints[endpoint].address.to_string();
+            self.history.now_that("discovery", Did::Drained { endpoint, count });
+        }
+    }
+
+    async fn transfer_leadership(&self, to: usize) {
+        self.log_fault(&name(to), "is to lead");
+        let leader = locked(&self.instances)[to].name.clone();
+        let _ = timeout(ANSWER, self.ctl(&["cluster", "transfer", &leader])).await; // it may be in vain
+    }
+
     pub(super) async fn spoil(&self, pairs: &[(String, String)], place: usize, how: How, lasts: Duration) {
         self.history
             .now_that(&format!("i{place}"), Did::Fault { what: format!("links {how:?} {pairs:?}") });
--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -144,15 +144,23 @@
     Ok(world.history.events())
 }
 
+async fn start_endpoints() -> Vec<Endpoint> {
+    let mut endpoints = Vec::new();
+    for _ in 0..ENDPOINTS {
+        endpoints.push(Endpoint::start().await);
+    }
+    endpoints
+}
+
+fn targets_of(endpoints: &[Endpoint]) -> Vec<Target> {
+    let numbered = endpoints.iter().enumerate();
+    numbered.map(|(number, endpoint)| target(&format!("e{number}"), endpoint.address, "a")).collect()
+}
+
 impl World {
     pub(crate) async fn build(script: &Script, mutant: Option<&str>) -> io::Result<Arc<World>> {
-        let mut endpoints = Vec::new();
-        for _ in 0..ENDPOINTS {
-            endpoints.push(Endpoint::start().await);
-        }
-        let targets: Vec<Target> =
-            endpoints.iter().enumerate().map(|(n, e)| target(&format!("e{n}"), e.address, "a")).collect();
-        let discovery = Discovery::start(targets).await;
+        let endpoints = start_endpoints().await;
+        let discovery = Discovery::start(targets_of(&endpoints)).await;
         let links = Links::default();
         let discovery_at = at(9, free_port());
         let before = links.stand_before("discovery", discovery_at, discovery.address).await?;
@@ -177,52 +185,55 @@
             over: AtomicBool::new(false),
         });
         for place in 0..script.instances as usize {
-            let instance = world.instance(place, &format!("i{place}")).await?;
-            if place == 0 {
-                world
-                    .ctl(&[
-                        "cluster",
-                        "init",
-                        "--name",
-                        "i0",
-                        "--address",
-                        &instance.address.to_string(),
-                        "--member",
-                        &instance.member.display().to_string(),
-                    ])
-                    .await?;
-            } else {
-                world.invite(&instance).await?;
-            }
-            locked(&world.instances).push(instance);
-            world.launch(place)?;
-            world.until("it answers", || world.clone().answers(place)).await?;
+            world.add_instance(place).await?;
+        }
+        world.wait_for_votes_and_a_version().await?;
+        for n in 0..script.proxies {
+            world.add_proxy(n).await?;
+        }
+        world.wait_for_endpoints().await?;
+        for proxy in locked(&world.proxies).iter_mut() {
+            proxy.proxy.send("p", 2, Duration::from_millis(5));
+        }
+        Ok(world)
+    }
+
+    /// Starts an instance, the first one as a cluster of its own, the others as invited members.
+    async fn add_instance(self: &Arc<Self>, place: usize) -> io::Result<()> {
+        let instance = self.instance(place, &format!("i{place}")).await?;
+        if place == 0 {
+            let (address, member) = (instance.address.to_string(), instance.member.display().to_string());
+            let init = ["cluster", "init", "--name", "i0", "--address", &address, "--member", &member];
+            self.ctl(&init).await?;
+        } else {
+            self.invite(&instance).await?;
         }
+        locked(&self.instances).push(instance);
+        self.launch(place)?;
+        self.until("it answers", || self.clone().answers(place)).await
+    }
+
+    async fn wait_for_votes_and_a_version(self: &Arc<Self>) -> io::Result<()> {
         let voting = || {
-            let world = world.clone();
+            let world = self.clone();
             async move { world.voters().await == world.script.instances as usize }
         };
-        world.until("all vote", voting).await?;
-        // The first version.
+        self.until("all vote", voting).await?;
         let first = || {
-            let world = world.clone();
+            let world = self.clone();
             async move { world.commit(0, "first").await.is_ok_and(|serial| serial.is_some()) }
         };
-        world.until("a first version", first).await?;
-        for n in 0..script.proxies {
-            world.add_proxy(n).await?;
-        }
+        self.until("a first version", first).await
+    }
+
+    async fn wait_for_endpoints(self: &Arc<Self>) -> io::Result<()> {
         let all = || {
-            let world = world.clone();
+            let world = self.clone();
             async move {
                 locked(&world.proxies).iter().all(|p| p.proxy.with(|s| s.ready("p").len() == ENDPOINTS))
             }
         };
-        world.until("proxies know all endpoints", all).await?;
-        for proxy in locked(&world.proxies).iter_mut() {
-            proxy.proxy.send("p", 2, Duration::from_millis(5));
-        }
-        Ok(world)
+        self.until("proxies know all endpoints", all).await
     }
 
     /// Waits for a condition of the build-up.
