Register: a quorum read finds what is chosen without a ballot

A read took a whole round: each member wrote and synced a promise, reads got in the way of writes and of each other, and where disks are full or stalled a read hung. `QuorumRead` asks members what they have accepted and have on disk (`Inspect`, message 25, `InspectReply`, 26) and answers with the value of the highest ballot that a majority of each of its own sets has, once a majority of each set that the reader began with has answered; with "empty" where such a majority has accepted nothing. What it can't settle is for a round.

--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod contact;
 mod endpoint;
+mod inspect;
 mod legacy;
 mod register;
 mod watermark;
 
 pub use contact::ProbeReply;
 pub use endpoint::{Endpoint, EndpointState, Model};
+pub use inspect::{InspectReply, InspectRequest};
 pub use legacy::LegacyValue;
 pub use register::{
     AppliedRequest, AppliedRequests, Ballot, DIGEST_BYTES, Member, MemberSet, MemberSets, RegisterReply,
@@ -303,6 +305,12 @@
     /// The answer.
     #[deku(id = "24")]
     WatermarkReply(WatermarkReply),
+    /// Asks a member of the register what it has accepted, with the number that its reply carries.
+    #[deku(id = "25")]
+    Inspect(u64, InspectRequest),
+    /// Its reply.
+    #[deku(id = "26")]
+    InspectReply(u64, InspectReply),
 }
 
 /// A message as the payload of a frame.
--- a/crates/message/tests/wire.rs
+++ b/crates/message/tests/wire.rs
@@ -77,6 +77,10 @@
             remembered: Watermark { promised: ballot, accepted: ballot },
         }),
         Message::MajorityContact(true),
+        Message::Inspect(7, InspectRequest { to: 42, have: ballot }),
+        Message::InspectReply(7, InspectReply::Accepted(Ballot::default())),
+        Message::InspectReply(7, InspectReply::AcceptedWith { ballot, value: value() }),
+        Message::InspectReply(7, InspectReply::WrongIncarnation),
     ]
 }
 
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -11,12 +11,16 @@
 //!
 //! A round that wants to answer without writing still makes sure that what it saw is chosen, by accepting it again
 //! unless a majority already has it under one ballot. Without that a refused order could come into force later.
+//!
+//! A [`QuorumRead`] finds what is chosen without any ballot: members only say what they have accepted, and nothing is
+//! written. Where that does not settle it, the reader takes a [`Round`].
 
 mod acceptor;
 mod change;
 mod copies;
 mod digest;
 mod membership;
+mod quorum_read;
 mod record;
 mod recovery;
 mod replace;
@@ -31,6 +35,7 @@
 pub use membership::{
     MembershipPlan, MembershipTimes, MembershipView, PresentMember, WaitReason, plan_membership,
 };
+pub use quorum_read::{Inspection, QuorumRead, ReadOutcome, ReadProgress, inspect};
 pub use record::{PromiseRecord, ValueRecord};
 pub use recovery::{Recovery, recover};
 pub use replace::{MAX_APPLIED_REQUESTS, ReplaceAnswer, ReplaceConfig, Step};
--- a/crates/register/tests/model/actions.rs
+++ b/crates/register/tests/model/actions.rs
@@ -14,13 +14,15 @@
 //! * A round begins when its first prepare is delivered. Until then nobody can tell.
 //! * Once a round is over, its value has no message under way, and it is not chosen, it is forgotten; once the value is
 //!   chosen, only that is remembered.
+//! * A member's answer to the reader arrives in the step in which it is given, as replies do: a read that ends earlier
+//!   only makes what holds from then on stricter. A read that is given up is one that hears no more.
 //!
 //! `Network::Full` does without the second and the third, for small searches that show that the verdicts agree.
 
 use crate::machine::{Machine, Request};
 use crate::rules::{self, Violation};
 use crate::scenario::{JOINING, LEAVING, Network};
-use crate::state::{Answer, MAX_NODES, NONE, Proposer, Reply, Slot, State};
+use crate::state::{Answer, MAX_NODES, NONE, Proposer, Reader, Reply, Slot, State};
 use crate::support::mutants::Mutant;
 use crate::support::node::Node;
 use runtrack_message::Ballot;
@@ -48,10 +50,25 @@
     RestartMember { member: u8 },
     /// A member loses its disk.
     Wipe,
+    /// The reader begins a read as a process that knows what this one does, and a member answers it.
+    BeginRead { as_who: ReadAs, member: u8 },
+    /// A member answers the reader.
+    Inspect { member: u8 },
     /// A committed value reaches a member by itself.
     Adopt { member: u8, committed: u32 },
 }
 
+/// What a reader knows when it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadAs {
+    /// The first members alone.
+    Newcomer,
+    /// What its own reads have told it.
+    Itself,
+    /// What a proposer knows.
+    Proposer(u8),
+}
+
 /// The ballot of a rank.
 pub fn ballot(machine: &Machine, rank: u8, proposer: u8) -> Ballot {
     let boot = if machine.scenario.mutant == Mutant::BallotsShared { 1 } else { u64::from(proposer) + 1 };
@@ -90,6 +107,14 @@
     State {
         nodes,
         proposers: machine.scenario.rounds.map(proposer),
+        reader: Reader {
+            reads: machine.scenario.reads,
+            begun: false,
+            known: NONE,
+            learned: NONE,
+            floor: 0,
+            answers: [NONE; MAX_NODES],
+        },
         slots: Vec::new(),
         replies: Vec::new(),
         chosen,
@@ -131,6 +156,7 @@
             actions.push(Action::RestartMember { member });
         }
     }
+    reads(machine, state, &mut actions);
     if machine.scenario.wipe && !state.wiped {
         actions.push(Action::Wipe);
     }
@@ -174,6 +200,48 @@
     }
 }
 
+/// What the reader can do: begin, as anybody, or hear one more member.
+fn reads(machine: &mut Machine, state: &State, actions: &mut Vec<Action>) {
+    let reader = &state.reader;
+    if reader.reads > 0 && !reader.begun {
+        let all = [ReadAs::Newcomer, ReadAs::Itself, ReadAs::Proposer(0), ReadAs::Proposer(1)];
+        let mut begun: Vec<u32> = Vec::new();
+        for as_who in all {
+            let known = known_as(state, as_who);
+            if begun.contains(&known) {
+                continue;
+            }
+            begun.push(known);
+            let answering = bits(machine.asked(known)).filter(|at| answers(machine, state, *at));
+            actions.extend(answering.map(|member| Action::BeginRead { as_who, member }));
+        }
+    }
+    if reader.begun {
+        let asked = machine.reading(reader.known, reader.answers).asked;
+        let waited_for = bits(asked).filter(|at| reader.answers[usize::from(*at)] == NONE);
+        let answering = waited_for.filter(|at| answers(machine, state, *at));
+        actions.extend(answering.map(|member| Action::Inspect { member }));
+    }
+}
+
+fn known_as(state: &State, as_who: ReadAs) -> u32 {
+    match as_who {
+        ReadAs::Newcomer => NONE,
+        ReadAs::Itself => state.reader.learned,
+        ReadAs::Proposer(proposer) => state.proposers[usize::from(proposer)].known,
+    }
+}
+
+/// Whether a member answers a reader. An error lets one do so whose disk is an older one, before it has found out.
+fn answers(machine: &Machine, state: &State, member: u8) -> bool {
+    is_up(state, member) || has_unchecked_disk(machine, state, member)
+}
+
+fn has_unchecked_disk(machine: &Machine, state: &State, member: u8) -> bool {
+    let planted = machine.scenario.mutant == Mutant::InspectedBeforeDiskCheck;
+    planted && state.wiped && member == LEAVING
+}
+
 fn promises(machine: &Machine, state: &State, member: u8, rank: u8, proposer: u8) -> bool {
     let full = machine.scenario.network == Network::Full;
     let node = state.nodes[usize::from(member)];
@@ -212,6 +280,11 @@
             let node = &mut next.nodes[usize::from(member)];
             *node = machine.restart(*node);
         }
+        Action::BeginRead { as_who, member } => {
+            begin_read(&mut next, as_who);
+            inspect(machine, &mut next, member)?;
+        }
+        Action::Inspect { member } => inspect(machine, &mut next, member)?,
         Action::Wipe => wipe(machine, &mut next),
         Action::Adopt { member, committed } => adopt(machine, &mut next, member, committed),
     }
@@ -298,6 +371,42 @@
     rules::on_reply(machine, state, at, reply)
 }
 
+fn begin_read(state: &mut State, as_who: ReadAs) {
+    let known = known_as(state, as_who);
+    state.reader.reads -= 1;
+    state.reader.begun = true;
+    state.reader.known = known;
+    state.reader.floor = state.seen;
+}
+
+fn inspect(machine: &mut Machine, state: &mut State, member: u8) -> Result<(), Violation> {
+    let at = usize::from(member);
+    let known = state.reader.known;
+    let node =
+        if has_unchecked_disk(machine, state, member) { older_node(machine) } else { state.nodes[at] };
+    let mut answer = machine.inspect(node, member, known);
+    if machine.scenario.mutant == Mutant::UnsyncedReported {
+        let written = |slot: &&Slot| slot.accepts & (1 << member) != 0;
+        let newest = state.slots.iter().filter(written).max_by_key(|slot| slot.rank);
+        if let Some(slot) = newest {
+            let ballot = ballot(machine, slot.rank, slot.proposer);
+            let writing = machine.inspect_while_writing(node, member, known, ballot, slot.value);
+            answer = writing.unwrap_or(answer);
+        }
+    }
+    state.reader.answers[at] = answer;
+    rules::on_inspection(machine, state)
+}
+
+/// A member whose disk was put back to what it was before the first request.
+fn older_node(machine: &mut Machine) -> u32 {
+    let mut node = Node::new(machine.scenario.members[usize::from(LEAVING)].incarnation);
+    if let Some(value) = machine.scenario.initial.clone() {
+        node.adopt(INITIAL_BALLOT, &Rc::new(value), Mutant::None);
+    }
+    machine.intern_node(node)
+}
+
 fn restart_proposer(machine: &Machine, state: &mut State, proposer: u8) {
     state.give_up(proposer);
     state.restarts -= 1;
@@ -315,14 +424,11 @@
     let mutant = machine.scenario.mutant;
     let stays = matches!(mutant, Mutant::WipedMemberVotes | Mutant::OlderDiskAccepted);
     let at = usize::from(if stays { LEAVING } else { JOINING });
-    let mut node = Node::new(machine.scenario.members[at].incarnation);
-    if mutant == Mutant::OlderDiskAccepted
-        && let Some(value) = machine.scenario.initial.clone()
-    {
-        node.adopt(INITIAL_BALLOT, &Rc::new(value), Mutant::None);
-    }
+    let empty = Node::new(machine.scenario.members[at].incarnation);
+    let is_older = mutant == Mutant::OlderDiskAccepted;
+    let node = if is_older { older_node(machine) } else { machine.intern_node(empty) };
     state.nodes[usize::from(LEAVING)] = NONE;
-    state.nodes[at] = machine.intern_node(node);
+    state.nodes[at] = node;
 }
 
 fn adopt(machine: &mut Machine, state: &mut State, member: u8, committed: u32) {
--- a/crates/register/tests/model/machine.rs
+++ b/crates/register/tests/model/machine.rs
@@ -5,10 +5,15 @@
 use crate::scenario::Scenario;
 use crate::state::{Answer, MAX_NODES, NONE, State};
 use crate::support::attempt::{Attempt, Decided, Purpose, is_refusal};
+use crate::support::inspecting::Inspecting;
 use crate::support::mutants::Mutant;
 use crate::support::node::Node;
-use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
-use runtrack_register::{Outcome, Progress, ReplaceAnswer, Send, members_of, sets_of};
+use runtrack_message::{
+    Ballot, InspectReply, InspectRequest, Member, RegisterReply, RegisterRequest, Value,
+};
+use runtrack_register::{
+    Outcome, Progress, ReadOutcome, ReadProgress, ReplaceAnswer, Send, members_of, sets_of,
+};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -34,6 +39,24 @@
     Membership(u32),
 }
 
+/// How a quorum read ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadEnd {
+    Empty,
+    /// This is chosen.
+    Chosen(u32),
+    /// Only a round can tell.
+    Unsettled,
+}
+
+/// A quorum read that has these answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// Members that were asked.
+    pub asked: u8,
+    pub end: Option<ReadEnd>,
+}
+
 /// What a decision rested on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Basis {
@@ -90,6 +113,9 @@
     handled: FixedMap<(u32, u8, Request), (u32, u32)>,
     replied: FixedMap<(u32, u8, u8, u32), Replied>,
     restarted: FixedMap<u32, u32>,
+    inspections: Interner<InspectReply>,
+    inspected: FixedMap<(u32, u8, u32), u32>,
+    readings: FixedMap<(u32, [u32; MAX_NODES]), Reading>,
     renamed: FixedMap<(u32, usize), u32>,
     /// The least that a majority of members in these states reads, see `audit.rs`.
     pub audited: FixedMap<[u32; MAX_NODES], u8>,
@@ -112,6 +138,9 @@
             handled: FixedMap::default(),
             replied: FixedMap::default(),
             restarted: FixedMap::default(),
+            inspections: Interner::new(),
+            inspected: FixedMap::default(),
+            readings: FixedMap::default(),
             renamed: FixedMap::default(),
             audited: FixedMap::default(),
         }
@@ -209,13 +238,88 @@
 
     /// Begins a round: its number, and where it prepares.
     pub fn begin(&mut self, ballot: Ballot, known: u32) -> (u32, u8) {
+        let (sets, known) = self.beginning(known);
+        let (attempt, sends) = Attempt::new(ballot, sets, known);
+        (self.intern_attempt(attempt, None), self.targets(&sends))
+    }
+
+    /// The sets at which somebody begins who knows this to be committed.
+    fn beginning(&self, known: u32) -> (Vec<BTreeSet<Member>>, Option<Committed>) {
         let known = (known != NONE).then(|| (*self.committed.get(known)).clone());
         let sets = match &known {
             Some((_, value)) => vec![members_of(value)],
             None => vec![self.scenario.first.clone()],
         };
-        let (attempt, sends) = Attempt::new(ballot, sets, known);
-        (self.intern_attempt(attempt, None), self.targets(&sends))
+        (sets, known)
+    }
+
+    /// A member's answer to a reader that knows this to be committed.
+    pub fn inspect(&mut self, node: u32, at: u8, known: u32) -> u32 {
+        if let Some(done) = self.inspected.get(&(node, at, known)) {
+            return *done;
+        }
+        let request = self.inspection(at, known);
+        let reply = self.nodes.get(node).inspect(&request);
+        let done = self.inspections.number(reply).0;
+        self.inspected.insert((node, at, known), done);
+        done
+    }
+
+    fn inspection(&self, at: u8, known: u32) -> InspectRequest {
+        let have = if known == NONE { Ballot::default() } else { self.committed.get(known).0 };
+        InspectRequest { to: self.scenario.members[usize::from(at)].incarnation, have }
+    }
+
+    /// A mutant's answer while the member writes this value; nothing where it would refuse it.
+    pub fn inspect_while_writing(
+        &mut self,
+        node: u32,
+        at: u8,
+        known: u32,
+        ballot: Ballot,
+        value: u32,
+    ) -> Option<u32> {
+        let request = self.inspection(at, known);
+        let value = (*self.values.get(value)).clone();
+        let writing = RegisterRequest::Accept { to: request.to, ballot, value };
+        let reply = self.nodes.get(node).inspect_while_writing(&request, &writing)?;
+        Some(self.inspections.number(reply).0)
+    }
+
+    /// A read by somebody who knows this to be committed and has these answers. They count in whatever order they came.
+    pub fn reading(&mut self, known: u32, answers: [u32; MAX_NODES]) -> Reading {
+        if let Some(done) = self.readings.get(&(known, answers)) {
+            return *done;
+        }
+        let (sets, value) = self.beginning(known);
+        let (mut read, mut asked) = Inspecting::new(sets, value, self.scenario.mutant);
+        let mut outcome = None;
+        for (at, answer) in answers.iter().enumerate().filter(|(_, answer)| **answer != NONE) {
+            let reply = (*self.inspections.get(*answer)).clone();
+            match read.reply(self.scenario.members[at], reply) {
+                ReadProgress::Ask(more) => {
+                    asked.extend(more);
+                    outcome = None;
+                }
+                ReadProgress::Done(done) => outcome = Some(done),
+            }
+        }
+        let to: BTreeSet<u8> = asked.iter().map(|(to, _)| self.scenario.index(*to)).collect();
+        let end = outcome.map(|outcome| self.read_end(outcome));
+        let done = Reading { asked: to.into_iter().map(|at| 1 << at).sum(), end };
+        self.readings.insert((known, answers), done);
+        done
+    }
+
+    fn read_end(&mut self, outcome: ReadOutcome) -> ReadEnd {
+        match outcome {
+            ReadOutcome::Empty => ReadEnd::Empty,
+            ReadOutcome::Unsettled => ReadEnd::Unsettled,
+            ReadOutcome::Chosen(ballot, value) => {
+                let value = self.intern_value((*value).clone());
+                ReadEnd::Chosen(self.intern_committed(ballot, value))
+            }
+        }
     }
 
     fn intern_attempt(&mut self, attempt: Attempt, origin: Option<Origin>) -> u32 {
--- a/crates/register/tests/model/main.rs
+++ b/crates/register/tests/model/main.rs
@@ -53,6 +53,10 @@
         Scenario { rounds: [1, 2], ..scenario::replacement() },
         Scenario { rounds: [1, 2], ..scenario::wipe() },
         Scenario { rounds: [2, 1], ..scenario::late_copy() },
+        Scenario { rounds: [1, 1], restarts: 0, reads: 2, ..scenario::race() },
+        Scenario { rounds: [0, 2], reads: 1, ..scenario::replacement() },
+        Scenario { rounds: [1, 1], reads: 1, ..scenario::wipe() },
+        Scenario { rounds: [1, 1], reads: 1, ..scenario::late_copy() },
     ]
 }
 
@@ -74,6 +78,25 @@
     ]
 }
 
+/// Searches with quorum reads; `REGISTER_MODEL=reads` asks for them.
+fn reads() -> Vec<Scenario> {
+    vec![
+        Scenario { rounds: [2, 1], restarts: 0, reads: 2, ..scenario::race() },
+        Scenario { rounds: [2, 2], restarts: 0, reads: 1, ..scenario::race() },
+        Scenario { rounds: [1, 1], restarts: 1, reads: 1, adopt: true, ..scenario::race() },
+        Scenario { rounds: [1, 1], reads: 2, ..scenario::late_copy() },
+        Scenario { rounds: [0, 2], reads: 2, ..scenario::replacement() },
+        Scenario { rounds: [0, 3], reads: 1, ..scenario::replacement().with_rival() },
+        Scenario { rounds: [0, 3], reads: 2, ..scenario::replacement() },
+        Scenario { rounds: [0, 3], reads: 2, ..scenario::replacement().with_rival() },
+        Scenario { rounds: [0, 4], reads: 1, ..scenario::replacement().with_rival() },
+        Scenario { rounds: [0, 3], reads: 2, ..scenario::wipe() },
+        Scenario { rounds: [1, 1], reads: 2, ..scenario::wipe() },
+        Scenario { rounds: [1, 2], reads: 1, ..scenario::wipe() },
+        Scenario { rounds: [1, 1], reads: 2, ..scenario::replacement() },
+    ]
+}
+
 #[test]
 fn every_order_within_the_bounds_keeps_the_rules() {
     small().into_iter().for_each(holds);
@@ -81,8 +104,10 @@
 
 #[test]
 fn every_order_within_larger_bounds_keeps_the_rules() {
-    if std::env::var("REGISTER_MODEL").is_ok_and(|which| which == "large") {
-        large().into_iter().for_each(holds);
+    match std::env::var("REGISTER_MODEL").as_deref() {
+        Ok("large") => large().into_iter().for_each(holds),
+        Ok("reads") => reads().into_iter().for_each(holds),
+        _ => {}
     }
 }
 
@@ -92,6 +117,7 @@
     let replacement = || Scenario { rounds: [2, 2], ..scenario::replacement() };
     let wipe = || Scenario { rounds: [1, 1], ..scenario::wipe() };
     let older = || Scenario { rounds: [1, 1], ..scenario::older_disk() };
+    let reading = |scenario| Scenario { rounds: [1, 1], restarts: 0, reads: 2, ..scenario };
     vec![
         (Mutant::PromiseNotSynced, race()),
         (Mutant::ValueNotSynced, race()),
@@ -114,6 +140,10 @@
         (Mutant::NewSetAlone, replacement()),
         (Mutant::PromiseLoweredByAdopting, scenario::late_copy()),
         (Mutant::OlderDiskAccepted, older()),
+        (Mutant::HighestRead, reading(scenario::race())),
+        (Mutant::OldSetReads, reading(scenario::replacement())),
+        (Mutant::UnsyncedReported, reading(scenario::race())),
+        (Mutant::InspectedBeforeDiskCheck, reading(scenario::older_disk())),
     ]
 }
 
--- a/crates/register/tests/model/rules.rs
+++ b/crates/register/tests/model/rules.rs
@@ -2,7 +2,7 @@
 
 use crate::actions::ballot;
 use crate::audit::least_read;
-use crate::machine::{End, Machine};
+use crate::machine::{End, Machine, ReadEnd};
 use crate::state::{Answer, MAX_NODES, NONE, Reply, State};
 use crate::support::attempt::Purpose;
 use crate::support::mutants::Mutant;
@@ -182,6 +182,35 @@
     Ok(())
 }
 
+/// The reader has heard another member: where that ends its read, it is told of nothing older than anybody was told of
+/// before it began, and of nothing that is not chosen.
+pub fn on_inspection(machine: &mut Machine, state: &mut State) -> Result<(), Violation> {
+    let end = machine.reading(state.reader.known, state.reader.answers).end;
+    let value = match end {
+        None => return Ok(()),
+        Some(ReadEnd::Unsettled) => {
+            state.reader.end();
+            return Ok(());
+        }
+        Some(ReadEnd::Empty) => NONE,
+        Some(ReadEnd::Chosen(committed)) => {
+            state.reader.learned = committed;
+            machine.value_of(committed)
+        }
+    };
+    let floor = state.reader.floor;
+    state.reader.end();
+    let sequence = if value == NONE { 0 } else { machine.facts(value).sequence };
+    if sequence < floor {
+        return broken(format!("sequence {sequence} is read after {floor} was seen"));
+    }
+    if value != NONE && !is_chosen(machine, state, value) {
+        return broken("a value is read that is not chosen");
+    }
+    state.seen = state.seen.max(sequence);
+    Ok(())
+}
+
 fn acknowledged(machine: &mut Machine, state: &mut State, purpose: u8) -> Result<(), Violation> {
     if state.refused & (1 << purpose) != 0 {
         return broken(format!("request {purpose} was refused and is acknowledged"));
--- a/crates/register/tests/model/scenario.rs
+++ b/crates/register/tests/model/scenario.rs
@@ -38,6 +38,8 @@
     pub rounds: [u8; 2],
     /// Restarts of proposers.
     pub restarts: u8,
+    /// Quorum reads of a third process.
+    pub reads: u8,
     /// The member of index [`LEAVING`] may lose its disk once, or have an older copy of it put back; [`JOINING`] is its
     /// new incarnation.
     pub wipe: bool,
@@ -63,6 +65,7 @@
         scripts: [Vec::new(), Vec::new()],
         rounds: [2, 2],
         restarts: 0,
+        reads: 0,
         wipe: false,
         adopt: false,
         network: Network::Reduced,
--- a/crates/register/tests/model/state.rs
+++ b/crates/register/tests/model/state.rs
@@ -53,6 +53,33 @@
     pub answer: Answer,
 }
 
+/// A third process, which takes quorum reads.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Reader {
+    /// Reads left.
+    pub reads: u8,
+    /// It waits for answers.
+    pub begun: bool,
+    /// What it takes for committed in this read, or [`NONE`].
+    pub known: u32,
+    /// What its own reads have told it.
+    pub learned: u32,
+    /// The highest sequence that anybody had been told of when its read began.
+    pub floor: u8,
+    /// The members' answers, or [`NONE`].
+    pub answers: [u32; MAX_NODES],
+}
+
+impl Reader {
+    /// It waits for answers no more.
+    pub fn end(&mut self) {
+        self.begun = false;
+        self.known = NONE;
+        self.floor = 0;
+        self.answers = [NONE; MAX_NODES];
+    }
+}
+
 /// What a request is to be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Answer {
@@ -67,6 +94,7 @@
     /// The members with their disks, or [`NONE`] for one that is not there.
     pub nodes: [u32; MAX_NODES],
     pub proposers: [Proposer; 2],
+    pub reader: Reader,
     /// Sorted.
     pub slots: Vec<Slot>,
     /// Sorted.
@@ -105,6 +133,9 @@
         for (at, node) in self.nodes.iter().enumerate() {
             other.nodes[usize::from(row[at])] = *node;
         }
+        for (at, answer) in self.reader.answers.iter().enumerate() {
+            other.reader.answers[usize::from(row[at])] = *answer;
+        }
         for slot in &mut other.slots {
             (slot.prepares, slot.accepts, slot.votes) =
                 (mask(slot.prepares), mask(slot.accepts), mask(slot.votes));
--- a/crates/register/tests/model/trace.rs
+++ b/crates/register/tests/model/trace.rs
@@ -63,6 +63,10 @@
         Action::Timeout { proposer } => format!("proposer {proposer} gives its round up"),
         Action::RestartProposer { proposer } => format!("proposer {proposer} restarts"),
         Action::RestartMember { member } => format!("{} restarts", name(member)),
+        Action::BeginRead { as_who, member } => {
+            format!("a reader begins as {as_who:?}; {} answers it", name(member))
+        }
+        Action::Inspect { member } => format!("{} answers the reader", name(member)),
         Action::Wipe => "member 2 loses its disk".into(),
         Action::Adopt { member, committed } => {
             format!(
--- /dev/null
+++ b/crates/register/tests/quorum_reads.rs
@@ -0,0 +1,197 @@
+//! Quorum reads against members, each bad order forced.
+
+mod support;
+
+use runtrack_message::{Ballot, InspectReply, InspectRequest, Member, RegisterRequest, Value};
+use runtrack_register::{
+    Accepted, Acceptor, Decision, QuorumRead, ReadOutcome, ReadProgress, inspect, replace_members,
+};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use support::{member, order};
+
+/// Sets of members by number.
+fn set(members: &[u8]) -> BTreeSet<Member> {
+    members.iter().map(|at| member(*at, 0)).collect()
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, boot: 1 }
+}
+
+/// The value after so many orders, under one set.
+fn value(version: u64, members: &[u8]) -> Value {
+    let mut current: Option<Value> = None;
+    for base in 0..version {
+        let decision = order(base, base + 1).decide(current.as_ref(), &[set(members)]).0;
+        let Decision::Propose(next) = decision else { panic!("{decision:?}") };
+        current = Some(next);
+    }
+    current.expect("a version above zero")
+}
+
+/// The first half of a change of members on top of a value.
+fn joint(before: &Value, next: &[u8]) -> Value {
+    let Decision::Propose(joint) = replace_members(before, &set(next)) else { panic!("no change") };
+    joint
+}
+
+fn has(round: u64, value: &Value) -> InspectReply {
+    InspectReply::AcceptedWith { ballot: ballot(round), value: value.clone() }
+}
+
+fn nothing() -> InspectReply {
+    InspectReply::Accepted(Ballot::default())
+}
+
+fn chosen(round: u64, value: &Value) -> ReadProgress {
+    ReadProgress::Done(ReadOutcome::Chosen(ballot(round), Rc::new(value.clone())))
+}
+
+const WAITING: ReadProgress = ReadProgress::Ask(Vec::new());
+const UNSETTLED: ReadProgress = ReadProgress::Done(ReadOutcome::Unsettled);
+
+fn begin(members: &[u8]) -> QuorumRead {
+    let (read, inspections) = QuorumRead::new(vec![set(members)], None);
+    let asked: Vec<Member> = inspections.iter().map(|(to, _)| *to).collect();
+    assert_eq!(asked, set(members).into_iter().collect::<Vec<_>>());
+    read
+}
+
+#[test]
+fn a_value_that_a_majority_has_under_one_ballot_is_read() {
+    let one = value(1, &[0, 1, 2]);
+    let mut read = begin(&[0, 1, 2]);
+    assert_eq!(read.reply(member(0, 0), has(3, &one)), WAITING);
+    assert_eq!(read.reply(member(2, 0), has(3, &one)), chosen(3, &one));
+}
+
+#[test]
+fn nothing_is_empty_only_at_a_majority() {
+    let mut read = begin(&[0, 1, 2]);
+    assert_eq!(read.reply(member(0, 0), nothing()), WAITING);
+    assert_eq!(read.reply(member(1, 0), nothing()), ReadProgress::Done(ReadOutcome::Empty));
+}
+
+#[test]
+fn a_value_at_a_minority_is_not_read_and_the_register_is_not_empty() {
+    let one = value(1, &[0, 1, 2]);
+    let mut read = begin(&[0, 1, 2]);
+    assert_eq!(read.reply(member(0, 0), has(3, &one)), WAITING);
+    assert_eq!(read.reply(member(1, 0), nothing()), WAITING, "member 2 may have it as well");
+    assert_eq!(read.reply(member(2, 0), nothing()), UNSETTLED);
+}
+
+#[test]
+fn beside_a_write_at_a_minority_the_value_before_it_is_read() {
+    let (one, two) = (value(1, &[0, 1, 2]), value(2, &[0, 1, 2]));
+    let mut read = begin(&[0, 1, 2]);
+    assert_eq!(read.reply(member(0, 0), has(4, &two)), WAITING);
+    assert_eq!(read.reply(member(1, 0), has(3, &one)), WAITING);
+    assert_eq!(read.reply(member(2, 0), has(3, &one)), chosen(3, &one));
+}
+
+#[test]
+fn one_value_under_two_ballots_is_no_majority() {
+    let one = value(1, &[0, 1, 2]);
+    let mut read = begin(&[0, 1, 2]);
+    assert_eq!(read.reply(member(0, 0), has(3, &one)), WAITING);
+    assert_eq!(read.reply(member(1, 0), has(4, &one)), WAITING);
+    assert_eq!(read.unreachable(member(2, 0)), UNSETTLED);
+}
+
+#[test]
+fn joint_sets_must_have_a_majority_each() {
+    let before = value(1, &[0, 1, 2]);
+    let joint = joint(&before, &[0, 1, 3]);
+    let mut read = begin(&[0, 1, 2]);
+    let request = InspectRequest { to: 0, have: Ballot::default() };
+    assert_eq!(read.reply(member(1, 0), has(4, &joint)), ReadProgress::Ask(vec![(member(3, 0), request)]));
+    assert_eq!(read.reply(member(2, 0), has(4, &joint)), WAITING, "a majority of the old set alone");
+    assert_eq!(read.reply(member(3, 0), has(4, &joint)), chosen(4, &joint));
+}
+
+#[test]
+fn a_reader_with_the_sets_of_long_ago_finds_the_members_of_now() {
+    let now = value(2, &[3, 4, 5]);
+    let mut read = begin(&[0, 1, 2]);
+    let request = |at| (member(at, 0), InspectRequest { to: 0, have: Ballot::default() });
+    let asked = ReadProgress::Ask(vec![request(3), request(4), request(5)]);
+    assert_eq!(read.reply(member(0, 0), has(9, &now)), asked);
+    assert_eq!(read.reply(member(3, 0), has(9, &now)), WAITING);
+    assert_eq!(read.reply(member(4, 0), has(9, &now)), WAITING, "no majority of those it began with");
+    assert_eq!(read.reply(member(1, 0), has(1, &value(1, &[0, 1, 2]))), chosen(9, &now));
+}
+
+/// The members of a change answer while it goes on: the reader hears the old ones before the first half and the new ones
+/// after the second.
+#[test]
+fn a_read_beside_a_change_of_members_is_answered_with_what_was_chosen_meanwhile() {
+    let before = value(1, &[0, 1, 2]);
+    let after = Value { sets: value(1, &[3, 4, 5]).sets, sequence: 3, ..before.clone() };
+    let mut read = begin(&[0, 1, 2]);
+    assert_eq!(read.reply(member(0, 0), has(3, &before)), WAITING);
+    assert!(matches!(read.reply(member(1, 0), has(5, &after)), ReadProgress::Ask(_)));
+    assert_eq!(read.reply(member(3, 0), has(5, &after)), WAITING);
+    assert_eq!(read.reply(member(4, 0), has(5, &after)), chosen(5, &after));
+}
+
+#[test]
+fn another_incarnation_answers_for_nobody() {
+    let one = value(1, &[0, 1, 2]);
+    let accepted = Accepted { ballot: ballot(3), value: Rc::new(one.clone()) };
+    let request = InspectRequest { to: 0, have: Ballot::default() };
+    assert_eq!(inspect(7, Some(&accepted), &request), InspectReply::WrongIncarnation);
+    let mut read = begin(&[0, 1, 2]);
+    assert_eq!(read.reply(member(0, 0), InspectReply::WrongIncarnation), WAITING);
+    assert_eq!(read.reply(member(1, 0), InspectReply::WrongIncarnation), WAITING);
+    assert_eq!(read.reply(member(2, 0), has(3, &one)), UNSETTLED);
+}
+
+#[test]
+fn a_value_that_the_reader_has_is_not_sent() {
+    let one = Rc::new(value(1, &[0, 1, 2]));
+    let accepted = Accepted { ballot: ballot(3), value: one.clone() };
+    let (mut read, inspections) = QuorumRead::new(vec![set(&[0, 1, 2])], Some((ballot(3), one.clone())));
+    for (to, request) in &inspections[..2] {
+        let reply = inspect(0, Some(&accepted), request);
+        assert_eq!(reply, InspectReply::Accepted(ballot(3)));
+        let progress = read.reply(*to, reply);
+        let is_last = *to == inspections[1].0;
+        assert_eq!(progress, if is_last { chosen(3, &one) } else { WAITING });
+    }
+}
+
+#[test]
+fn a_member_that_names_a_value_which_the_reader_lacks_counts_for_nothing() {
+    let one = value(1, &[0, 1, 2]);
+    let mut read = begin(&[0, 1, 2]);
+    assert_eq!(read.reply(member(0, 0), InspectReply::Accepted(ballot(3))), WAITING);
+    assert_eq!(read.reply(member(1, 0), has(3, &one)), WAITING);
+    assert_eq!(read.reply(member(2, 0), has(3, &one)), chosen(3, &one));
+}
+
+#[test]
+fn a_reader_that_knows_a_value_never_takes_the_register_for_empty() {
+    let one = Rc::new(value(1, &[0, 1, 2]));
+    let (mut read, _) = QuorumRead::new(vec![set(&[0, 1, 2])], Some((ballot(3), one)));
+    assert_eq!(read.reply(member(0, 0), nothing()), WAITING);
+    assert_eq!(read.reply(member(1, 0), nothing()), WAITING);
+    assert_eq!(read.reply(member(2, 0), nothing()), UNSETTLED);
+}
+
+/// A value is chosen and its proposer never hears of it: from then on each read finds it.
+#[test]
+fn a_value_that_was_chosen_and_never_acknowledged_is_read() {
+    let two = value(2, &[0, 1, 2]);
+    let mut acceptors = [Acceptor::new(0), Acceptor::new(0), Acceptor::new(0)];
+    for acceptor in &mut acceptors[..2] {
+        acceptor.handle(&RegisterRequest::Accept { to: 0, ballot: ballot(4), value: two.clone() });
+    }
+    let request = InspectRequest { to: 0, have: Ballot::default() };
+    let mut read = begin(&[0, 1, 2]);
+    let answer = |at: usize| inspect(0, acceptors[at].accepted(), &request);
+    assert_eq!(read.reply(member(2, 0), answer(2)), WAITING);
+    assert_eq!(read.reply(member(1, 0), answer(1)), WAITING);
+    assert_eq!(read.reply(member(0, 0), answer(0)), chosen(4, &two));
+}
--- a/crates/register/tests/search.rs
+++ b/crates/register/tests/search.rs
@@ -20,6 +20,8 @@
     reads: u64,
     restores: u64,
     unknown_restores: u64,
+    quorum_reads: u64,
+    unsettled_reads: u64,
     all_replaced: u64,
 }
 
@@ -39,11 +41,14 @@
         totals.reads += count(&history, |event| matches!(event, Event::Read { .. }));
         totals.restores += played.restores;
         totals.unknown_restores += played.unknown_restores;
+        totals.quorum_reads += played.quorum_reads;
+        totals.unsettled_reads += played.unsettled_reads;
         totals.all_replaced += u64::from(played.all_replaced);
     }
     println!("{seeds} worlds: {totals:?}");
-    let Totals { acknowledged, refused, reads, restores, all_replaced, .. } = totals;
+    let Totals { acknowledged, refused, reads, restores, all_replaced, quorum_reads, .. } = totals;
     assert!(acknowledged > seeds && refused > seeds / 4 && reads > seeds, "the worlds do too little");
+    assert!(quorum_reads > seeds, "hardly any quorum read is answered");
     assert!(restores > seeds / 100, "hardly any older disk is put back");
     assert!(all_replaced > seeds / 100, "hardly ever are all members replaced");
 }
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod checker;
+pub mod inspecting;
 pub mod mutants;
 pub mod node;
 pub mod world;
--- a/crates/register/tests/support/mutants.rs
+++ b/crates/register/tests/support/mutants.rs
@@ -47,11 +47,19 @@
     PromiseLoweredByAdopting,
     /// A member whose disk was put back from an older copy goes on as if nothing had happened.
     OlderDiskAccepted,
+    /// A quorum read answers with the highest ballot that it found, whoever has it.
+    HighestRead,
+    /// A quorum read that finds joint sets is content with a majority of the old one.
+    OldSetReads,
+    /// A member reports what it is still writing.
+    UnsyncedReported,
+    /// A member with an older disk answers reads before the others have said that it is one.
+    InspectedBeforeDiskCheck,
 }
 
 impl Mutant {
     /// All errors, and the code as it is.
-    pub const ALL: [Mutant; 22] = [
+    pub const ALL: [Mutant; 26] = [
         Mutant::None,
         Mutant::PromiseNotSynced,
         Mutant::ValueNotSynced,
@@ -74,5 +82,9 @@
         Mutant::NewSetAlone,
         Mutant::PromiseLoweredByAdopting,
         Mutant::OlderDiskAccepted,
+        Mutant::HighestRead,
+        Mutant::OldSetReads,
+        Mutant::UnsyncedReported,
+        Mutant::InspectedBeforeDiskCheck,
     ];
 }
--- a/crates/register/tests/support/node.rs
+++ b/crates/register/tests/support/node.rs
@@ -1,8 +1,8 @@
 //! A member with its disk: what it has in memory, and what a restart finds.
 
 use super::mutants::Mutant;
-use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
-use runtrack_register::{Accepted, Acceptor, Durable, PromiseRecord, ValueRecord};
+use runtrack_message::{Ballot, InspectReply, InspectRequest, RegisterReply, RegisterRequest, Value};
+use runtrack_register::{Accepted, Acceptor, Durable, PromiseRecord, ValueRecord, inspect};
 use std::rc::Rc;
 
 /// What is on a member's disk.
@@ -43,6 +43,27 @@
         reply
     }
 
+    /// Its reply to a read: what it has on disk.
+    pub fn inspect(&self, request: &InspectRequest) -> InspectReply {
+        let incarnation = self.acceptor.incarnation();
+        let on_disk = self.disk.value.as_ref().filter(|value| value.incarnation == incarnation);
+        let accepted =
+            on_disk.map(|record| Accepted { ballot: record.ballot, value: Rc::new(record.value.clone()) });
+        inspect(incarnation, accepted.as_ref(), request)
+    }
+
+    /// A mutant's reply to a read while it writes what this request asks for; nothing where it would refuse that.
+    pub fn inspect_while_writing(
+        &self,
+        request: &InspectRequest,
+        writing: &RegisterRequest,
+    ) -> Option<InspectReply> {
+        let mut after = self.acceptor.clone();
+        let (reply, _) = after.handle(writing);
+        let takes = matches!(reply, RegisterReply::Accepted { .. });
+        takes.then(|| inspect(after.incarnation(), after.accepted(), request))
+    }
+
     /// Takes a value that is known to be committed.
     pub fn adopt(&mut self, ballot: Ballot, value: &Rc<Value>, mutant: Mutant) {
         let durable = self.acceptor.adopt_committed(ballot, value.clone());
--- a/crates/register/tests/support/world/faults.rs
+++ b/crates/register/tests/support/world/faults.rs
@@ -132,6 +132,8 @@
         match self.verdict_on(at, &copy) {
             DiskVerdict::Older(_) => {
                 self.restores += 1;
+                self.leave_unchecked(at);
+                self.read_at_once();
                 self.take_new_incarnation(at);
             }
             // Nobody remembers. The page says that this is not known; the world does without.
--- a/crates/register/tests/support/world/mod.rs
+++ b/crates/register/tests/support/world/mod.rs
@@ -6,6 +6,7 @@
 mod network;
 mod operations;
 mod profile;
+mod reads;
 
 use super::attempt::Terms;
 use super::checker::{Event, History};
@@ -16,6 +17,7 @@
 use network::Packet;
 use operations::Operation;
 use profile::Profile;
+use reads::Reads;
 use runtrack_message::{Ballot, Member, Value};
 use runtrack_register::{Decision, DurableWatermarks, ReplaceConfig};
 use std::collections::{BTreeMap, BTreeSet};
@@ -79,6 +81,7 @@
     processes: Vec<Process>,
     operations: BTreeMap<usize, Operation>,
     packets: Vec<Packet>,
+    reads: Reads,
     now: usize,
     next: usize,
     version: u64,
@@ -100,6 +103,9 @@
     pub history: History,
     pub restores: u64,
     pub unknown_restores: u64,
+    /// Quorum reads that were answered, and such that only a round could tell.
+    pub quorum_reads: u64,
+    pub unsettled_reads: u64,
     /// None of the first members is left.
     pub all_replaced: bool,
 }
@@ -126,6 +132,7 @@
             terms,
             operations: BTreeMap::new(),
             packets: Vec::new(),
+            reads: Reads::new(seed),
             now: 0,
             next: 0,
             version: 0,
@@ -172,8 +179,9 @@
         }
         self.heal();
         let all_replaced = self.newest_view().is_disjoint(&self.terms.first[0]);
-        let World { history, restores, unknown_restores, .. } = self;
-        Played { history, restores, unknown_restores, all_replaced }
+        let World { history, restores, unknown_restores, reads, .. } = self;
+        let (quorum_reads, unsettled_reads) = (reads.answered, reads.unsettled);
+        Played { history, restores, unknown_restores, quorum_reads, unsettled_reads, all_replaced }
     }
 
     fn step(&mut self) {
@@ -206,6 +214,7 @@
             self.deliver();
         }
         self.give_up_idle();
+        self.step_reads();
     }
 
     /// All is up and nothing is lost any more; then everybody reads.
--- a/crates/register/tests/support/world/network.rs
+++ b/crates/register/tests/support/world/network.rs
@@ -19,6 +19,16 @@
     due: usize,
 }
 
+/// The request in a packet, where it asks this member to accept a value.
+pub fn accept_for(packet: &Packet, member: Member) -> Option<&RegisterRequest> {
+    match &packet.content {
+        Content::Request(request @ RegisterRequest::Accept { .. }) if packet.member == member => {
+            Some(request)
+        }
+        _ => None,
+    }
+}
+
 impl World {
     pub(super) fn send(&mut self, operation: usize, ballot: Ballot, sends: Vec<Send>) {
         for (member, request) in sends {
--- a/crates/register/tests/support/world/operations.rs
+++ b/crates/register/tests/support/world/operations.rs
@@ -236,7 +236,7 @@
     }
 
     /// The request that brought the configuration of a value.
-    fn request_of(&self, value: &Value) -> Option<usize> {
+    pub(super) fn request_of(&self, value: &Value) -> Option<usize> {
         self.requests.iter().position(|request| request.body == value.config.as_slice())
     }
 
