A bench for changes and copies while a member is lost, in virtual time

Figures of real processes under load said that a change could take seconds while one member is lost, and not why. The bench `losses` plays thirteen kinds of loss at many moments against real controllers, whose links take 1 ms one way and whose disks 2 ms a write, with an operator who sends changes to each member in turn (1 s of silence, then the next). It prints the time without an acknowledged change, the time of one change from its first call to a member that nothing befalls, and the time until all disks hold the newest value.

--- /dev/null
+++ b/crates/controller/benches/losses.rs
@@ -0,0 +1,65 @@
+//! How long changes and copies take while a member is lost, in virtual time, so that the load of the machine does not matter:
+//! `cargo bench -p runtrack-controller --bench losses -- [members] [bytes] [every how many ms] [up to] [losses]`.
+
+#[path = "../tests/loss_measurement/mod.rs"]
+mod loss_measurement;
+#[path = "../tests/virtual_time/mod.rs"]
+mod virtual_time;
+
+use loss_measurement::{Figures, LOSSES, Loss, Row, Trial, play};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+use virtual_time::run;
+
+/// The machine is shared.
+const THREADS: usize = 3;
+
+fn figures(trial: Trial) -> Figures {
+    let figures = Rc::new(Cell::new(Figures::default()));
+    let out = figures.clone();
+    run(async move { out.set(play(trial).await) });
+    figures.get()
+}
+
+/// The rows of losses whose name holds this, on a few threads.
+fn rows(wanted: &str, row: impl Fn(Loss) -> Row + Sync) -> Vec<String> {
+    let losses: Vec<Loss> =
+        LOSSES.into_iter().filter(|loss| format!("{loss:?}").contains(wanted)).collect();
+    let (next, rows) = (AtomicUsize::new(0), Mutex::new(BTreeMap::new()));
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some((at, loss)) = take(&losses, &next) {
+                    let line = row(loss).to_string();
+                    rows.lock().expect("nobody panics with it").insert(at, line);
+                }
+            });
+        }
+    });
+    rows.into_inner().expect("nobody panics with it").into_values().collect()
+}
+
+fn take(losses: &[Loss], next: &AtomicUsize) -> Option<(usize, Loss)> {
+    let at = next.fetch_add(1, Ordering::Relaxed);
+    losses.get(at).map(|loss| (at, *loss))
+}
+
+fn main() {
+    let arguments: Vec<String> =
+        std::env::args().skip(1).filter(|argument| argument != "--bench").collect();
+    let number = |at: usize, default: usize| -> usize {
+        arguments.get(at).map_or(default, |text| text.parse().expect("a number"))
+    };
+    let (members, bytes, step, end) = (number(0, 3), number(1, 0), number(2, 13), number(3, 1000));
+    let wanted = arguments.get(4).cloned().unwrap_or_default();
+    let moments: Vec<Duration> = (0..end as u64).step_by(step).map(Duration::from_millis).collect();
+    println!("{members} members, {bytes} bytes, {} moments; median and maximum in ms", moments.len());
+    println!("{:14} without changes  one change   whole copies   the same at rest", "");
+    let row = |loss| Row::measure(members, bytes, loss, &moments, figures);
+    rows(&wanted, row).iter().for_each(|line| println!("{line}"));
+}
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -2,6 +2,11 @@
 //! refuse, processes that can be frozen.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod late;
+pub mod operator;
+
+use late::Late;
+use operator::Operator;
 use runtrack_controller::disk::{MemberDisk, Persisting, Record, Rings};
 use runtrack_controller::{new_incarnation, run_in};
 use runtrack_fleetconfig::Node;
@@ -11,7 +16,7 @@
 use slog::{Drain, Logger, o};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::future::{Future, poll_fn};
+use std::future::{Future, pending, poll_fn};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::pin::{Pin, pin};
@@ -33,12 +38,16 @@
 const EDGE: usize = 98;
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 const BUFFER: usize = 1 << 20;
+const STALL_POLL_INTERVAL: Duration = Duration::from_millis(5);
 const CONTROL: u16 = 8146;
 const FIRST_PORT: u16 = 7660;
+/// Machines that the settings name.
+const SEEDS: usize = 3;
+const SETTLE_S: f64 = 4.0;
 
 /// A link that carries nothing while it is cut.
 struct Link {
-    stream: DuplexStream,
+    stream: Late<DuplexStream>,
     cut: Rc<Cell<bool>>,
     /// What is written at this end does not arrive.
     mute: Rc<Cell<bool>>,
@@ -89,6 +98,10 @@
     links: Vec<(usize, usize, Rc<Cell<bool>>)>,
     /// Ends of links: whose words to whom are lost while this is set.
     mutes: Vec<(usize, usize, Rc<Cell<bool>>)>,
+    /// Machines without power: who dials them waits.
+    dark: BTreeSet<usize>,
+    /// How long words are on their way.
+    latency: Duration,
 }
 
 fn pair(one: usize, other: usize) -> (usize, usize) {
@@ -114,12 +127,16 @@
         let target = machine_at(to);
         let mut wires = self.wires.borrow_mut();
         let (one, other) = pair(self.machine, target);
+        if wires.dark.contains(&target) {
+            return Box::pin(pending());
+        }
         let refused = || -> Connecting { Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) }) };
         if wires.cut.contains(&(one, other)) {
             return refused();
         }
         let Some(incoming) = wires.listening.get(&to).cloned() else { return refused() };
         let (here, there) = tokio::io::duplex(BUFFER);
+        let (here, there) = (Late::new(here, wires.latency), Late::new(there, wires.latency));
         let cut = Rc::new(Cell::new(false));
         let (mute, their_mute) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
         let link = Link { stream: there, cut: cut.clone(), mute: their_mute.clone() };
@@ -146,15 +163,20 @@
     delay: Rc<Cell<Duration>>,
     /// Writes that were begun.
     writes: Rc<Cell<u64>>,
+    /// No write ends while this is set.
+    stalled: Rc<Cell<bool>>,
 }
 
 impl MemberDisk for MemoryDisk {
     fn persist(&self, record: Record) -> Persisting {
-        let (rings, delay) = (self.rings.clone(), self.delay.clone());
+        let (rings, delay, stalled) = (self.rings.clone(), self.delay.clone(), self.stalled.clone());
         self.writes.set(self.writes.get() + 1);
         Box::pin(async move {
             let mut rings = rings.lock().await;
             sleep(delay.get()).await;
+            while stalled.get() {
+                sleep(STALL_POLL_INTERVAL).await;
+            }
             rings.write(&record).map_err(|error| error.to_string())
         })
     }
@@ -196,6 +218,7 @@
     disk: Memory,
     disk_delay: Rc<Cell<Duration>>,
     disk_writes: Rc<Cell<u64>>,
+    disk_stalled: Rc<Cell<bool>>,
     lines: Lines,
     read: usize,
     frozen: Rc<Cell<bool>>,
@@ -209,6 +232,8 @@
     machines: Vec<Machine>,
     wires: Rc<RefCell<Wires>>,
     settle_s: f64,
+    /// Machines whose loss is to be borne.
+    tolerance: usize,
 }
 
 fn address(machine: usize, port: u16) -> SocketAddrV4 {
@@ -227,6 +252,7 @@
             disk: Memory::default(),
             disk_delay: Rc::default(),
             disk_writes: Rc::default(),
+            disk_stalled: Rc::default(),
             lines: Lines::default(),
             read: 0,
             frozen: Rc::default(),
@@ -234,7 +260,30 @@
             events: None,
             process: None,
         };
-        World { machines: (0..machines).map(machine).collect(), wires: Rc::default(), settle_s }
+        World {
+            machines: (0..machines).map(machine).collect(),
+            wires: Rc::default(),
+            settle_s,
+            tolerance: 1,
+        }
+    }
+
+    /// So many members that run and hold version 1, on so many machines, with links and disks that take their time.
+    pub async fn with_members(members: usize, machines: usize, latency: Duration, write: Duration) -> Self {
+        let mut world = World::new(machines, SETTLE_S);
+        world.tolerance = members / 2;
+        world.wires.borrow_mut().latency = latency;
+        (0..machines).for_each(|machine| world.slow_disk(machine, write));
+        (0..SEEDS).for_each(|machine| world.start(machine, true));
+        for machine in 0..SEEDS {
+            world.logged(machine, "contact.majority", "").await;
+        }
+        world.order(0, 0, 1).await;
+        for machine in SEEDS..members {
+            world.start(machine, false);
+            world.logged(machine, "member.joined", "").await;
+        }
+        world
     }
 
     /// So many machines, of which the first three run, are in contact with each other and hold version 1.
@@ -257,14 +306,15 @@
 
     /// Starts a process; it runs until it ends by itself.
     pub fn start(&mut self, machine: usize, first_boot: bool) {
-        let seeds: Vec<String> = (0..3).map(|seed| address(seed, CONTROL).to_string()).collect();
+        let seeds: Vec<String> = (0..SEEDS).map(|seed| address(seed, CONTROL).to_string()).collect();
         let text = format!(
             "node=core-{machine}\nip={}\nzone=a\nlisten.control={}\nportRange={FIRST_PORT},{}\nseeds={}\n\
-             firstBoot={first_boot}\nbeatPeriodMs=1200\ntolerance.machines=1\nbounds.settleS={}\n",
+             firstBoot={first_boot}\nbeatPeriodMs=1200\ntolerance.machines={}\nbounds.settleS={}\n",
             address(machine, 0).ip(),
             address(machine, CONTROL),
             FIRST_PORT + 15,
             seeds.join(","),
+            self.tolerance,
             self.settle_s,
         );
         let node = Node::read(&text).expect("the settings are right");
@@ -274,6 +324,7 @@
             rings: Rc::new(Mutex::new(rings)),
             delay: self.machines[machine].disk_delay.clone(),
             writes: self.machines[machine].disk_writes.clone(),
+            stalled: self.machines[machine].disk_stalled.clone(),
         });
         let network = Rc::new(Wired { machine, wires: self.wires.clone() });
         let state = &mut self.machines[machine];
@@ -295,6 +346,39 @@
         let _ = process.await; // it was aborted
     }
 
+    /// Kills a process by a loss of power: nobody hears of it.
+    pub async fn lose_power(&mut self, machine: usize) {
+        {
+            let mut wires = self.wires.borrow_mut();
+            wires.dark.insert(machine);
+            let own = wires.links.iter().filter(|(one, other, _)| *one == machine || *other == machine);
+            own.for_each(|(_, _, link)| link.set(true));
+        }
+        self.kill(machine).await;
+    }
+
+    /// Starts the process of a machine that has power again.
+    pub fn start_with_power(&mut self, machine: usize) {
+        self.wires.borrow_mut().dark.remove(&machine);
+        self.start(machine, false);
+    }
+
+    /// From now on no write to a machine's disk ends, or they do again.
+    pub fn stall_disk(&self, machine: usize, stalled: bool) {
+        self.machines[machine].disk_stalled.set(stalled);
+    }
+
+    /// An operator, who calls from a machine of its own.
+    pub fn operator(&self) -> Operator {
+        Operator::new(Wired { machine: OPERATOR, wires: self.wires.clone() })
+    }
+
+    /// Version of the configuration that a machine's disk holds.
+    pub fn version_on_disk(&self, machine: usize) -> Option<u64> {
+        let (_, acceptor) = Rings::open(self.disk(machine).clone(), || 0).expect("it can be read");
+        acceptor.accepted().map(|accepted| accepted.value.version)
+    }
+
     /// Waits until a process has ended by itself.
     pub async fn ended(&mut self, machine: usize) {
         let process = self.machines[machine].process.take().expect("it runs");
