A round that a member refused does not wait 450 ms for one that is lost

With one of three members lost, a round that one of the other two refuses for a higher ballot has no majority left. It was not given up before ROUND_TIMEOUT (450 ms, up to 1.8 s where the own disk was slow), since the lost member might still answer; and then it had not learned of the higher ballot, so that the next round could fare the same. Now it waits for 30 ms, or for one write, and goes on as any round that was preempted. Giving a round up is safe at any time.

--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -26,6 +26,9 @@
 /// writes, and never be done with any.
 const ROUND_TIMEOUT_WRITES: u32 = 3;
 const MAX_ROUND_TIMEOUT: Duration = Duration::from_millis(1800);
+/// A round that a member refused for a higher ballot waits for so long only, or for a write: where another member is lost, no
+/// majority is left for it.
+const OUTRUN_TIMEOUT: Duration = Duration::from_millis(30);
 /// Wait after a round that a higher ballot got in the way of, times the tries so far, and up to as much more.
 const ROUND_BACKOFF: Duration = Duration::from_millis(8);
 const MAX_BACKOFF_STEPS: u32 = 8;
@@ -221,6 +224,15 @@
         wait.max((self.member.write_time() * ROUND_TIMEOUT_WRITES).min(MAX_ROUND_TIMEOUT))
     }
 
+    /// How long a round waits for the next reply.
+    fn patience(&self, round: &Round) -> Duration {
+        if round.outrun_by().is_some() {
+            OUTRUN_TIMEOUT.max(self.member.write_time()).min(ROUND_TIMEOUT)
+        } else {
+            self.at_least_writes(ROUND_TIMEOUT)
+        }
+    }
+
     /// One round; nothing where it fell silent.
     async fn round(&self, decide: &mut dyn FnMut(Option<&Value>) -> Decision) -> Option<Outcome> {
         let ballot = Ballot { round: self.round.get() + 1, boot: self.boot };
@@ -229,9 +241,10 @@
         let (replies, mut came) = unbounded_channel();
         self.pending.borrow_mut().clear(); // of a round that was given up half-way
         self.send(sends, &replies);
-        let patience = self.at_least_writes(ROUND_TIMEOUT);
         let outcome = loop {
-            let Ok(Some((from, reply))) = timeout(patience, came.recv()).await else { break None };
+            let Ok(Some((from, reply))) = timeout(self.patience(&round), came.recv()).await else {
+                break round.outrun_by().map(Outcome::Preempted);
+            };
             match round.reply(from, reply, decide) {
                 Progress::Send(sends) => self.send(sends, &replies),
                 Progress::Done(outcome) => break Some(outcome),
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -94,6 +94,12 @@
         matches!(self.phase, Phase::Accepting { kind: Kind::Own, .. })
     }
 
+    /// The highest ballot that a member has promised to another proposer; nothing while no member has refused this round
+    /// for one.
+    pub fn outrun_by(&self) -> Option<Ballot> {
+        (self.highest > self.ballot).then_some(self.highest)
+    }
+
     /// Prepares at members that have not been asked yet.
     fn ask(&mut self, sets: Vec<BTreeSet<Member>>) -> Vec<Send> {
         let asked: BTreeSet<Member> = self.sets.iter().flatten().copied().collect();
