Proposers that meet on slow disks leave each other the time for a round

A proposer that was preempted waited 8 to 128 ms before its next round, and a round waits for two writes. Where writes take longer than that, as on a machine under load, each proposer preempted the other in the middle of its round, for seconds: while a member is replaced, the operator's order, the change of members and the new member's rounds at its start meet. Now the wait is a write of the own disk at least, and 450 to 900 ms at most; and a round by which a member only finds out what is chosen gives way to the one that is in its way, four times in a row at most.

--- a/crates/controller/benches/losses.rs
+++ b/crates/controller/benches/losses.rs
@@ -1,5 +1,5 @@
 //! How long changes and copies take while a member is lost, in virtual time, so that the load of the machine does not matter:
-//! `cargo bench -p runtrack-controller --bench losses -- [members] [bytes] [every how many ms] [up to] [losses]`.
+//! `cargo bench -p runtrack-controller --bench losses -- [members] [bytes] [write in ms] [every how many ms] [up to] [losses] [uneven]`.
 
 #[path = "../tests/loss_measurement/mod.rs"]
 mod loss_measurement;
@@ -55,11 +55,18 @@
     let number = |at: usize, default: usize| -> usize {
         arguments.get(at).map_or(default, |text| text.parse().expect("a number"))
     };
-    let (members, bytes, step, end) = (number(0, 3), number(1, 0), number(2, 13), number(3, 1000));
-    let wanted = arguments.get(4).cloned().unwrap_or_default();
-    let moments: Vec<Duration> = (0..end as u64).step_by(step).map(Duration::from_millis).collect();
-    println!("{members} members, {bytes} bytes, {} moments; median and maximum in ms", moments.len());
+    let least = number(2, 2);
+    let trial = Trial {
+        bytes: number(1, 0),
+        write: Duration::from_millis(least as u64),
+        uneven: arguments.get(6).is_some_and(|word| word == "uneven"),
+        ..Trial::of(number(0, 3), Loss::Killed)
+    };
+    let moments = (0..number(4, 1000) as u64).step_by(number(3, 13));
+    let moments: Vec<Duration> = moments.map(Duration::from_millis).collect();
+    println!("{trial:?} and others, at {} moments; median and maximum in ms", moments.len());
     println!("{:14} without changes  one change   whole copies   the same at rest", "");
-    let row = |loss| Row::measure(members, bytes, loss, &moments, figures);
-    rows(&wanted, row).iter().for_each(|line| println!("{line}"));
+    let wanted = arguments.get(5).map(String::as_str).unwrap_or_default();
+    let row = |loss| Row::measure(Trial { loss, ..trial }, &moments, figures);
+    rows(wanted, row).iter().for_each(|line| println!("{line}"));
 }
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -29,8 +29,12 @@
 /// A round that a member refused for a higher ballot waits for so long only, or for a write: where another member is lost, no
 /// majority is left for it.
 const OUTRUN_TIMEOUT: Duration = Duration::from_millis(30);
-/// Wait after a round that a higher ballot got in the way of, times the tries so far, and up to as much more.
+/// Wait after a round that a higher ballot got in the way of, or a write where that takes longer: the other round has writes
+/// to wait for. Times the tries so far, and up to as much more.
 const ROUND_BACKOFF: Duration = Duration::from_millis(8);
+const MAX_ROUND_BACKOFF: Duration = ROUND_TIMEOUT;
+/// A proposer that only wants to know what is chosen gives way so often in a row at most.
+const MAX_GIVING_WAY: u32 = 4;
 const MAX_BACKOFF_STEPS: u32 = 8;
 /// A proposer that was preempted leaps over so many rounds of others at most, as a power of two.
 const MAX_LEAP_STEPS: u32 = 10;
@@ -43,6 +47,24 @@
 /// Until it is known after the start what is chosen, it is asked for this often, and up to twice as seldom.
 const ASK_AT_START: Duration = Duration::from_millis(40);
 
+/// How long rounds of one operation may go on.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    until: Instant,
+    /// It ends with the first round that another one got in the way of.
+    gives_way: bool,
+}
+
+impl Limits {
+    fn until(until: Instant) -> Self {
+        Limits { until, gives_way: false }
+    }
+
+    fn of_request() -> Self {
+        Limits::until(Instant::now() + REQUEST_TIMEOUT)
+    }
+}
+
 /// What came of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReplaceOutcome {
@@ -265,20 +287,36 @@
         outcome
     }
 
+    /// How long a proposer waits that was preempted for so many times.
+    fn backoff(&self, tries: u32) -> Duration {
+        let step = ROUND_BACKOFF.max(self.member.write_time());
+        let least = (step * tries.min(MAX_BACKOFF_STEPS)).min(MAX_ROUND_BACKOFF);
+        least.mul_f64(1.0 + fastrand::f64())
+    }
+
     /// Rounds until one comes to an end that is certain, or time is up.
     pub async fn decide(
         &self,
         until: Instant,
         decide: &mut dyn FnMut(Option<&Value>) -> Decision,
     ) -> Option<Outcome> {
+        self.rounds(Limits::until(until), decide).await
+    }
+
+    async fn rounds(
+        &self,
+        limits: Limits,
+        decide: &mut dyn FnMut(Option<&Value>) -> Decision,
+    ) -> Option<Outcome> {
+        let until = limits.until;
         let _turn = timeout_at(until, self.turn.lock()).await.ok()?;
         for tries in 1.. {
             match timeout_at(until, self.round(decide)).await.ok()? {
+                Some(Outcome::Preempted(_)) if limits.gives_way => return None,
                 Some(Outcome::Preempted(_)) => {
                     // The others' rounds go on during the wait: a ballot just above theirs of now would be too low then.
                     self.round.set(self.round.get() + (1 << tries.min(MAX_LEAP_STEPS)));
-                    sleep(ROUND_BACKOFF * tries.min(MAX_BACKOFF_STEPS) * fastrand::u32(100..200) / 100)
-                        .await;
+                    sleep(self.backoff(tries)).await;
                 }
                 Some(Outcome::MembershipCommitted(..)) | None => {}
                 Some(outcome) => return Some(outcome),
@@ -295,7 +333,7 @@
         let first = vec![self.first.clone()];
         let mut answer = None;
         let outcome = self
-            .decide(Instant::now() + REQUEST_TIMEOUT, &mut |current| {
+            .rounds(Limits::of_request(), &mut |current| {
                 let planted = planted_value(current, order);
                 let (decision, found) = order.decide(planted.as_ref().or(current), &first);
                 answer = Some(found);
@@ -320,6 +358,7 @@
 
     /// Finds out what is chosen: at the start, and where others or this member's own disk know of more.
     pub async fn run(self: Rc<Self>) {
+        let mut failures = 0;
         loop {
             let settle = self.at_least_writes(SETTLE);
             let pause = if self.informed.get() { settle } else { ASK_AT_START };
@@ -335,7 +374,12 @@
                 }
             }
             let elsewhere = self.newest_elsewhere.get();
-            if self.catch_up().await.is_ok() {
+            // Nobody waits for it: who is in the way goes first, within bounds.
+            let limits = Limits { gives_way: failures < MAX_GIVING_WAY, ..Limits::of_request() };
+            if self.catch_up(limits).await.is_err() {
+                failures += 1;
+            } else {
+                failures = 0;
                 self.settled.set(elsewhere);
                 info!(self.gossip.logger(), "register.settled";
                     "sequence" => self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence));
--- a/crates/controller/src/proposer/read.rs
+++ b/crates/controller/src/proposer/read.rs
@@ -1,7 +1,7 @@
 //! Reads of the register: a quorum read first, which writes nothing and waits for no turn, and a round where that does
 //! not settle it. The argument is in `docs/design/control-state.md`, section "Reads".
 
-use super::{Proposer, REQUEST_TIMEOUT};
+use super::{Limits, Proposer};
 use crate::pending::PendingRequests;
 use runtrack_link::{Gossip, Session};
 use runtrack_message::{CONTACT_WIRE_VERSION, InspectReply, Member, Message, Role, Value};
@@ -66,16 +66,16 @@
 
     /// The newest value, as of a moment after this call; `Err` where that can't be known now.
     pub async fn read(&self) -> Result<Option<Rc<Value>>, ()> {
-        let until = Instant::now() + REQUEST_TIMEOUT;
+        let limits = Limits::of_request();
         match self.quorum_read().await {
             Some(found) => Ok(found),
-            None => self.read_by_round(until).await,
+            None => self.read_by_round(limits).await,
         }
     }
 
     /// The newest value by a round, which settles what a minority has accepted as well.
-    pub async fn read_by_round(&self, until: Instant) -> Result<Option<Rc<Value>>, ()> {
-        match self.decide(until, &mut |_| Decision::Read).await {
+    async fn read_by_round(&self, limits: Limits) -> Result<Option<Rc<Value>>, ()> {
+        match self.rounds(limits, &mut |_| Decision::Read).await {
             Some(Outcome::Read(_, value) | Outcome::Committed(_, value)) => Ok(Some(value)),
             Some(Outcome::Empty) => Ok(None),
             _ => Err(()),
@@ -83,11 +83,11 @@
     }
 
     /// Finds out what is chosen where this process may be behind: a round is only taken where it still is then.
-    pub async fn catch_up(&self) -> Result<(), ()> {
+    pub(super) async fn catch_up(&self, limits: Limits) -> Result<(), ()> {
         if self.quorum_read().await.is_some() && !self.is_behind() {
             return Ok(());
         }
-        self.read_by_round(Instant::now() + REQUEST_TIMEOUT).await.map(|_| ())
+        self.read_by_round(limits).await.map(|_| ())
     }
 
     /// Quorum reads until one is settled; nothing where only a round can tell.
--- a/crates/controller/tests/loss_measurement/mod.rs
+++ b/crates/controller/tests/loss_measurement/mod.rs
@@ -11,12 +11,13 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+const SETTLE_S: f64 = 4.0;
 /// One way between two machines.
 const LATENCY: Duration = Duration::from_millis(1);
-/// One write with its sync.
+/// One write with its sync, where nothing else is said.
 const WRITE: Duration = Duration::from_millis(2);
-/// A write to a disk that is slow.
-const SLOW_WRITE: Duration = Duration::from_millis(200);
+/// A write to a disk that is slow takes so many times as long.
+const SLOWNESS: u32 = 100;
 /// Changes go on for so long before the loss, and up to the moment that is drawn.
 const BEFORE: Duration = Duration::from_millis(500);
 /// And for so long after the member is back.
@@ -83,7 +84,7 @@
         }
     }
 
-    async fn begin(self, world: &mut World, lost: usize, others: &[usize]) {
+    async fn begin(self, world: &mut World, lost: usize, others: &[usize], write: Duration) {
         match self {
             Loss::Killed | Loss::Wiped | Loss::Replaced => world.kill(lost).await,
             Loss::Power => world.lose_power(lost).await,
@@ -93,12 +94,12 @@
             Loss::Muted => others.iter().for_each(|other| world.cut_one_way(lost, *other)),
             Loss::MutedToOne => world.cut_one_way(lost, others[0]),
             Loss::Stalled => world.stall_disk(lost, true),
-            Loss::Slow => world.slow_disk(lost, SLOW_WRITE),
+            Loss::Slow => world.slow_disk(lost, write * SLOWNESS),
             Loss::Full => world.disk(lost).set_full(true),
         }
     }
 
-    fn end(self, world: &mut World, lost: usize, others: &[usize]) {
+    fn end(self, world: &mut World, lost: usize, others: &[usize], write: Duration) {
         match self {
             Loss::Killed => world.start(lost, false),
             Loss::Power => world.start_with_power(lost),
@@ -111,7 +112,7 @@
             }
             Loss::Replaced => world.start(others.len() + 1, false),
             Loss::Stalled => world.stall_disk(lost, false),
-            Loss::Slow => world.slow_disk(lost, WRITE),
+            Loss::Slow => world.slow_disk(lost, write),
             Loss::Full => world.disk(lost).set_full(false),
         }
     }
@@ -131,6 +132,10 @@
     pub members: usize,
     /// Bytes of the configuration.
     pub bytes: usize,
+    /// One write with its sync.
+    pub write: Duration,
+    /// Some writes take up to 32 times as long.
+    pub uneven: bool,
     /// What is lost.
     pub loss: Loss,
     /// When, after changes have begun.
@@ -139,6 +144,14 @@
     pub goes_on: bool,
 }
 
+impl Trial {
+    /// A loss among so many members, with disks that are quick.
+    pub fn of(members: usize, loss: Loss) -> Self {
+        let moment = Duration::ZERO;
+        Trial { members, bytes: 0, write: WRITE, uneven: false, loss, moment, goes_on: true }
+    }
+}
+
 /// What came of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Figures {
@@ -218,19 +231,23 @@
 
 /// The figures of one run.
 pub async fn play(trial: Trial) -> Figures {
-    let Trial { members, loss, moment, goes_on, .. } = trial;
+    let Trial { members, write, uneven, loss, moment, goes_on, .. } = trial;
     fastrand::seed(moment.as_micros() as u64);
-    let mut world = World::with_members(members, members + 1, LATENCY, WRITE).await;
+    let mut world = World::new(members + 1, SETTLE_S);
+    if uneven {
+        world.make_disks_uneven();
+    }
+    let mut world = world.with_members(members, LATENCY, write).await;
     let lost = moment.as_millis() as usize % members;
     let others: Vec<usize> = (0..members).filter(|member| *member != lost).collect();
     let writer = Writer::start(&world, trial);
     sleep(BEFORE + moment).await;
-    loss.begin(&mut world, lost, &others).await;
+    loss.begin(&mut world, lost, &others, write).await;
     sleep(loss.lasts()).await;
     if !goes_on {
         writer.stop().await;
     }
-    loss.end(&mut world, lost, &others);
+    loss.end(&mut world, lost, &others, write);
     let whole = until_whole(&world, &loss.members_after(members, lost), writer.newest()).await;
     sleep(AFTER).await;
     writer.stop().await;
@@ -276,22 +293,16 @@
 
 impl Row {
     /// Plays a loss at each of these moments, with changes that go on and with changes that end.
-    pub fn measure(
-        members: usize,
-        bytes: usize,
-        loss: Loss,
-        moments: &[Duration],
-        run: impl Fn(Trial) -> Figures,
-    ) -> Row {
+    pub fn measure(like: Trial, moments: &[Duration], run: impl Fn(Trial) -> Figures) -> Row {
         let all = |goes_on: bool| -> Vec<Figures> {
-            let trial = |moment: &Duration| Trial { members, bytes, loss, moment: *moment, goes_on };
+            let trial = |moment: &Duration| Trial { moment: *moment, goes_on, ..like };
             moments.iter().map(trial).map(&run).collect()
         };
         let (busy, quiet) = (all(true), all(false));
         let spread =
             |all: &[Figures], time: fn(&Figures) -> Duration| Spread::of(all.iter().map(time).collect());
         Row {
-            loss,
+            loss: like.loss,
             silence: spread(&busy, |figures| figures.silence),
             change: spread(&busy, |figures| figures.change),
             whole: spread(&busy, |figures| figures.whole),
--- a/crates/controller/tests/losses.rs
+++ b/crates/controller/tests/losses.rs
@@ -17,7 +17,7 @@
 fn check(loss: Loss, goes_on: bool, within: fn(&Figures) -> bool) {
     for moment in MOMENTS.map(Duration::from_millis) {
         run(async move {
-            let trial = Trial { members: 3, bytes: 0, loss, moment, goes_on };
+            let trial = Trial { moment, goes_on, ..Trial::of(3, loss) };
             let figures = play(trial).await;
             assert!(within(&figures), "{trial:?}: {figures:?}");
         });
@@ -70,3 +70,18 @@
         });
     }
 }
+
+/// The longest that a change may take while a member is replaced and writes take 10 to 320 ms.
+const MAX_CHANGE_ON_UNEVEN_DISKS: Duration = Duration::from_millis(2600);
+
+#[test]
+fn proposers_that_meet_on_slow_disks_leave_each_other_the_time_for_a_round() {
+    for moment in (0..1000).step_by(41).map(Duration::from_millis) {
+        run(async move {
+            let write = Duration::from_millis(10);
+            let trial = Trial { moment, write, uneven: true, ..Trial::of(3, Loss::Replaced) };
+            let figures = play(trial).await;
+            assert!(figures.change <= MAX_CHANGE_ON_UNEVEN_DISKS, "{trial:?}: {figures:?}");
+        });
+    }
+}
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -38,12 +38,13 @@
 const EDGE: usize = 98;
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 const BUFFER: usize = 1 << 20;
+/// A write to an uneven disk takes up to so many times as long as another one.
+const UNEVENNESS: f64 = 32.0;
 const STALL_POLL_INTERVAL: Duration = Duration::from_millis(5);
 const CONTROL: u16 = 8146;
 const FIRST_PORT: u16 = 7660;
 /// Machines that the settings name.
 const SEEDS: usize = 3;
-const SETTLE_S: f64 = 4.0;
 
 /// A link that carries nothing while it is cut.
 struct Link {
@@ -165,15 +166,18 @@
     writes: Rc<Cell<u64>>,
     /// No write ends while this is set.
     stalled: Rc<Cell<bool>>,
+    /// Some writes take many times as long.
+    uneven: bool,
 }
 
 impl MemberDisk for MemoryDisk {
     fn persist(&self, record: Record) -> Persisting {
         let (rings, delay, stalled) = (self.rings.clone(), self.delay.clone(), self.stalled.clone());
         self.writes.set(self.writes.get() + 1);
+        let times = if self.uneven { UNEVENNESS.powf(fastrand::f64()) } else { 1.0 };
         Box::pin(async move {
             let mut rings = rings.lock().await;
-            sleep(delay.get()).await;
+            sleep(delay.get().mul_f64(times)).await;
             while stalled.get() {
                 sleep(STALL_POLL_INTERVAL).await;
             }
@@ -234,6 +238,7 @@
     settle_s: f64,
     /// Machines whose loss is to be borne.
     tolerance: usize,
+    uneven_disks: bool,
 }
 
 fn address(machine: usize, port: u16) -> SocketAddrV4 {
@@ -265,12 +270,13 @@
             wires: Rc::default(),
             settle_s,
             tolerance: 1,
+            uneven_disks: false,
         }
     }
 
-    /// So many members that run and hold version 1, on so many machines, with links and disks that take their time.
-    pub async fn with_members(members: usize, machines: usize, latency: Duration, write: Duration) -> Self {
-        let mut world = World::new(machines, SETTLE_S);
+    /// Starts so many members, with links and disks that take their time; they hold version 1 then.
+    pub async fn with_members(self, members: usize, latency: Duration, write: Duration) -> Self {
+        let (machines, mut world) = (self.machines.len(), self);
         world.tolerance = members / 2;
         world.wires.borrow_mut().latency = latency;
         (0..machines).for_each(|machine| world.slow_disk(machine, write));
@@ -325,6 +331,7 @@
             delay: self.machines[machine].disk_delay.clone(),
             writes: self.machines[machine].disk_writes.clone(),
             stalled: self.machines[machine].disk_stalled.clone(),
+            uneven: self.uneven_disks,
         });
         let network = Rc::new(Wired { machine, wires: self.wires.clone() });
         let state = &mut self.machines[machine];
@@ -512,6 +519,11 @@
         wires.links.iter().filter(|(a, b, _)| (*a, *b) == ends).for_each(|(_, _, link)| link.set(true));
     }
 
+    /// Processes that are started from now on have disks whose writes take up to 32 times as long.
+    pub fn make_disks_uneven(&mut self) {
+        self.uneven_disks = true;
+    }
+
     /// Stops a process where it is, or lets it go on. Time goes on for it all the same.
     pub fn freeze(&self, machine: usize, frozen: bool) {
         let state = &self.machines[machine];
