No round begins for an order or a read whose caller has gone on to another member

An order went on for 2.5 s at the member that had answered 503 after 0.9 s. The operator sends it to another member by then, and the two preempted each other; orders that came later waited for the turn of the one that nobody waited for. Now no round begins after 0.9 s. One that has begun goes on to its end, and the repeat is known by its digest as before.

The test fails without the change: the order came into force after the 503.

--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -40,6 +40,9 @@
 const MAX_LEAP_STEPS: u32 = 10;
 /// An order or a read that has not come through by then gets no clear answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
+/// No round of an order or a read begins later than this: the caller has gone on to another member by then, and rounds here
+/// would only be in the way of its next try. One that has begun goes on.
+const LAST_ROUND: Duration = Duration::from_millis(900);
 /// A value that was accepted here and not heard to be chosen is settled by a round of our own after this, and up to as
 /// much more.
 const SETTLE: Duration = Duration::from_millis(250);
@@ -50,6 +53,9 @@
 /// How long rounds of one operation may go on.
 #[derive(Clone, Copy, Debug)]
 struct Limits {
+    /// No round begins later.
+    last_round: Instant,
+    /// None goes on for longer.
     until: Instant,
     /// It ends with the first round that another one got in the way of.
     gives_way: bool,
@@ -57,11 +63,12 @@
 
 impl Limits {
     fn until(until: Instant) -> Self {
-        Limits { until, gives_way: false }
+        Limits { last_round: until, until, gives_way: false }
     }
 
     fn of_request() -> Self {
-        Limits::until(Instant::now() + REQUEST_TIMEOUT)
+        let now = Instant::now();
+        Limits { last_round: now + LAST_ROUND, ..Limits::until(now + REQUEST_TIMEOUT) }
     }
 }
 
@@ -308,10 +315,9 @@
         limits: Limits,
         decide: &mut dyn FnMut(Option<&Value>) -> Decision,
     ) -> Option<Outcome> {
-        let until = limits.until;
-        let _turn = timeout_at(until, self.turn.lock()).await.ok()?;
+        let _turn = timeout_at(limits.last_round, self.turn.lock()).await.ok()?;
         for tries in 1.. {
-            match timeout_at(until, self.round(decide)).await.ok()? {
+            match timeout_at(limits.until, self.round(decide)).await.ok()? {
                 Some(Outcome::Preempted(_)) if limits.gives_way => return None,
                 Some(Outcome::Preempted(_)) => {
                     // The others' rounds go on during the wait: a ballot just above theirs of now would be too low then.
@@ -321,7 +327,7 @@
                 Some(Outcome::MembershipCommitted(..)) | None => {}
                 Some(outcome) => return Some(outcome),
             }
-            if Instant::now() >= until {
+            if Instant::now() >= limits.last_round {
                 break;
             }
         }
--- a/crates/controller/tests/losses.rs
+++ b/crates/controller/tests/losses.rs
@@ -7,7 +7,7 @@
 use loss_measurement::{Figures, Loss, Trial, play};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
-use virtual_time::{World, run};
+use virtual_time::{World, operator, run};
 
 /// Moments of a loss, in milliseconds, one for each of three members.
 const MOMENTS: [u64; 3] = [100, 413, 806];
@@ -85,3 +85,20 @@
         });
     }
 }
+
+#[test]
+fn no_round_begins_for_a_change_that_was_answered_with_its_outcome_unknown() {
+    run(async {
+        let world = World::with_three_members(3, 4.0).await;
+        (0..3).for_each(|machine| world.stall_disk(machine, true));
+        let body = operator::config_of(2, 0);
+        let (status, took) =
+            world.timed(0, "POST", "/runtrack/config/replace", "X-Base-Version: 1\r\n", &body).await;
+        assert_eq!((status, took < Duration::from_secs(1)), (503, true));
+        // The last round that had begun has been given up by then.
+        sleep(Duration::from_millis(600)).await;
+        (0..3).for_each(|machine| world.stall_disk(machine, false));
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(world.version_on_disk(0), Some(1));
+    });
+}
