Endpoints' leaves are on the disks of a majority before they are acknowledged

Cause: what endpoints said was in the controllers' memory only.

Change: each member keeps leaves in 16 generations of at most 1,024 leaves and 64 KiB, each in a ring of its own; it confirms once the record is synced, and the own disk counts as one confirmation among the others, so no single full, slow or stalled disk is waited for. Leaves are read before links are taken. Who asks to join takes over the leaves of a majority of each set first.

--- a/crates/controller/src/confirmations.rs
+++ b/crates/controller/src/confirmations.rs
@@ -1,12 +1,14 @@
-//! Records that a majority of the members must have merged before an endpoint is answered.
+//! Records that a majority of the members must have on disk before an endpoint is answered.
 
 use crate::contact::MajorityContact;
+use crate::leaves::Leaves;
 use crate::tally::{ConfirmationTally, SessionKey};
 use runtrack_link::{Gossip, Session};
 use runtrack_message::{Endpoint, Member, Message, Role};
 use runtrack_net::mutant;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -19,6 +21,7 @@
 pub struct Confirmations {
     gossip: Rc<Gossip>,
     contact: Rc<MajorityContact>,
+    leaves: Rc<Leaves>,
     next_number: Cell<u64>,
     waiting: RefCell<BTreeMap<u64, UnboundedSender<SessionKey>>>,
 }
@@ -30,26 +33,40 @@
     tally: ConfirmationTally,
 }
 
+/// What a confirmation that is waited for has come to.
+enum Progress {
+    /// It was confirmed on a link.
+    Confirmed(SessionKey),
+    /// The write to the own disk has ended.
+    OwnWriteEnded {
+        /// The record is there.
+        kept: bool,
+    },
+    /// Members, or links to them, may be others than before.
+    MembersChanged,
+}
+
 impl Confirmations {
     /// Nothing is waited for. Numbers begin where no earlier process of this member began, so that an answer to one of
     /// those matches nothing.
-    pub fn new(gossip: Rc<Gossip>, contact: Rc<MajorityContact>) -> Self {
+    pub fn new(gossip: Rc<Gossip>, contact: Rc<MajorityContact>, leaves: Rc<Leaves>) -> Self {
         Confirmations {
             gossip,
             contact,
+            leaves,
             next_number: Cell::new(fastrand::u64(..)),
             waiting: RefCell::default(),
         }
     }
 
-    /// A member has merged the record of this number.
+    /// A member has the record of this number on its disk.
     pub fn on_confirmed(&self, number: u64, session: &Session) {
         if let Some(waiting) = self.waiting.borrow().get(&number) {
             let _ = waiting.send(session.key); // the wait may be over
         }
     }
 
-    /// Waits until a majority of the members have merged a record that this process has merged; whether they have.
+    /// Waits until a majority of the members have a record on disk that this process has merged; whether they have.
     pub async fn confirm(&self, record: Endpoint) -> bool {
         let number = self.next_number.get();
         self.next_number.set(number.wrapping_add(1));
@@ -69,6 +86,9 @@
     /// with each confirmation and with each change of what this process knows.
     async fn wait(&self, mut confirmation: Confirmation, mut came: UnboundedReceiver<SessionKey>) -> bool {
         let until = Instant::now() + CONFIRM_TIMEOUT;
+        let own = [confirmation.record.clone()];
+        let mut own_write = pin!(self.leaves.keep(&own));
+        let mut writing = true;
         let mut changes = self.gossip.changes();
         loop {
             let sets = self.contact.sets();
@@ -82,12 +102,18 @@
             let next = timeout_at(until, async {
                 tokio::select! {
                     biased;
-                    from = came.recv() => from,
-                    _ = changes.changed() => None,
+                    from = came.recv() => from.map_or(Progress::MembersChanged, Progress::Confirmed),
+                    kept = &mut own_write, if writing => Progress::OwnWriteEnded { kept },
+                    _ = changes.changed() => Progress::MembersChanged,
                 }
             });
             match next.await {
-                Ok(from) => from.into_iter().for_each(|link| confirmation.tally.on_confirmed(link)),
+                Ok(Progress::Confirmed(link)) => confirmation.tally.on_confirmed(link),
+                Ok(Progress::OwnWriteEnded { kept }) => {
+                    writing = false;
+                    confirmation.tally.on_own_write(kept);
+                }
+                Ok(Progress::MembersChanged) => {}
                 Err(_) => return false,
             }
         }
--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -1,11 +1,12 @@
-//! The member's disk: records in two rings, one of promises and one of values, behind a trait with a thread that writes to
-//! a folder, so that a slow or stalled disk holds up nothing else.
+//! The member's disk: records in rings, one of promises, one of values and one for each generation of leaves, behind a
+//! trait with a thread that writes to a folder, so that a slow or stalled disk holds up nothing else.
 
 use crate::new_incarnation;
 use deku::prelude::*;
 use runtrack_fleetconfig::Node;
 use runtrack_net::mutant;
 use runtrack_register::{Acceptor, Durable, PromiseRecord, Recovery, ValueRecord, recover};
+use runtrack_registry::{LEAVE_GENERATIONS, LeaveRecord, MAX_LEAVE_RECORD};
 use runtrack_ringstore::{Files, Folder, Ring, StoreError};
 use slog::{Logger, warn};
 use std::future::Future;
@@ -20,6 +21,27 @@
 const PROMISE_ROOM: usize = 4 << 10;
 /// Room of a value's file: a configuration of a thousand routes.
 const VALUE_ROOM: usize = 384 << 10;
+/// Room of a file of leaves: a whole generation and the ring's own head, so that no file ever grows.
+const LEAVE_ROOM: usize = MAX_LEAVE_RECORD + 64;
+/// Rings of leaves, one for each generation that is kept.
+const LEAVE_RINGS: [&str; LEAVE_GENERATIONS as usize] = [
+    "leaves-0",
+    "leaves-1",
+    "leaves-2",
+    "leaves-3",
+    "leaves-4",
+    "leaves-5",
+    "leaves-6",
+    "leaves-7",
+    "leaves-8",
+    "leaves-9",
+    "leaves-10",
+    "leaves-11",
+    "leaves-12",
+    "leaves-13",
+    "leaves-14",
+    "leaves-15",
+];
 /// Stack of the thread that writes.
 const STACK: usize = 256 << 10;
 
@@ -30,6 +52,8 @@
     Promise(PromiseRecord),
     /// An accepted value.
     Value(Box<ValueRecord>),
+    /// Endpoints that leave.
+    Leaves(LeaveRecord),
 }
 
 /// A write that is under way.
@@ -39,9 +63,12 @@
 pub trait MemberDisk {
     /// Writes a record; it is durable once this has ended well.
     fn persist(&self, record: Record) -> Persisting;
+    /// The leaves that were on it when it was opened.
+    fn leaves(&self) -> Vec<LeaveRecord>;
 }
 
 /// The member's disk, whatever it is.
+#[derive(Clone)]
 pub(crate) struct Disk(pub(crate) Rc<dyn MemberDisk>);
 
 impl Disk {
@@ -63,10 +90,12 @@
     }
 }
 
-/// The rings of promises and of values.
+/// The rings of promises, of values and of leaves.
 pub struct Rings<F> {
     promises: Ring<F>,
     values: Ring<F>,
+    leaves: Vec<Ring<F>>,
+    recovered: Vec<LeaveRecord>,
 }
 
 impl<F: Files + Clone> Rings<F> {
@@ -74,13 +103,19 @@
     /// and one whose records can't be read comes back under an incarnation of its own.
     pub fn open(files: F, incarnation: impl FnOnce() -> u64) -> Result<(Self, Acceptor), StoreError> {
         let (promises, promise) = Ring::open(files.clone(), "promise", PROMISE_ROOM)?;
-        let (values, value) = Ring::open(files, "value", VALUE_ROOM)?;
+        let (values, value) = Ring::open(files.clone(), "value", VALUE_ROOM)?;
         let acceptor = match recover(promise.as_deref(), value.as_deref()) {
             Recovery::Member(acceptor) => acceptor,
             Recovery::Empty => Acceptor::new(incarnation()),
             Recovery::Damaged => Acceptor::new(fastrand::u64(1..)),
         };
-        Ok((Rings { promises, values }, acceptor))
+        let (leaves, recovered) = open_leaves(&files)?;
+        Ok((Rings { promises, values, leaves, recovered }, acceptor))
+    }
+
+    /// The leaves that were there when the rings were opened.
+    pub fn recovered_leaves(&self) -> &[LeaveRecord] {
+        &self.recovered
     }
 
     /// Writes a record; once this returns it is there after any loss of power.
@@ -88,10 +123,23 @@
         match record {
             Record::Promise(promise) => self.promises.append(&promise.to_bytes()?),
             Record::Value(value) => self.values.append(&value.to_bytes()?),
+            Record::Leaves(leaves) => self.leaves[leaves.slot()].append(&leaves.to_bytes()?),
         }
     }
 }
 
+/// The rings of leaves, and the newest record of each that can be read.
+fn open_leaves<F: Files + Clone>(files: &F) -> Result<(Vec<Ring<F>>, Vec<LeaveRecord>), StoreError> {
+    let mut rings = Vec::new();
+    let mut records = Vec::new();
+    for name in LEAVE_RINGS {
+        let (ring, newest) = Ring::open(files.clone(), name, LEAVE_ROOM)?;
+        rings.push(ring);
+        records.extend(newest.and_then(|record| LeaveRecord::read(&record).ok()));
+    }
+    Ok((rings, records))
+}
+
 struct Job {
     record: Record,
     done: oneshot::Sender<Result<(), String>>,
@@ -100,6 +148,7 @@
 /// A thread that writes to a folder.
 pub struct DiskThread {
     jobs: mpsc::Sender<Job>,
+    leaves: Vec<LeaveRecord>,
 }
 
 impl DiskThread {
@@ -109,6 +158,7 @@
         let failed = |error: StoreError| format!("{}: {error}", folder.0.display());
         let (mut rings, acceptor) =
             Rings::open(folder.clone(), || new_incarnation(node)).map_err(failed)?;
+        let leaves = rings.recovered_leaves().to_vec();
         let (jobs, waiting) = mpsc::channel::<Job>();
         let logger = logger.clone();
         let work = move || {
@@ -121,7 +171,7 @@
             }
         };
         thread::Builder::new().stack_size(STACK).spawn(work).map_err(|error| format!("thread: {error}"))?;
-        Ok((DiskThread { jobs }, acceptor))
+        Ok((DiskThread { jobs, leaves }, acceptor))
     }
 }
 
@@ -134,4 +184,8 @@
             if sent { kept.await.unwrap_or_else(|_| gone()) } else { gone() }
         })
     }
+
+    fn leaves(&self) -> Vec<LeaveRecord> {
+        self.leaves.clone()
+    }
 }
--- a/crates/controller/src/endpoints.rs
+++ b/crates/controller/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 use crate::confirmations::Confirmations;
 use crate::contact::MajorityContact;
+use crate::leaves::Leaves;
 use runtrack_link::{Gossip, Session};
 use runtrack_message::{Endpoint, EndpointState, Message, Role};
 use runtrack_net::mutant;
@@ -29,8 +30,8 @@
 
 impl Endpoints {
     /// Nobody has called yet.
-    pub fn new(gossip: Rc<Gossip>, contact: Rc<MajorityContact>) -> Rc<Self> {
-        let confirmations = Confirmations::new(gossip.clone(), contact.clone());
+    pub fn new(gossip: Rc<Gossip>, contact: Rc<MajorityContact>, leaves: Rc<Leaves>) -> Rc<Self> {
+        let confirmations = Confirmations::new(gossip.clone(), contact.clone(), leaves);
         Rc::new(Endpoints {
             gossip,
             contact,
@@ -42,7 +43,7 @@
 
     /// Takes a call; whether it may be acknowledged. Nothing is while this process is not in contact with a majority:
     /// the endpoint is to call a member that others hear. One that leaves is acknowledged once a majority of the
-    /// members know, so that every proxy in touch hears of it whichever members it is linked to. What the call says is
+    /// members have it on disk, so that every proxy in touch hears of it whichever members it is linked to. What the call says is
     /// taken and told on in any case.
     pub async fn called(&self, record: Endpoint) -> bool {
         let id = record.id.as_string();
@@ -57,7 +58,7 @@
         in_contact && (!leaving || self.confirmations.confirm(record).await)
     }
 
-    /// A member has merged the record of this number.
+    /// A member has the record of this number on its disk.
     pub fn confirmed(&self, number: u64, session: &Session) {
         self.confirmations.on_confirmed(number, session);
     }
--- /dev/null
+++ b/crates/controller/src/leaves.rs
@@ -0,0 +1,110 @@
+//! The leaves of endpoints on this member's disk. What the registry learns is noted here; one write at a time takes all
+//! that was noted meanwhile, so that a release of thousands of endpoints costs few syncs.
+
+use crate::disk::{Disk, Record};
+use runtrack_message::Endpoint;
+use runtrack_net::mutant;
+use runtrack_registry::{LeaveBatch, LeaveTable};
+use slog::{Logger, info};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::time::{sleep, timeout};
+
+/// Wait before a disk that refused is tried again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
+/// An endpoint waits a second for its acknowledgement: who waits for the disk gives up before that, so that a stalled disk
+/// does not gather those who wait.
+const KEEP_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The leaves that this member keeps.
+pub(crate) struct Leaves {
+    table: RefCell<LeaveTable>,
+    disk: Disk,
+    noted: Notify,
+    written: watch::Sender<u64>,
+}
+
+impl Leaves {
+    /// What is on the disk.
+    pub fn recover(disk: Disk, logger: &Logger) -> (Rc<Self>, Vec<Endpoint>) {
+        let records = if mutant("leaves-not-read") { Vec::new() } else { disk.0.leaves() };
+        let endpoints: Vec<Endpoint> = records.iter().flat_map(|record| record.endpoints()).collect();
+        info!(logger, "leaves.recovered"; "endpoints" => endpoints.len());
+        let leaves = Leaves {
+            table: RefCell::new(LeaveTable::recover(&records)),
+            disk,
+            noted: Notify::new(),
+            written: watch::channel(0).0,
+        };
+        (Rc::new(leaves), endpoints)
+    }
+
+    /// Takes note of those among these endpoints that leave; they go to disk soon.
+    pub fn note(&self, endpoints: &[Endpoint]) {
+        let mut table = self.table.borrow_mut();
+        let mut news = false;
+        for endpoint in endpoints {
+            news |= table.note(endpoint);
+        }
+        if news {
+            self.noted.notify_one();
+        }
+    }
+
+    /// Waits until these are on disk; whether they are in time.
+    pub async fn keep(&self, endpoints: &[Endpoint]) -> bool {
+        self.note(endpoints);
+        let change = endpoints.iter().map(|endpoint| self.table.borrow().change_of(endpoint)).max();
+        let change = change.unwrap_or(0);
+        let mut written = self.written.subscribe();
+        let durable = async {
+            while !self.is_durable(change) {
+                if written.changed().await.is_err() {
+                    return false;
+                }
+            }
+            true
+        };
+        mutant("leave-confirmed-before-durable") || timeout(KEEP_TIMEOUT, durable).await.unwrap_or(false)
+    }
+
+    /// The last change of the table.
+    pub fn last_change(&self) -> u64 {
+        self.table.borrow().last_change()
+    }
+
+    /// Whether all changes up to this one are on disk.
+    pub fn is_durable(&self, change: u64) -> bool {
+        self.table.borrow().is_durable(change)
+    }
+
+    /// Writes what is noted, for as long as the process runs.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let batch = self.table.borrow().batch();
+            match batch {
+                None => self.noted.notified().await,
+                Some(batch) => {
+                    if !self.write(batch).await {
+                        sleep(REFUSED_PAUSE).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes a batch, one generation after another, so that the register waits for one of them at most; whether it is on
+    /// disk.
+    async fn write(&self, batch: LeaveBatch) -> bool {
+        for record in batch.records {
+            if self.disk.0.persist(Record::Leaves(record)).await.is_err() {
+                return false;
+            }
+        }
+        self.table.borrow_mut().written(batch.change);
+        self.written.send_replace(batch.change);
+        true
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod disk;
 mod disk_guard;
 mod endpoints;
+mod leave_sync;
+mod leaves;
 mod member;
 mod membership;
 mod parts;
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -6,6 +6,7 @@
 
 use crate::contact::MajorityContact;
 use crate::copies::Copies;
+use crate::leave_sync::LeaveSync;
 use crate::member::MemberTask;
 use crate::proposer::Proposer;
 use runtrack_link::{Dials, Gossip, Session};
@@ -54,6 +55,7 @@
     proposer: Rc<Proposer>,
     member: Rc<MemberTask>,
     contact: Rc<MajorityContact>,
+    leave_sync: Rc<LeaveSync>,
     me: Member,
     seeds: RefCell<BTreeSet<SocketAddrV4>>,
     wanted: usize,
@@ -79,6 +81,7 @@
         proposer: Rc<Proposer>,
         member: Rc<MemberTask>,
         contact: Rc<MajorityContact>,
+        leave_sync: Rc<LeaveSync>,
         settings: MembershipSettings,
     ) -> Rc<Self> {
         let copies = Copies::new(
@@ -95,6 +98,7 @@
             proposer,
             member,
             contact,
+            leave_sync,
             seeds: RefCell::new(settings.seeds),
             wanted: settings.wanted,
             copies,
@@ -202,7 +206,8 @@
     }
 
     fn request_to_join(&self) {
-        let unable = self.ending.get() || !self.member.is_durable();
+        self.leave_sync.ask();
+        let unable = self.ending.get() || !self.member.is_durable() || !self.leave_sync.is_complete();
         if unable || self.asked.get().is_some_and(|at| at.elapsed() < JOIN_REQUEST_INTERVAL) {
             return;
         }
--- a/crates/controller/src/parts.rs
+++ b/crates/controller/src/parts.rs
@@ -5,12 +5,14 @@
 use crate::disk::Disk;
 use crate::disk_guard::DiskGuard;
 use crate::endpoints::Endpoints;
+use crate::leave_sync::LeaveSync;
+use crate::leaves::Leaves;
 use crate::member::MemberTask;
 use crate::membership::{Membership, MembershipSettings};
 use crate::proposer::Proposer;
 use runtrack_fleetconfig::Node;
 use runtrack_link::{Gossip, MessageHandler, Session};
-use runtrack_message::{Member, Message, RegisterRequest, Role};
+use runtrack_message::{Endpoint, Member, Message, RegisterRequest, Role};
 use runtrack_net::mutant;
 use runtrack_register::{Acceptor, MembershipTimes};
 use std::cell::OnceCell;
@@ -26,6 +28,8 @@
     pub(crate) contact: Rc<MajorityContact>,
     pub(crate) guard: Rc<DiskGuard>,
     member: Rc<MemberTask>,
+    leaves: Rc<Leaves>,
+    leave_sync: Rc<LeaveSync>,
     backlogs: Rc<Backlogs>,
 }
 
@@ -37,27 +41,39 @@
         let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
         let times = MembershipTimes::new(node.bounds.settle, node.bounds.grace);
         let own = acceptor.watermark();
+        let (leaves, recovered) = Leaves::recover(disk.clone(), gossip.logger());
+        gossip.merge(recovered, None);
         let member = MemberTask::start(acceptor, disk, gossip.logger().clone());
         let proposer = Proposer::new(gossip.clone(), member.clone(), me, first.clone());
         let contact =
             MajorityContact::new(gossip.clone(), proposer.clone(), member.clone(), first, times.suspicion);
         let settings =
             MembershipSettings { seeds, wanted: 2 * node.tolerance.machines as usize + 1, times };
-        let membership =
-            Membership::new(gossip.clone(), proposer.clone(), member.clone(), contact.clone(), settings);
+        let leave_sync = LeaveSync::new(gossip.clone(), contact.clone(), leaves.clone());
+        let membership = Membership::new(
+            gossip.clone(),
+            proposer.clone(),
+            member.clone(),
+            contact.clone(),
+            leave_sync.clone(),
+            settings,
+        );
         Rc::new(Parts {
-            endpoints: Endpoints::new(gossip.clone(), contact.clone()),
+            endpoints: Endpoints::new(gossip.clone(), contact.clone(), leaves.clone()),
             guard: DiskGuard::new(gossip.clone(), proposer.clone(), member.clone(), me, own),
             backlogs: Backlogs::new(gossip.clone()),
             proposer,
             membership,
             contact,
             member,
+            leaves,
+            leave_sync,
         })
     }
 
     /// Starts what the parts do by themselves, for as long as the process runs.
     pub(crate) fn spawn(&self, node: &Node) {
+        spawn_local(self.leaves.clone().run());
         spawn_local(self.backlogs.clone().run());
         spawn_local(self.proposer.clone().run());
         spawn_local(self.membership.clone().run());
@@ -85,12 +101,16 @@
             Message::Join(joining) => self.membership.on_join_request(session, joining),
             Message::Leave(leaving) => self.membership.on_leave_request(leaving),
             Message::Confirm(number, records) => {
+                let records = records.into_vec();
                 if !mutant("confirmed-without-merge") {
-                    gossip.merge(records.into_vec(), Some(session.key));
+                    gossip.merge(records.clone(), Some(session.key));
                 }
-                session.send(&Message::Confirmed(number));
+                self.confirm(number, records, session);
+            }
+            Message::Confirmed(number) => {
+                self.leave_sync.on_confirmed(number, session);
+                self.endpoints.confirmed(number, session);
             }
-            Message::Confirmed(number) => self.endpoints.confirmed(number, session),
             Message::Probe(number) => self.contact.on_probe(session, number),
             Message::ProbeReply(reply) => self.contact.on_reply(session, reply),
             Message::HeartbeatRelay(keys) => self.endpoints.relayed(keys.items()),
@@ -99,6 +119,16 @@
         }
     }
 
+    /// Confirms records once they are on disk. Where that takes too long nobody waits for it any more.
+    fn confirm(&self, number: u64, records: Vec<Endpoint>, session: &Rc<Session>) {
+        let (leaves, session) = (self.leaves.clone(), session.clone());
+        spawn_local(async move {
+            if leaves.keep(&records).await {
+                session.send(&Message::Confirmed(number));
+            }
+        });
+    }
+
     /// What a message says of the speaker's disk, or of this process's.
     fn note_disk(&self, session: &Session, message: &Message) {
         match message {
@@ -144,6 +174,12 @@
         }
     }
 
+    fn on_merged(&self, records: &[Endpoint]) {
+        if let Some(parts) = self.0.get() {
+            parts.leaves.note(records);
+        }
+    }
+
     fn on_disconnect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
         if let Some(parts) = self.0.get() {
             parts.backlogs.forget(session);
--- a/crates/controller/src/tally.rs
+++ b/crates/controller/src/tally.rs
@@ -13,6 +13,8 @@
 pub struct ConfirmationTally {
     asked: BTreeMap<SessionKey, Member>,
     confirmed: BTreeSet<SessionKey>,
+    /// This process has the record on its own disk.
+    kept: bool,
 }
 
 impl ConfirmationTally {
@@ -26,9 +28,14 @@
         self.confirmed.insert(link);
     }
 
-    /// Whether a majority of each set has the record: `me`, and those that confirmed on a link that is still up, as the
-    /// member that was asked on it. Behind a link that ended may be a process that has started again, and has forgotten
-    /// what it confirmed.
+    /// The write to this process's own disk has ended; `kept` where the record is there.
+    pub fn on_own_write(&mut self, kept: bool) {
+        self.kept |= kept;
+    }
+
+    /// Whether a majority of each set has the record: `me` once it is on the own disk, and those that confirmed on a link
+    /// that is still up, as the member that was asked on it. Behind a link that ended may be another process, on a disk
+    /// that has lost what was confirmed.
     pub fn has_majorities(
         &self,
         me: Member,
@@ -37,7 +44,8 @@
     ) -> bool {
         let confirmed = self.asked.iter().filter(|(link, _)| self.confirmed.contains(link));
         let still_there = confirmed.filter(|(link, member)| links.get(link) == Some(member));
-        let members: BTreeSet<Member> = still_there.map(|(_, member)| *member).chain([me]).collect();
+        let own = self.kept.then_some(me);
+        let members: BTreeSet<Member> = still_there.map(|(_, member)| *member).chain(own).collect();
         let has = |member: &Member| {
             let address = member.address();
             members.contains(member)
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -31,6 +31,8 @@
     fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message);
     /// A link is up and its peer has introduced itself with [`Message::Hello`].
     fn on_connect(&self, _gossip: &Rc<Gossip>, _session: &Rc<Session>) {}
+    /// These records of endpoints have changed here.
+    fn on_merged(&self, _records: &[Endpoint]) {}
     /// A link whose peer had introduced itself has ended.
     fn on_disconnect(&self, _gossip: &Rc<Gossip>, _session: &Rc<Session>) {}
 }
@@ -216,6 +218,7 @@
         let keys: Vec<u64> =
             new.iter().map(|record| runtrack_registry::key_of(&record.id.as_string())).collect();
         self.heartbeats.borrow_mut().note(self.now(), self.heartbeat, keys);
+        self.handler.on_merged(&new);
         self.broadcast(&Message::Entries(new.into()), from);
         self.changed_at.set(Instant::now());
         self.notify_changed();
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -5,9 +5,11 @@
 //! ranges of ids, and only the ranges that differ are sent.
 
 mod heartbeats;
+mod leaves;
 mod replica;
 
 pub use heartbeats::HeartbeatTable;
+pub use leaves::{LEAVE_GENERATIONS, Leave, LeaveBatch, LeaveRecord, LeaveTable, MAX_LEAVE_RECORD};
 pub use replica::{Members, Replica, StoredConfig};
 
 use runtrack_message::{Endpoint, EndpointState};
--- a/crates/sim/src/fleet/disk.rs
+++ b/crates/sim/src/fleet/disk.rs
@@ -5,6 +5,7 @@
 use rand_pcg::Pcg32;
 use runtrack_controller::disk::{MemberDisk, Persisting, Record, Rings};
 use runtrack_register::Acceptor;
+use runtrack_registry::LeaveRecord;
 use runtrack_ringstore::Files;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -81,7 +82,8 @@
     ) -> Result<(Rc<dyn MemberDisk>, Acceptor), String> {
         let (rings, acceptor) =
             Rings::open(self.files.clone(), incarnation).map_err(|error| error.to_string())?;
-        let mounted = Mounted { disk: self.clone(), rings: Rc::new(Mutex::new(rings)) };
+        let leaves = rings.recovered_leaves().to_vec();
+        let mounted = Mounted { disk: self.clone(), rings: Rc::new(Mutex::new(rings)), leaves };
         Ok((Rc::new(mounted), acceptor))
     }
 
@@ -175,6 +177,7 @@
 struct Mounted {
     disk: Rc<SimDisk>,
     rings: Rc<Mutex<Rings<SimFiles>>>,
+    leaves: Vec<LeaveRecord>,
 }
 
 impl MemberDisk for Mounted {
@@ -193,4 +196,8 @@
             Ok(())
         })
     }
+
+    fn leaves(&self) -> Vec<LeaveRecord> {
+        self.leaves.clone()
+    }
 }
--- a/crates/sim/tests/fleet.rs
+++ b/crates/sim/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use runtrack_sim::fleet::oracle::Rule;
 use runtrack_sim::fleet::run::run;
 use runtrack_sim::fleet::script::Script;
 use runtrack_sim::fleet::{MUTANTS, draw, shrink, timeline};
@@ -49,6 +50,14 @@
     }
 }
 
+#[test]
+fn a_leave_that_is_not_read_at_the_start_is_found() {
+    let text = include_str!("fleet_scripts/frozen_agent_and_all_killed.json");
+    let script: Script = serde_json::from_str(text).expect("a script");
+    let outcome = mutants::with(Some("leaves-not-read"), || run(&script, false));
+    assert!(outcome.breaches.iter().any(|breach| breach.rule == Rule::LeaverHeard));
+}
+
 /// Seeds that show a planted error; `runtrack-sim fleet mutants` measures how many it takes.
 const SHOWN_BY: [(&str, u64); 11] = [
     ("repeat-forgotten", 0),
