Members grow from the first boot on, before there is any configuration

Cause: until the first configuration was in force the members were the three seeds, also where two losses are to be borne.

Change: a change of members may build on what there is before the first value: sequence 0, version 0, the first members. plan_membership and the joint sets stay as they are; reads still say that there is no configuration, replace on base 0 works, agents get nothing. A first member that has lost its disk is taken in again before the first value, too.

The model has two scenarios more, with two mutants in them and a rule for the sets of a first value; the worlds change members before the first value.

--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -14,7 +14,7 @@
 use runtrack_net::mutant;
 use runtrack_register::{
     Decision, MembershipPlan, MembershipTimes, MembershipView, Outcome, PresentMember, WaitReason,
-    finish_membership, is_joint, members_of, plan_membership, replace_members,
+    finish_membership, initial_value, is_joint, members_of, plan_membership, replace_members,
 };
 use runtrack_ring::{hash, rendezvous};
 use slog::info;
@@ -43,6 +43,8 @@
 pub struct MembershipSettings {
     /// Where to look for members.
     pub seeds: BTreeSet<SocketAddrV4>,
+    /// Members before the first value.
+    pub first: BTreeSet<Member>,
     /// Members that are wanted: as many as bear the loss that is to be borne.
     pub wanted: usize,
     /// How long to wait for what.
@@ -57,6 +59,8 @@
     contact: Rc<MajorityContact>,
     leave_sync: Rc<LeaveSync>,
     me: Member,
+    /// What the register holds before the first value is written.
+    initial: Rc<Value>,
     seeds: RefCell<BTreeSet<SocketAddrV4>>,
     wanted: usize,
     leave_timeout: Duration,
@@ -99,6 +103,7 @@
             member,
             contact,
             leave_sync,
+            initial: Rc::new(initial_value(&settings.first)),
             seeds: RefCell::new(settings.seeds),
             wanted: settings.wanted,
             copies,
@@ -219,10 +224,8 @@
     /// it was planned on, nothing is changed; where another change is under way, that is finished.
     async fn change(&self, planned_on: &BTreeSet<Member>, next: &BTreeSet<Member>) {
         let until = Instant::now() + MEMBERSHIP_CHANGE_TIMEOUT;
-        let mut begin = |current: Option<&Value>| match current {
-            Some(value) if is_joint(value) || members_of(value) == *planned_on => {
-                replace_members(value, next)
-            }
+        let mut begin = |current: Option<&Value>| match current.unwrap_or(&self.initial) {
+            value if is_joint(value) || members_of(value) == *planned_on => replace_members(value, next),
             _ => Decision::Read,
         };
         let outcome = self.proposer.decide(until, &mut begin).await;
@@ -272,8 +275,18 @@
         }
     }
 
+    /// The newest value that is known to be committed, or what there is before the first one; nothing while it is not known
+    /// whether there is one.
+    fn newest(&self) -> Option<(Ballot, Rc<Value>)> {
+        let nothing_told = self.gossip.replica().members().sequence == 0;
+        let nothing_written =
+            nothing_told && self.proposer.is_informed() && !mutant("members-wait-for-a-value");
+        let initial = || nothing_written.then(|| (Ballot::default(), self.initial.clone()));
+        self.proposer.known().or_else(initial)
+    }
+
     async fn tick(&self) {
-        let Some((ballot, value)) = self.proposer.known() else {
+        let Some((ballot, value)) = self.newest() else {
             if self.gossip.replica().members().sequence > 0 && !self.members().contains(&self.me) {
                 self.request_to_join();
             }
@@ -284,7 +297,7 @@
         let is_member = members.contains(&self.me);
         if !is_member {
             self.joined.set(false);
-        } else if !is_joint && !self.joined.replace(true) {
+        } else if !is_joint && value.sequence > 0 && !self.joined.replace(true) {
             info!(self.gossip.logger(), "member.joined"; "sequence" => value.sequence);
         }
         let in_contact = self.contact.is_current();
--- a/crates/controller/src/parts.rs
+++ b/crates/controller/src/parts.rs
@@ -45,10 +45,15 @@
         gossip.merge(recovered, None);
         let member = MemberTask::start(acceptor, disk, gossip.logger().clone());
         let proposer = Proposer::new(gossip.clone(), member.clone(), me, first.clone());
-        let contact =
-            MajorityContact::new(gossip.clone(), proposer.clone(), member.clone(), first, times.suspicion);
+        let contact = MajorityContact::new(
+            gossip.clone(),
+            proposer.clone(),
+            member.clone(),
+            first.clone(),
+            times.suspicion,
+        );
         let settings =
-            MembershipSettings { seeds, wanted: 2 * node.tolerance.machines as usize + 1, times };
+            MembershipSettings { seeds, first, wanted: 2 * node.tolerance.machines as usize + 1, times };
         let leave_sync = LeaveSync::new(gossip.clone(), contact.clone(), leaves.clone());
         let membership = Membership::new(
             gossip.clone(),
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -148,6 +148,11 @@
         self.known.borrow().clone()
     }
 
+    /// Whether a round has come to its end since the start: what was chosen until then is known, or that nothing was.
+    pub fn is_informed(&self) -> bool {
+        self.informed.get()
+    }
+
     /// A reply to a request of this number came over this session.
     pub fn replied(&self, session: usize, number: u64, reply: RegisterReply) {
         if let Some((from, replies)) = self.pending.borrow_mut().replied(session, number) {
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -259,7 +259,7 @@
     wires: Rc<RefCell<Wires>>,
     settle_s: f64,
     /// Machines whose loss is to be borne.
-    tolerance: usize,
+    tolerance: u32,
     uneven_disks: bool,
 }
 
@@ -301,7 +301,7 @@
     /// Starts so many members, with links and disks that take their time; they hold version 1 then.
     pub async fn with_members(self, members: usize, latency: Duration, write: Duration) -> Self {
         let (machines, mut world) = (self.machines.len(), self);
-        world.tolerance = members / 2;
+        world.tolerance = members as u32 / 2;
         world.wires.borrow_mut().latency = latency;
         (0..machines).for_each(|machine| world.slow_disk(machine, write));
         (0..SEEDS).for_each(|machine| world.start(machine, true));
@@ -316,6 +316,11 @@
         world
     }
 
+    /// The same machines for who is to bear the loss of so many of them.
+    pub fn tolerating(self, tolerance: u32) -> Self {
+        World { tolerance, ..self }
+    }
+
     /// So many machines, of which the first three run, are in contact with each other and hold version 1.
     pub async fn with_three_members(machines: usize, settle_s: f64) -> Self {
         let mut world = World::new(machines, settle_s);
--- a/crates/register/src/change.rs
+++ b/crates/register/src/change.rs
@@ -13,6 +13,19 @@
     Propose(Value),
 }
 
+/// What a register holds before anything is written to it: no configuration, and its first members. A change of members may
+/// build on it as on any other value.
+pub fn initial_value(first: &BTreeSet<Member>) -> Value {
+    Value {
+        sequence: 0,
+        version: 0,
+        sets: wire_sets(std::slice::from_ref(first)),
+        floor: 0,
+        applied: Vec::new().into(),
+        config: Vec::new().into(),
+    }
+}
+
 fn with_sets(value: &Value, sets: &[BTreeSet<Member>]) -> Value {
     Value { sequence: value.sequence + 1, sets: wire_sets(sets), ..value.clone() }
 }
--- a/crates/register/src/copies.rs
+++ b/crates/register/src/copies.rs
@@ -78,17 +78,22 @@
         holding: BTreeMap<Member, Ballot>,
     ) -> Vec<CopyEvent> {
         let set = members_of(value);
-        let changed = !is_joint(value) && set != self.set;
+        let is_written = ballot > Ballot::default();
+        // The first value that is written brings its members into force anew, also where they are the first ones.
+        let is_first = is_written && self.membership == Ballot::default();
+        let changed = !is_joint(value) && (is_first || set != self.set);
         let returned = holding.keys().any(|member| !self.reached.contains_key(member));
         if changed {
             self.set = set;
             self.membership = ballot;
         }
-        if changed || returned {
+        if is_written && (changed || returned) {
             self.target = Some(Target { ballot, sequence: value.sequence, since: now });
         }
         self.reached = holding;
-        self.note_committed(now, ballot);
+        if is_written {
+            self.note_committed(now, ballot);
+        }
         let mut events = self.note_missing(now);
         events.extend(self.note_whole(now));
         events
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -29,7 +29,7 @@
 mod watermark;
 
 pub use acceptor::{Accepted, Acceptor, Durable};
-pub use change::{Decision, finish_membership, replace_members};
+pub use change::{Decision, finish_membership, initial_value, replace_members};
 pub use copies::{CopyEvent, CopyTable, JOIN_LAG};
 pub use digest::{legacy_request_digest, request_digest};
 pub use membership::{
--- a/crates/register/tests/copy_table.rs
+++ b/crates/register/tests/copy_table.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use runtrack_message::{Ballot, Member, MemberSet, Value};
-use runtrack_register::{CopyEvent, CopyTable, Decision, JOIN_LAG};
-use std::collections::BTreeMap;
+use runtrack_register::{CopyEvent, CopyTable, Decision, JOIN_LAG, initial_value};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use support::{member, order};
 
@@ -135,3 +135,20 @@
     table.observe(at(3000) + JOIN_LAG, ballot(35), &value(30, set), holding(&[]));
     assert_eq!(table.required(), ballot(35), "then the newest one");
 }
+
+#[test]
+fn what_there_is_before_the_first_value_is_no_copy_to_wait_for() {
+    let first: BTreeSet<Member> = [1, 2, 3].map(|at| member(at, 0)).into();
+    let empty_disks = || first.iter().map(|member| (*member, Ballot::default())).collect();
+    let mut table = CopyTable::new(WAIT);
+    assert_eq!(table.observe(at(0), Ballot::default(), &initial_value(&first), empty_disks()), []);
+    assert_eq!(table.required(), Ballot::default());
+    assert_eq!(table.present(at(0)).len(), 3);
+    // The first value has the same members: it is watched from then on, and who joins must hold it at once.
+    assert_eq!(table.observe(at(50), ballot(5), &value(1, &[&[1, 2, 3]]), empty_disks()), []);
+    assert_eq!(table.required(), ballot(5));
+    assert_eq!(table.membership(), ballot(5));
+    let events =
+        table.observe(at(100), ballot(5), &value(1, &[&[1, 2, 3]]), holding(&[(1, 5), (2, 5), (3, 5)]));
+    assert_eq!(events, whole(1, 50));
+}
--- a/crates/register/tests/model/actions.rs
+++ b/crates/register/tests/model/actions.rs
@@ -86,7 +86,8 @@
         if has_it && let Some(value) = &value {
             node.adopt(INITIAL_BALLOT, value, Mutant::None);
         }
-        let joins_at_start = value.is_some() && !machine.scenario.wipe;
+        let is_there = value.is_some() || machine.scenario.grows;
+        let joins_at_start = is_there && !machine.scenario.wipe;
         if is_first || joins_at_start {
             nodes[at] = machine.intern_node(node);
         }
--- a/crates/register/tests/model/main.rs
+++ b/crates/register/tests/model/main.rs
@@ -57,10 +57,12 @@
         Scenario { rounds: [0, 2], reads: 1, ..scenario::replacement() },
         Scenario { rounds: [1, 1], reads: 1, ..scenario::wipe() },
         Scenario { rounds: [1, 1], reads: 1, ..scenario::late_copy() },
+        Scenario { rounds: [1, 2], ..scenario::growth() },
+        Scenario { rounds: [1, 2], ..scenario::early_wipe() },
     ]
 }
 
-/// Searches with more rounds; `REGISTER_MODEL=large` asks for them.
+/// Searches with more rounds; `REGISTER_MODEL=large` asks for them, and the name of a scenario for those of that name.
 fn large() -> Vec<Scenario> {
     vec![
         Scenario { rounds: [3, 2], restarts: 0, ..scenario::race() },
@@ -75,6 +77,8 @@
         Scenario { rounds: [1, 2], ..scenario::replacement().with_rival() },
         Scenario { rounds: [2, 1], ..scenario::replacement() },
         Scenario { rounds: [1, 3], ..scenario::replacement() },
+        Scenario { rounds: [2, 2], ..scenario::growth() },
+        Scenario { rounds: [1, 3], ..scenario::early_wipe() },
     ]
 }
 
@@ -102,11 +106,11 @@
 
 #[test]
 fn every_order_within_larger_bounds_keeps_the_rules() {
-    match std::env::var("REGISTER_MODEL").as_deref() {
-        Ok("large") => large().into_iter().for_each(holds),
-        Ok("reads") => reads().into_iter().for_each(holds),
-        _ => {}
+    let which = std::env::var("REGISTER_MODEL").unwrap_or_default();
+    if which == "reads" {
+        reads().into_iter().for_each(holds);
     }
+    large().into_iter().filter(|scenario| which == "large" || which == scenario.name).for_each(holds);
 }
 
 /// Errors with a scenario that shows them.
@@ -136,6 +140,8 @@
         (Mutant::DigestTruncated, scenario::one_number()),
         (Mutant::SecondHalfOnUnchosen, replacement()),
         (Mutant::NewSetAlone, replacement()),
+        (Mutant::NewSetAlone, Scenario { rounds: [2, 2], ..scenario::early_wipe() }),
+        (Mutant::SecondHalfOnUnchosen, Scenario { rounds: [2, 2], ..scenario::early_wipe() }),
         (Mutant::PromiseLoweredByAdopting, scenario::late_copy()),
         (Mutant::OlderDiskAccepted, older()),
         (Mutant::HighestRead, reading(scenario::race())),
--- a/crates/register/tests/model/rules.rs
+++ b/crates/register/tests/model/rules.rs
@@ -88,7 +88,7 @@
 /// A single set takes the place of joint ones only where these are chosen, and a new set only beside the old one.
 fn check_sets(machine: &mut Machine, state: &State, found: u32, value: u32) -> Result<(), Violation> {
     if found == NONE {
-        return Ok(());
+        return check_first_sets(machine, value);
     }
     let (before, after) = (machine.facts(found).sets.clone(), machine.facts(value).sets.clone());
     match (before.as_slice(), after.as_slice()) {
@@ -102,6 +102,16 @@
     }
 }
 
+/// The first value is at the first members, or at these and others beside them.
+fn check_first_sets(machine: &mut Machine, value: u32) -> Result<(), Violation> {
+    let first = machine.scenario.mask(&machine.scenario.first);
+    match machine.facts(value).sets.as_slice() {
+        [only] if *only == first => Ok(()),
+        [old, _] if *old == first => Ok(()),
+        sets => broken(format!("the first value is written to {sets:?}")),
+    }
+}
+
 fn ended(
     machine: &mut Machine,
     state: &mut State,
--- a/crates/register/tests/model/scenario.rs
+++ b/crates/register/tests/model/scenario.rs
@@ -43,6 +43,8 @@
     /// The member of index [`LEAVING`] may lose its disk once, or have an older copy of it put back; [`JOINING`] is its
     /// new incarnation.
     pub wipe: bool,
+    /// [`JOINING`] is there though nothing is written yet.
+    pub grows: bool,
     /// Committed values may reach any member late, outside rounds.
     pub adopt: bool,
     pub network: Network,
@@ -67,6 +69,7 @@
         restarts: 0,
         reads: 0,
         wipe: false,
+        grows: false,
         adopt: false,
         network: Network::Reduced,
         initial: None,
@@ -124,6 +127,37 @@
     scenario.with_membership_purposes()
 }
 
+/// A member joins before the first value, beside a request that brings it.
+pub fn growth() -> Scenario {
+    let base = base("growth");
+    let next: BTreeSet<Member> = base.members.iter().copied().collect();
+    Scenario {
+        grows: true,
+        purposes: before_the_first_value(next),
+        scripts: [vec![0, 1], vec![2, 3, 1]],
+        ..base
+    }
+}
+
+/// A member loses its disk before the first value, and is taken in again, beside a request that brings the value.
+pub fn early_wipe() -> Scenario {
+    let mut base = base("early wipe");
+    base.members[usize::from(JOINING)] = member(LEAVING, 9);
+    let mut next = base.first.clone();
+    next.remove(&base.members[usize::from(LEAVING)]);
+    next.insert(base.members[usize::from(JOINING)]);
+    Scenario {
+        wipe: true,
+        purposes: before_the_first_value(next),
+        scripts: [vec![0, 1], vec![2, 3, 1]],
+        ..base
+    }
+}
+
+fn before_the_first_value(next: BTreeSet<Member>) -> Vec<Purpose> {
+    vec![Purpose::Replace(request(0, 1)), Purpose::Read, Purpose::Members(next), Purpose::Finish]
+}
+
 /// Two requests on a value that one member has missed; committed values reach it late.
 pub fn late_copy() -> Scenario {
     let requests = [request(1, 2), request(1, 3)].map(Purpose::Replace);
@@ -180,7 +214,12 @@
 
     /// What all operations have in common.
     pub fn terms(&self) -> Terms {
-        Terms { first: vec![self.first.clone()], max_applied: self.max_applied, mutant: self.mutant }
+        Terms {
+            first: vec![self.first.clone()],
+            changes_before_first_value: true,
+            max_applied: self.max_applied,
+            mutant: self.mutant,
+        }
     }
 
     /// Members that may be exchanged for each other without any difference: those of the first set, but for one that
@@ -188,7 +227,7 @@
     pub fn symmetries(&self) -> Vec<Vec<u8>> {
         let any = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
         let fixed = [[0, 1, 2], [1, 0, 2]];
-        let rows: &[[u8; 3]] = if self.initial.is_some() { &fixed } else { &any };
+        let rows: &[[u8; 3]] = if self.initial.is_some() || self.wipe { &fixed } else { &any };
         let whole = |row: &[u8; 3]| row.iter().copied().chain(FIRST_MEMBERS..=JOINING).collect();
         rows.iter().map(whole).collect()
     }
--- a/crates/register/tests/rounds.rs
+++ b/crates/register/tests/rounds.rs
@@ -5,7 +5,7 @@
 use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
 use runtrack_register::{
     Acceptor, Decision, Outcome, Progress, ReplaceAnswer, ReplaceConfig, Round, finish_membership,
-    members_of, replace_members,
+    is_joint, members_of, replace_members,
 };
 use std::collections::BTreeSet;
 use support::{Cluster, member, order};
@@ -206,3 +206,44 @@
     }
     assert_eq!(cluster.read(0).applied.items().len(), 512);
 }
+
+#[test]
+fn a_member_joins_before_the_first_value() {
+    let mut cluster = Cluster::new(3);
+    cluster.add(member(3, 9));
+    let members = [member(0, 0), member(1, 0), member(2, 0), member(3, 9)];
+    assert!(cluster.replace(0, &members));
+    let grown = cluster.read(1);
+    assert_eq!((grown.sequence, grown.version, grown.config.as_slice()), (2, 0, [].as_slice()));
+    assert_eq!(
+        cluster.order(2, &order(1, 2)),
+        Some(ReplaceAnswer::Indeterminate),
+        "there may be a version 1"
+    );
+    assert_eq!(cluster.order(2, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    cluster.cut(0, true);
+    let value = cluster.read(1);
+    assert_eq!((value.sequence, value.version), (3, 1));
+    assert!(value.sets.items()[0].items().contains(&member(3, 9)));
+    cluster.cut(1, true);
+    assert_eq!(cluster.order(2, &order(1, 2)), None, "two of four are no majority");
+}
+
+#[test]
+fn a_first_value_under_way_is_found_by_a_change_of_members_and_the_other_way_round() {
+    let members = [member(0, 0), member(1, 0), member(2, 0), member(3, 9)];
+    let mut cluster = Cluster::new(3);
+    cluster.add(member(3, 9));
+    cluster.order_reaching(0, &order(0, 1), &[1]);
+    cluster.cut(0, true);
+    assert!(cluster.replace(2, &members));
+    assert_eq!(cluster.read(2).version, 1, "it may have been acknowledged");
+
+    let mut cluster = Cluster::new(3);
+    cluster.add(member(3, 9));
+    assert!(cluster.begin_replace(0, &members), "joint sets");
+    cluster.cut(0, true);
+    assert_eq!(cluster.order(1, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    let value = cluster.read(1);
+    assert!(is_joint(&value) && value.version == 1, "the sets under way stay");
+}
--- a/crates/register/tests/search.rs
+++ b/crates/register/tests/search.rs
@@ -23,6 +23,7 @@
     quorum_reads: u64,
     unsettled_reads: u64,
     all_replaced: u64,
+    changed_before_first_value: u64,
 }
 
 #[test]
@@ -44,6 +45,7 @@
         totals.quorum_reads += played.quorum_reads;
         totals.unsettled_reads += played.unsettled_reads;
         totals.all_replaced += u64::from(played.all_replaced);
+        totals.changed_before_first_value += u64::from(played.changed_before_first_value);
     }
     println!("{seeds} worlds: {totals:?}");
     let Totals { acknowledged, refused, reads, restores, all_replaced, quorum_reads, .. } = totals;
@@ -51,6 +53,8 @@
     assert!(quorum_reads > seeds, "hardly any quorum read is answered");
     assert!(restores > seeds / 100, "hardly any older disk is put back");
     assert!(all_replaced > seeds / 100, "hardly ever are all members replaced");
+    let early = totals.changed_before_first_value;
+    assert!(early > seeds / 100, "hardly ever do members change before the first value");
 }
 
 fn count(history: &History, such: impl Fn(&Event) -> bool) -> u64 {
--- a/crates/register/tests/support/attempt.rs
+++ b/crates/register/tests/support/attempt.rs
@@ -3,8 +3,8 @@
 use super::mutants::Mutant;
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, RequestDigest, Value};
 use runtrack_register::{
-    Decision, Progress, ReplaceAnswer, ReplaceConfig, Round, Send, finish_membership, is_joint,
-    majority_of, members_of, replace_members, sets_of,
+    Decision, Progress, ReplaceAnswer, ReplaceConfig, Round, Send, finish_membership, initial_value,
+    is_joint, majority_of, members_of, replace_members, sets_of,
 };
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -27,6 +27,8 @@
 pub struct Terms {
     /// The members before the first value.
     pub first: Vec<BTreeSet<Member>>,
+    /// Whether members may change before the first value is written.
+    pub changes_before_first_value: bool,
     /// Bound on the table of applied requests.
     pub max_applied: usize,
     /// The error that is planted.
@@ -207,7 +209,9 @@
         }
         Purpose::Read => (Decision::Read, None),
         Purpose::Members(next) => {
-            (current.map_or(Decision::Read, |value| table_kept(replace_members(value, next), mutant)), None)
+            let initial = terms.changes_before_first_value.then(|| initial_value(&terms.first[0]));
+            let begin = |value| table_kept(replace_members(value, next), mutant);
+            (current.or(initial.as_ref()).map_or(Decision::Read, begin), None)
         }
         Purpose::Finish => {
             (current.map_or(Decision::Read, |value| table_kept(finish_membership(value), mutant)), None)
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -11,8 +11,8 @@
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value, Watermark};
 use runtrack_register::{
     Acceptor, Decision, DiskCheck, Durable, DurableWatermarks, Outcome, Progress, PromiseRecord,
-    ReplaceAnswer, ReplaceConfig, Round, Send, ValueRecord, finish_membership, is_joint, members_of,
-    replace_members,
+    ReplaceAnswer, ReplaceConfig, Round, Send, ValueRecord, finish_membership, initial_value, is_joint,
+    members_of, replace_members,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -286,10 +286,9 @@
     pub fn begin_replace(&mut self, at: usize, next: &[Member]) -> bool {
         let next: BTreeSet<Member> = next.iter().copied().collect();
         let view = self.view.clone();
-        let outcome = self.round(at, view, &mut |current| match current {
-            Some(value) => replace_members(value, &next),
-            None => Decision::Read,
-        });
+        let initial = initial_value(&view[0]);
+        let outcome =
+            self.round(at, view, &mut |current| replace_members(current.unwrap_or(&initial), &next));
         matches!(outcome, Some(Outcome::Committed(_, value)) if is_joint(&value))
     }
 
--- a/crates/register/tests/support/world/mod.rs
+++ b/crates/register/tests/support/world/mod.rs
@@ -108,6 +108,8 @@
     pub unsettled_reads: u64,
     /// None of the first members is left.
     pub all_replaced: bool,
+    /// Members changed before the first request was applied.
+    pub changed_before_first_value: bool,
 }
 
 impl World {
@@ -115,7 +117,12 @@
         let mut rng = Rng::with_seed(seed);
         let profile = Profile::draw(&mut rng);
         let first: BTreeSet<Member> = (0..profile.members).map(|at| member(at, 0)).collect();
-        let terms = Terms { first: vec![first.clone()], max_applied: profile.max_applied, mutant };
+        let terms = Terms {
+            first: vec![first.clone()],
+            changes_before_first_value: profile.changes_before_first_value,
+            max_applied: profile.max_applied,
+            mutant,
+        };
         let process = |at: u8| Process {
             boot: if mutant == Mutant::BallotsShared { 1 } else { u64::from(at) + 1 },
             round: 0,
@@ -179,9 +186,18 @@
         }
         self.heal();
         let all_replaced = self.newest_view().is_disjoint(&self.terms.first[0]);
+        let changed_before_first_value = self.committed.iter().any(|(_, value)| value.version == 0);
         let World { history, restores, unknown_restores, reads, .. } = self;
         let (quorum_reads, unsettled_reads) = (reads.answered, reads.unsettled);
-        Played { history, restores, unknown_restores, quorum_reads, unsettled_reads, all_replaced }
+        Played {
+            history,
+            restores,
+            unknown_restores,
+            quorum_reads,
+            unsettled_reads,
+            all_replaced,
+            changed_before_first_value,
+        }
     }
 
     fn step(&mut self) {
--- a/crates/register/tests/support/world/profile.rs
+++ b/crates/register/tests/support/world/profile.rs
@@ -40,6 +40,8 @@
     pub successors: u32,
     /// Of a hundred new requests so many have a rival on the same base at once.
     pub rivals: u32,
+    /// Members may change before the first value is written.
+    pub changes_before_first_value: bool,
     /// Of a hundred changes of members so many replace two at once.
     pub double_changes: u32,
     /// Of a hundred processes so many hear at once of what another one takes for committed.
@@ -75,6 +77,7 @@
             same_version: rng.u32(..30),
             successors: rng.u32(..60),
             rivals: rng.u32(..100),
+            changes_before_first_value: true,
             double_changes: 15,
             heard: 50,
             max_backoff: rng.u32(1..30),
@@ -92,6 +95,7 @@
             11..15 => profile.late_copies(rng),
             15..18 => profile.lost_disks(rng),
             18 => profile.applied_before = LONG_HISTORY,
+            19 => profile.growing_from_nothing(rng),
             _ => {}
         }
         profile
@@ -114,7 +118,16 @@
         self.rates.wipe = 0;
     }
 
+    /// Members join, and are replaced, before there is any configuration.
+    fn growing_from_nothing(&mut self, rng: &mut Rng) {
+        self.rates.request = rng.u32(5..20);
+        self.rates.change_members = rng.u32(50..150);
+        self.rates.retry_change = rng.u32(40..120);
+    }
+
+    /// Values under way meet changes of members, so there is a first value before members change.
     fn changing_members(&mut self, rng: &mut Rng) {
+        self.changes_before_first_value = false;
         self.max_operations = 5;
         self.max_backoff = rng.u32(1..20);
         self.late = rng.u32(20..60);
--- a/crates/sim/src/fleet/mod.rs
+++ b/crates/sim/src/fleet/mod.rs
@@ -31,7 +31,7 @@
 }
 
 /// All planted errors of the control plane.
-pub const MUTANTS: [Mutant; 29] = [
+pub const MUTANTS: [Mutant; 30] = [
     Mutant {
         point: 1,
         name: "heartbeats-out-of-contact",
@@ -101,6 +101,11 @@
         what: "an operator is answered though the round has not ended",
     },
     Mutant { point: 2, name: "unknown-is-refused", what: "an unknown outcome is told as a refusal" },
+    Mutant {
+        point: 3,
+        name: "members-wait-for-a-value",
+        what: "members do not change before the first configuration",
+    },
     Mutant { point: 4, name: "promise-not-kept", what: "a promise is answered for without being on disk" },
     Mutant {
         point: 4,
