Controller: a test of the room that leaves take on disk

The leaves of a month are written as they come: no file grows beyond its room, and what the table holds is on disk.

--- a/crates/controller/tests/leaves.rs
+++ b/crates/controller/tests/leaves.rs
@@ -28,6 +28,10 @@
 const LONG: Duration = Duration::from_secs(15);
 /// How often a test looks again.
 const POLL: Duration = Duration::from_millis(10);
+/// 1,600 endpoints a day are replaced.
+const LEAVES_OF_A_MONTH: usize = 30 * 1_600;
+/// Bytes of all files with leaves: 16 rings of three files.
+const LEAVES_BOUND: usize = 16 * 3 * (65 << 10);
 /// Endpoints of a release that leave at once.
 const RELEASE: usize = 1000;
 
@@ -215,23 +219,26 @@
     });
 }
 
+fn gone(id: &str) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        service: "llm".into(),
+        ip: 0,
+        port: 0,
+        zone: "".into(),
+        capacity: 1,
+        state: EndpointState::Gone,
+        cold_left_ms: 0,
+        call_seq: 0,
+        models: Vec::new().into(),
+    }
+}
+
 fn record_of(ids: &[&str]) -> LeaveRecord {
     let mut table = LeaveTable::default();
-    for id in ids {
-        let known = Endpoint {
-            id: (*id).into(),
-            service: "llm".into(),
-            ip: 0,
-            port: 0,
-            zone: "".into(),
-            capacity: 1,
-            state: EndpointState::Gone,
-            cold_left_ms: 0,
-            call_seq: 0,
-            models: Vec::new().into(),
-        };
-        table.note(&known);
-    }
+    ids.iter().for_each(|id| {
+        table.note(&gone(id));
+    });
     table.batch().expect("something to write").records.remove(0)
 }
 
@@ -277,6 +284,25 @@
     }
 }
 
+#[test]
+fn leaves_take_no_more_of_the_disk_than_planned_and_nothing_that_was_written_is_lost() {
+    let memory = Memory::default();
+    let (mut rings, _) = Rings::open(memory.clone(), || 0).expect("it opens");
+    let mut table = LeaveTable::default();
+    for number in 0..LEAVES_OF_A_MONTH {
+        table.note(&gone(&format!("llm-7f9c-zone-a-0123456789abcdef-{number:08}")));
+        if number % 500 == 0 || number + 1 == LEAVES_OF_A_MONTH {
+            let batch = table.batch().expect("something to write");
+            for record in batch.records {
+                rings.write(&Record::Leaves(record)).expect("it is kept");
+            }
+            table.written(batch.change);
+        }
+    }
+    assert!(memory.bytes() <= LEAVES_BOUND, "{}", memory.bytes());
+    assert_eq!(on_disk(memory).len(), table.len());
+}
+
 #[test]
 fn a_newest_record_that_is_overwritten_is_found() {
     let lost = (0..60).any(|torn_after| {
