Controller: a process that is behind a ballot takes a round for that ballot alone

Whether a process is behind was asked before and after its wait, and each time of whatever was newest: where changes follow each other, two that were on their way to be chosen were enough for a round, which preempted the second. It is asked now of what had been accepted when the wait began.

--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -167,17 +167,20 @@
         self.newest_elsewhere.set(self.newest_elsewhere.get().max(ballot));
     }
 
-    /// Whether there is something newer than what is known here, on this disk, in others' words or on their disks.
-    fn is_behind(&self) -> bool {
-        let accepted = self.member.accepted().map(|accepted| accepted.ballot);
+    /// The newest ballot that this member or, as far as it is not accounted for, another one has accepted.
+    fn newest_accepted(&self) -> Ballot {
+        let accepted = self.member.accepted().map(|accepted| accepted.ballot).unwrap_or_default();
+        let elsewhere = self.newest_elsewhere.get();
+        if elsewhere > self.settled.get() { accepted.max(elsewhere) } else { accepted }
+    }
+
+    /// Whether this ballot, or what others say, is newer than what is known here.
+    fn is_behind(&self, accepted: Ballot) -> bool {
         let told = self.gossip.replica().members().sequence;
         let known = self.known.borrow();
         let (ballot, sequence) =
             known.as_ref().map_or_else(Default::default, |(ballot, value)| (*ballot, value.sequence));
-        let settled = self.settled.get().max(ballot);
-        accepted.is_some_and(|accepted| accepted > ballot)
-            || sequence < told
-            || self.newest_elsewhere.get() > settled
+        accepted > ballot || sequence < told
     }
 
     /// Another member says that the value of this ballot is chosen.
@@ -374,20 +377,21 @@
             let settle = self.at_least_writes(SETTLE);
             let pause = if self.informed.get() { settle } else { ASK_AT_START };
             let _ = timeout(pause.mul_f64(1.0 + fastrand::f64()), self.unsettled.notified()).await;
-            if self.informed.get() && !self.is_behind() {
-                continue;
-            }
+            // What is accepted later may be on its way to be chosen, and a round would only preempt it.
+            let (accepted, elsewhere) = (self.newest_accepted(), self.newest_elsewhere.get());
             if self.informed.get() {
+                if !self.is_behind(accepted) {
+                    continue;
+                }
                 // Word of it may still be on its way.
                 sleep(settle.mul_f64(fastrand::f64())).await;
-                if !self.is_behind() {
+                if !self.is_behind(accepted) {
                     continue;
                 }
             }
-            let elsewhere = self.newest_elsewhere.get();
             // Nobody waits for it: who is in the way goes first, within bounds.
             let limits = Limits { gives_way: failures < MAX_GIVING_WAY, ..Limits::of_request() };
-            if self.catch_up(limits).await.is_err() {
+            if self.catch_up(accepted, limits).await.is_err() {
                 failures += 1;
             } else {
                 failures = 0;
--- a/crates/controller/src/proposer/read.rs
+++ b/crates/controller/src/proposer/read.rs
@@ -4,7 +4,7 @@
 use super::{Limits, Proposer};
 use crate::pending::PendingRequests;
 use runtrack_link::{Gossip, Session};
-use runtrack_message::{CONTACT_WIRE_VERSION, InspectReply, Member, Message, Role, Value};
+use runtrack_message::{Ballot, CONTACT_WIRE_VERSION, InspectReply, Member, Message, Role, Value};
 use runtrack_net::mutant;
 use runtrack_register::{Decision, Inspection, Outcome, QuorumRead, ReadOutcome, ReadProgress};
 use std::cell::RefCell;
@@ -82,9 +82,10 @@
         }
     }
 
-    /// Finds out what is chosen where this process may be behind: a round is only taken where it still is then.
-    pub(super) async fn catch_up(&self, limits: Limits) -> Result<(), ()> {
-        if self.quorum_read().await.is_some() && !self.is_behind() {
+    /// Finds out what is chosen where this process may be behind what somebody has accepted under this ballot: a round is
+    /// only taken where it still is then.
+    pub(super) async fn catch_up(&self, accepted: Ballot, limits: Limits) -> Result<(), ()> {
+        if self.quorum_read().await.is_some() && !self.is_behind(accepted) {
             return Ok(());
         }
         self.read_by_round(limits).await.map(|_| ())
