Only a member that has just started gives way with the rounds by which it finds out what is chosen

One that missed something while it ran came back to it after a wait that grows with slow disks: with writes of 10 to 320 ms, copies of a frozen member at rest took up to 4,460 ms (25 moments) since such rounds gave way; 3,325 ms now.

--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -33,7 +33,7 @@
 /// to wait for. Times the tries so far, and up to as much more.
 const ROUND_BACKOFF: Duration = Duration::from_millis(8);
 const MAX_ROUND_BACKOFF: Duration = ROUND_TIMEOUT;
-/// A proposer that only wants to know what is chosen gives way so often in a row at most.
+/// A proposer that wants to know after its start what is chosen gives way so often in a row at most.
 const MAX_GIVING_WAY: u32 = 4;
 const MAX_BACKOFF_STEPS: u32 = 8;
 /// A proposer that was preempted leaps over so many rounds of others at most, as a power of two.
@@ -389,8 +389,10 @@
                     continue;
                 }
             }
-            // Nobody waits for it: who is in the way goes first, within bounds.
-            let limits = Limits { gives_way: failures < MAX_GIVING_WAY, ..Limits::of_request() };
+            // Who is in the way of a member that has just started goes first, within bounds. One that missed something while
+            // it ran would come back to it much later.
+            let gives_way = !self.informed.get() && failures < MAX_GIVING_WAY;
+            let limits = Limits { gives_way, ..Limits::of_request() };
             if self.catch_up(accepted, limits).await.is_err() {
                 failures += 1;
             } else {
