Fleet in virtual time: another seed shows the planted error commit-of-any-ballot

Rounds take other turns since the mends of the proposer, so seed 3 breaks nothing with it any more. Searched from seed 0, seed 7 is the first one that shows it; the test asserts the same of it.

--- a/crates/sim/tests/fleet.rs
+++ b/crates/sim/tests/fleet.rs
@@ -69,7 +69,7 @@
     ("value-not-kept", 0),
     ("wiped-member-votes", 0),
     ("ballot-without-boot", 0),
-    ("commit-of-any-ballot", 3),
+    ("commit-of-any-ballot", 7),
     ("told-before-committed", 6),
 ];
 /// Runs that the test of shrinking may take.
