--- a/crates/controller/src/leaves.rs
+++ b/crates/controller/src/leaves.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 /// Wait before a disk that refused is tried again.
@@ -21,24 +22,23 @@
 /// The leaves that this member keeps.
 pub(crate) struct Leaves {
     table: RefCell<LeaveTable>,
-    disk: Disk,
     noted: Notify,
     written: watch::Sender<u64>,
 }
 
 impl Leaves {
-    /// What is on the disk.
-    pub fn recover(disk: Disk, logger: &Logger) -> (Rc<Self>, Vec<Endpoint>) {
+    /// Reads what is on the disk, and writes there what is noted from now on; with the leaves that were found.
+    pub fn start(disk: Disk, logger: &Logger) -> (Rc<Self>, Vec<Endpoint>) {
         let records = if mutant("leaves-not-read") { Vec::new() } else { disk.0.leaves() };
         let endpoints: Vec<Endpoint> = records.iter().flat_map(|record| record.endpoints()).collect();
         info!(logger, "leaves.recovered"; "endpoints" => endpoints.len());
-        let leaves = Leaves {
+        let leaves = Rc::new(Leaves {
             table: RefCell::new(LeaveTable::recover(&records)),
-            disk,
             noted: Notify::new(),
             written: watch::channel(0).0,
-        };
-        (Rc::new(leaves), endpoints)
+        });
+        spawn_local(leaves.clone().run(disk));
+        (leaves, endpoints)
     }
 
     /// Takes note of those among these endpoints that leave; they go to disk soon.
@@ -81,13 +81,13 @@
     }
 
     /// Writes what is noted, for as long as the process runs.
-    pub async fn run(self: Rc<Self>) {
+    async fn run(self: Rc<Self>, disk: Disk) {
         loop {
             let batch = self.table.borrow().batch();
             match batch {
                 None => self.noted.notified().await,
                 Some(batch) => {
-                    if !self.write(batch).await {
+                    if !self.write(&disk, batch).await {
                         sleep(REFUSED_PAUSE).await;
                     }
                 }
@@ -97,9 +97,9 @@
 
     /// Writes a batch, one generation after another, so that the register waits for one of them at most; whether it is on
     /// disk.
-    async fn write(&self, batch: LeaveBatch) -> bool {
+    async fn write(&self, disk: &Disk, batch: LeaveBatch) -> bool {
         for record in batch.records {
-            if self.disk.0.persist(Record::Leaves(record)).await.is_err() {
+            if disk.0.persist(Record::Leaves(record)).await.is_err() {
                 return false;
             }
         }
--- a/crates/controller/src/parts.rs
+++ b/crates/controller/src/parts.rs
@@ -41,7 +41,7 @@
         let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
         let times = MembershipTimes::new(node.bounds.settle, node.bounds.grace);
         let own = acceptor.watermark();
-        let (leaves, recovered) = Leaves::recover(disk.clone(), gossip.logger());
+        let (leaves, recovered) = Leaves::start(disk.clone(), gossip.logger());
         gossip.merge(recovered, None);
         let member = MemberTask::start(acceptor, disk, gossip.logger().clone());
         let proposer = Proposer::new(gossip.clone(), member.clone(), me, first.clone());
@@ -78,7 +78,6 @@
 
     /// Starts what the parts do by themselves, for as long as the process runs.
     pub(crate) fn spawn(&self, node: &Node) {
-        spawn_local(self.leaves.clone().run());
         spawn_local(self.backlogs.clone().run());
         spawn_local(self.proposer.clone().run());
         spawn_local(self.membership.clone().run());
