Link: the test of log events reads the sources in folders too

Cause: controller/src/proposer is a folder since reads have a module of their own, and the test read the files of src alone: it failed on the folder. It walks all of them now, so an event that is logged in a folder counts as well.

--- a/crates/link/tests/events.rs
+++ b/crates/link/tests/events.rs
@@ -1,17 +1,24 @@
 //! Each event that the fleet's programs log stands on the operators' page, and the page names no other.
 
 use std::collections::BTreeSet;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 const PAGE: &str = include_str!("../../../docs/operators/fleet.md");
 
+/// All files of a folder and of those in it.
+fn files_in(folder: &Path) -> Vec<PathBuf> {
+    let entries =
+        std::fs::read_dir(folder).expect("the sources").map(|entry| entry.expect("a file").path());
+    entries.flat_map(|path| if path.is_dir() { files_in(&path) } else { vec![path] }).collect()
+}
+
 /// Event names in the sources of these crates: the first text of a logging macro.
 fn logged() -> BTreeSet<String> {
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let mut events = BTreeSet::new();
     for name in ["agent", "controller", "link", "proxy"] {
-        for entry in std::fs::read_dir(crates.join(name).join("src")).expect("the sources") {
-            let source = std::fs::read_to_string(entry.expect("a file").path()).expect("it can be read");
+        for path in files_in(&crates.join(name).join("src")) {
+            let source = std::fs::read_to_string(path).expect("it can be read");
             for macro_name in ["info!(", "warn!(", "error!("] {
                 for call in source.split(macro_name).skip(1) {
                     let text = call.split('"').nth(1).expect("an event's name");
