--- /dev/null
+++ b/crates/sim/src/fleet/draw/faults.rs
@@ -0,0 +1,106 @@
+//! What goes wrong: faults of a few kinds, several at once.
+
+use super::READY;
+use super::losses::Losses;
+use crate::draw::Draws;
+use crate::fleet::script::{DiskFault, Fault, From, Script, Way};
+
+/// Kinds of fault that can be drawn.
+const KINDS: u32 = 20;
+
+/// Draws the faults.
+pub fn draw(draws: &mut Draws, script: &mut Script, length: u32) {
+    let mut losses = Losses::new(script.tolerance);
+    let kinds: Vec<u32> = (0..draws.of(1, 5)).map(|_| draws.of(0, KINDS - 1)).collect();
+    // One machine is struck more than others: faults meet on it.
+    let favourite = draws.of(0, script.cores - 1);
+    let mut replaced = Vec::new();
+    for _ in 0..draws.of(1, 7) {
+        let kind = kinds[draws.of(0, kinds.len() as u32 - 1) as usize];
+        let core = if draws.one_in(2) { favourite } else { draws.of(0, script.cores - 1) };
+        if replaced.contains(&core) {
+            continue;
+        }
+        let at = draws.of(READY, length);
+        let long = draws.one_in(12);
+        let lasts = if long { draws.of(8_000, 20_000) } else { draws.of(150, 4_500) };
+        let fault = fault(draws, script, kind, core, (at, lasts));
+        let (at, lasts) = fault.span();
+        let may = match &fault {
+            Fault::KillAll { .. } | Fault::PowerAll { .. } | Fault::Roll { .. } => {
+                losses.take_all(script.cores, at, at + lasts)
+            }
+            Fault::Replace { .. } if !replaced.is_empty() => false,
+            Fault::Cut { .. }
+            | Fault::Kill { .. }
+            | Fault::Freeze { .. }
+            | Fault::Power { .. }
+            | Fault::Disk { .. }
+            | Fault::Wipe { .. }
+            | Fault::Replace { .. }
+            | Fault::Term { .. } => losses.take(core, at, at + lasts),
+            _ => true,
+        };
+        if !may {
+            continue;
+        }
+        if matches!(fault, Fault::Replace { .. }) {
+            replaced.push(core);
+        }
+        script.faults.push(fault);
+    }
+}
+
+fn fault(draws: &mut Draws, script: &Script, kind: u32, core: u32, (at, lasts): (u32, u32)) -> Fault {
+    let agent = draws.of(0, script.agents - 1);
+    match kind {
+        0..=2 => cut(draws, core, at, lasts),
+        3 => Fault::SlowLinks { core, by: draws.of(20, 250), at, lasts },
+        4 => Fault::Loss { core, percent: draws.of(2, 25), at, lasts },
+        5 => Fault::Reset { core, at },
+        6 => Fault::Kill { core, at, lasts },
+        7 => Fault::KillAll { at, lasts: lasts.min(3_000) },
+        8 => Fault::Freeze { core, at, lasts },
+        9 => Fault::Power { core, at, lasts },
+        10 => Fault::PowerAll { at, lasts: lasts.min(3_000) },
+        11 => Fault::Disk { core, what: DiskFault::Slow(draws.of(5, 60)), at, lasts },
+        12 => {
+            let what = if draws.one_in(2) { DiskFault::Stall } else { DiskFault::Full };
+            Fault::Disk { core, what, at, lasts }
+        }
+        13 => Fault::Wipe { core, at, lasts },
+        14 => {
+            let planned = draws.one_in(2);
+            let lasts = if planned { draws.of(8_000, 10_000) } else { draws.of(300, 2_000) };
+            Fault::Replace { core, planned, at, lasts }
+        }
+        15 => Fault::Term { core, at, lasts },
+        16 => Fault::Roll { at, gap: draws.of(2_500, 5_000) },
+        17 => agent_fault(draws, script, agent, (at, lasts)),
+        18 => Fault::Spare { at },
+        _ => Fault::Seeds { first: draws.of(0, 2), at },
+    }
+}
+
+fn cut(draws: &mut Draws, core: u32, at: u32, lasts: u32) -> Fault {
+    let way = match draws.of(0, 3) {
+        0 => Way::Out,
+        1 => Way::In,
+        _ => Way::Both,
+    };
+    let from = match draws.of(0, 3) {
+        0 => From::All,
+        1 => From::Near,
+        _ => From::Cores,
+    };
+    Fault::Cut { core, way, from, resets: draws.one_in(4), at, lasts }
+}
+
+fn agent_fault(draws: &mut Draws, script: &Script, agent: u32, (at, lasts): (u32, u32)) -> Fault {
+    match draws.of(0, 3) {
+        0 => Fault::AgentCut { agent, but: None, at, lasts },
+        1 => Fault::AgentCut { agent, but: Some(draws.of(0, script.cores - 1)), at, lasts },
+        2 => Fault::AgentKill { agent, at, lasts: lasts.min(1_500) },
+        _ => Fault::AgentFreeze { agent, at, lasts },
+    }
+}
