Sim: the oracle sees old contact, agents that start behind, and who is not named silent

Cause: what a member does on contact that became old while it stood still, what an agent takes right after its start, and a crash that nobody names were judged by no rule, or left out as disturbed. So no world could show those errors.

Change: a heartbeat acknowledged later than 0.8 s after a cut breaks CutOffSilent, also where the member stood still or had slow links; NotSilent holds for agents out of touch too where nothing but cuts befell the core; StartsCurrent and SilentNamed are new. Beats that a cut-off member acknowledges in its last 0.8 s count no more as heard. Endpoints can stand still, and can know a single member.

The history of an agent that goes back across lives had a start behind with nothing wrong around it, which breaks StartsCurrent now; a member is lost before it there.

--- a/crates/sim/src/fleet/draw/requests.rs
+++ b/crates/sim/src/fleet/draw/requests.rs
@@ -54,6 +54,7 @@
         };
         let leaves =
             leaving.filter(|_| !draws.one_in(4)).map(|how| (draws.of(at + 500, length + 1_000), how));
-        script.endpoints.push(EndpointPlan { at, leaves, member: draws.of(0, 15) });
+        let member = draws.of(0, 15);
+        script.endpoints.push(EndpointPlan { leaves, ..EndpointPlan::beating(member, at) });
     }
 }
--- a/crates/sim/src/fleet/endpoint.rs
+++ b/crates/sim/src/fleet/endpoint.rs
@@ -26,6 +26,10 @@
     world: Rc<World>,
     number: usize,
     member: u32,
+    /// It calls no other member.
+    stays: bool,
+    /// It says nothing from one moment to another.
+    pauses: Option<(Instant, Instant)>,
     call_seq: u64,
 }
 
@@ -47,7 +51,7 @@
             leaves_after: None,
         };
         let acknowledged = call(&self.world, sending).await.is_some_and(|answer| answer.status == 200);
-        if !acknowledged {
+        if !acknowledged && !self.stays {
             self.member += 1;
         }
         acknowledged
@@ -67,6 +71,10 @@
                 break;
             }
             sleep_until(next).await;
+            if let Some((_, goes_on)) = self.pauses.filter(|(from, to)| (*from..*to).contains(&next)) {
+                next = goes_on;
+                continue;
+            }
             self.call(Asked::Heartbeat(self.number), "heartbeat", "ready").await;
             next = (next + HEARTBEAT).max(Instant::now());
         }
@@ -79,7 +87,9 @@
 /// Plays an endpoint's life.
 pub async fn play(world: Rc<World>, number: usize, plan: EndpointPlan) {
     sleep_until(world.at(plan.at)).await;
-    let mut endpoint = Endpoint { world: world.clone(), number, member: plan.member, call_seq: 0 };
+    let pauses = plan.pauses.map(|(at, lasts)| (world.at(at), world.at(at + lasts)));
+    let EndpointPlan { member, stays, .. } = plan;
+    let mut endpoint = Endpoint { world: world.clone(), number, member, stays, pauses, call_seq: 0 };
     endpoint.beat(plan.leaves.map(|(at, _)| world.at(at))).await;
     match plan.leaves {
         Some((_, Leaving::Drains)) => {
--- a/crates/sim/src/fleet/facts.rs
+++ b/crates/sim/src/fleet/facts.rs
@@ -107,6 +107,10 @@
     pub slows: bool,
     /// It is the disk's alone.
     pub disk: bool,
+    /// The process stood still, and went on as if nothing had been.
+    pub stands_still: bool,
+    /// All that it sends and gets takes this much longer, and nothing else is wrong.
+    pub delay: Duration,
 }
 
 /// What happened.
--- a/crates/sim/src/fleet/harm.rs
+++ b/crates/sim/src/fleet/harm.rs
@@ -15,7 +15,17 @@
 
 fn of_core(core: u32, at: u32, lasts: u32) -> Harm {
     let (from, until) = (ms(at), ms(at + lasts + RESTART));
-    Harm { core: Some(core), agent: None, from, until, isolates: false, slows: false, disk: false }
+    Harm {
+        core: Some(core),
+        agent: None,
+        from,
+        until,
+        isolates: false,
+        slows: false,
+        disk: false,
+        stands_still: false,
+        delay: Duration::ZERO,
+    }
 }
 
 fn of_agent(agent: u32, at: u32, lasts: u32) -> Harm {
@@ -43,13 +53,16 @@
             }
             harms
         }
-        Fault::SlowLinks { core, .. } | Fault::Loss { core, .. } => {
-            vec![Harm { slows: true, ..of_core(*core, at, lasts) }]
+        Fault::SlowLinks { core, by, .. } => {
+            vec![Harm { slows: true, delay: ms(*by), ..of_core(*core, at, lasts) }]
+        }
+        Fault::Loss { core, .. } => vec![Harm { slows: true, ..of_core(*core, at, lasts) }],
+        Fault::Freeze { core, .. } => {
+            vec![Harm { stands_still: true, ..of_core(*core, at, lasts) }]
         }
         Fault::Disk { core, .. } => vec![Harm { disk: true, ..of_core(*core, at, lasts) }],
         Fault::Reset { core, .. }
         | Fault::Kill { core, .. }
-        | Fault::Freeze { core, .. }
         | Fault::Power { core, .. }
         | Fault::Wipe { core, .. }
         | Fault::Replace { core, .. }
--- a/crates/sim/src/fleet/oracle/agents.rs
+++ b/crates/sim/src/fleet/oracle/agents.rs
@@ -7,15 +7,11 @@
 use std::time::Duration;
 
 /// Where nothing has befallen machine and core for so long, the machine is in touch.
-const CONTACT: Duration = Duration::from_millis(4_000);
+pub(super) const CONTACT: Duration = Duration::from_millis(4_000);
 /// From an acknowledgement until it is heard or in force.
-const BOUND: Duration = Duration::from_millis(2_000);
+pub(super) const BOUND: Duration = Duration::from_millis(2_000);
 /// How often it is looked at whether an agent is in touch.
 const STEP: Duration = Duration::from_millis(250);
-/// An endpoint whose heartbeats were acknowledged with no greater gap is not silent.
-const GAP: Duration = Duration::from_millis(700);
-/// For so long before it is named.
-const BEATING: Duration = Duration::from_millis(3_000);
 
 /// Judges the words of all agents.
 pub fn judge(script: &Script, facts: &Facts) -> Vec<Breach> {
@@ -26,21 +22,24 @@
         breaches.extend(view.monotone());
         breaches.extend(view.leavers());
         breaches.extend(view.configurations());
-        breaches.extend(view.suspects());
+        breaches.extend(view.named_silent());
+        breaches.extend(view.crashed_unnamed());
+        breaches.extend(view.started_behind());
     }
     breaches
 }
 
-struct View<'a> {
-    script: &'a Script,
-    facts: &'a Facts,
-    agent: u32,
+/// What one agent told, beside all else that was seen.
+pub(super) struct View<'a> {
+    pub(super) script: &'a Script,
+    pub(super) facts: &'a Facts,
+    pub(super) agent: u32,
     /// What this agent told.
-    words: Vec<&'a Word>,
+    pub(super) words: Vec<&'a Word>,
 }
 
 impl View<'_> {
-    fn name(&self) -> String {
+    pub(super) fn name(&self) -> String {
         format!("edge-{}", self.agent)
     }
 
@@ -73,7 +72,7 @@
     }
 
     /// Whether the agent is in touch with a stable core.
-    fn in_touch(&self, at: Duration) -> bool {
+    pub(super) fn in_touch(&self, at: Duration) -> bool {
         let before = at.saturating_sub(CONTACT);
         let started = self.facts.agent_starts.iter().filter(|(agent, _)| *agent == self.agent);
         let runs = started.map(|(_, start)| *start).max().is_some_and(|start| start <= before);
@@ -98,7 +97,7 @@
         steps.take_while(|at| *at <= self.facts.end).find(|at| self.in_touch(*at))
     }
 
-    fn life_at(&self, at: Duration) -> u32 {
+    pub(super) fn life_at(&self, at: Duration) -> u32 {
         let starts = self.facts.agent_starts.iter();
         starts.filter(|(agent, start)| *agent == self.agent && *start <= at).count() as u32
     }
@@ -158,33 +157,4 @@
         }
         None
     }
-
-    fn suspects(&self) -> Option<Breach> {
-        for word in &self.words {
-            let Told::Suspects(silent) = &word.told else { continue };
-            let beating = silent.iter().find(|endpoint| self.beats(**endpoint, word.at));
-            if let Some(endpoint) = beating.filter(|_| self.in_touch(word.at)) {
-                let what = format!("{} takes e{endpoint} for silent", self.name());
-                return Some(Breach::new(Rule::NotSilent, word.at, what));
-            }
-        }
-        None
-    }
-
-    /// Whether an endpoint's heartbeats were acknowledged without a gap until then.
-    fn beats(&self, endpoint: usize, at: Duration) -> bool {
-        let Some(mut last) = at.checked_sub(BEATING) else { return false };
-        for call in self.facts.calls.iter().filter(|call| call.asked == Asked::Heartbeat(endpoint)) {
-            let acknowledged = call.answer.as_ref().is_some_and(|answer| answer.status == 200);
-            let Some(ended) = call.ended.filter(|ended| acknowledged && *ended <= at) else { continue };
-            if ended < last {
-                continue;
-            }
-            if ended - last > GAP {
-                return false;
-            }
-            last = ended;
-        }
-        at - last <= GAP
-    }
 }
--- a/crates/sim/src/fleet/oracle/mod.rs
+++ b/crates/sim/src/fleet/oracle/mod.rs
@@ -4,6 +4,8 @@
 mod contact;
 mod healing;
 mod register;
+mod silence;
+mod starts;
 
 use crate::fleet::facts::Facts;
 use crate::fleet::script::Script;
@@ -39,6 +41,10 @@
     AgentCurrent,
     /// Nobody whose heartbeats are acknowledged is named silent.
     NotSilent,
+    /// An endpoint that crashed is named silent by agents in touch, while others beat.
+    SilentNamed,
+    /// An agent that starts takes nothing from a member that is cut off while it may wait for others.
+    StartsCurrent,
     /// Once all is mended, changes and reads come through at each member.
     Heals,
     /// Once all is mended, the newest value is on as many disks as are wanted.
@@ -73,7 +79,7 @@
 /// The broken rules, in the order of time.
 pub fn judge(script: &Script, facts: &Facts) -> Vec<Breach> {
     let mut breaches = register::judge(facts);
-    breaches.extend(contact::judge(facts));
+    breaches.extend(contact::judge(script, facts));
     breaches.extend(agents::judge(script, facts));
     breaches.extend(healing::judge(script, facts));
     breaches.sort_by_key(|breach| (breach.at, breach.rule));
--- a/crates/sim/src/fleet/script.rs
+++ b/crates/sim/src/fleet/script.rs
@@ -88,6 +88,19 @@
     pub leaves: Option<(u32, Leaving)>,
     /// The member that it reports to first.
     pub member: u32,
+    /// It stands still from a moment on, for so long, and then goes on.
+    #[serde(default)]
+    pub pauses: Option<(u32, u32)>,
+    /// It knows no other member: after a call that failed it calls the same one again.
+    #[serde(default)]
+    pub stays: bool,
+}
+
+impl EndpointPlan {
+    /// One that beats from a moment on, and does no more.
+    pub fn beating(member: u32, at: u32) -> Self {
+        EndpointPlan { at, leaves: None, member, pauses: None, stays: false }
+    }
 }
 
 /// How an endpoint leaves.
--- a/crates/sim/tests/fleet_oracle.rs
+++ b/crates/sim/tests/fleet_oracle.rs
@@ -3,6 +3,7 @@
 use runtrack_sim::fleet::draw;
 use runtrack_sim::fleet::facts::{Answer, Asked, Call, Facts, Harm, Order, Told, Word};
 use runtrack_sim::fleet::oracle::{Rule, judge};
+use runtrack_sim::fleet::script::EndpointPlan;
 use std::time::Duration;
 
 fn ms(time: u64) -> Duration {
@@ -139,17 +140,29 @@
     });
 }
 
-/// Core 0 is cut off from 8 s to 14 s, while this call is made to it.
-fn cut_off(facts: &mut Facts, call: Call) {
-    facts.harms.push(Harm {
+/// A harm of core 0, of no kind yet.
+fn harm(from: u64, until: u64) -> Harm {
+    Harm {
         core: Some(0),
         agent: None,
-        from: ms(8_000),
-        until: ms(14_000),
-        isolates: true,
+        from: ms(from),
+        until: ms(until),
+        isolates: false,
         slows: false,
         disk: false,
-    });
+        stands_still: false,
+        delay: Duration::ZERO,
+    }
+}
+
+/// Core 0 is cut off from 8 s to 14 s.
+fn cut() -> Harm {
+    Harm { isolates: true, ..harm(8_000, 14_000) }
+}
+
+/// Core 0 is cut off, while this call is made to it.
+fn cut_off(facts: &mut Facts, call: Call) {
+    facts.harms.push(cut());
     facts.calls.push(call);
 }
 
@@ -163,6 +176,28 @@
     assert_eq!(broken(|facts| cut_off(facts, read(8_500, 2, 1))), [], "it can't know of the cut yet");
 }
 
+#[test]
+fn a_member_that_stood_still_and_acknowledges_on_old_contact_is_found() {
+    // The call waited in its buffers since before the member can have known of the cut.
+    let waited = |facts: &mut Facts, ended: u64| {
+        facts.harms.push(Harm { stands_still: true, ..harm(8_000, ended) });
+        let mut beat = call(Asked::Heartbeat(0), 8_400, 200);
+        beat.ended = Some(ms(ended));
+        cut_off(facts, beat);
+    };
+    breaks(Rule::CutOffSilent, |facts| waited(facts, 9_200));
+    breaks(Rule::CutOffSilent, |facts| {
+        waited(facts, 9_200);
+        facts.harms.push(Harm { slows: true, delay: ms(200), ..harm(7_000, 9_000) });
+    });
+    assert_eq!(broken(|facts| waited(facts, 8_700)), [], "its contact was not old by then");
+    let killed = |facts: &mut Facts| {
+        waited(facts, 9_200);
+        facts.harms.push(harm(8_100, 8_200));
+    };
+    assert_eq!(broken(killed), [], "what a process that was killed answered is judged elsewhere");
+}
+
 #[test]
 fn a_member_that_is_cut_off_and_says_nothing_at_all_is_found() {
     breaks(Rule::CutOffAnswers, |facts| {
@@ -195,6 +230,8 @@
         facts.words.extend([told(6_000, Told::Endpoint(0, 1)), told(6_100, Told::Endpoint(0, 0))]);
     });
     let another_life = broken(|facts| {
+        // A member was lost and may be behind, and the agent may start with what that one has.
+        facts.harms.push(harm(13_000, 14_000));
         facts.agent_starts.push((0, ms(16_000)));
         facts.words.push(Word { agent: 0, life: 2, at: ms(16_100), told: Told::Version(1) });
         facts.words.push(Word { agent: 0, life: 2, at: ms(16_200), told: Told::Version(2) });
@@ -227,21 +264,86 @@
 
 #[test]
 fn an_endpoint_that_beats_and_is_named_silent_is_found() {
-    let beats = |facts: &mut Facts| {
-        let beats = (0..12).map(|beat| call(Asked::Heartbeat(0), 6_000 + beat * 400, 200));
-        facts.calls.extend(beats);
-    };
     breaks(Rule::NotSilent, |facts| {
-        beats(facts);
+        beats(facts, 0);
         facts.words.push(told(10_300, Told::Suspects(vec![0])));
     });
     let later = broken(|facts| {
-        beats(facts);
-        facts.words.push(told(14_000, Told::Suspects(vec![0])));
+        beats(facts, 0);
+        facts.words.push(told(16_000, Told::Suspects(vec![0])));
     });
     assert_eq!(later, [], "it has fallen silent by then");
 }
 
+/// An endpoint beats until 14 s, at core 1.
+fn beats(facts: &mut Facts, endpoint: usize) {
+    let beats = (0..20).map(|beat| call(Asked::Heartbeat(endpoint), 6_000 + beat * 400, 200));
+    facts.calls.extend(beats.map(|beat| Call { core: 1, ..beat }));
+}
+
+#[test]
+fn an_endpoint_that_beats_is_not_named_to_an_agent_that_reaches_few_members_either() {
+    let named = |facts: &mut Facts, harm: Harm| {
+        beats(facts, 0);
+        facts.harms.push(Harm { core: None, agent: Some(0), ..self::harm(9_000, 15_000) });
+        facts.harms.push(harm);
+        facts.words.push(told(12_000, Told::Suspects(vec![0])));
+    };
+    breaks(Rule::NotSilent, |facts| named(facts, Harm { until: ms(11_500), ..cut() }));
+    assert_eq!(broken(|facts| named(facts, harm(8_000, 11_500))), [], "a machine was lost");
+    let taken_back = |facts: &mut Facts| {
+        named(facts, cut());
+        facts.words.push(told(12_020, Told::Suspects(vec![])));
+    };
+    assert_eq!(broken(taken_back), [], "nobody heeds what is taken back at once");
+}
+
+#[test]
+fn an_endpoint_that_crashed_and_is_not_named_is_found() {
+    let mut script = draw::script(0);
+    (script.cores, script.tolerance, script.agents) = (3, 1, 1);
+    script.endpoints = vec![EndpointPlan::beating(0, 0), EndpointPlan::beating(1, 0)];
+    let rules = |change: &dyn Fn(&mut Facts)| -> Vec<Rule> {
+        let mut facts = sound();
+        beats(&mut facts, 0);
+        facts.words.push(told(6_000, Told::Endpoint(1, 0)));
+        facts.silent_since.insert(1, ms(8_000));
+        change(&mut facts);
+        judge(&script, &facts).into_iter().map(|breach| breach.rule).collect()
+    };
+    assert!(rules(&|_| {}).contains(&Rule::SilentNamed));
+    let cut_off = rules(&|facts| facts.harms.push(Harm { from: ms(6_000), ..cut() }));
+    assert!(cut_off.contains(&Rule::SilentNamed), "{cut_off:?}: the others' word counts");
+    assert_eq!(rules(&|facts| facts.words.push(told(9_500, Told::Suspects(vec![1])))), []);
+    assert_eq!(rules(&|facts| facts.calls.truncate(4)), [], "nobody else beats");
+    assert_eq!(
+        rules(&|facts| facts.words.retain(|word| word.at != ms(6_000))),
+        [],
+        "it was never heard of"
+    );
+    assert_eq!(rules(&|facts| facts.harms.push(harm(9_000, 13_000))), [], "not in touch");
+}
+
+#[test]
+fn an_agent_that_starts_with_what_a_cut_off_member_has_is_found() {
+    let starts = |facts: &mut Facts, at: u64, version: u64| {
+        facts.harms.push(Harm { core: Some(2), from: ms(2_000), until: ms(19_000), ..cut() });
+        facts.harms.push(Harm { core: None, agent: Some(0), ..harm(9_000, 12_000) });
+        facts.agent_starts.push((0, ms(10_000)));
+        facts.words.push(Word { agent: 0, life: 2, at: ms(at), told: Told::Version(version) });
+        facts.words.push(Word { agent: 0, life: 2, at: ms(at + 1_600), told: Told::Version(2) });
+    };
+    breaks(Rule::StartsCurrent, |facts| starts(facts, 10_100, 1));
+    assert_eq!(broken(|facts| starts(facts, 10_100, 0)), [], "it knows nothing yet");
+    assert_eq!(broken(|facts| starts(facts, 10_100, 2)), []);
+    assert_eq!(broken(|facts| starts(facts, 11_600, 1)), [], "it has waited for others");
+    let back = |facts: &mut Facts| {
+        starts(facts, 10_100, 1);
+        facts.harms[0].until = ms(10_050);
+    };
+    assert_eq!(broken(back), [], "the member has just come back");
+}
+
 #[test]
 fn what_does_not_heal_is_found() {
     breaks(Rule::Heals, |facts| facts.last_acknowledged = false);
