Sim: the oracle sees what disks hold: copies, changes of members, older disks

Cause: members that change two at a time, join or leave without the copies, go by one watcher alone or go on with an older disk lose nothing by themselves, so no rule about answers sees them. Change: disks tell the facts what they hold. A controller that ends by itself is started again, which is no breach after an older disk. Two core machines can be cut off from each other alone.

--- a/crates/sim/src/fleet/director.rs
+++ b/crates/sim/src/fleet/director.rs
@@ -117,6 +117,9 @@
         let span = fault.span();
         match fault {
             Fault::Cut { core, way, from, .. } => self.cut(*core, *way, *from, span),
+            Fault::PairCut { core, other, way, .. } => {
+                self.stall(core_ip(*core), core_ip(*other).into(), *way, span);
+            }
             Fault::AgentCut { agent, but, .. } => {
                 let except = but.map(|core| IpAddr::from(core_ip(core)));
                 for core in self.every_core().into_iter().filter(|core| Some(*core) != except) {
@@ -176,6 +179,8 @@
             }
             Step::Gone(core) => {
                 self.world.cores.borrow_mut().retain(|other| *other != core);
+                let now = self.world.now();
+                self.world.facts.borrow_mut().gone.push((core, now));
                 let host = self.core(core);
                 host.hold(true); // for good
                 host.kill(true).await;
@@ -199,7 +204,10 @@
         match disk {
             DiskChange::Nothing => {}
             DiskChange::Wiped => host.disk.wipe(),
-            DiskChange::PutBack(age) => host.disk.put_back(Duration::from_millis(age.into())),
+            DiskChange::PutBack(age) => {
+                let copy = host.disk.put_back(Duration::from_millis(age.into()));
+                copy.into_iter().for_each(|copy| self.world.put_back(core, &copy));
+            }
         }
     }
 
@@ -279,6 +287,7 @@
             vec![(at, Step::AgentFreeze(*agent, true)), (until, Step::AgentFreeze(*agent, false))]
         }
         Fault::Cut { .. }
+        | Fault::PairCut { .. }
         | Fault::AgentCut { .. }
         | Fault::SlowLinks { .. }
         | Fault::Loss { .. }
--- a/crates/sim/src/fleet/facts.rs
+++ b/crates/sim/src/fleet/facts.rs
@@ -1,7 +1,7 @@
 //! What operators, endpoints and those who look on at agents have seen, and what was done to the machines. Times are since
 //! the start of the run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// An order: a configuration on top of a version.
@@ -113,6 +113,52 @@
     pub delay: Duration,
 }
 
+/// A member of the register: its core machine and its incarnation there.
+pub type MemberId = (u32, u64);
+
+/// What the disk of a core machine holds from a moment on.
+#[derive(Clone, Debug, Default)]
+pub struct DiskState {
+    /// The core machine.
+    pub core: u32,
+    /// From when.
+    pub at: Duration,
+    /// The incarnation of the member that is on it.
+    pub incarnation: u64,
+    /// Sequence number of its value; 0 for none.
+    pub sequence: u64,
+    /// Version of the configuration in that; 0 for none.
+    pub version: u64,
+    /// The sets of members that the value names: two while they change.
+    pub sets: Vec<BTreeSet<MemberId>>,
+}
+
+/// An older copy was put back onto the disk of a core machine.
+#[derive(Clone, Debug)]
+pub struct PutBack {
+    /// The core machine.
+    pub core: u32,
+    /// When.
+    pub at: Duration,
+    /// The incarnation of the member that is on the copy.
+    pub incarnation: u64,
+    /// Sequence number of the value on the copy.
+    pub sequence: u64,
+    /// The disk had held a newer value for long enough to be known of elsewhere.
+    pub older: bool,
+}
+
+/// A controller was told to end.
+#[derive(Clone, Debug)]
+pub struct Ending {
+    /// The core machine.
+    pub core: u32,
+    /// When it was told.
+    pub told: Duration,
+    /// When it had ended by itself.
+    pub ended: Option<Duration>,
+}
+
 /// What happened.
 #[derive(Clone, Debug, Default)]
 pub struct Facts {
@@ -138,6 +184,16 @@
     pub unread: Vec<u32>,
     /// At the end: version on the disk of each controller that runs, and its marker.
     pub disks: BTreeMap<u32, Option<(u64, u64)>>,
+    /// What disks of core machines held, in the order of time.
+    pub disk_states: Vec<DiskState>,
+    /// When controllers' processes started.
+    pub core_starts: Vec<(u32, Duration)>,
+    /// Core machines that are gone for good, and since when.
+    pub gone: Vec<(u32, Duration)>,
+    /// Older copies that were put back onto disks.
+    pub put_backs: Vec<PutBack>,
+    /// Controllers that were told to end.
+    pub endings: Vec<Ending>,
     /// When each endpoint crashed, of those that did.
     pub silent_since: BTreeMap<usize, Duration>,
     /// The end.
--- a/crates/sim/src/fleet/harm.rs
+++ b/crates/sim/src/fleet/harm.rs
@@ -75,7 +75,10 @@
             let turn = |core: u32| of_core(core, at + core * gap, *gap);
             (0..script.cores).map(turn).collect()
         }
-        Fault::Spare { .. } | Fault::Seeds { .. } => vec![of_core(u32::MAX, at, 0)],
+        // Each of the two is in touch with all others.
+        Fault::PairCut { .. } | Fault::Spare { .. } | Fault::Seeds { .. } => {
+            vec![of_core(u32::MAX, at, lasts)]
+        }
         Fault::AgentCut { agent, .. }
         | Fault::AgentKill { agent, .. }
         | Fault::AgentFreeze { agent, .. } => vec![of_agent(*agent, at, lasts)],
--- /dev/null
+++ b/crates/sim/src/fleet/oracle/membership.rs
@@ -0,0 +1,124 @@
+//! How the members change, as their disks show it: one at a time, the copies first, and nobody who can be reached.
+
+use super::disks::{acknowledged, held, in_touch};
+use super::{Breach, Rule};
+use crate::fleet::facts::{DiskState, Facts, MemberId};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A missing copy is waited for so long before the next change: a quarter of `settleS`, and a little less.
+const COPY_WAIT: Duration = Duration::from_millis(950);
+/// A joining member may lack what was acknowledged so shortly before: it must hold what has been known for a second, and
+/// who has the duty may hear of a change a moment after its acknowledgement.
+const JOIN_LAG: Duration = Duration::from_millis(2_000);
+/// What a disk holds is heard of this late: controllers probe each other every 250 ms and look at it every 200 ms.
+const HEARD: Duration = Duration::from_millis(500);
+/// By then a process that started has found what is committed.
+const START: Duration = Duration::from_millis(1_000);
+
+/// A change of members, as it was first seen on a disk.
+struct Change<'a> {
+    at: Duration,
+    old: &'a BTreeSet<MemberId>,
+    new: &'a BTreeSet<MemberId>,
+    /// When the old set was first seen alone, and the sequence number of that value.
+    before: Option<(Duration, u64)>,
+}
+
+/// Judges all changes of members.
+pub fn judge(facts: &Facts) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    for change in changes(&facts.disk_states) {
+        breaches.extend(change.one_at_a_time());
+        breaches.extend(change.copies_first(facts));
+        breaches.extend(change.joins_whole(facts));
+        breaches.extend(change.stays(facts));
+    }
+    breaches
+}
+
+/// The changes that were begun, each one once.
+fn changes(states: &[DiskState]) -> Vec<Change<'_>> {
+    let mut changes: Vec<Change> = Vec::new();
+    for (index, state) in states.iter().enumerate() {
+        let [old, new] = state.sets.as_slice() else { continue };
+        let before = in_force(&states[..index], old, state.sequence);
+        let seen = |change: &Change| change.old == old && change.new == new && change.before == before;
+        if !changes.iter().any(seen) {
+            changes.push(Change { at: state.at, old, new, before });
+        }
+    }
+    changes
+}
+
+/// When a set was first seen to be in force alone, since the last change to it below this sequence number.
+fn in_force(states: &[DiskState], set: &BTreeSet<MemberId>, below: u64) -> Option<(Duration, u64)> {
+    let to_it = states.iter().filter(|state| state.sets.len() == 2 && state.sets[1] == *set);
+    let begun = to_it.map(|state| state.sequence).filter(|sequence| *sequence < below).max().unwrap_or(0);
+    let alone = |state: &&DiskState| {
+        state.sets.len() == 1 && state.sets[0] == *set && state.sequence > begun && state.sequence < below
+    };
+    states.iter().find(alone).map(|state| (state.at, state.sequence))
+}
+
+/// Since when a copy may have been missed that changes wait for: of the first value, of one with other members than the
+/// value before it, and of whatever a process has found at its start.
+fn lacks_since(facts: &Facts, held: &DiskState) -> Duration {
+    let newer = || facts.disk_states.iter().filter(|state| state.sequence > held.sequence);
+    let changed = newer().find(|state| {
+        let same = |other: &&DiskState| other.sequence + 1 == state.sequence && other.sets == state.sets;
+        !facts.disk_states.iter().any(|other| same(&other))
+    });
+    let earliest = newer().next().map(|state| state.at);
+    let after =
+        |(_, start): &(u32, Duration)| earliest.filter(|at| *at <= *start + START).map(|at| at.max(*start));
+    let found = facts.core_starts.iter().filter_map(after);
+    found.chain(changed.map(|state| state.at)).min().unwrap_or(Duration::MAX)
+}
+
+impl Change<'_> {
+    fn one_at_a_time(&self) -> Option<Breach> {
+        let (gone, come) = (self.old.difference(self.new).count(), self.new.difference(self.old).count());
+        (gone > 1 || come > 1).then(|| {
+            let what = format!("{gone} members go and {come} come at once");
+            Breach::new(Rule::OneChange, self.at, what)
+        })
+    }
+
+    /// Members that stay and can be reached hold the value of the change before, or have lacked it for long.
+    fn copies_first(&self, facts: &Facts) -> Option<Breach> {
+        let (since, sequence) = self.before.filter(|(since, _)| self.at < *since + COPY_WAIT)?;
+        let lacks = |(core, incarnation): &&MemberId| {
+            let Some(state) = held(facts, *core, self.at) else { return false };
+            let lacks = state.incarnation == *incarnation && state.sequence < sequence;
+            // It may not have been heard of any better before the change came into force.
+            let heard = held(facts, *core, since.saturating_sub(HEARD)).unwrap_or(state);
+            let overdue = lacks && lacks_since(facts, heard) + COPY_WAIT <= self.at;
+            lacks && !overdue && in_touch(facts, *core, self.at)
+        };
+        let (core, _) = self.old.intersection(self.new).find(lacks)?;
+        let what = format!("members change while core-{core} lacks the change of {since:?}");
+        Some(Breach::new(Rule::CopiesFirst, self.at, what))
+    }
+
+    fn joins_whole(&self, facts: &Facts) -> Option<Breach> {
+        let least = acknowledged(facts, self.at.saturating_sub(JOIN_LAG));
+        let lacks = |(core, incarnation): &&MemberId| {
+            let state = held(facts, *core, self.at);
+            state.is_none_or(|state| state.incarnation != *incarnation || state.version < least)
+        };
+        let (core, _) = self.new.difference(self.old).find(lacks).filter(|_| least > 0)?;
+        let what = format!("core-{core} becomes a member without version {least}");
+        Some(Breach::new(Rule::JoinsWhole, self.at, what))
+    }
+
+    /// A member on a machine that is well stays, unless it was told to end or its disk holds another member by now.
+    fn stays(&self, facts: &Facts) -> Option<Breach> {
+        let well = |(core, incarnation): &&MemberId| {
+            held(facts, *core, self.at).is_some_and(|state| state.incarnation == *incarnation)
+                && in_touch(facts, *core, self.at)
+        };
+        let (core, _) = self.old.difference(self.new).find(well)?;
+        Some(Breach::new(Rule::MemberStays, self.at, format!("core-{core} is well and no member any more")))
+    }
+}
--- a/crates/sim/src/fleet/oracle/mod.rs
+++ b/crates/sim/src/fleet/oracle/mod.rs
@@ -2,7 +2,9 @@
 
 mod agents;
 mod contact;
+mod disks;
 mod healing;
+mod membership;
 mod register;
 mod silence;
 mod starts;
@@ -49,8 +51,20 @@
     Heals,
     /// Once all is mended, the newest value is on as many disks as are wanted.
     Copies,
-    /// No process ends by itself.
+    /// No process ends by itself, but one that finds its disk to be an older copy.
     Runs,
+    /// A member whose disk was put back from an older copy does not go on as the same member.
+    OlderDisk,
+    /// A member that is told to end waits, for a while, until the others hold what is committed.
+    HandsOver,
+    /// One member is added, replaced or removed at a time.
+    OneChange,
+    /// A change of members waits until the members that can be reached hold the value of the one before.
+    CopiesFirst,
+    /// A member that joins holds the committed configuration by then.
+    JoinsWhole,
+    /// A member that a majority can reach stays a member.
+    MemberStays,
 }
 
 /// A broken rule.
@@ -82,6 +96,8 @@
     breaches.extend(contact::judge(script, facts));
     breaches.extend(agents::judge(script, facts));
     breaches.extend(healing::judge(script, facts));
+    breaches.extend(disks::judge(script, facts));
+    breaches.extend(membership::judge(facts));
     breaches.sort_by_key(|breach| (breach.at, breach.rule));
     breaches
 }
--- a/crates/sim/src/fleet/script.rs
+++ b/crates/sim/src/fleet/script.rs
@@ -153,6 +153,8 @@
 pub enum Fault {
     /// A core machine is cut off.
     Cut { core: u32, way: Way, from: From, resets: bool, at: u32, lasts: u32 },
+    /// Two core machines are cut off from each other, and from nobody else.
+    PairCut { core: u32, other: u32, way: Way, at: u32, lasts: u32 },
     /// An agent is cut off from all core machines but, perhaps, one.
     AgentCut { agent: u32, but: Option<u32>, at: u32, lasts: u32 },
     /// All that a core machine sends and gets takes longer.
@@ -199,6 +201,7 @@
         match self {
             Fault::Cut { way: Way::Both, .. } => "cut",
             Fault::Cut { .. } => "cut_one_way",
+            Fault::PairCut { .. } => "pair_cut",
             Fault::AgentCut { .. } => "agent_cut",
             Fault::SlowLinks { .. } => "slow_links",
             Fault::Loss { .. } => "loss",
@@ -227,6 +230,7 @@
     pub fn span(&self) -> (u32, u32) {
         match self {
             Fault::Cut { at, lasts, .. }
+            | Fault::PairCut { at, lasts, .. }
             | Fault::AgentCut { at, lasts, .. }
             | Fault::SlowLinks { at, lasts, .. }
             | Fault::Loss { at, lasts, .. }
--- a/crates/sim/src/fleet/world.rs
+++ b/crates/sim/src/fleet/world.rs
@@ -1,11 +1,14 @@
 //! What all parts of a run share: the network, the facts, and who is where.
 
-use crate::fleet::facts::{Call, Facts, Told, Word};
+use crate::fleet::disk::OlderCopy;
+use crate::fleet::facts::{Call, DiskState, Ending, Facts, MemberId, PutBack, Told, Word};
 use crate::fleet::script::Script;
 use crate::net::Wires;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use runtrack_fleetconfig::Node;
+use runtrack_message::{Member, Value};
+use runtrack_register::sets_of;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -53,6 +56,12 @@
     Ipv4Addr::new(10, 0, 1, agent as u8 + 1)
 }
 
+/// A member of the register, by its core machine.
+fn member_id(member: &Member) -> MemberId {
+    let [.., last] = member.address().ip().octets();
+    (u32::from(last).saturating_sub(1), member.incarnation)
+}
+
 /// Where an operator or an endpoint calls from.
 pub fn caller_ip(caller: u32) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 2, caller as u8 + 1)
@@ -155,6 +164,42 @@
         }
     }
 
+    /// Notes what the disk of a core machine holds now.
+    pub fn disk_holds(&self, core: u32, incarnation: u64, value: Option<&Value>) {
+        let sets = value.map(sets_of).unwrap_or_default();
+        let state = DiskState {
+            core,
+            at: self.now(),
+            incarnation,
+            sequence: value.map_or(0, |value| value.sequence),
+            version: value.map_or(0, |value| value.version),
+            sets: sets.iter().map(|set| set.iter().map(member_id).collect()).collect(),
+        };
+        self.facts.borrow_mut().disk_states.push(state);
+    }
+
+    /// Notes that an older copy was put back.
+    pub fn put_back(&self, core: u32, copy: &OlderCopy) {
+        let OlderCopy { incarnation, sequence, older } = *copy;
+        let put_back = PutBack { core, at: self.now(), incarnation, sequence, older };
+        self.facts.borrow_mut().put_backs.push(put_back);
+    }
+
+    /// Notes that a controller was told to end.
+    pub fn told_to_end(&self, core: u32) {
+        let ending = Ending { core, told: self.now(), ended: None };
+        self.facts.borrow_mut().endings.push(ending);
+    }
+
+    /// Notes that a controller that was told to end has ended.
+    pub fn ended(&self, core: u32) {
+        let now = self.now();
+        let endings = &mut self.facts.borrow_mut().endings;
+        if let Some(ending) = endings.iter_mut().rfind(|ending| ending.core == core) {
+            ending.ended = Some(now);
+        }
+    }
+
     /// Notes what an agent told.
     pub fn told(&self, agent: u32, life: u32, told: Told) {
         let at = self.now();
