--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -15,6 +15,7 @@
 use runtrack_fleetconfig::{FleetConfig, MAX_CONFIG};
 use runtrack_link::Gossip;
 use runtrack_message::{Endpoint, EndpointState, Model};
+use runtrack_net::mutant;
 use runtrack_register::{ReplaceAnswer, ReplaceConfig};
 use slog::info;
 use std::convert::Infallible;
@@ -237,7 +238,7 @@
         let limit = ANSWER_TIMEOUT + ANSWER_ALLOWANCE_PER_BYTE * body.len() as u32;
         let ordered = match self.within(limit, replace).await {
             Some(Ok(ordered)) => ordered,
-            Some(Err(_)) | None => ReplaceOutcome::Indeterminate,
+            Some(Err(_)) | None => self.unknown(),
         };
         info!(self.gossip.logger(), "config_replace.answered"; "base" => base, "version" => version, "answer" => ?ordered);
         match ordered {
@@ -256,6 +257,15 @@
         }
     }
 
+    /// What a caller is told of a request that has not come to its end in time.
+    fn unknown(&self) -> ReplaceOutcome {
+        if mutant("unknown-is-refused") {
+            let version = self.proposer.known().map_or(0, |(_, value)| value.version);
+            return ReplaceOutcome::Definite(ReplaceAnswer::VersionMismatch(version));
+        }
+        ReplaceOutcome::Indeterminate
+    }
+
     async fn heartbeat(&self, id: &str, body: &[u8]) -> Reply {
         let Some(record) = heartbeat_record(id, body) else {
             return text(StatusCode::BAD_REQUEST, "the heartbeat can't be read");
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -355,17 +355,12 @@
             })
             .await;
         match (outcome, answer) {
-            (_, Some(ReplaceAnswer::Indeterminate)) if !mutant("unknown-is-refused") => {
-                ReplaceOutcome::Indeterminate
-            }
+            (_, Some(ReplaceAnswer::Indeterminate)) => ReplaceOutcome::Indeterminate,
             (Some(Outcome::Empty), Some(answer))
             | (Some(Outcome::Read(..) | Outcome::Committed(..)), Some(answer)) => {
                 ReplaceOutcome::Definite(answer)
             }
             (None, Some(answer)) if mutant("answered-before-committed") => ReplaceOutcome::Definite(answer),
-            _ if mutant("unknown-is-refused") => {
-                ReplaceOutcome::Definite(ReplaceAnswer::VersionMismatch(0))
-            }
             _ => ReplaceOutcome::Indeterminate,
         }
     }
