Sim: worlds are drawn around changes of members and around disks, with older disks

Cause: planted errors about membership and disks were found by scenarios alone, and no older disk was drawn. Change: two themes, each trouble of one sort close together in time: changes of members beside slow copies, two machines that can't reach each other, who leaves while another one lacks copies, a second loss as soon as one may be; disks that refuse, stall or are slow before a loss of power, several that stall at once, and older copies, with nothing else harmed from 5 s before. No more disks are lost than the tolerance bears until what holds a repair up is over.

--- a/crates/sim/src/fleet/command.rs
+++ b/crates/sim/src/fleet/command.rs
@@ -21,6 +21,9 @@
     Play {
         /// The seed.
         seed: u64,
+        /// The world is around this theme.
+        #[arg(long)]
+        theme: Option<draw::Theme>,
         /// Print all that happened, a line an event.
         #[arg(long)]
         timeline: bool,
@@ -37,11 +40,21 @@
         timeline: bool,
     },
     /// Run many seeds and say which break a rule.
-    Search(Seeds),
+    Search {
+        /// Which seeds.
+        #[command(flatten)]
+        which: Seeds,
+        /// Only worlds around this theme.
+        #[arg(long)]
+        theme: Option<draw::Theme>,
+    },
     /// Make a seed that breaks a rule small; write its script to this file.
     Shrink {
         /// The seed.
         seed: u64,
+        /// The world is around this theme.
+        #[arg(long)]
+        theme: Option<draw::Theme>,
         /// Where the script goes.
         #[arg(long, value_name = "FILE")]
         to: PathBuf,
@@ -85,15 +98,15 @@
         report(script, &outcome, whole)
     };
     match verb {
-        Fleet::Play { seed, timeline, script } => {
-            let drawn = draw::script(seed);
+        Fleet::Play { seed, theme, timeline, script } => {
+            let drawn = draw::script_of(theme, seed);
             let kept = script.map_or(Ok(()), |path| campaign::write(&path, &drawn));
             kept.map(|()| play(&drawn, timeline))
         }
         Fleet::Replay { script, timeline } => campaign::read(&script).map(|script| play(&script, timeline)),
-        Fleet::Search(which) => Ok(search(&which, mutant)),
-        Fleet::Shrink { seed, to } => {
-            let script = draw::script(seed);
+        Fleet::Search { which, theme } => Ok(search(&which, theme, mutant)),
+        Fleet::Shrink { seed, theme, to } => {
+            let script = draw::script_of(theme, seed);
             let outcome = mutants::with(mutant, || run(&script, false));
             let Some(breach) = outcome.breaches.first() else {
                 return Err("it breaks no rule".to_owned());
@@ -108,12 +121,12 @@
     }
 }
 
-fn search(which: &Seeds, mutant: Option<&str>) -> ExitCode {
+fn search(which: &Seeds, theme: Option<draw::Theme>, mutant: Option<&str>) -> ExitCode {
     let began = Instant::now();
     let sums: Mutex<(Pairs, u64, u64, f64)> = Mutex::default();
     let bar = "{bar:32} {pos}/{len} seeds {per_sec} {eta} {msg}";
     let done = campaign::search(which, bar, |seed, bar| {
-        let script = draw::script(seed);
+        let script = draw::script_of(theme, seed);
         let outcome = mutants::with(mutant, || run(&script, false));
         let (pairs, calls, broken, lasted) = &mut *sums.lock().unwrap_or_else(PoisonError::into_inner);
         pairs.add(script.faults.iter().map(|fault| fault.kind()));
--- /dev/null
+++ b/crates/sim/src/fleet/draw/disks.rs
@@ -0,0 +1,85 @@
+//! Trouble of disks: those that refuse, stall or are slow right as values are accepted, with a loss of power soon after,
+//! and older copies that are put back.
+
+use super::READY;
+use super::losses::{Losses, SETTLE};
+use crate::draw::Draws;
+use crate::fleet::script::{DiskFault, Fault, Script};
+
+/// Nothing else is harmed for so long before an older copy is put back, and the other members hold the newest value.
+const QUIET: u32 = 5_000;
+/// Disks that stall together begin to within so much of each other.
+const TOGETHER: u32 = 400;
+
+/// Draws one kind of this trouble.
+pub fn draw(draws: &mut Draws, script: &mut Script, losses: &mut Losses, length: u32) {
+    let at = draws.of(READY, length);
+    match draws.of(0, 4) {
+        0..=2 => refusals(draws, script, losses, at),
+        3 => several_stall(draws, script, losses, at),
+        _ => older_disk(draws, script, losses, at),
+    }
+}
+
+fn trouble(draws: &mut Draws) -> DiskFault {
+    match draws.of(0, 4) {
+        0 => DiskFault::Slow(draws.of(5, 200)),
+        1 => DiskFault::Stall,
+        _ => DiskFault::Full,
+    }
+}
+
+/// Disks of as many machines as may be lost refuse or are late, once or again, and power is lost at one or all.
+fn refusals(draws: &mut Draws, script: &mut Script, losses: &mut Losses, at: u32) {
+    let core = draws.of(0, script.cores - 1);
+    let lasts = draws.of(150, 4_500);
+    let power = draws.of(0, 2);
+    let off = draws.of(100, 1_500);
+    let off_at = at + draws.of(0, lasts + 1_000);
+    let until = (at + lasts).max(off_at + off);
+    let may = match power {
+        0 => losses.take_all(script.cores, at, until),
+        _ => losses.take(core, at, until),
+    };
+    if !may {
+        return;
+    }
+    script.faults.push(Fault::Disk { core, what: trouble(draws), at, lasts });
+    match power {
+        0 => script.faults.push(Fault::PowerAll { at: off_at, lasts: off }),
+        1 => script.faults.push(Fault::Power { core, at: off_at, lasts: off }),
+        _ => {}
+    }
+}
+
+/// Several disks stall or are slow at the same time: nothing is lost, but rounds take longer than callers wait.
+fn several_stall(draws: &mut Draws, script: &mut Script, losses: &mut Losses, at: u32) {
+    let lasts = draws.of(300, 3_000);
+    if !losses.take_all(script.cores, at, at + lasts + TOGETHER) {
+        return;
+    }
+    let first = draws.of(0, script.cores - 1);
+    for n in 0..draws.of(2, script.cores) {
+        let core = (first + n) % script.cores;
+        let what = if draws.one_in(2) { DiskFault::Stall } else { DiskFault::Slow(draws.of(20, 300)) };
+        let from = at + draws.of(0, TOGETHER);
+        script.faults.push(Fault::Disk { core, what, at: from, lasts });
+    }
+}
+
+/// A machine comes back with its disk as it was some time ago.
+fn older_disk(draws: &mut Draws, script: &mut Script, losses: &mut Losses, at: u32) {
+    let at = at.max(READY + QUIET);
+    let core = draws.of(0, script.cores - 1);
+    let (age, lasts) = (draws.of(100, 8_000), draws.of(150, 3_000));
+    let others_well = losses.take_all(script.cores, at - QUIET, at + lasts);
+    if others_well {
+        script.faults.push(Fault::OlderDisk { core, age, at, lasts });
+        let second = at + lasts + SETTLE + draws.of(0, 200);
+        let other = (core + draws.of(1, script.cores - 1)) % script.cores;
+        let off = draws.of(150, 3_000);
+        if draws.one_in(2) && losses.take(other, second, second + off) {
+            script.faults.push(Fault::Kill { core: other, at: second, lasts: off });
+        }
+    }
+}
--- a/crates/sim/src/fleet/draw/faults.rs
+++ b/crates/sim/src/fleet/draw/faults.rs
@@ -9,12 +9,15 @@
 const KINDS: u32 = 20;
 
 /// Draws the faults.
-pub fn draw(draws: &mut Draws, script: &mut Script, length: u32) {
-    let mut losses = Losses::new(script.tolerance);
+pub fn draw(draws: &mut Draws, script: &mut Script, losses: &mut Losses, length: u32) {
     let kinds: Vec<u32> = (0..draws.of(1, 5)).map(|_| draws.of(0, KINDS - 1)).collect();
     // One machine is struck more than others: faults meet on it.
     let favourite = draws.of(0, script.cores - 1);
-    let mut replaced = Vec::new();
+    let replaced_by = |fault: &Fault| match fault {
+        Fault::Replace { core, .. } => Some(*core),
+        _ => None,
+    };
+    let mut replaced: Vec<u32> = script.faults.iter().filter_map(replaced_by).collect();
     for _ in 0..draws.of(1, 7) {
         let kind = kinds[draws.of(0, kinds.len() as u32 - 1) as usize];
         let core = if draws.one_in(2) { favourite } else { draws.of(0, script.cores - 1) };
--- a/crates/sim/src/fleet/draw/mod.rs
+++ b/crates/sim/src/fleet/draw/mod.rs
@@ -1,22 +1,59 @@
 //! Scripts from seeds. A seed draws a part of the kinds of fault (swarm testing), so that rare combinations come about that
 //! a mixture of all would bury; no more core machines are lost at once than the tolerance bears.
 
+mod disks;
 mod faults;
 mod losses;
+mod membership;
 mod requests;
 
 use crate::draw::Draws;
+use crate::fleet::draw::losses::Losses;
 use crate::fleet::script::Script;
+use clap::ValueEnum;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 
 /// The members have come together by then.
 const READY: u32 = 1_500;
 
+/// Sets the draws of themes apart, so that worlds without one stay as they are.
+const THEMES: u64 = 0x7e3e_5eed;
+
+/// What a world is drawn around: trouble of one sort, close together in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Theme {
+    /// Changes of members.
+    Membership,
+    /// Disks.
+    Disks,
+}
+
+/// The theme of a seed; some worlds have none.
+fn theme_of(themes: &mut Draws) -> Option<Theme> {
+    match themes.of(0, 4) {
+        0 | 1 => Some(Theme::Membership),
+        2 => Some(Theme::Disks),
+        _ => None,
+    }
+}
+
 /// The script of a seed.
 pub fn script(seed: u64) -> Script {
+    script_of(None, seed)
+}
+
+/// The script of a seed, around this theme where one is given.
+pub fn script_of(theme: Option<Theme>, seed: u64) -> Script {
+    let mut themes = Draws(Pcg32::seed_from_u64(seed ^ THEMES));
+    let of_seed = theme_of(&mut themes);
+    drawn(seed, theme.or(of_seed), themes)
+}
+
+fn drawn(seed: u64, theme: Option<Theme>, mut themes: Draws) -> Script {
     let mut draws = Draws(Pcg32::seed_from_u64(seed ^ 0xf1ee7));
-    let five = draws.one_in(6);
+    // Five members bear slow disks beside a loss.
+    let five = draws.one_in(6) || theme == Some(Theme::Membership) && themes.one_in(3);
     let least = draws.of(1, 3);
     let mut script = Script {
         seed,
@@ -31,7 +68,18 @@
         faults: Vec::new(),
     };
     let mut length = draws.of(6_000, 14_000);
-    faults::draw(&mut draws, &mut script, length);
+    let mut losses = Losses::new(script.tolerance);
+    match theme {
+        Some(Theme::Membership) => membership::draw(&mut themes, &mut script, &mut losses, length),
+        Some(Theme::Disks) => disks::draw(&mut themes, &mut script, &mut losses, length),
+        None => {}
+    }
+    // Five machines are three members until the first configuration is there, which faults of any time may keep off.
+    let mixed = script.tolerance == 1 && themes.one_in(3);
+    if theme.is_none() || mixed {
+        faults::draw(&mut draws, &mut script, &mut losses, length);
+    }
+    losses::leave_repairs_time(&mut script);
     let last = script.faults.iter().map(|fault| fault.span()).map(|(at, lasts)| at + lasts).max();
     length = length.max(last.unwrap_or(0));
     script.healed_ms = length;
--- a/crates/sim/src/fleet/mod.rs
+++ b/crates/sim/src/fleet/mod.rs
@@ -31,7 +31,7 @@
 }
 
 /// All planted errors of the control plane.
-pub const MUTANTS: [Mutant; 30] = [
+pub const MUTANTS: [Mutant; 31] = [
     Mutant {
         point: 1,
         name: "heartbeats-out-of-contact",
@@ -118,6 +118,11 @@
         name: "wiped-member-votes",
         what: "a member with an empty disk takes itself for the one before",
     },
+    Mutant {
+        point: 4,
+        name: "older-disk-goes-on",
+        what: "a member goes on though its disk is an older copy",
+    },
     Mutant { point: 5, name: "ballot-without-boot", what: "two proposers share their ballots" },
     Mutant {
         point: 5,
--- a/crates/sim/tests/fleet.rs
+++ b/crates/sim/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use runtrack_sim::fleet::oracle::Rule;
 use runtrack_sim::fleet::run::run;
-use runtrack_sim::fleet::script::Script;
+use runtrack_sim::fleet::script::{Fault, Script};
 use runtrack_sim::fleet::{MUTANTS, draw, shrink, timeline};
 use runtrack_sim::mutants;
 use support::{each, last_line_of, scripts_in};
@@ -42,6 +42,66 @@
     }
 }
 
+/// A lost disk counts as lost for so long after its machine is back.
+const SETTLE: u32 = 4_000;
+/// Nothing else is harmed for so long before an older disk is put back.
+const QUIET: u32 = 5_000;
+
+/// Losses of disks: when, and until when they count.
+fn lost_disks(script: &Script) -> Vec<(u32, u32)> {
+    let lost = script.faults.iter().filter(|fault| {
+        matches!(fault, Fault::Wipe { .. } | Fault::Replace { .. } | Fault::OlderDisk { .. })
+    });
+    lost.map(|fault| (fault.span().0, fault.span().0 + fault.span().1 + SETTLE)).collect()
+}
+
+#[test]
+fn no_more_disks_are_lost_at_once_than_the_tolerance_bears() {
+    let mut most = 0;
+    for seed in 0..3_000 {
+        let script = draw::script(seed);
+        let lost = lost_disks(&script);
+        for (at, _) in &lost {
+            let at_once = lost.iter().filter(|(from, until)| from <= at && at < until).count();
+            assert!(at_once <= script.tolerance as usize, "seed {seed}");
+            most = most.max(at_once);
+        }
+    }
+    assert_eq!(most, 2, "two at once where five machines bear that");
+}
+
+#[test]
+fn older_disks_are_drawn_and_nothing_else_is_harmed_shortly_before() {
+    let mut drawn = 0;
+    for seed in 0..1_000 {
+        let script = draw::script(seed);
+        let harmful = |fault: &&Fault| {
+            !matches!(
+                fault,
+                Fault::SlowLinks { .. }
+                    | Fault::Loss { .. }
+                    | Fault::Reset { .. }
+                    | Fault::Spare { .. }
+                    | Fault::Seeds { .. }
+                    | Fault::AgentCut { .. }
+                    | Fault::AgentKill { .. }
+                    | Fault::AgentFreeze { .. }
+            )
+        };
+        for older in script.faults.iter().filter(|fault| matches!(fault, Fault::OlderDisk { .. })) {
+            let (at, lasts) = older.span();
+            let near = |fault: &&Fault| {
+                let (from, lasting) = fault.span();
+                from < at + lasts + SETTLE && from + lasting + QUIET > at
+            };
+            let others = script.faults.iter().filter(|fault| *fault != older).filter(harmful).filter(near);
+            assert_eq!(others.count(), 0, "seed {seed}");
+            drawn += 1;
+        }
+    }
+    assert!(drawn >= 20, "{drawn}");
+}
+
 #[test]
 fn scripts_of_what_was_found_and_mended_break_no_rule() {
     for (path, script) in scripts_in::<Script>("fleet_scripts") {
@@ -59,7 +119,7 @@
 }
 
 /// Seeds that show a planted error; `runtrack-sim fleet mutants` measures how many it takes.
-const SHOWN_BY: [(&str, u64); 11] = [
+const SHOWN_BY: [(&str, u64); 18] = [
     ("repeat-forgotten", 0),
     ("base-not-checked", 0),
     ("heartbeats-out-of-contact", 6),
@@ -69,8 +129,15 @@
     ("value-not-kept", 0),
     ("wiped-member-votes", 0),
     ("ballot-without-boot", 0),
-    ("commit-of-any-ballot", 7),
-    ("told-before-committed", 6),
+    ("commit-of-any-ballot", 3),
+    ("told-before-committed", 1),
+    ("one-watcher-is-enough", 12),
+    ("two-changes-at-a-time", 54),
+    ("joining-member-counts-at-once", 3),
+    ("leaving-member-goes-at-once", 46),
+    ("unknown-is-refused", 7),
+    ("refused-write-counts", 108),
+    ("older-disk-goes-on", 50),
 ];
 /// Runs that the test of shrinking may take.
 const SHRINK_RUNS: usize = 40;
