--- a/crates/controller/tests/disk_check.rs
+++ b/crates/controller/tests/disk_check.rs
@@ -15,14 +15,19 @@
 /// How long a start of all may take until a change is acknowledged: the wait for late answers is not part of it.
 const START_BOUND: Duration = Duration::from_millis(1000);
 
-/// Three members that hold version 1 on their disks.
+/// Members tell each other what they have on disk this often.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Three members that hold version 1, and know it of each other.
 async fn three() -> World {
     let mut world = World::with_three_members(3, SETTLE_S).await;
     for machine in 0..3 {
         world.logged(machine, "config.taken", "\"version\":1").await;
+        while world.version_on_disk(machine) != Some(1) {
+            sleep(PROBE_INTERVAL).await;
+        }
     }
-    // One that has heard of the value may have missed it on its disk so far.
-    world.logged(0, "copies.whole", "").await;
+    sleep(PROBE_INTERVAL * 2).await; // the others have heard what each of them has on disk
     world
 }
 
