Two planted errors that nothing could show give way to two that do harm

A member that takes a leave broadcasts it on each link before it asks for confirmation on that link, so a member that confirms has merged it already. And a member that is counted by address is one that was wiped and is not taken in again: it is itself the loss that the tolerance bears, it holds the record, and a majority by address less that loss still outlives what may be lost beside it.

Change: `confirmed-when-contact-is-lost` acknowledges what is being confirmed as contact ends, and `confirmed-before-told` has members confirm what they learn of by digests alone.

--- a/crates/controller/src/confirmations.rs
+++ b/crates/controller/src/confirmations.rs
@@ -76,7 +76,7 @@
         let done = tokio::select! {
             biased;
             done = self.wait(confirmation, came) => done,
-            () = self.contact.lost() => false,
+            () = self.contact.lost() => mutant("confirmed-when-contact-is-lost"),
         };
         self.waiting.borrow_mut().remove(&number);
         done
--- a/crates/controller/src/parts.rs
+++ b/crates/controller/src/parts.rs
@@ -106,7 +106,7 @@
             Message::Leave(leaving) => self.membership.on_leave_request(leaving),
             Message::Confirm(number, records) => {
                 let records = records.into_vec();
-                if !mutant("confirmed-without-merge") {
+                if !mutant("confirmed-before-told") {
                     gossip.merge(records.clone(), Some(session.key));
                 }
                 self.confirm(number, records, session);
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -5,7 +5,7 @@
 use crate::session::{IDLE_LINK_TIMEOUT, SendQueue, Session};
 use crate::trust::{agreed_suspects, config_sources};
 use runtrack_message::{Digest, Endpoint, Hello, Message, Role, StateSummary, encode};
-use runtrack_net::{Network, Tcp};
+use runtrack_net::{Network, Tcp, mutant};
 use runtrack_registry::{HeartbeatTable, Replica, StoredConfig};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, Ref, RefCell};
@@ -219,7 +219,9 @@
             new.iter().map(|record| runtrack_registry::key_of(&record.id.as_string())).collect();
         self.heartbeats.borrow_mut().note(self.now(), self.heartbeat, keys);
         self.handler.on_merged(&new);
-        self.broadcast(&Message::Entries(new.into()), from);
+        if from.is_some() || !mutant("confirmed-before-told") {
+            self.broadcast(&Message::Entries(new.into()), from);
+        }
         self.changed_at.set(Instant::now());
         self.notify_changed();
         true
--- a/crates/sim/src/fleet/draw/mod.rs
+++ b/crates/sim/src/fleet/draw/mod.rs
@@ -1,6 +1,7 @@
 //! Scripts from seeds. A seed draws a part of the kinds of fault (swarm testing), so that rare combinations come about that
 //! a mixture of all would bury; no more core machines are lost at once than the tolerance bears.
 
+mod contact;
 mod disks;
 mod faults;
 mod losses;
@@ -9,20 +10,21 @@
 
 use crate::draw::Draws;
 use crate::fleet::draw::losses::Losses;
-use crate::fleet::script::Script;
+use crate::fleet::script::{Fault, Script};
 use clap::ValueEnum;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 
 /// The members have come together by then.
 const READY: u32 = 1_500;
-
 /// Sets the draws of themes apart, so that worlds without one stay as they are.
 const THEMES: u64 = 0x7e3e_5eed;
 
 /// What a world is drawn around: trouble of one sort, close together in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Theme {
+    /// Contact of members, agents that start, and endpoints that leave.
+    Contact,
     /// Changes of members.
     Membership,
     /// Disks.
@@ -31,9 +33,10 @@
 
 /// The theme of a seed; some worlds have none.
 fn theme_of(themes: &mut Draws) -> Option<Theme> {
-    match themes.of(0, 4) {
-        0 | 1 => Some(Theme::Membership),
-        2 => Some(Theme::Disks),
+    match themes.of(0, 19) {
+        0..8 => Some(Theme::Contact),
+        8..15 => Some(Theme::Membership),
+        15..19 => Some(Theme::Disks),
         _ => None,
     }
 }
@@ -70,15 +73,21 @@
     let mut length = draws.of(6_000, 14_000);
     let mut losses = Losses::new(script.tolerance);
     match theme {
+        Some(Theme::Contact) => contact::draw(&mut themes, &mut script, &mut losses),
         Some(Theme::Membership) => membership::draw(&mut themes, &mut script, &mut losses, length),
         Some(Theme::Disks) => disks::draw(&mut themes, &mut script, &mut losses, length),
         None => {}
     }
     // Five machines are three members until the first configuration is there, which faults of any time may keep off.
-    let mixed = script.tolerance == 1 && themes.one_in(3);
+    let may_mix = theme == Some(Theme::Contact) || script.tolerance == 1;
+    let mixed = may_mix && themes.one_in(3);
     if theme.is_none() || mixed {
         faults::draw(&mut draws, &mut script, &mut losses, length);
     }
+    if theme == Some(Theme::Contact) {
+        // A machine that it is about does not go for good.
+        script.faults.retain(|fault| !matches!(fault, Fault::Replace { .. }));
+    }
     losses::leave_repairs_time(&mut script);
     let last = script.faults.iter().map(|fault| fault.span()).map(|(at, lasts)| at + lasts).max();
     length = length.max(last.unwrap_or(0));
--- a/crates/sim/src/fleet/mod.rs
+++ b/crates/sim/src/fleet/mod.rs
@@ -85,9 +85,9 @@
     },
     Mutant { point: 3, name: "copies-never-repaired", what: "a copy that was missed is never made up for" },
     Mutant {
-        point: 3,
-        name: "confirmations-by-address",
-        what: "a confirmation counts by address, whoever is there now",
+        point: 5,
+        name: "confirmed-when-contact-is-lost",
+        what: "a leaver that is being confirmed is acknowledged as contact is lost",
     },
     Mutant {
         point: 2,
@@ -135,7 +135,11 @@
         what: "agents are told what a member is asked to accept",
     },
     Mutant { point: 5, name: "confirmed-when-asked", what: "a leaver is confirmed when members are asked" },
-    Mutant { point: 5, name: "confirmed-without-merge", what: "a member confirms a leaver and forgets it" },
+    Mutant {
+        point: 5,
+        name: "confirmed-before-told",
+        what: "members confirm a leaver that they learn of by digests alone",
+    },
     Mutant {
         point: 5,
         name: "leave-confirmed-before-durable",
