--- a/crates/sim/src/fleet/oracle/silence.rs
+++ b/crates/sim/src/fleet/oracle/silence.rs
@@ -13,6 +13,8 @@
 const NAMED: Duration = Duration::from_millis(3_000);
 /// What is taken back so soon was never heeded: a process that goes on after a stand-still sorts its links out first.
 const TAKEN_BACK: Duration = Duration::from_millis(100);
+/// A link on which nothing comes any more is given up by then: 1.4 s, looked at every 0.4 s.
+const LINK_ENDS: Duration = Duration::from_millis(1_850);
 /// How often it is looked at whether an agent is in touch.
 const STEP: Duration = Duration::from_millis(250);
 
@@ -36,9 +38,15 @@
     }
 
     /// Whether nothing was wrong for a while but that members were cut off, no more of them than the tolerance bears: then
-    /// nobody may be named for what such a member has missed, whatever befell the agent.
+    /// nobody may be named for what such a member has missed, whatever befell the agent some time ago. Where it is losing
+    /// links right now, the word of a single member may be the last that it heeds.
     fn heeds_contact(&self, at: Duration) -> bool {
         let before = at.saturating_sub(CONTACT);
+        let agent = self.facts.harms.iter().filter(|harm| harm.agent == Some(self.agent));
+        let mut recent = agent.filter(|harm| (at.saturating_sub(LINK_ENDS)..=at).contains(&harm.from));
+        if recent.next().is_some() {
+            return false;
+        }
         let harms = self.facts.harms.iter().filter(|harm| harm.from <= at && harm.until >= before);
         let cores: Vec<&Harm> = harms.filter(|harm| harm.core.is_some()).collect();
         cores.iter().all(|harm| harm.isolates) && cores.len() as u32 <= self.script.tolerance
--- a/crates/sim/tests/fleet_oracle.rs
+++ b/crates/sim/tests/fleet_oracle.rs
@@ -291,6 +291,11 @@
     };
     breaks(Rule::NotSilent, |facts| named(facts, Harm { until: ms(11_500), ..cut() }));
     assert_eq!(broken(|facts| named(facts, harm(8_000, 11_500))), [], "a machine was lost");
+    let losing = |facts: &mut Facts| {
+        named(facts, Harm { until: ms(11_500), ..cut() });
+        facts.harms[0].from = ms(10_500);
+    };
+    assert_eq!(broken(losing), [], "the agent was losing its links");
     let taken_back = |facts: &mut Facts| {
         named(facts, cut());
         facts.words.push(told(12_020, Told::Suspects(vec![])));
