--- a/crates/sim/tests/fleet.rs
+++ b/crates/sim/tests/fleet.rs
@@ -119,7 +119,7 @@
 }
 
 /// Seeds that show a planted error; `runtrack-sim fleet mutants` measures how many it takes.
-const SHOWN_BY: [(&str, u64); 19] = [
+const SHOWN_BY: [(&str, u64); 26] = [
     ("repeat-forgotten", 0),
     ("base-not-checked", 0),
     ("heartbeats-out-of-contact", 6),
