--- a/crates/registry/tests/repair_bytes.rs
+++ b/crates/registry/tests/repair_bytes.rs
@@ -28,9 +28,9 @@
 
 /// A digest of one copy goes to the other one, which answers with its ranges, and gets records; bytes both ways.
 fn repair(from: &Replica, to: &mut Replica) -> usize {
-    let have = from.have();
+    let have = from.digest();
     let Message::Digest(digest) = &have else { panic!("a digest") };
-    let Some(ranges) = to.answer_have(digest) else { return bytes(&have) };
+    let Some(ranges) = to.answer_digest(digest) else { return bytes(&have) };
     let Message::RangeDigests(sent) = &ranges else { panic!("ranges") };
     let Some(entries) = from.answer_ranges(sent.items()) else { return bytes(&have) + bytes(&ranges) };
     let all = bytes(&have) + bytes(&ranges) + bytes(&entries);
