--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -259,6 +259,9 @@
 
     /// What a caller is told of a request that has not come to its end in time.
     fn unknown(&self) -> ReplaceOutcome {
+        if mutant("answered-before-committed") {
+            return ReplaceOutcome::Definite(ReplaceAnswer::Applied);
+        }
         if mutant("unknown-is-refused") {
             let version = self.proposer.known().map_or(0, |(_, value)| value.version);
             return ReplaceOutcome::Definite(ReplaceAnswer::VersionMismatch(version));
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -360,7 +360,6 @@
             | (Some(Outcome::Read(..) | Outcome::Committed(..)), Some(answer)) => {
                 ReplaceOutcome::Definite(answer)
             }
-            (None, Some(answer)) if mutant("answered-before-committed") => ReplaceOutcome::Definite(answer),
             _ => ReplaceOutcome::Indeterminate,
         }
     }
