Controller: tests share how a planted error is tried and how an older disk is put back

Cause: finds stood word for word in cut_off.rs and quorum_reads.rs and once more written out in suspicion.rs; the six steps that put an older disk back before version 2 stood in disk_check.rs and quorum_reads.rs.

Change: both stand in the tests' virtual_time module. Assertions, errors and bounds are as they were.

--- a/crates/controller/tests/cut_off.rs
+++ b/crates/controller/tests/cut_off.rs
@@ -3,15 +3,14 @@
 mod virtual_time;
 
 use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION, decode, encode};
-use runtrack_net::{Connection, plant};
+use runtrack_net::Connection;
 use std::cell::RefCell;
-use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, split};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use virtual_time::{World, run};
+use virtual_time::{World, finds, run};
 
 const SETTLE_S: f64 = 10.0;
 const PING_INTERVAL: Duration = Duration::from_millis(400);
@@ -201,14 +200,6 @@
     run(names_nobody_while_cut_off());
 }
 
-/// Whether a scenario fails with this error planted.
-fn finds(mutant: &str, scenario: impl FnOnce()) -> bool {
-    plant(Some(mutant));
-    let found = catch_unwind(AssertUnwindSafe(scenario)).is_err();
-    plant(None);
-    found
-}
-
 #[test]
 fn each_mutant_is_found() {
     assert!(finds("contact-of-one-side", || run(cut_in_one_direction(true))));
--- a/crates/controller/tests/disk_check.rs
+++ b/crates/controller/tests/disk_check.rs
@@ -35,12 +35,7 @@
 /// as member 2 has logged this. Member 1 has heard nothing of version 2, and its disk takes nothing until then.
 async fn put_back_and_another_one_lost(event: &str) -> World {
     let mut world = three().await;
-    let copy = world.disk(2).copy();
-    world.cut(0, 1, true);
-    world.cut(1, 2, true);
-    world.order(0, 1, 2).await;
-    world.kill(2).await;
-    world.disk(2).put_back(&copy);
+    world.put_back_before_version_two().await;
     world.disk(1).set_full(true);
     world.slow_disk(2, SLOW);
     world.cut(1, 2, false);
--- a/crates/controller/tests/quorum_reads.rs
+++ b/crates/controller/tests/quorum_reads.rs
@@ -4,10 +4,9 @@
 mod virtual_time;
 
 use runtrack_net::plant;
-use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
-use virtual_time::{World, run};
+use virtual_time::{World, finds, run};
 
 const SETTLE_S: f64 = 4.0;
 const READ: &str = "/runtrack/config/read";
@@ -227,12 +226,7 @@
 /// stands still, and is asked before member 0 has said what it remembers.
 async fn an_older_disk_is_asked_before_it_is_recognized() {
     let mut world = three().await;
-    let copy = world.disk(2).copy();
-    world.cut(0, 1, true);
-    world.cut(1, 2, true);
-    world.order(0, 1, 2).await;
-    world.kill(2).await;
-    world.disk(2).put_back(&copy);
+    world.put_back_before_version_two().await;
     world.freeze(0, true);
     world.cut(1, 2, false);
     world.start(2, false);
@@ -248,14 +242,6 @@
     run(an_older_disk_is_asked_before_it_is_recognized());
 }
 
-/// Whether a scenario fails with this error planted.
-fn finds(mutant: &str, scenario: impl FnOnce()) -> bool {
-    plant(Some(mutant));
-    let found = catch_unwind(AssertUnwindSafe(scenario)).is_err();
-    plant(None);
-    found
-}
-
 #[test]
 fn each_mutant_is_found() {
     assert!(finds("reads-by-round", || run(all_disks_stall())));
--- a/crates/controller/tests/suspicion.rs
+++ b/crates/controller/tests/suspicion.rs
@@ -2,11 +2,9 @@
 
 mod virtual_time;
 
-use runtrack_net::plant;
-use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 use tokio::time::sleep;
-use virtual_time::{World, run};
+use virtual_time::{World, finds, run};
 
 /// A member is suspected after a quarter of this.
 const SETTLE_S: f64 = 4.0;
@@ -84,10 +82,7 @@
 
 #[test]
 fn who_goes_by_its_own_links_alone_is_found() {
-    let found = catch_unwind(AssertUnwindSafe(|| {
-        plant(Some("one-watcher-is-enough"));
+    assert!(finds("one-watcher-is-enough", || {
         CUTS.into_iter().for_each(|cut| run(one_watcher_is_not_enough(cut)));
     }));
-    plant(None);
-    assert!(found.is_err());
 }
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -12,7 +12,7 @@
 use runtrack_fleetconfig::Node;
 use runtrack_link::{Dials, Environment, Gossip, ProcessEvent};
 use runtrack_message::{Hello, Member, Role, WIRE_VERSION};
-use runtrack_net::{Came, Connecting, Connection, Listener, Network};
+use runtrack_net::{Came, Connecting, Connection, Listener, Network, plant};
 use runtrack_registry::LeaveRecord;
 use runtrack_ringstore::Memory;
 use slog::{Drain, Logger, o};
@@ -21,6 +21,7 @@
 use std::future::{Future, pending, poll_fn};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::{self, Arc};
@@ -398,6 +399,17 @@
         self.disk(machine).lose_power();
     }
 
+    /// Members 0 and 2 of three alone acknowledge version 2, and member 2 ends with a disk that is put back to version 1.
+    /// Member 1 is still cut off from both.
+    pub async fn put_back_before_version_two(&mut self) {
+        let copy = self.disk(2).copy();
+        self.cut(0, 1, true);
+        self.cut(1, 2, true);
+        self.order(0, 1, 2).await;
+        self.kill(2).await;
+        self.disk(2).put_back(&copy);
+    }
+
     /// From now on no write to a machine's disk ends, or they do again.
     pub fn stall_disk(&self, machine: usize, stalled: bool) {
         self.machines[machine].disk_stalled.set(stalled);
@@ -654,3 +666,11 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), test);
 }
+
+/// Whether a scenario fails with this error planted.
+pub fn finds(mutant: &str, scenario: impl FnOnce()) -> bool {
+    plant(Some(mutant));
+    let found = catch_unwind(AssertUnwindSafe(scenario)).is_err();
+    plant(None);
+    found
+}
