Fleet: named items of the configuration are changed by POST /runtrack/config/amend

Change: an amendment is applied to the JSON of the version that it builds on, checked as a whole, and committed by the same compare-and-set as a whole configuration; agents and members get whole configurations, in the format of before, so that members of the version before take them. Its digest is kept with the others. A refusal is given only where it is certain: a version has one configuration. ReplaceConfig and its kin are ConfigRequest, ConfigAnswer, ConfigOutcome now.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -2,21 +2,21 @@
 
 use crate::contact::MajorityContact;
 use crate::endpoints::Endpoints;
-use crate::proposer::{Proposer, ReplaceOutcome};
+use crate::proposer::{ConfigOutcome, Proposer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use miniserde::{Deserialize, json};
-use runtrack_fleetconfig::{FleetConfig, MAX_CONFIG};
+use runtrack_fleetconfig::{Amendment, ConfigError, FleetConfig, MAX_CONFIG};
 use runtrack_link::Gossip;
 use runtrack_message::{Endpoint, EndpointState, Model};
 use runtrack_net::mutant;
-use runtrack_register::{ReplaceAnswer, ReplaceConfig};
+use runtrack_register::{ConfigAnswer, ConfigChange, ConfigRequest};
 use slog::info;
 use std::convert::Infallible;
 use std::future::poll_fn;
@@ -39,8 +39,9 @@
 }
 
 /// All operations of the outer interfaces.
-pub const OPERATIONS: [Operation; 4] = [
+pub const OPERATIONS: [Operation; 5] = [
     Operation { method: Method::POST, path: REPLACE, statuses: &[200, 400, 408, 409, 412, 413, 503] },
+    Operation { method: Method::POST, path: AMEND, statuses: &[200, 400, 408, 409, 412, 413, 503] },
     Operation { method: Method::GET, path: READ, statuses: &[200, 404, 503] },
     Operation {
         method: Method::POST,
@@ -56,6 +57,8 @@
 
 const INSTANCES: &str = "/runtrack/instances/";
 const REPLACE: &str = "/runtrack/config/replace";
+const BASE_VERSION: &str = "x-base-version";
+const AMEND: &str = "/runtrack/config/amend";
 const READ: &str = "/runtrack/config/read";
 /// Bytes of an endpoint's call.
 const MAX_CALL: usize = 64 << 10;
@@ -169,7 +172,8 @@
         if operation.path == READ {
             return self.read().await;
         }
-        let most = if operation.path == REPLACE { MAX_CONFIG } else { MAX_CALL };
+        let change = config_change(operation.path);
+        let most = if change.is_some() { MAX_CONFIG } else { MAX_CALL };
         let body = match timeout(BODY_TIMEOUT, Limited::new(body, most).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
@@ -177,13 +181,9 @@
             }
             _ => return text(StatusCode::REQUEST_TIMEOUT, "the body did not come whole"),
         };
-        if operation.path == REPLACE {
-            let base = head
-                .headers
-                .get("x-base-version")
-                .and_then(|value| value.to_str().ok()?.trim().parse().ok());
-            return match base {
-                Some(base) => self.replace(base, body).await,
+        if let Some(change) = change {
+            return match base_version(&head.headers) {
+                Some(base) => self.change_config(change, base, body).await,
                 None => text(StatusCode::BAD_REQUEST, "X-Base-Version: is missing or no number"),
             };
         }
@@ -220,53 +220,74 @@
         }
     }
 
-    async fn replace(self: Rc<Self>, base: u64, body: Bytes) -> Reply {
-        let version = match FleetConfig::read(&body) {
-            Ok(config) => config.version,
+    async fn change_config(self: Rc<Self>, change: ConfigChange, base: u64, body: Bytes) -> Reply {
+        let request = match config_request(change, base, &body) {
+            Ok(request) => request,
             Err(problem) => {
-                info!(self.gossip.logger(), "config_replace.invalid"; "problem" => %problem);
+                info!(self.gossip.logger(), "config_change.invalid";
+                    "change" => ?change, "base" => base, "problem" => %problem);
                 return text(StatusCode::BAD_REQUEST, &problem.to_string());
             }
         };
         if !self.contact.is_current() {
             return out_of_contact();
         }
-        let order = ReplaceConfig::new(base, version, body.to_vec());
         // It goes on where the caller has gone or was told that its outcome is not known: what has begun should end.
-        let this = self.clone();
-        let replace = spawn_local(async move { this.proposer.replace_config(&order).await });
+        let (this, ordered) = (self.clone(), request.clone());
+        let changing = spawn_local(async move { this.proposer.change_config(&ordered).await });
         let limit = ANSWER_TIMEOUT + ANSWER_ALLOWANCE_PER_BYTE * body.len() as u32;
-        let ordered = match self.within(limit, replace).await {
-            Some(Ok(ordered)) => ordered,
+        let outcome = match self.within(limit, changing).await {
+            Some(Ok(outcome)) => outcome,
             Some(Err(_)) | None => self.unknown(),
         };
-        info!(self.gossip.logger(), "config_replace.answered"; "base" => base, "version" => version, "answer" => ?ordered);
-        match ordered {
-            ReplaceOutcome::Definite(ReplaceAnswer::Applied) => {
+        info!(self.gossip.logger(), "config_change.answered";
+            "change" => ?change, "base" => base, "version" => request.version, "answer" => ?outcome);
+        self.config_reply(&request, outcome)
+    }
+
+    fn config_reply(&self, request: &ConfigRequest, outcome: ConfigOutcome) -> Reply {
+        match outcome {
+            ConfigOutcome::Definite(ConfigAnswer::Applied) => {
                 json_reply(StatusCode::OK, Bytes::from_static(b"{}"))
             }
-            ReplaceOutcome::Definite(ReplaceAnswer::VersionMismatch(current)) => {
+            ConfigOutcome::Definite(ConfigAnswer::VersionMismatch(current)) => {
                 text(StatusCode::PRECONDITION_FAILED, &format!("version {current} is current"))
             }
-            ReplaceOutcome::Definite(ReplaceAnswer::VersionNotIncreasing(current)) => {
+            ConfigOutcome::Definite(ConfigAnswer::VersionNotIncreasing(current)) => {
+                let version = request.version;
                 text(StatusCode::CONFLICT, &format!("version: {version} is not above {current}"))
             }
-            ReplaceOutcome::Definite(ReplaceAnswer::Indeterminate) | ReplaceOutcome::Indeterminate => {
+            ConfigOutcome::Definite(ConfigAnswer::Invalid(base)) => {
+                text(StatusCode::BAD_REQUEST, &self.findings_on(request, base))
+            }
+            ConfigOutcome::Definite(ConfigAnswer::Indeterminate) | ConfigOutcome::Indeterminate => {
                 text(StatusCode::SERVICE_UNAVAILABLE, "it is not known whether it will be taken")
             }
         }
     }
 
+    /// Why an amendment can't be applied to the version that it builds on, as far as that one is still here.
+    fn findings_on(&self, request: &ConfigRequest, base: u64) -> String {
+        let known = self.proposer.known().filter(|(_, value)| value.version == base);
+        let applied = known.map(|(_, value)| {
+            Amendment::read(&request.body).and_then(|amendment| amendment.apply(value.config.as_slice()))
+        });
+        match applied {
+            Some(Err(problem)) => problem.to_string(),
+            _ => format!("it does not fit version {base}"),
+        }
+    }
+
     /// What a caller is told of a request that has not come to its end in time.
-    fn unknown(&self) -> ReplaceOutcome {
+    fn unknown(&self) -> ConfigOutcome {
         if mutant("answered-before-committed") {
-            return ReplaceOutcome::Definite(ReplaceAnswer::Applied);
+            return ConfigOutcome::Definite(ConfigAnswer::Applied);
         }
         if mutant("unknown-is-refused") {
             let version = self.proposer.known().map_or(0, |(_, value)| value.version);
-            return ReplaceOutcome::Definite(ReplaceAnswer::VersionMismatch(version));
+            return ConfigOutcome::Definite(ConfigAnswer::VersionMismatch(version));
         }
-        ReplaceOutcome::Indeterminate
+        ConfigOutcome::Indeterminate
     }
 
     async fn heartbeat(&self, id: &str, body: &[u8]) -> Reply {
@@ -305,6 +326,34 @@
     }
 }
 
+/// What a path changes in the configuration.
+fn config_change(path: &str) -> Option<ConfigChange> {
+    match path {
+        REPLACE => Some(ConfigChange::Replace),
+        AMEND => Some(ConfigChange::Amend),
+        _ => None,
+    }
+}
+
+/// The version that a change builds on.
+fn base_version(headers: &HeaderMap) -> Option<u64> {
+    headers.get(BASE_VERSION)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// The operator's request, if its body is valid by itself.
+fn config_request(change: ConfigChange, base: u64, body: &[u8]) -> Result<ConfigRequest, ConfigError> {
+    match change {
+        ConfigChange::Replace => {
+            let version = FleetConfig::read(body)?.version;
+            Ok(ConfigRequest::replace(base, version, body.to_vec()))
+        }
+        ConfigChange::Amend => {
+            let version = Amendment::read(body)?.version();
+            Ok(ConfigRequest::amend(base, version, body.to_vec()))
+        }
+    }
+}
+
 impl Operation {
     fn serves(&self, path: &str) -> bool {
         match endpoint_call(path) {
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -9,7 +9,7 @@
 use runtrack_message::{Ballot, Member, Message, RegisterReply, RegisterRequest, Role, Value};
 use runtrack_net::mutant;
 use runtrack_register::{
-    Decision, Outcome, Progress, ReplaceAnswer, ReplaceConfig, Round, Send, members_of, sets_of,
+    ConfigAnswer, ConfigRequest, Decision, Outcome, Progress, Round, Send, members_of, sets_of,
 };
 use slog::info;
 use std::cell::{Cell, RefCell};
@@ -74,9 +74,9 @@
 
 /// What came of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReplaceOutcome {
+pub enum ConfigOutcome {
     /// It is certain.
-    Definite(ReplaceAnswer),
+    Definite(ConfigAnswer),
     /// It may or may not come into force.
     Indeterminate,
 }
@@ -84,7 +84,7 @@
 type Replies = UnboundedSender<(Member, RegisterReply)>;
 
 /// Planted errors: what a round makes of the value that it found.
-fn planted_value(current: Option<&Value>, order: &ReplaceConfig) -> Option<Value> {
+fn planted_value(current: Option<&Value>, order: &ConfigRequest) -> Option<Value> {
     let mut value = current.filter(|_| mutant("repeat-forgotten") || mutant("base-not-checked"))?.clone();
     if mutant("repeat-forgotten") {
         value.applied = Vec::new().into();
@@ -343,7 +343,7 @@
     }
 
     /// Puts an operator's order through.
-    pub async fn replace_config(&self, order: &ReplaceConfig) -> ReplaceOutcome {
+    pub async fn change_config(&self, order: &ConfigRequest) -> ConfigOutcome {
         let first = vec![self.first.clone()];
         let mut answer = None;
         let outcome = self
@@ -355,12 +355,12 @@
             })
             .await;
         match (outcome, answer) {
-            (_, Some(ReplaceAnswer::Indeterminate)) => ReplaceOutcome::Indeterminate,
+            (_, Some(ConfigAnswer::Indeterminate)) => ConfigOutcome::Indeterminate,
             (Some(Outcome::Empty), Some(answer))
             | (Some(Outcome::Read(..) | Outcome::Committed(..)), Some(answer)) => {
-                ReplaceOutcome::Definite(answer)
+                ConfigOutcome::Definite(answer)
             }
-            _ => ReplaceOutcome::Indeterminate,
+            _ => ConfigOutcome::Indeterminate,
         }
     }
 
--- /dev/null
+++ b/crates/controller/tests/amendments.rs
@@ -0,0 +1,80 @@
+//! Real controllers: amendments of the configuration.
+
+mod support;
+
+use support::{Cluster, config};
+
+fn service(name: &str) -> String {
+    format!(r#"{{"name":"{name}","connLimit":10}}"#)
+}
+
+fn amend(cluster: &Cluster, machine: usize, base: u64, body: &str) -> (u16, String) {
+    let header = format!("X-Base-Version: {base}\r\n");
+    let got = cluster.call(machine, "POST", "/runtrack/config/amend", &header, body);
+    (got.status, got.body)
+}
+
+fn add(version: u64, name: &str) -> String {
+    format!(r#"{{"version":{version},"upsert":{{"services":[{}]}}}}"#, service(name))
+}
+
+#[test]
+fn an_amendment_is_read_back_as_a_whole_configuration_at_every_member() {
+    let cluster = Cluster::started("amend", 3);
+    assert_eq!(cluster.order(0, 0, 3), 200);
+    assert_eq!(amend(&cluster, 1, 3, &add(5, "added")).0, 200);
+    for machine in 0..3 {
+        let read = cluster.read(machine);
+        assert!(read.contains(r#""version":5"#) && read.contains(&service("added")[1..15]), "{read}");
+        assert!(read.contains("timeoutMs"), "the routes are still there: {read}");
+    }
+    assert_eq!(amend(&cluster, 2, 3, &add(5, "added")).0, 200, "the same once more, to another member");
+    assert_eq!(amend(&cluster, 2, 3, &add(5, "other")).0, 412, "another one under its number");
+    assert_eq!(amend(&cluster, 0, 5, &add(4, "other")).0, 409);
+    assert_eq!(cluster.order(0, 3, 6), 412, "a whole configuration on top of what it has replaced");
+    assert_eq!(cluster.order(0, 5, 6), 200);
+    assert_eq!(cluster.read(1), config(6));
+    assert_eq!(amend(&cluster, 1, 3, &add(5, "added")).0, 200, "after another change");
+}
+
+#[test]
+fn an_amendment_that_does_not_fit_is_refused_with_its_place() {
+    let cluster = Cluster::started("amend-invalid", 3);
+    assert_eq!(cluster.order(0, 0, 3), 200);
+    let cases = [
+        (r#"{"version":5,"remove":{"routes":["nothing"]}}"#, r#"there is no \"nothing\""#),
+        (r#"{"version":5,"upsert":{"routes":[{"name":"x"}]}}"#, "can't be read"),
+        (r#"{"version":5,"upsert":{"services":[{}]}}"#, "upsert.services[0]: has no name"),
+        (r#"{"version":5,"upsert":"#, "can't be read"),
+    ];
+    for (body, expected) in cases {
+        let (status, problem) = amend(&cluster, 1, 3, body);
+        assert_eq!(status, 400, "{body}: {problem}");
+        assert!(problem.contains(expected), "{body}: {problem}");
+    }
+    let got = cluster.call(0, "POST", "/runtrack/config/amend", "", &add(5, "added"));
+    assert_eq!((got.status, got.body.contains("X-Base-Version")), (400, true));
+    assert_eq!(cluster.call(0, "GET", "/runtrack/config/amend", "", "").status, 405);
+    assert_eq!(cluster.read(2), config(3), "nothing of it came into force");
+}
+
+#[test]
+fn an_amendment_is_confirmed_after_all_were_killed_and_a_member_was_replaced() {
+    let mut cluster = Cluster::started("amend-killed", 4);
+    assert_eq!(cluster.order(0, 0, 3), 200);
+    assert_eq!(amend(&cluster, 0, 3, &add(5, "added")).0, 200);
+    for machine in 0..3 {
+        cluster.kill(machine);
+    }
+    for machine in 0..3 {
+        cluster.start(machine, false);
+    }
+    assert_eq!(amend(&cluster, 1, 3, &add(5, "added")).0, 200);
+    cluster.kill(2);
+    cluster.start(3, false);
+    cluster.logged(3, "member.joined", "");
+    assert_eq!(amend(&cluster, 3, 3, &add(5, "added")).0, 200, "at a member that was not there");
+    assert_eq!(amend(&cluster, 3, 5, &add(6, "more")).0, 200);
+    let read = cluster.read(0);
+    assert!(read.contains("added") && read.contains("more"), "{read}");
+}
--- a/crates/fleetconfig/src/check.rs
+++ b/crates/fleetconfig/src/check.rs
@@ -1,21 +1,28 @@
 //! Checks a parsed configuration and converts it to [`FleetConfig`].
 
-use crate::Finding;
 use crate::fleet::{Engine, FleetConfig, Limits, Route, RouteKind, Service, Share};
 use crate::wire::{ConfigWire, LimitsWire, RouteWire, ServiceWire, ShareWire};
+use crate::{ConfigError, Finding};
 use std::collections::HashMap;
 use std::time::Duration;
 
 /// Maximum of a time in milliseconds: a day.
 const MAX_TIME_MS: f64 = 86_400_000.0;
 
-struct Findings(Vec<Finding>);
+/// All problems that were found in a configuration.
+#[derive(Default)]
+pub(crate) struct Findings(Vec<Finding>);
 
 impl Findings {
-    fn add(&mut self, place: impl Into<String>, problem: impl Into<String>) {
+    pub(crate) fn add(&mut self, place: impl Into<String>, problem: impl Into<String>) {
         self.0.push(Finding { place: place.into(), problem: problem.into() });
     }
 
+    /// What was checked, if nothing was found.
+    pub(crate) fn none_or<T>(self, checked: T) -> Result<T, ConfigError> {
+        if self.0.is_empty() { Ok(checked) } else { Err(ConfigError::Invalid(self.0)) }
+    }
+
     fn time(&mut self, place: impl Into<String>, ms: f64) -> Duration {
         if ms.is_finite() && (0.0..=MAX_TIME_MS).contains(&ms) {
             return Duration::from_micros((ms * 1000.0) as u64);
@@ -25,8 +32,8 @@
     }
 }
 
-pub(crate) fn check(wire: ConfigWire) -> Result<FleetConfig, Vec<Finding>> {
-    let mut findings = Findings(Vec::new());
+pub(crate) fn check(wire: ConfigWire) -> Result<FleetConfig, ConfigError> {
+    let mut findings = Findings::default();
     if wire.version == 0 {
         findings.add("version", "0 is the version before the first configuration");
     }
@@ -44,11 +51,7 @@
         routes.push(route);
     }
     let limits = limits(wire.limits, &mut findings);
-    if findings.0.is_empty() {
-        Ok(FleetConfig { version: wire.version, routes, services, limits })
-    } else {
-        Err(findings.0)
-    }
+    findings.none_or(FleetConfig { version: wire.version, routes, services, limits })
 }
 
 fn services(wire: Vec<ServiceWire>, findings: &mut Findings) -> (Vec<Service>, HashMap<String, usize>) {
--- a/crates/fleetconfig/src/lib.rs
+++ b/crates/fleetconfig/src/lib.rs
@@ -3,6 +3,7 @@
 //! Both are parsed with bounds on their size and then checked: every finding names its place, and all findings are
 //! reported together. Only [`Node::from_env`] does I/O.
 
+mod amend;
 mod check;
 mod fleet;
 mod node;
@@ -10,6 +11,7 @@
 mod routes;
 mod wire;
 
+pub use amend::Amendment;
 pub use fleet::{Engine, FleetConfig, Limits, Route, RouteKind, Service, Share};
 pub use node::{Bounds, Node, SettingsError, Tolerance};
 pub use read::ConfigError;
--- a/crates/fleetconfig/src/read.rs
+++ b/crates/fleetconfig/src/read.rs
@@ -33,6 +33,6 @@
         }
         let text = std::str::from_utf8(body).map_err(|_| ConfigError::Unreadable)?;
         let wire: ConfigWire = json::from_str(text).map_err(|_| ConfigError::Unreadable)?;
-        check(wire).map_err(ConfigError::Invalid)
+        check(wire)
     }
 }
--- a/crates/fleetconfig/src/wire.rs
+++ b/crates/fleetconfig/src/wire.rs
@@ -1,6 +1,8 @@
 //! The operator's configuration as JSON, before it is checked (`api/operator.yaml`).
 
 use miniserde::Deserialize;
+use miniserde::json::Value;
+use std::collections::BTreeMap;
 
 /// A configuration on the wire (`api/operator.yaml`).
 #[derive(Deserialize)]
@@ -11,6 +13,14 @@
     pub limits: Option<LimitsWire>,
 }
 
+/// An amendment on the wire: lists of items, and lists of names, by the list of the configuration.
+#[derive(Deserialize)]
+pub(crate) struct AmendmentWire {
+    pub version: u64,
+    pub upsert: Option<BTreeMap<String, Vec<Value>>>,
+    pub remove: Option<BTreeMap<String, Vec<String>>>,
+}
+
 #[derive(Deserialize)]
 pub(crate) struct RouteWire {
     pub name: Option<String>,
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -23,7 +23,7 @@
 mod quorum_read;
 mod record;
 mod recovery;
-mod replace;
+mod request;
 mod round;
 mod sets;
 mod watermark;
@@ -31,14 +31,14 @@
 pub use acceptor::{Accepted, Acceptor, Durable};
 pub use change::{Decision, finish_membership, initial_value, replace_members};
 pub use copies::{CopyEvent, CopyTable, JOIN_LAG};
-pub use digest::{legacy_request_digest, request_digest};
+pub use digest::{amendment_digest, legacy_request_digest, request_digest};
 pub use membership::{
     MembershipPlan, MembershipTimes, MembershipView, PresentMember, WaitReason, plan_membership,
 };
 pub use quorum_read::{Inspection, QuorumRead, ReadOutcome, ReadProgress, inspect};
 pub use record::{PromiseRecord, ValueRecord};
 pub use recovery::{Recovery, recover};
-pub use replace::{MAX_APPLIED_REQUESTS, ReplaceAnswer, ReplaceConfig, Step};
+pub use request::{ConfigAnswer, ConfigChange, ConfigRequest, MAX_APPLIED_REQUESTS, Step};
 pub use round::{Outcome, Progress, Round, Send};
 pub use sets::{has_majority, is_joint, majority_of, members_of, sets_of};
 pub use watermark::{DiskCheck, DiskVerdict, DurableWatermarks, LATE_ANSWERS_TIMEOUT};
--- a/crates/register/src/replace.rs
+++ b/crates/register/src/request.rs
@@ -1,47 +1,68 @@
-//! The operator's request: a whole configuration in place of the current one.
+//! The operator's request: a whole configuration in place of the current one, or an amendment of it.
 
 use crate::change::Decision;
-use crate::digest::{legacy_request_digest, request_digest};
+use crate::digest::{amendment_digest, legacy_request_digest, request_digest};
 use crate::sets::wire_sets;
+use runtrack_fleetconfig::Amendment;
 use runtrack_message::{AppliedRequest, Member, RequestDigest, Value};
 use std::collections::BTreeSet;
 
 /// Requests that are remembered as applied, so that one that comes again is acknowledged again.
 pub const MAX_APPLIED_REQUESTS: usize = 512;
 
-/// An operator's request: a whole configuration on top of a version.
+/// What a request's body is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ConfigChange {
+    /// A whole configuration.
+    Replace,
+    /// An [`Amendment`] of the configuration that it builds on.
+    Amend,
+}
+
+/// An operator's request: a new configuration on top of a version.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct ReplaceConfig {
+pub struct ConfigRequest {
     /// The version that it builds on; 0 for the first.
     pub base: u64,
     /// Its own version.
     pub version: u64,
     /// Digest of its body and its base.
     pub digest: RequestDigest,
+    /// What its body is.
+    pub change: ConfigChange,
     /// As it came.
     pub body: Vec<u8>,
 }
 
 /// What a round found out about a request. It may be told once the round has ended well, not before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum ReplaceAnswer {
+pub enum ConfigAnswer {
     /// It is, or was, in force.
     Applied,
     /// A newer version than the one that it builds on is current: it never was and never will be in force.
     VersionMismatch(u64),
     /// Its version is not above this one, which is current or its own base: it never was and never will be in force.
     VersionNotIncreasing(u64),
+    /// It can't be applied to this version, which it builds on: it never was and never will be in force.
+    Invalid(u64),
     /// It can't be said whether it was, or will be, in force.
     Indeterminate,
 }
 
 /// What a round on behalf of a request does with the value that it found.
-pub type Step = (Decision, ReplaceAnswer);
+pub type Step = (Decision, ConfigAnswer);
 
-impl ReplaceConfig {
-    /// A request with the digest of its base and body.
-    pub fn new(base: u64, version: u64, body: Vec<u8>) -> Self {
-        ReplaceConfig { base, version, digest: request_digest(base, &body), body }
+impl ConfigRequest {
+    /// A request for a whole configuration, with the digest of its base and body.
+    pub fn replace(base: u64, version: u64, body: Vec<u8>) -> Self {
+        let digest = request_digest(base, &body);
+        ConfigRequest { base, version, digest, change: ConfigChange::Replace, body }
+    }
+
+    /// A request for an amendment, with the digest of its base and body.
+    pub fn amend(base: u64, version: u64, body: Vec<u8>) -> Self {
+        let digest = amendment_digest(base, &body);
+        ConfigRequest { base, version, digest, change: ConfigChange::Amend, body }
     }
 
     /// Decides on the value that was found; `first` are the members before the first value.
@@ -57,33 +78,46 @@
         max_applied: usize,
     ) -> Step {
         match self.answer(current) {
-            ReplaceAnswer::Applied if !self.is_applied_in(current) => {
-                (Decision::Propose(self.apply(current, first, max_applied)), ReplaceAnswer::Applied)
-            }
+            ConfigAnswer::Applied if !self.is_applied_in(current) => match self.config_on(current) {
+                Some(config) => {
+                    let value = self.apply(current, config, first, max_applied);
+                    (Decision::Propose(value), ConfigAnswer::Applied)
+                }
+                None => (Decision::Read, ConfigAnswer::Invalid(self.base)),
+            },
             answer => (Decision::Read, answer),
         }
     }
 
+    /// The whole configuration that it makes of the current one, which has the version that it builds on. None if it does
+    /// not fit that. A version has one configuration, so the result is the same at any member and at any time.
+    fn config_on(&self, current: Option<&Value>) -> Option<Vec<u8>> {
+        match self.change {
+            ConfigChange::Replace => Some(self.body.clone()),
+            ConfigChange::Amend => Amendment::read(&self.body).ok()?.apply(current?.config.as_slice()).ok(),
+        }
+    }
+
     /// What may be told on top of this value. A refusal must be certain for good: the current version only rises, so a
     /// base below it never comes back, while one above it may still be committed, and another copy of this request be
     /// applied on top of it. Applied versions rise too, so whatever was applied above the floor is in the table; of
     /// what lies at or below the floor and is not there, nothing is known.
-    fn answer(&self, current: Option<&Value>) -> ReplaceAnswer {
+    fn answer(&self, current: Option<&Value>) -> ConfigAnswer {
         let version = current.map_or(0, |value| value.version);
         let floor = current.map_or(0, |value| value.floor);
         if self.is_applied_in(current) {
-            return ReplaceAnswer::Applied;
+            return ConfigAnswer::Applied;
         }
         if self.version <= self.base {
-            return ReplaceAnswer::VersionNotIncreasing(version.max(self.base));
+            return ConfigAnswer::VersionNotIncreasing(version.max(self.base));
         }
         if self.version <= floor || self.base > version {
-            return ReplaceAnswer::Indeterminate;
+            return ConfigAnswer::Indeterminate;
         }
         if self.base < version {
-            return ReplaceAnswer::VersionMismatch(version);
+            return ConfigAnswer::VersionMismatch(version);
         }
-        ReplaceAnswer::Applied
+        ConfigAnswer::Applied
     }
 
     fn is_applied_in(&self, current: Option<&Value>) -> bool {
@@ -92,10 +126,17 @@
     }
 
     fn has_digest(&self, digest: &RequestDigest) -> bool {
-        *digest == self.digest || *digest == legacy_request_digest(self.base, &self.body)
+        let is_legacy = || *digest == legacy_request_digest(self.base, &self.body);
+        *digest == self.digest || (self.change == ConfigChange::Replace && is_legacy())
     }
 
-    fn apply(&self, current: Option<&Value>, first: &[BTreeSet<Member>], max_applied: usize) -> Value {
+    fn apply(
+        &self,
+        current: Option<&Value>,
+        config: Vec<u8>,
+        first: &[BTreeSet<Member>],
+        max_applied: usize,
+    ) -> Value {
         let mut applied = current.map(|value| value.applied.items().to_vec()).unwrap_or_default();
         applied.push(AppliedRequest { version: self.version, digest: self.digest });
         let surplus = applied.len().saturating_sub(max_applied);
@@ -107,7 +148,7 @@
             sets: current.map_or_else(|| wire_sets(first), |value| value.sets.clone()),
             floor: floor.max(dropped.unwrap_or(0)),
             applied: applied.into(),
-            config: self.body.clone().into(),
+            config: config.into(),
         }
     }
 }
--- a/crates/register/tests/copies.rs
+++ b/crates/register/tests/copies.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use runtrack_message::{Ballot, RegisterReply, RegisterRequest, Value};
-use runtrack_register::{Acceptor, Decision, Durable, Outcome, ReplaceAnswer};
+use runtrack_register::{Acceptor, ConfigAnswer, Decision, Durable, Outcome};
 use std::rc::Rc;
 use support::{Cluster, order};
 
@@ -81,7 +81,7 @@
 fn a_member_that_missed_a_change_holds_it_through_the_loss_of_another_and_a_restart_of_all() {
     let mut cluster = Cluster::new(3);
     cluster.cut(2, true);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ConfigAnswer::Applied));
     let (ballot, value) = committed(&mut cluster, 0);
     cluster.cut(2, false);
     assert!(cluster.adopt(2, ballot, &value), "it had missed it");
@@ -101,9 +101,9 @@
 #[test]
 fn a_proposer_that_was_promised_before_the_value_was_learnt_is_not_misled() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ConfigAnswer::Applied));
     cluster.cut(2, true);
-    assert_eq!(cluster.order(0, &order(1, 2)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(0, &order(1, 2)), Some(ConfigAnswer::Applied));
     let (ballot, value) = committed(&mut cluster, 0);
     cluster.cut(2, false);
     // A round on top of version 2 has all promises, member 2's without the value, and then falls asleep.
--- a/crates/register/tests/model/machine.rs
+++ b/crates/register/tests/model/machine.rs
@@ -12,7 +12,7 @@
     Ballot, InspectReply, InspectRequest, Member, RegisterReply, RegisterRequest, Value,
 };
 use runtrack_register::{
-    Outcome, Progress, ReadOutcome, ReadProgress, ReplaceAnswer, Send, members_of, sets_of,
+    ConfigAnswer, Outcome, Progress, ReadOutcome, ReadProgress, Send, members_of, sets_of,
 };
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -407,7 +407,7 @@
 
     fn basis(&mut self, decided: Decided) -> Basis {
         let answer = match decided.answer {
-            Some(ReplaceAnswer::Applied) => Answer::Acknowledged,
+            Some(ConfigAnswer::Applied) => Answer::Acknowledged,
             answer if is_refusal(answer) => Answer::Refused,
             _ => Answer::Nothing,
         };
--- a/crates/register/tests/model/scenario.rs
+++ b/crates/register/tests/model/scenario.rs
@@ -4,7 +4,7 @@
 use crate::support::mutants::Mutant;
 use crate::support::{member, order as request};
 use runtrack_message::{Member, Value};
-use runtrack_register::{Decision, MAX_APPLIED_REQUESTS, ReplaceConfig};
+use runtrack_register::{ConfigRequest, Decision, MAX_APPLIED_REQUESTS};
 use std::collections::BTreeSet;
 
 /// Members of the first set.
@@ -95,7 +95,7 @@
 /// Two requests with one version number and different bodies.
 pub fn one_number() -> Scenario {
     let first = request(0, 1);
-    let second = ReplaceConfig::new(0, 1, b"another body".to_vec());
+    let second = ConfigRequest::replace(0, 1, b"another body".to_vec());
     Scenario {
         purposes: vec![Purpose::Replace(first), Purpose::Replace(second), Purpose::Read],
         scripts: [vec![0, 2], vec![1]],
--- a/crates/register/tests/records.rs
+++ b/crates/register/tests/records.rs
@@ -5,7 +5,7 @@
 use deku::DekuContainerWrite;
 use runtrack_message::{Ballot, RequestDigest};
 use runtrack_register::{
-    Acceptor, Decision, PromiseRecord, Recovery, ReplaceAnswer, ReplaceConfig, ValueRecord,
+    Acceptor, ConfigAnswer, ConfigRequest, Decision, PromiseRecord, Recovery, ValueRecord,
     legacy_request_digest, members_of, recover, request_digest,
 };
 use std::rc::Rc;
@@ -47,15 +47,15 @@
 #[test]
 fn a_request_that_was_applied_before_the_change_of_format_is_confirmed_again() {
     let mut value = (*old_disk().accepted().expect("a value").value).clone();
-    let repeated = ReplaceConfig::new(11, 12, BODY.to_vec());
-    assert_eq!(repeated.decide(Some(&value), &[]), (Decision::Read, ReplaceAnswer::Applied));
-    let rival = ReplaceConfig::new(11, 12, b"another".to_vec());
-    assert_eq!(rival.decide(Some(&value), &[]).1, ReplaceAnswer::VersionMismatch(12));
+    let repeated = ConfigRequest::replace(11, 12, BODY.to_vec());
+    assert_eq!(repeated.decide(Some(&value), &[]), (Decision::Read, ConfigAnswer::Applied));
+    let rival = ConfigRequest::replace(11, 12, b"another".to_vec());
+    assert_eq!(rival.decide(Some(&value), &[]).1, ConfigAnswer::VersionMismatch(12));
     let (Decision::Propose(next), _) = order(12, 13).decide(Some(&value), &[]) else {
         panic!("it is applied")
     };
     value = next;
-    assert_eq!(repeated.decide(Some(&value), &[]).1, ReplaceAnswer::Applied);
+    assert_eq!(repeated.decide(Some(&value), &[]).1, ConfigAnswer::Applied);
 }
 
 #[test]
@@ -71,13 +71,13 @@
     let record = ValueRecord::read(&bytes).expect("a record");
     assert_eq!(record.value.floor, 100);
     assert_eq!(record.value.applied.items()[0].digest, RequestDigest::from_legacy(101));
-    assert_eq!(order(90, 100).decide(Some(&record.value), &[]).1, ReplaceAnswer::Indeterminate);
+    assert_eq!(order(90, 100).decide(Some(&record.value), &[]).1, ConfigAnswer::Indeterminate);
 }
 
 #[test]
 fn a_record_of_this_format_is_read_as_it_was_written() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ConfigAnswer::Applied));
     let value = cluster.read(0);
     let record = ValueRecord { incarnation: 5, ballot: Ballot { round: 3, boot: 9 }, value };
     let bytes = record.to_bytes().expect("it can be written");
--- a/crates/register/tests/support/attempt.rs
+++ b/crates/register/tests/support/attempt.rs
@@ -3,7 +3,7 @@
 use super::mutants::Mutant;
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, RequestDigest, Value};
 use runtrack_register::{
-    Decision, Progress, ReplaceAnswer, ReplaceConfig, Round, Send, finish_membership, initial_value,
+    ConfigAnswer, ConfigRequest, Decision, Progress, Round, Send, finish_membership, initial_value,
     is_joint, majority_of, members_of, replace_members, sets_of,
 };
 use std::collections::BTreeSet;
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Purpose {
     /// A request of an operator.
-    Replace(ReplaceConfig),
+    Replace(ConfigRequest),
     /// A read.
     Read,
     /// The first half of a change to these members.
@@ -41,7 +41,7 @@
     /// The value that was found.
     pub found: Option<Rc<Value>>,
     /// What a request is to be told once the round has ended well.
-    pub answer: Option<ReplaceAnswer>,
+    pub answer: Option<ConfigAnswer>,
 }
 
 /// What a reply brought about.
@@ -127,7 +127,7 @@
         match (mutant, purpose) {
             (Mutant::RefusedTooSoon, Purpose::Replace(_)) => is_refusal(decided.answer),
             (Mutant::AcknowledgedTooSoon, Purpose::Replace(_)) => {
-                sends && self.may_write() && decided.answer == Some(ReplaceAnswer::Applied)
+                sends && self.may_write() && decided.answer == Some(ConfigAnswer::Applied)
             }
             (Mutant::ReadUnchosen, Purpose::Read) => decided.found.is_some(),
             _ => false,
@@ -191,8 +191,15 @@
 }
 
 /// Whether a request is refused by this answer.
-pub fn is_refusal(answer: Option<ReplaceAnswer>) -> bool {
-    matches!(answer, Some(ReplaceAnswer::VersionMismatch(_) | ReplaceAnswer::VersionNotIncreasing(_)))
+pub fn is_refusal(answer: Option<ConfigAnswer>) -> bool {
+    matches!(
+        answer,
+        Some(
+            ConfigAnswer::VersionMismatch(_)
+                | ConfigAnswer::VersionNotIncreasing(_)
+                | ConfigAnswer::Invalid(_)
+        )
+    )
 }
 
 /// Decides on the value that was found, and what a request is to be told.
@@ -200,7 +207,7 @@
     purpose: &Purpose,
     current: Option<&Value>,
     terms: &Terms,
-) -> (Decision, Option<ReplaceAnswer>) {
+) -> (Decision, Option<ConfigAnswer>) {
     let mutant = terms.mutant;
     match purpose {
         Purpose::Replace(request) => {
@@ -220,10 +227,10 @@
 }
 
 fn decide_request(
-    request: &ReplaceConfig,
+    request: &ConfigRequest,
     current: Option<&Value>,
     terms: &Terms,
-) -> (Decision, ReplaceAnswer) {
+) -> (Decision, ConfigAnswer) {
     let mut request = request.clone();
     if terms.mutant == Mutant::DigestTruncated {
         request.digest = RequestDigest::from_legacy(request.version);
@@ -239,11 +246,11 @@
 
 /// An answer that is not certain, as a mutant gives it.
 fn refused_anyway(
-    request: &ReplaceConfig,
+    request: &ConfigRequest,
     current: Option<&Value>,
-    answer: ReplaceAnswer,
+    answer: ConfigAnswer,
     mutant: Mutant,
-) -> ReplaceAnswer {
+) -> ConfigAnswer {
     let version = current.map_or(0, |value| value.version);
     let floor = current.map_or(0, |value| value.floor);
     let refused = match mutant {
@@ -251,8 +258,8 @@
         Mutant::BaseAboveRefused => request.base > version,
         _ => false,
     };
-    if refused && answer == ReplaceAnswer::Indeterminate {
-        return ReplaceAnswer::VersionMismatch(version);
+    if refused && answer == ConfigAnswer::Indeterminate {
+        return ConfigAnswer::VersionMismatch(version);
     }
     answer
 }
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -10,8 +10,8 @@
 
 use runtrack_message::{Ballot, Member, RegisterReply, RegisterRequest, Value, Watermark};
 use runtrack_register::{
-    Acceptor, Decision, DiskCheck, Durable, DurableWatermarks, Outcome, Progress, PromiseRecord,
-    ReplaceAnswer, ReplaceConfig, Round, Send, ValueRecord, finish_membership, initial_value, is_joint,
+    Acceptor, ConfigAnswer, ConfigRequest, Decision, DiskCheck, Durable, DurableWatermarks, Outcome,
+    Progress, PromiseRecord, Round, Send, ValueRecord, finish_membership, initial_value, is_joint,
     members_of, replace_members,
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,8 +29,8 @@
 }
 
 /// An order by its versions.
-pub fn order(base: u64, version: u64) -> ReplaceConfig {
-    ReplaceConfig::new(base, version, format!("config {version}").into_bytes())
+pub fn order(base: u64, version: u64) -> ConfigRequest {
+    ConfigRequest::replace(base, version, format!("config {version}").into_bytes())
 }
 
 struct Node {
@@ -203,7 +203,7 @@
         outcome
     }
 
-    pub fn order(&mut self, at: usize, order: &ReplaceConfig) -> Option<ReplaceAnswer> {
+    pub fn order(&mut self, at: usize, order: &ConfigRequest) -> Option<ConfigAnswer> {
         let first = self.view.clone();
         let mut answer = None;
         let outcome = self.decide(at, &mut |current| {
@@ -218,7 +218,7 @@
     }
 
     /// Prepares for an order, and stops before it is sent out.
-    pub fn prepared(&mut self, at: usize, order: &ReplaceConfig) -> Sleeping {
+    pub fn prepared(&mut self, at: usize, order: &ConfigRequest) -> Sleeping {
         let first = self.view.clone();
         self.prepared_for(at, &mut |current| order.decide(current, &first).0)
     }
@@ -250,7 +250,7 @@
     }
 
     /// An order whose accepts reach these members alone; its proposer hears nothing more.
-    pub fn order_reaching(&mut self, at: usize, order: &ReplaceConfig, reached: &[usize]) {
+    pub fn order_reaching(&mut self, at: usize, order: &ConfigRequest, reached: &[usize]) {
         let sleeping = self.prepared(at, order);
         self.reach(sleeping, reached);
     }
--- a/crates/register/tests/support/world/mod.rs
+++ b/crates/register/tests/support/world/mod.rs
@@ -19,7 +19,7 @@
 use profile::Profile;
 use reads::Reads;
 use runtrack_message::{Ballot, Member, Value};
-use runtrack_register::{Decision, DurableWatermarks, ReplaceConfig};
+use runtrack_register::{ConfigRequest, Decision, DurableWatermarks};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -85,7 +85,7 @@
     now: usize,
     next: usize,
     version: u64,
-    requests: Vec<ReplaceConfig>,
+    requests: Vec<ConfigRequest>,
     /// All that any process took for committed.
     committed: Vec<(Ballot, Rc<Value>)>,
     /// Index of the next address.
@@ -158,7 +158,7 @@
     fn play_before(&mut self) {
         let mut value: Option<Value> = None;
         for base in 0..self.profile.applied_before {
-            let request = ReplaceConfig::new(base, base + 1, format!("before {base}").into_bytes());
+            let request = ConfigRequest::replace(base, base + 1, format!("before {base}").into_bytes());
             let (Decision::Propose(next), _) =
                 request.decide_within(value.as_ref(), &self.terms.first, self.terms.max_applied)
             else {
--- a/crates/register/tests/support/world/operations.rs
+++ b/crates/register/tests/support/world/operations.rs
@@ -6,7 +6,7 @@
 use crate::support::checker::{Event, Known};
 use crate::support::mutants::Mutant;
 use runtrack_message::{Ballot, Member, RegisterReply, Value};
-use runtrack_register::{Outcome, Progress, ReplaceAnswer, ReplaceConfig, is_joint, members_of};
+use runtrack_register::{ConfigAnswer, ConfigRequest, Outcome, Progress, is_joint, members_of};
 use std::rc::Rc;
 
 /// Rounds of one operation.
@@ -23,7 +23,7 @@
     /// Number of the request in the history.
     pub request: Option<usize>,
     attempt: Option<Attempt>,
-    answer: Option<ReplaceAnswer>,
+    answer: Option<ConfigAnswer>,
     attempts: u32,
     idle: u32,
     /// A value of its own has been sent out.
@@ -86,10 +86,10 @@
             }
         };
         let body = (self.requests.len() as u64).to_le_bytes().to_vec();
-        self.add_request(ReplaceConfig::new(base, version, body))
+        self.add_request(ConfigRequest::replace(base, version, body))
     }
 
-    pub(super) fn add_request(&mut self, request: ReplaceConfig) -> usize {
+    pub(super) fn add_request(&mut self, request: ConfigRequest) -> usize {
         self.history.requests.push(Known { base: request.base, version: request.version });
         self.requests.push(request);
         self.requests.len() - 1
@@ -207,7 +207,7 @@
 
     fn refuse_unknown(&mut self, id: usize) {
         if let Some(operation) = self.operations.get_mut(&id) {
-            operation.answer = Some(ReplaceAnswer::VersionNotIncreasing(0));
+            operation.answer = Some(ConfigAnswer::VersionNotIncreasing(0));
         }
         self.end(id, None);
     }
@@ -243,11 +243,11 @@
     fn end(&mut self, id: usize, value: Option<Rc<Value>>) {
         let Some(operation) = self.operations.remove(&id) else { return };
         let event = match (operation.request, operation.answer) {
-            (Some(request), Some(ReplaceAnswer::Applied)) => Event::Acknowledged { id, request },
-            (Some(request), Some(ReplaceAnswer::VersionMismatch(current))) => {
+            (Some(request), Some(ConfigAnswer::Applied)) => Event::Acknowledged { id, request },
+            (Some(request), Some(ConfigAnswer::VersionMismatch(current))) => {
                 Event::Refused { id, request, current: Some(current) }
             }
-            (Some(request), Some(ReplaceAnswer::VersionNotIncreasing(_))) => {
+            (Some(request), Some(ConfigAnswer::VersionNotIncreasing(_))) => {
                 Event::Refused { id, request, current: None }
             }
             (None, _) if operation.purpose == Purpose::Read => {
--- a/crates/register/tests/watermarks.rs
+++ b/crates/register/tests/watermarks.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use runtrack_message::{Ballot, Member, RegisterReply, Watermark};
-use runtrack_register::{DiskCheck, DiskVerdict, DurableWatermarks, LATE_ANSWERS_TIMEOUT, ReplaceAnswer};
+use runtrack_register::{ConfigAnswer, DiskCheck, DiskVerdict, DurableWatermarks, LATE_ANSWERS_TIMEOUT};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use support::{Cluster, member, order};
@@ -135,10 +135,10 @@
 /// Version 2 is acknowledged at members 1 and 2, then member 2's disk is put back to where it held version 1.
 fn put_back() -> Cluster {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(0, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(0, &order(0, 1)), Some(ConfigAnswer::Applied));
     let copy = cluster.copy_disk(2);
     cluster.cut(0, true);
-    assert_eq!(cluster.order(1, &order(1, 2)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(1, &order(1, 2)), Some(ConfigAnswer::Applied));
     cluster.cut(0, false);
     cluster.restart_from(2, copy);
     cluster
@@ -171,9 +171,9 @@
 #[test]
 fn a_damaged_newest_record_is_found_out_like_an_older_disk() {
     let mut cluster = Cluster::new(3);
-    assert_eq!(cluster.order(1, &order(0, 1)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(1, &order(0, 1)), Some(ConfigAnswer::Applied));
     let before = cluster.copy_disk(2);
-    assert_eq!(cluster.order(1, &order(1, 2)), Some(ReplaceAnswer::Applied));
+    assert_eq!(cluster.order(1, &order(1, 2)), Some(ConfigAnswer::Applied));
     // The ring falls back to the record before the damaged one.
     cluster.restart_from(2, before);
     let mut check = cluster.disk_check(2);
