Fleet: proxies know where prefixes are kept; reports are summed up at one member and come in time

Half of what was sent 0 to 50 ms before was not known, at full size reports came every 0.3 s (4,000 bytes a second for 12 bytes an endpoint), and where the register has more than five members agents reported to different ones, so that no sum held all.

Change: an index of prefixes by endpoint, bounded by the cache that the configuration states, shared between proxies through the controllers (new messages, not sent to processes that do not read them) and kept on their disks; a prompt goes to the least of two drawn endpoints, the holders of its longest prefix and, where none is known, one that all proxies agree on. All agents report to the same member, and reports take up to 1 percent of a controller's link, 16,000 bytes a second an agent at the most.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,9 +9,11 @@
     Dials, Environment, Gossip, Logger, MessageHandler, ProcessEvent, ProcessEvents, Session, Signals,
     listen,
 };
-use runtrack_message::{Hello, Member, Message, Role, WIRE_VERSION};
-use runtrack_ring::{Ring, hash, rendezvous};
+use runtrack_message::{Hello, Member, Message, PLACEMENT_WIRE_VERSION, Role, WIRE_VERSION};
+use runtrack_ring::{Ring, hash, weight};
 use slog::info;
+use std::cell::Cell;
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -21,8 +23,11 @@
 
 /// Controllers that an agent keeps links to, its watchers. With five or fewer controllers these are all of them.
 const WATCHERS: usize = 5;
-/// Key of rendezvous hashing for the controller that sums up the proxies' load reports.
+/// Key of rendezvous hashing for the controllers that sum up the proxies' load reports.
 const BACKLOG_KEY: &[u8] = b"backlog";
+/// Members that may sum up load reports, the second one where the first is lost. All agents keep links to them: reports
+/// that go to different members are not summed up together.
+const BACKLOG_MEMBERS: usize = 2;
 /// Interval at which the set of links is updated.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Without a link to any controller for this long, the seeds are dialled as well.
@@ -30,12 +35,31 @@
 /// At shutdown the agent waits for its proxy to end, but ends this long before the grace period is over.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
-/// Relays load reports: the proxy's own to the controller that sums them up, the fleet's sum to the proxy.
-struct BacklogRelay;
+/// Relays reports: the proxy's own backlog and placements to the controller that sums them up, the fleet's to the proxy.
+#[derive(Default)]
+struct ReportRelay {
+    /// A proxy has come that knows no placements, and no controller could be asked for them yet.
+    lacks_placements: Cell<bool>,
+}
 
-impl MessageHandler for BacklogRelay {
+impl ReportRelay {
+    /// Asks for all placements if a proxy lacks them.
+    fn fetch_placements(&self, gossip: &Gossip) {
+        let member = backlog_member(gossip).filter(|member| member.peer_wire() >= PLACEMENT_WIRE_VERSION);
+        if let Some(member) = member.filter(|_| self.lacks_placements.get()) {
+            member.send(&Message::FetchPlacements);
+            self.lacks_placements.set(false);
+        }
+    }
+}
+
+impl MessageHandler for ReportRelay {
     fn on_connect(&self, gossip: &Rc<Gossip>, session: &Rc<Session>) {
-        send_suspects(gossip, session);
+        if is_proxy(session) {
+            session.send(&Message::Suspects(gossip.reported_suspects().into()));
+            self.lacks_placements.set(true);
+        }
+        self.fetch_placements(gossip);
     }
 
     fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
@@ -46,6 +70,14 @@
                     member.send(&message);
                 }
             }
+            Message::Placements(_) if is_proxy(session) => {
+                if let Some(member) = member.filter(|member| member.peer_wire() >= PLACEMENT_WIRE_VERSION) {
+                    member.send(&message);
+                }
+            }
+            Message::Placements(_) | Message::PlacementsComplete(_) => {
+                gossip.broadcast_since(Role::Proxy, PLACEMENT_WIRE_VERSION, &message);
+            }
             // Another controller may still send a sum of only a part of the reports.
             Message::FleetBacklog(_) if member.is_some_and(|member| member.key == session.key) => {
                 gossip.broadcast_to(Role::Proxy, &message);
@@ -55,20 +87,25 @@
     }
 }
 
-/// Sends the suspect endpoints to a newly linked proxy.
-fn send_suspects(gossip: &Gossip, session: &Session) {
-    if session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Proxy) {
-        session.send(&Message::Suspects(gossip.reported_suspects().into()));
-    }
+fn is_proxy(session: &Session) -> bool {
+    session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Proxy)
+}
+
+/// The controllers that may sum up load reports, the first choice first.
+fn backlog_members(controllers: impl IntoIterator<Item = SocketAddrV4>) -> Vec<SocketAddrV4> {
+    let key = hash(BACKLOG_KEY);
+    let mut ranked: Vec<SocketAddrV4> = controllers.into_iter().collect();
+    ranked.sort_by_key(|address| Reverse((weight(key, hash(address.to_string().as_bytes())), *address)));
+    ranked.truncate(BACKLOG_MEMBERS);
+    ranked
 }
 
-/// The controller that sums up load reports: the same one for all agents with links to the same controllers.
+/// The controller that sums up load reports: the same one for all agents, unless some have lost their link to it.
 fn backlog_member(gossip: &Gossip) -> Option<Rc<Session>> {
-    let name =
-        |session: &Rc<Session>| session.dialled.map_or(0, |address| hash(address.to_string().as_bytes()));
     let sessions = gossip.peers(Role::Controller);
-    let chosen = rendezvous(hash(BACKLOG_KEY), sessions.iter().map(name))?;
-    sessions.into_iter().find(|session| name(session) == chosen)
+    let linked = sessions.iter().filter_map(|session| session.dialled);
+    let chosen = *backlog_members(linked).first()?;
+    sessions.into_iter().find(|session| session.dialled == Some(chosen))
 }
 
 /// The links of an agent to controllers.
@@ -95,9 +132,11 @@
         let members: BTreeSet<SocketAddrV4> =
             self.gossip.replica().members().set.iter().map(Member::address).collect();
         let lost = members.is_empty() || self.last_linked.elapsed() > SEEDS_TIMEOUT;
+        let summing = backlog_members(members.iter().copied());
         let ring = Ring::new(members, |member| member.to_string().into_bytes());
         let mut wanted: BTreeSet<SocketAddrV4> =
             ring.successors(self.name.as_bytes(), WATCHERS).into_iter().collect();
+        wanted.extend(summing);
         if lost {
             wanted.extend(&self.seeds);
         }
@@ -122,7 +161,8 @@
 pub async fn run_in(environment: Environment, node: Node, mut events: ProcessEvents) -> Result<(), String> {
     let logger = environment.logger.clone();
     info!(logger, "agent.start"; "first_boot" => node.first_boot);
-    let gossip = Gossip::new_in(environment, hello_of(&node), node.heartbeat, Box::new(BacklogRelay));
+    let gossip =
+        Gossip::new_in(environment, hello_of(&node), node.heartbeat, Box::new(ReportRelay::default()));
     listen(gossip.clone(), node.feed)
         .await
         .map_err(|error| format!("listen.feed: {}: {error}", node.feed))?;
--- a/crates/controller/src/backlog.rs
+++ b/crates/controller/src/backlog.rs
@@ -11,9 +11,13 @@
 
 /// Least time between two words to the agents.
 const PAUSE: Duration = Duration::from_millis(60);
-/// Bytes a second that an agent may be told: with many endpoints it is told less often, and in the end too seldom to
-/// count. Own requests still do.
-const BYTES_A_SECOND: f64 = 4000.0;
+/// Part of this machine's link that reports to all agents together may take. With many agents or endpoints they are told
+/// less often, and in the end too seldom to count; own requests still do.
+const LINK_SHARE: f64 = 0.01;
+/// Bytes a second that one agent may be told: older reports cost worth below this, and more bring none
+/// (`docs/deciding.md`).
+const MAX_BYTES_PER_SECOND: f64 = 16_000.0;
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Bytes of an endpoint's entry.
 const ENTRY: f64 = 12.0;
 /// A part that was not told again by then is forgotten: its agent tells another member, or its proxy has ended.
@@ -30,14 +34,17 @@
 /// The parts of all proxies.
 pub struct Backlogs {
     gossip: Rc<Gossip>,
+    /// Bytes a second that all agents together may be told.
+    bytes_per_second: f64,
     parts: RefCell<BTreeMap<usize, Part>>,
     changed: Notify,
 }
 
 impl Backlogs {
     /// Nothing is unread.
-    pub fn new(gossip: Rc<Gossip>) -> Rc<Self> {
-        Rc::new(Backlogs { gossip, parts: RefCell::default(), changed: Notify::new() })
+    pub fn new(gossip: Rc<Gossip>, link_mbps: f64) -> Rc<Self> {
+        let bytes_per_second = link_mbps * BYTES_PER_MEGABIT * LINK_SHARE;
+        Rc::new(Backlogs { gossip, bytes_per_second, parts: RefCell::default(), changed: Notify::new() })
     }
 
     /// A proxy's agent tells its part.
@@ -64,6 +71,12 @@
         sums.into_iter().map(|(endpoint, tokens)| Unread { endpoint, tokens }).collect()
     }
 
+    /// Bytes a second that one agent may be told.
+    fn bytes_per_agent(&self) -> f64 {
+        let agents = self.gossip.peers(Role::Agent).len().max(1);
+        (self.bytes_per_second / agents as f64).min(MAX_BYTES_PER_SECOND)
+    }
+
     /// Tells agents of changes, for as long as the process runs.
     pub async fn run(self: Rc<Self>) {
         let mut empty = true;
@@ -77,7 +90,7 @@
             let bytes = sum.len() as f64 * ENTRY;
             empty = sum.is_empty();
             self.gossip.broadcast_to(Role::Agent, &Message::FleetBacklog(sum.into()));
-            sleep(PAUSE.max(Duration::from_secs_f64(bytes / BYTES_A_SECOND))).await;
+            sleep(PAUSE.max(Duration::from_secs_f64(bytes / self.bytes_per_agent()))).await;
         }
     }
 }
--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -4,6 +4,7 @@
 use crate::new_incarnation;
 use deku::prelude::*;
 use runtrack_fleetconfig::Node;
+use runtrack_message::{Message, PrefixPlacements, decode};
 use runtrack_net::mutant;
 use runtrack_register::{Acceptor, Durable, PromiseRecord, Recovery, ValueRecord, recover};
 use runtrack_registry::{LEAVE_GENERATIONS, LeaveRecord, MAX_LEAVE_RECORD};
@@ -42,6 +43,8 @@
     "leaves-14",
     "leaves-15",
 ];
+/// Room of a file of placements: some six thousand of them.
+const PLACEMENT_ROOM: usize = 128 << 10;
 /// Stack of the thread that writes.
 const STACK: usize = 256 << 10;
 
@@ -54,6 +57,8 @@
     Value(Box<ValueRecord>),
     /// Endpoints that leave.
     Leaves(LeaveRecord),
+    /// Where prefixes of prompts are. Only a help: nothing is lost with it but time.
+    Placements(PrefixPlacements),
 }
 
 /// A write that is under way.
@@ -65,6 +70,10 @@
     fn persist(&self, record: Record) -> Persisting;
     /// The leaves that were on it when it was opened.
     fn leaves(&self) -> Vec<LeaveRecord>;
+    /// The placements of prefixes that were on it when it was opened.
+    fn placements(&self) -> PrefixPlacements {
+        PrefixPlacements::default()
+    }
 }
 
 /// The member's disk, whatever it is.
@@ -95,7 +104,9 @@
     promises: Ring<F>,
     values: Ring<F>,
     leaves: Vec<Ring<F>>,
+    placements: Ring<F>,
     recovered: Vec<LeaveRecord>,
+    recovered_placements: PrefixPlacements,
 }
 
 impl<F: Files + Clone> Rings<F> {
@@ -110,7 +121,9 @@
             Recovery::Damaged => Acceptor::new(fastrand::u64(1..)),
         };
         let (leaves, recovered) = open_leaves(&files)?;
-        Ok((Rings { promises, values, leaves, recovered }, acceptor))
+        let (placements, newest) = Ring::open(files, "placements", PLACEMENT_ROOM)?;
+        let recovered_placements = newest.and_then(|record| read_placements(&record)).unwrap_or_default();
+        Ok((Rings { promises, values, leaves, placements, recovered, recovered_placements }, acceptor))
     }
 
     /// The leaves that were there when the rings were opened.
@@ -118,16 +131,32 @@
         &self.recovered
     }
 
+    /// The placements that were there when the rings were opened.
+    pub fn recovered_placements(&self) -> &PrefixPlacements {
+        &self.recovered_placements
+    }
+
     /// Writes a record; once this returns it is there after any loss of power.
     pub fn write(&mut self, record: &Record) -> Result<(), StoreError> {
         match record {
             Record::Promise(promise) => self.promises.append(&promise.to_bytes()?),
             Record::Value(value) => self.values.append(&value.to_bytes()?),
             Record::Leaves(leaves) => self.leaves[leaves.slot()].append(&leaves.to_bytes()?),
+            Record::Placements(placements) => {
+                self.placements.append(&Message::Placements(placements.clone()).to_bytes()?)
+            }
         }
     }
 }
 
+/// Placements as they are kept: as the message that carries them.
+fn read_placements(record: &[u8]) -> Option<PrefixPlacements> {
+    match decode(record).ok()? {
+        Message::Placements(placements) => Some(placements),
+        _ => None,
+    }
+}
+
 /// The rings of leaves, and the newest record of each that can be read.
 fn open_leaves<F: Files + Clone>(files: &F) -> Result<(Vec<Ring<F>>, Vec<LeaveRecord>), StoreError> {
     let mut rings = Vec::new();
@@ -149,6 +178,7 @@
 pub struct DiskThread {
     jobs: mpsc::Sender<Job>,
     leaves: Vec<LeaveRecord>,
+    placements: PrefixPlacements,
 }
 
 impl DiskThread {
@@ -159,6 +189,7 @@
         let (mut rings, acceptor) =
             Rings::open(folder.clone(), || new_incarnation(node)).map_err(failed)?;
         let leaves = rings.recovered_leaves().to_vec();
+        let placements = rings.recovered_placements().clone();
         let (jobs, waiting) = mpsc::channel::<Job>();
         let logger = logger.clone();
         let work = move || {
@@ -171,7 +202,7 @@
             }
         };
         thread::Builder::new().stack_size(STACK).spawn(work).map_err(|error| format!("thread: {error}"))?;
-        Ok((DiskThread { jobs, leaves }, acceptor))
+        Ok((DiskThread { jobs, leaves, placements }, acceptor))
     }
 }
 
@@ -188,4 +219,8 @@
     fn leaves(&self) -> Vec<LeaveRecord> {
         self.leaves.clone()
     }
+
+    fn placements(&self) -> PrefixPlacements {
+        self.placements.clone()
+    }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -15,6 +15,7 @@
 mod membership;
 mod parts;
 pub mod pending;
+mod placements;
 mod proposer;
 pub mod request_queue;
 pub mod tally;
--- a/crates/controller/src/parts.rs
+++ b/crates/controller/src/parts.rs
@@ -9,6 +9,7 @@
 use crate::leaves::Leaves;
 use crate::member::MemberTask;
 use crate::membership::{Membership, MembershipSettings};
+use crate::placements::PlacementHub;
 use crate::proposer::Proposer;
 use runtrack_fleetconfig::Node;
 use runtrack_link::{Gossip, MessageHandler, Session};
@@ -31,6 +32,7 @@
     leaves: Rc<Leaves>,
     leave_sync: Rc<LeaveSync>,
     backlogs: Rc<Backlogs>,
+    placements: Rc<PlacementHub>,
 }
 
 impl Parts {
@@ -41,6 +43,7 @@
         let first: BTreeSet<Member> = seeds.iter().map(|seed| Member::new(*seed, 0)).collect();
         let times = MembershipTimes::new(node.bounds.settle, node.bounds.grace);
         let own = acceptor.watermark();
+        let placements = PlacementHub::new(gossip.clone(), disk.clone(), node.first_boot);
         let (leaves, recovered) = Leaves::start(disk.clone(), gossip.logger());
         gossip.merge(recovered, None);
         let member = MemberTask::start(acceptor, disk, gossip.logger().clone());
@@ -66,7 +69,8 @@
         Rc::new(Parts {
             endpoints: Endpoints::new(gossip.clone(), contact.clone(), leaves.clone()),
             guard: DiskGuard::new(gossip.clone(), proposer.clone(), member.clone(), me, own),
-            backlogs: Backlogs::new(gossip.clone()),
+            backlogs: Backlogs::new(gossip.clone(), node.link_mbps),
+            placements,
             proposer,
             membership,
             contact,
@@ -79,6 +83,7 @@
     /// Starts what the parts do by themselves, for as long as the process runs.
     pub(crate) fn spawn(&self, node: &Node) {
         spawn_local(self.backlogs.clone().run());
+        spawn_local(self.placements.clone().run());
         spawn_local(self.proposer.clone().run());
         spawn_local(self.membership.clone().run());
         spawn_local(self.contact.clone().run());
@@ -119,6 +124,8 @@
             Message::ProbeReply(reply) => self.contact.on_reply(session, reply),
             Message::HeartbeatRelay(keys) => self.endpoints.relayed(keys.items()),
             Message::OwnBacklog(part) => self.backlogs.told(session, part),
+            Message::Placements(placements) => self.placements.on_placements(session, placements),
+            Message::FetchPlacements => self.placements.send_all(session),
             _ => {}
         }
     }
@@ -173,7 +180,10 @@
                 parts.contact.on_agent_connect(session);
                 parts.endpoints.greet(session);
             }
-            Some(Role::Controller) => parts.contact.probe(session),
+            Some(Role::Controller) => {
+                parts.contact.probe(session);
+                parts.placements.fetch_from(session);
+            }
             Some(Role::Proxy) | None => {}
         }
     }
@@ -181,6 +191,7 @@
     fn on_merged(&self, records: &[Endpoint]) {
         if let Some(parts) = self.0.get() {
             parts.leaves.note(records);
+            parts.placements.forget_gone(records);
         }
     }
 
--- a/crates/fleetconfig/src/node.rs
+++ b/crates/fleetconfig/src/node.rs
@@ -90,12 +90,17 @@
     pub descriptors: usize,
     /// Memory limit of the process in megabytes.
     pub memory_mb: usize,
+    /// Bandwidth of the machine's link in megabits a second.
+    pub link_mbps: f64,
     /// Failures at one time under which every rule must hold.
     pub tolerance: Tolerance,
     /// Time and retry bounds of the deployment.
     pub bounds: Bounds,
 }
 
+/// Bandwidth that is assumed where the settings state none.
+const DEFAULT_LINK_MBPS: f64 = 1000.0;
+
 struct Reader<'a> {
     file: &'a Ini,
     findings: Vec<Finding>,
@@ -199,6 +204,7 @@
             heartbeat: self.millis("beatPeriodMs", 1200.0),
             descriptors: self.or("limits.fdLimit", 1024),
             memory_mb: self.or("limits.memoryMb", 256),
+            link_mbps: self.or("limits.linkMbps", DEFAULT_LINK_MBPS),
             tolerance: Tolerance { machines: self.or("tolerance.machines", 1) },
             bounds: Bounds {
                 drain: self.millis("bounds.drainMs", 2000.0),
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -365,9 +365,15 @@
 
     /// Sends a message to all peers of this role.
     pub fn broadcast_to(&self, role: Role, message: &Message) {
+        self.broadcast_since(role, 0, message);
+    }
+
+    /// The same, to those alone that read this version of the wire format or a later one.
+    pub fn broadcast_since(&self, role: Role, wire: u16, message: &Message) {
         let Ok(payload) = encode(message) else { return };
         let payload = bytes::Bytes::from(payload);
-        self.peers(role).iter().for_each(|session| session.send_encoded(payload.clone()));
+        let peers = self.peers(role).into_iter().filter(|session| session.peer_wire() >= wire);
+        peers.for_each(|session| session.send_encoded(payload.clone()));
     }
 
     /// A controller reports whether it is in contact with a majority. What it reported about endpoints before it lost
--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod inspect;
 mod legacy;
+mod placement;
 mod register;
 mod watermark;
 
@@ -16,6 +17,7 @@
 pub use endpoint::{Endpoint, EndpointState, Model};
 pub use inspect::{InspectReply, InspectRequest};
 pub use legacy::LegacyValue;
+pub use placement::{PLACEMENT_BYTES, PrefixPlacement, PrefixPlacements};
 pub use register::{
     AppliedRequest, AppliedRequests, Ballot, DIGEST_BYTES, Member, MemberSet, MemberSets, RegisterReply,
     RegisterRequest, RequestDigest, Value,
@@ -26,9 +28,11 @@
 use quick_error::quick_error;
 
 /// Version of the messages.
-pub const WIRE_VERSION: u16 = 2;
+pub const WIRE_VERSION: u16 = 3;
 /// The first version whose processes read `Probe`, `ProbeReply` and `MajorityContact`: older ones are not sent them.
 pub const CONTACT_WIRE_VERSION: u16 = 2;
+/// The first version whose processes read messages about placements: older ones are not sent them.
+pub const PLACEMENT_WIRE_VERSION: u16 = 3;
 /// The longest frame that is read or written: a configuration of some ten thousand routes.
 pub const MAX_FRAME: usize = 16 << 20;
 /// The longest text in a message.
@@ -311,6 +315,15 @@
     /// Its reply.
     #[deku(id = "26")]
     InspectReply(u64, InspectReply),
+    /// Prefixes that proxies have placed: of one proxy on the way to a controller, of all on the way back.
+    #[deku(id = "27")]
+    Placements(PrefixPlacements),
+    /// Asks a controller for all placements that it has heard of.
+    #[deku(id = "28")]
+    FetchPlacements,
+    /// Whether the speaking controller has heard of all placements that matter; behind those that were asked for.
+    #[deku(id = "29")]
+    PlacementsComplete(bool),
 }
 
 /// A message as the payload of a frame.
--- a/crates/message/tests/wire.rs
+++ b/crates/message/tests/wire.rs
@@ -64,6 +64,9 @@
         Message::Join(member(4)),
         Message::Leave(member(4)),
         Message::Ping,
+        Message::Placements(vec![PrefixPlacement { prefix: 5, endpoint: 7, part_tokens: 13_000 }].into()),
+        Message::FetchPlacements,
+        Message::PlacementsComplete(true),
         Message::HeartbeatRelay(vec![7].into()),
         Message::Probe(9),
         Message::ProbeReply(ProbeReply {
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -14,6 +14,9 @@
 /// Limit of failed connects per request, which do not count as attempts of the route.
 const MAX_CONNECT_ATTEMPTS: usize = 5;
 
+/// Limit of endpoints that state that they have not run a request, which do not count as attempts of the route either.
+const MAX_UNEXECUTED: u32 = 3;
+
 impl Forwarder {
     /// Whether a dispatched request may be sent to another endpoint. Takes a retry off the budget unless one was taken
     /// before.
@@ -22,6 +25,22 @@
         if attempts.dispatched >= request.max_tries || Instant::now() >= request.outgoing.deadline {
             return false;
         }
+        self.acquire_retry(request, acquired)
+    }
+
+    /// Whether a request that an endpoint has not run may be sent to another one. The route's `maxTries` bounds the
+    /// endpoints that may have run a request; what was not run counts for the budget alone.
+    fn may_retry_unexecuted(&self, request: &RoutedRequest, attempts: &mut AttemptState) -> bool {
+        attempts.unexecuted += 1;
+        let acquired = std::mem::take(&mut attempts.retry_acquired);
+        if attempts.unexecuted > MAX_UNEXECUTED || !request.outgoing.is_wanted() {
+            return false;
+        }
+        self.acquire_retry(request, acquired)
+    }
+
+    /// Takes a retry off the budget unless one was taken before.
+    fn acquire_retry(&self, request: &RoutedRequest, acquired: bool) -> bool {
         let now = self.state.now();
         acquired || self.state.router().try_acquire_retry(now, service_key(&request.service))
     }
@@ -88,13 +107,12 @@
             attempts.unconnected += 1;
             return attempts.unconnected < MAX_CONNECT_ATTEMPTS && request.outgoing.is_wanted();
         }
-        attempts.dispatched += 1;
-        if !failed.never_ran() {
-            attempts.may_have_run = true;
-            if !request.outgoing.idempotent && !mutant("proxy_repeats_what_runs_once") {
-                return false;
-            }
+        if failed.never_ran() {
+            return self.may_retry_unexecuted(request, attempts);
         }
-        self.may_retry(request, attempts)
+        attempts.dispatched += 1;
+        attempts.may_have_run = true;
+        let may_run_again = request.outgoing.idempotent || mutant("proxy_repeats_what_runs_once");
+        may_run_again && self.may_retry(request, attempts)
     }
 }
--- a/crates/proxy/src/in_flight.rs
+++ b/crates/proxy/src/in_flight.rs
@@ -11,35 +11,38 @@
     state: Rc<State>,
     pub(crate) key: EndpointId,
     pub(crate) outcome: Outcome,
-    /// Prompt tokens that the endpoint processes before its response starts.
-    unread: u32,
+    prompt: Option<Prompt>,
+    /// Prompt tokens that the endpoint prefills before its response starts.
+    pending_prefill: u32,
 }
 
 impl InFlight {
     pub(crate) fn new(state: &Rc<State>, key: EndpointId, prompt: Option<Prompt>) -> Self {
-        let unread = state.router().sent(key, prompt);
-        state.backlog_changed(unread);
-        InFlight { state: state.clone(), key, outcome: Outcome::Cancelled, unread }
+        let pending_prefill = state.router().sent(state.now(), key, prompt);
+        state.backlog_changed(pending_prefill);
+        InFlight { state: state.clone(), key, outcome: Outcome::Cancelled, prompt, pending_prefill }
     }
 
     /// The endpoint has started its response.
-    pub(crate) fn on_response_started(&mut self, prompt: Option<Prompt>) {
-        self.clear_unread_tokens();
-        if let Some(prompt) = prompt {
-            self.state.router().record_cached_prefix(self.key, prompt);
-        }
+    pub(crate) fn on_response_started(&mut self) {
+        let pending = std::mem::take(&mut self.pending_prefill);
+        self.state.router().prefill_finished(self.key, pending);
+        self.state.backlog_changed(pending);
     }
 
-    fn clear_unread_tokens(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        self.state.router().prefill_finished(self.key, unread);
-        self.state.backlog_changed(unread);
+    /// The endpoint has not prefilled the prompt for sure, and was taken not to hold its prefixes before.
+    fn may_lack_prefixes(&self) -> Option<Prompt> {
+        let prompt = self.prompt.filter(|prompt| self.pending_prefill > prompt.own_tokens())?;
+        (self.outcome != Outcome::Ok).then_some(prompt)
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.clear_unread_tokens();
+        if let Some(prompt) = self.may_lack_prefixes() {
+            self.state.router().prefill_failed(self.key, &prompt);
+        }
+        self.on_response_started();
         let now = self.state.now();
         self.state.router().ended(now, self.key, self.outcome);
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -42,13 +42,17 @@
 
 type StateCell = OnceCell<Rc<State>>;
 
-/// Handles the load reports that the agent relays.
-struct BacklogHandler(Rc<StateCell>);
+/// Handles the reports of other proxies that the agent relays.
+struct ReportHandler(Rc<StateCell>);
 
-impl MessageHandler for BacklogHandler {
+impl MessageHandler for ReportHandler {
     fn on_message(&self, _: &Rc<Gossip>, _: &Rc<Session>, message: Message) {
-        if let (Some(state), Message::FleetBacklog(backlog)) = (self.0.get(), message) {
-            state.take_fleet_backlog(&backlog);
+        let Some(state) = self.0.get() else { return };
+        match message {
+            Message::FleetBacklog(backlog) => state.take_fleet_backlog(&backlog),
+            Message::Placements(placements) => state.take_placements(&placements),
+            Message::PlacementsComplete(true) => state.router().set_all_placements_known(),
+            _ => {}
         }
     }
 }
@@ -66,7 +70,7 @@
         member: Member::none(),
     };
     let cell = Rc::new(StateCell::default());
-    let gossip = Gossip::new(hello, node.heartbeat, logger.clone(), Box::new(BacklogHandler(cell.clone())));
+    let gossip = Gossip::new(hello, node.heartbeat, logger.clone(), Box::new(ReportHandler(cell.clone())));
     spawn_local(dial_for_ever(gossip.clone(), node.feed));
     spawn_local(gossip.clone().run());
     let state = State::new(gossip, &node);
--- a/crates/proxy/src/prompt.rs
+++ b/crates/proxy/src/prompt.rs
@@ -7,13 +7,14 @@
 /// with other requests; the last belongs to the request or its session. None if the header is invalid.
 pub fn prompt_of(parts: &str) -> Option<Prompt> {
     let (shared, own) = parts.rsplit_once(',').unwrap_or(("", parts));
-    let mut shared_tokens = 0u32;
-    for part in shared.split(',').filter(|part| !part.is_empty()) {
-        shared_tokens = shared_tokens.saturating_add(tokens_of(part)?);
-    }
-    Some(Prompt { key: xxh3_64(shared.as_bytes()), shared_tokens, own_tokens: tokens_of(own)? })
+    let shared: Option<Vec<(u64, u32)>> =
+        shared.split(',').filter(|part| !part.is_empty()).map(part_of).collect();
+    let (_, own_tokens) = part_of(own)?;
+    Some(Prompt::new(shared?, own_tokens))
 }
 
-fn tokens_of(part: &str) -> Option<u32> {
-    part.split_once(':')?.1.trim().parse().ok()
+/// The hash of a part's id, and its tokens.
+fn part_of(part: &str) -> Option<(u64, u32)> {
+    let (id, tokens) = part.split_once(':')?;
+    Some((xxh3_64(id.trim().as_bytes()), tokens.trim().parse().ok()?))
 }
--- a/crates/proxy/src/routed.rs
+++ b/crates/proxy/src/routed.rs
@@ -88,7 +88,10 @@
 #[derive(Clone, Default)]
 pub(crate) struct AttemptState {
     pub(crate) tried: Vec<EndpointId>,
+    /// Endpoints that may have run the request.
     pub(crate) dispatched: u32,
+    /// Endpoints that have stated that they did not run it.
+    pub(crate) unexecuted: u32,
     pub(crate) may_have_run: bool,
     pub(crate) unconnected: usize,
     /// The next retry has been taken off the budget already.
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -2,7 +2,10 @@
 
 use runtrack_fleetconfig::{FleetConfig, Node, RouteTable};
 use runtrack_link::Gossip;
-use runtrack_message::{Backlog, EndpointState, Message, Role, Unread};
+use runtrack_message::{
+    Backlog, EndpointState, Message, PLACEMENT_WIRE_VERSION, PrefixPlacement, PrefixPlacements, Role,
+    Unread,
+};
 use runtrack_registry::address_of;
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
@@ -13,13 +16,15 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 use weirwharf::EndpointId;
-use weirwharf::fleet::{RetryBudget, Router};
+use weirwharf::fleet::{Placement, RetryBudget, Router};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Shortest interval between two load reports to the agent.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// A load report that is not empty is repeated after this time, since receivers drop old ones.
 const REPORT_REPEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Most placements of prefixes in one report.
+const MAX_PLACEMENTS: usize = 256;
 /// Number of proxies that is assumed until the agent reports it.
 const DEFAULT_PROXIES: u32 = 16;
 
@@ -79,13 +84,17 @@
             slack: node.bounds.retry_slack,
             window: node.bounds.retry_window,
         };
+        let mut router = Router::new(fastrand::u64(..), second, DEFAULT_PROXIES);
+        if node.first_boot {
+            router.set_all_placements_known(); // there are none
+        }
         Rc::new(State {
             logger: gossip.logger().clone(),
             gossip,
             routes: RefCell::default(),
             version: Cell::new(0),
             pools: RefCell::default(),
-            router: RefCell::new(Router::new(fastrand::u64(..), second, DEFAULT_PROXIES)),
+            router: RefCell::new(router),
             ready: Cell::new(0),
             backlog: Notify::new(),
             last_reported: RefCell::default(),
@@ -111,7 +120,7 @@
     /// An endpoint with requests of this proxy in progress has sent nothing for too long.
     pub fn on_silence(&self, key: EndpointId) {
         let now = self.now();
-        self.router().silent(now, key);
+        self.router().on_stall(now, key);
     }
 
     /// The routes in force; a request uses the same ones to its end.
@@ -167,6 +176,7 @@
             let target = Target { key: key_of, id: record.id.as_string(), address: address_of(record) };
             pool.targets.insert(key_of, target);
         }
+        self.set_cache_sizes(&pools);
         for pool in pools.values_mut() {
             let mut ready: Vec<EndpointId> = pool.targets.keys().copied().collect();
             ready.sort_unstable();
@@ -182,6 +192,18 @@
         *self.pools.borrow_mut() = pools.into_iter().map(|(name, pool)| (name, Rc::new(pool))).collect();
     }
 
+    /// Tells the load balancer what the endpoints of each service can keep.
+    fn set_cache_sizes(&self, pools: &HashMap<String, Pool>) {
+        let routes = self.routes.borrow();
+        let services = routes.as_ref().map(|table| table.config().services.as_slice()).unwrap_or_default();
+        for service in services {
+            let Some(engine) = service.engine else { continue };
+            for key in pools.get(&service.name).iter().flat_map(|pool| pool.targets.keys()) {
+                self.router.borrow_mut().set_cache_tokens(*key, engine.kv_tokens);
+            }
+        }
+    }
+
     /// The unread prompt tokens of this proxy's requests have changed by this number.
     pub fn backlog_changed(&self, tokens: u32) {
         if tokens > 0 {
@@ -205,10 +227,36 @@
             let message = Message::OwnBacklog(backlog.iter().map(entry).collect::<Vec<_>>().into());
             self.gossip.broadcast_to(Role::Agent, &message);
             *self.last_reported.borrow_mut() = backlog;
+            self.report_placements();
             sleep(MIN_REPORT_INTERVAL).await;
         }
     }
 
+    /// Sends the prefixes that were placed since the last report to the agent.
+    fn report_placements(&self) {
+        let placed = self.router.borrow_mut().take_unreported_placements(MAX_PLACEMENTS);
+        if placed.is_empty() {
+            return;
+        }
+        let wire = |placement: Placement| PrefixPlacement {
+            prefix: placement.prefix,
+            endpoint: placement.endpoint.0,
+            part_tokens: placement.part_tokens,
+        };
+        let message = Message::Placements(placed.into_iter().map(wire).collect::<Vec<_>>().into());
+        self.gossip.broadcast_since(Role::Agent, PLACEMENT_WIRE_VERSION, &message);
+    }
+
+    /// Learns where other proxies have placed prefixes.
+    pub fn take_placements(&self, placements: &PrefixPlacements) {
+        let now = self.now();
+        let mut router = self.router.borrow_mut();
+        for PrefixPlacement { prefix, endpoint, part_tokens } in placements.items().iter().copied() {
+            let placement = Placement { prefix, part_tokens, endpoint: EndpointId(endpoint) };
+            router.learn_placement(now, placement);
+        }
+    }
+
     /// Stores the sum of all proxies' load reports.
     pub fn take_fleet_backlog(&self, backlog: &Backlog) {
         let all: Vec<(EndpointId, u32)> =
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -47,7 +47,7 @@
         passage: Passage,
         first: Bytes,
     ) -> Reply {
-        active.in_flight.on_response_started(request.prompt);
+        active.in_flight.on_response_started();
         let (sender, body) = stream();
         let reply = reply_head(&active).map(|()| Either::Right(body));
         let _ = sender.try_send(first); // there is room for the first one
@@ -123,7 +123,7 @@
         sender: &StreamSender,
     ) -> Result<(), Outcome> {
         while let Some(bytes) = self.next_of_stream(request, active, attempts, passage).await? {
-            active.in_flight.on_response_started(None); // where another endpoint goes on with a stream
+            active.in_flight.on_response_started(); // where another endpoint goes on with a stream
             let ready = passage.ready(bytes);
             if passage.events.starts_over() {
                 return Err(Outcome::Reset);
