Proxy: the test of many endpoints that have not run a request sets its budget

Cause: with the settings' slack of 56 a proxy that counts itself as one of sixteen has a single retry, so the bound on endpoints that have not run a request was not reached. Change: it sets a slack of 1,000.

--- a/crates/proxy/tests/attempts.rs
+++ b/crates/proxy/tests/attempts.rs
@@ -180,9 +180,9 @@
         for number in 0..8 {
             stands.push(Stand::start(&format!("i-{number}"), vec![full(); 3]).await);
         }
-        let fleet =
-            Fleet::start(&[route("once", "non_idempotent", 1, false)], &stands.iter().collect::<Vec<_>>())
-                .await;
+        let stands: Vec<&Stand> = stands.iter().collect();
+        let routes = [route("once", "non_idempotent", 1, false)];
+        let fleet = Fleet::start_with(&routes, &stands, "bounds.retrySlack=1000\n").await;
         let got = fleet.ask(ONCE, "a1", &[], "x").await;
         assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
         assert!(got.headers.contains_key("retry-after"));
