Sim: every second change of the drawn worlds is an amendment, and the oracle judges what it was made of

Cause: amendments were tried by tests of their own alone. Change: an order with a base and an odd number is sent as an amendment; each configuration carries the versions that it was made of, and a rule holds that each amendment is on top of its own base. A planted error, an amendment that loses what it does not name, stands beside the others. Placements of prefixes are records of the simulated disk.

--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -85,9 +85,13 @@
 
 /// Planted errors: what a round makes of the value that it found.
 fn planted_value(current: Option<&Value>, order: &ConfigRequest) -> Option<Value> {
-    let mut value = current.filter(|_| mutant("repeat-forgotten") || mutant("base-not-checked"))?.clone();
+    let is_planted =
+        ["repeat-forgotten", "base-not-checked", "amendment-loses-items"].into_iter().any(mutant);
+    let mut value = current.filter(|_| is_planted)?.clone();
     if mutant("repeat-forgotten") {
         value.applied = Vec::new().into();
+    } else if mutant("amendment-loses-items") {
+        value.config = br#"{"version":1,"routes":[],"services":[{"name":"s"}]}"#.to_vec().into();
     } else if value.version < order.version {
         value.version = order.base;
     }
--- a/crates/sim/src/fleet/disk.rs
+++ b/crates/sim/src/fleet/disk.rs
@@ -119,7 +119,7 @@
     fn show_written(&self, record: &Record) {
         match record {
             Record::Value(record) => (self.watch)(record.incarnation, Some(&record.value)),
-            Record::Promise(_) | Record::Leaves(_) => {}
+            Record::Promise(_) | Record::Leaves(_) | Record::Placements(_) => {}
         }
     }
 
--- a/crates/sim/src/fleet/facts.rs
+++ b/crates/sim/src/fleet/facts.rs
@@ -17,6 +17,14 @@
     pub valid: bool,
 }
 
+impl Order {
+    /// Whether it is sent as an amendment of its base instead of as a whole configuration: every second one that has a
+    /// base.
+    pub fn is_amendment(&self) -> bool {
+        self.base > 0 && self.marker % 2 == 1
+    }
+}
+
 /// What was asked of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Asked {
@@ -176,6 +184,9 @@
     pub agent_starts: Vec<(u32, Duration)>,
     /// All is mended from here on.
     pub healed: Duration,
+    /// Configurations that were seen: when, and the versions that the newest one was made of, the oldest, which was sent
+    /// whole, first.
+    pub lineages: Vec<(Duration, Vec<u64>)>,
     /// Processes that ended by themselves, and why.
     pub crashed: Vec<(String, Duration, String)>,
     /// The last change, after all was mended, was acknowledged.
--- a/crates/sim/src/fleet/mod.rs
+++ b/crates/sim/src/fleet/mod.rs
@@ -31,7 +31,7 @@
 }
 
 /// All planted errors of the control plane.
-pub const MUTANTS: [Mutant; 31] = [
+pub const MUTANTS: [Mutant; 32] = [
     Mutant {
         point: 1,
         name: "heartbeats-out-of-contact",
@@ -94,6 +94,11 @@
         name: "repeat-forgotten",
         what: "a repeat is judged as if nothing had been taken before",
     },
+    Mutant {
+        point: 2,
+        name: "amendment-loses-items",
+        what: "an amendment is applied to a configuration without the items that it does not name",
+    },
     Mutant { point: 2, name: "base-not-checked", what: "a configuration is taken whatever it builds on" },
     Mutant {
         point: 2,
--- a/crates/sim/src/fleet/observer.rs
+++ b/crates/sim/src/fleet/observer.rs
@@ -145,6 +145,7 @@
                 self.version = self.version.max(config.version);
                 if let Some((version, marker)) = config_of(config.body.as_slice()) {
                     self.tell(Told::Config(version, marker));
+                    self.world.saw_config(config.body.as_slice());
                 }
                 None
             }
--- a/crates/sim/src/fleet/operator.rs
+++ b/crates/sim/src/fleet/operator.rs
@@ -10,6 +10,8 @@
 
 /// A patient operator asks for so long.
 const PATIENCE: Duration = Duration::from_millis(7_000);
+const REPLACE: &str = "/runtrack/config/replace";
+const AMEND: &str = "/runtrack/config/amend";
 /// Wait before the next member is asked.
 const PAUSE: Duration = Duration::from_millis(60);
 
@@ -82,7 +84,7 @@
         caller: operator,
         core,
         asked: Asked::Replace(number),
-        first_line: "POST /runtrack/config/replace".to_owned(),
+        first_line: format!("POST {}", if order.is_amendment() { AMEND } else { REPLACE }),
         base: Some(order.base),
         body: config_body(&order),
         leaves_after,
--- a/crates/sim/src/fleet/oracle/mod.rs
+++ b/crates/sim/src/fleet/oracle/mod.rs
@@ -21,6 +21,8 @@
     OneConfiguration,
     /// What is in force was sent by an operator, and is valid.
     Sent,
+    /// An amendment is applied to the version that it builds on, once, and keeps the rest of it.
+    Amended,
     /// What was refused never comes into force, and what came into force is never refused.
     Refused,
     /// What was acknowledged or seen in force is part of one history.
--- a/crates/sim/src/fleet/oracle/register.rs
+++ b/crates/sim/src/fleet/oracle/register.rs
@@ -1,7 +1,7 @@
 //! The configuration as one register: a linearizable compare-and-set with repeats.
 
 use super::{Breach, Rule};
-use crate::fleet::facts::{Asked, Call, Facts, Told};
+use crate::fleet::facts::{Asked, Call, Facts, Order, Told};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
     let register = Register::new(facts);
     let mut breaches = register.one_configuration();
     breaches.extend(register.sent());
+    breaches.extend(register.amended());
     breaches.extend(register.current());
     match register.history() {
         Ok(history) => breaches.extend(register.judge_history(&history)),
@@ -105,6 +106,28 @@
         breaches
     }
 
+    /// Each configuration was made of one that was sent whole and of amendments, each on top of the one before.
+    fn amended(&self) -> Vec<Breach> {
+        let broken = self.facts.lineages.iter().find(|(_, lineage)| !self.is_sound(lineage));
+        let breach = broken.map(|(at, lineage)| {
+            Breach::new(Rule::Amended, *at, format!("a configuration was made of versions {lineage:?}"))
+        });
+        breach.into_iter().collect()
+    }
+
+    fn is_sound(&self, lineage: &[u64]) -> bool {
+        let orders = &self.facts.orders;
+        let sent_whole =
+            |version: &u64| orders.iter().any(|order| order.version == *version && !order.is_amendment());
+        let builds_on = |base: u64, version: u64| {
+            let amends =
+                |order: &Order| order.is_amendment() && (order.base, order.version) == (base, version);
+            orders.iter().any(amends)
+        };
+        lineage.first().is_some_and(sent_whole)
+            && lineage.windows(2).all(|pair| builds_on(pair[0], pair[1]))
+    }
+
     /// What each answer shows must not be older than what was known before it was asked for.
     fn current(&self) -> Vec<Breach> {
         let mut known: Vec<(Duration, u64)> = self.sightings.iter().map(|s| (s.at, s.version)).collect();
--- a/crates/sim/src/fleet/world.rs
+++ b/crates/sim/src/fleet/world.rs
@@ -1,5 +1,6 @@
 //! What all parts of a run share: the network, the facts, and who is where.
 
+use crate::fleet::call::lineage_of;
 use crate::fleet::disk::OlderCopy;
 use crate::fleet::facts::{Call, DiskState, Ending, Facts, MemberId, PutBack, Told, Word};
 use crate::fleet::script::Script;
@@ -200,6 +201,12 @@
         }
     }
 
+    /// Notes of which versions a configuration was made.
+    pub fn saw_config(&self, body: &[u8]) {
+        let seen = (self.now(), lineage_of(body));
+        self.facts.borrow_mut().lineages.push(seen);
+    }
+
     /// Notes what an agent told.
     pub fn told(&self, agent: u32, life: u32, told: Told) {
         let at = self.now();
