--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -92,7 +92,7 @@
 }
 
 /// The controllers that may sum up load reports, the first choice first.
-fn backlog_members(controllers: impl IntoIterator<Item = SocketAddrV4>) -> Vec<SocketAddrV4> {
+pub fn backlog_members(controllers: impl IntoIterator<Item = SocketAddrV4>) -> Vec<SocketAddrV4> {
     let key = hash(BACKLOG_KEY);
     let mut ranked: Vec<SocketAddrV4> = controllers.into_iter().collect();
     ranked.sort_by_key(|address| Reverse((weight(key, hash(address.to_string().as_bytes())), *address)));
@@ -100,6 +100,15 @@
     ranked
 }
 
+/// The members that an agent of this name keeps links to: its watchers, and those that sum up load reports for all.
+pub fn controllers_to_link(name: &str, members: &BTreeSet<SocketAddrV4>) -> BTreeSet<SocketAddrV4> {
+    let ring = Ring::new(members.iter().copied(), |member| member.to_string().into_bytes());
+    let mut wanted: BTreeSet<SocketAddrV4> =
+        ring.successors(name.as_bytes(), WATCHERS).into_iter().collect();
+    wanted.extend(backlog_members(members.iter().copied()));
+    wanted
+}
+
 /// The controller that sums up load reports: the same one for all agents, unless some have lost their link to it.
 fn backlog_member(gossip: &Gossip) -> Option<Rc<Session>> {
     let sessions = gossip.peers(Role::Controller);
@@ -132,11 +141,7 @@
         let members: BTreeSet<SocketAddrV4> =
             self.gossip.replica().members().set.iter().map(Member::address).collect();
         let lost = members.is_empty() || self.last_linked.elapsed() > SEEDS_TIMEOUT;
-        let summing = backlog_members(members.iter().copied());
-        let ring = Ring::new(members, |member| member.to_string().into_bytes());
-        let mut wanted: BTreeSet<SocketAddrV4> =
-            ring.successors(self.name.as_bytes(), WATCHERS).into_iter().collect();
-        wanted.extend(summing);
+        let mut wanted = controllers_to_link(&self.name, &members);
         if lost {
             wanted.extend(&self.seeds);
         }
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -11,7 +11,7 @@
 use runtrack_controller::{new_incarnation, run_in};
 use runtrack_fleetconfig::Node;
 use runtrack_link::{Dials, Environment, Gossip, ProcessEvent};
-use runtrack_message::{Hello, Member, Role, WIRE_VERSION};
+use runtrack_message::{Hello, Member, PrefixPlacements, Role, WIRE_VERSION};
 use runtrack_net::{Came, Connecting, Connection, Listener, Network, plant};
 use runtrack_registry::LeaveRecord;
 use runtrack_ringstore::Memory;
@@ -164,6 +164,7 @@
 
 struct MemoryDisk {
     leaves: Vec<LeaveRecord>,
+    placements: PrefixPlacements,
     /// It takes no leaves, and everything else.
     refuses_leaves: Rc<Cell<bool>>,
     /// Writes of leaves so far.
@@ -205,6 +206,10 @@
     fn leaves(&self) -> Vec<LeaveRecord> {
         self.leaves.clone()
     }
+
+    fn placements(&self) -> PrefixPlacements {
+        self.placements.clone()
+    }
 }
 
 /// Log lines of one process, and word of each new one.
@@ -359,6 +364,7 @@
         let (rings, acceptor) = opened.expect("the disk can be read");
         let disk = Rc::new(MemoryDisk {
             leaves: rings.recovered_leaves().to_vec(),
+            placements: rings.recovered_placements().clone(),
             refuses_leaves: self.machines[machine].refuses_leaves.clone(),
             leave_writes: self.machines[machine].leave_writes.clone(),
             rings: Rc::new(Mutex::new(rings)),
@@ -444,6 +450,11 @@
         self.timed(machine, "POST", &path, "", &body).await
     }
 
+    /// The network as an edge machine has it.
+    pub fn edge_network(&self) -> Rc<dyn Network> {
+        Rc::new(Wired { machine: EDGE, wires: self.wires.clone() })
+    }
+
     /// The copy of an agent that is linked to the first three machines wherever it can be.
     pub fn agent(&self) -> Rc<Gossip> {
         let network = Rc::new(Wired { machine: EDGE, wires: self.wires.clone() });
--- a/crates/scale/src/endpoints.rs
+++ b/crates/scale/src/endpoints.rs
@@ -1,14 +1,12 @@
 //! Stand-ins for endpoints: simulated ones that only say that they are there, and some that answer with streams.
 
 use crate::operator::{connect, post};
-use std::cell::Cell;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 /// How often an endpoint tells that it is there.
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
@@ -28,42 +26,6 @@
     format!("/runtrack/instances/{id}/heartbeat")
 }
 
-/// Heartbeats of simulated endpoints from `first` on, over one connection, spread over the period.
-pub async fn beat_for_ever(
-    members: Vec<SocketAddrV4>,
-    first: usize,
-    count: usize,
-    acknowledged: Rc<Cell<u64>>,
-) {
-    let mut call_seq = 0;
-    let mut at = fastrand::usize(..members.len());
-    let mut sender = None;
-    loop {
-        call_seq += 1;
-        let began = Instant::now();
-        for number in first..first + count {
-            if sender.is_none() {
-                at += 1;
-                sender = connect(members[at % members.len()]).await;
-            }
-            let address = SocketAddrV4::new(Ipv4Addr::from(0x0a80_0000 + number as u32), 8080);
-            let told = match &mut sender {
-                Some(open) => {
-                    post(open, &path(&format!("i-{number}")), None, heartbeat(address, "ready", call_seq))
-                        .await
-                }
-                None => None,
-            };
-            match told {
-                Some(status) if status.is_success() => acknowledged.set(acknowledged.get() + 1),
-                _ => sender = None,
-            }
-            let due = HEARTBEAT.mul_f64((number - first + 1) as f64 / count as f64);
-            sleep_until(began + due).await;
-        }
-    }
-}
-
 /// An endpoint that answers with streams, and says that it is there.
 pub async fn serve(id: String, members: Vec<SocketAddrV4>) -> Result<(), String> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.map_err(|error| error.to_string())?;
--- a/crates/scale/src/machines.rs
+++ b/crates/scale/src/machines.rs
@@ -2,19 +2,14 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
-use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::time::Duration;
 
 const CONTROL: u16 = 8146;
 const FRONT: u16 = 8144;
 const READY: u16 = 8140;
 const FIRST_PORT: u16 = 7660;
-/// Ticks of the kernel's clock in a second, as `/proc` counts processor time (`proc(5)`, USER_HZ).
-const TICKS: f64 = 100.0;
-
 /// A program of the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Program {
@@ -46,23 +41,6 @@
 }
 
 impl Process {
-    /// Processor time so far.
-    pub fn processor_time(&self) -> io::Result<Duration> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
-        // Fields behind the name, which is in brackets: state is the first, user and system time the 12th and 13th.
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks = |at: usize| fields.get(at).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
-        Ok(Duration::from_secs_f64((ticks(11) + ticks(12)) / TICKS))
-    }
-
-    /// The most memory that it has had, in bytes.
-    pub fn peak_memory(&self) -> io::Result<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-        Ok(kilobytes.unwrap_or(0) * 1024)
-    }
-
     /// Tells it to end.
     pub fn terminate(&self) {
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
@@ -107,11 +85,6 @@
         SocketAddrV4::new(self.member_ip(member), CONTROL)
     }
 
-    /// Where agents link to a member.
-    pub fn links(&self, member: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.member_ip(member), FIRST_PORT)
-    }
-
     /// Where clients call a proxy.
     pub fn front(&self, edge: usize) -> SocketAddrV4 {
         SocketAddrV4::new(self.edge_ip(edge), FRONT)
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -5,8 +5,6 @@
 mod endpoints;
 mod machines;
 mod operator;
-mod sizes;
-mod slope;
 
 use bpaf::Bpaf;
 use runtrack_link::run_single_threaded;
@@ -27,23 +25,6 @@
         #[bpaf(argument("RATE"), fallback(40.0))]
         rate: f64,
     },
-    /// Real control members under simulated agents and endpoints of several sizes: times to the last agent, processor time and
-    /// memory of the members, and how they grow
-    #[bpaf(command)]
-    Sizes {
-        /// Agents at the whole size
-        #[bpaf(argument("COUNT"), fallback(410))]
-        agents: usize,
-        /// Endpoints at the whole size
-        #[bpaf(argument("COUNT"), fallback(12_000))]
-        endpoints: usize,
-        /// Control members
-        #[bpaf(argument("COUNT"), fallback(3))]
-        members: usize,
-        /// Seconds at each size
-        #[bpaf(argument("SECONDS"), fallback(8))]
-        seconds: u64,
-    },
     /// The choice of an endpoint alone, without a network: the load that requests find by the size of each proxy's subset
     #[bpaf(command)]
     Choices {
@@ -68,8 +49,5 @@
         Arguments::Demo { seconds, rate } => {
             run_single_threaded("runtrack-scale", demo::run(seconds, rate))
         }
-        Arguments::Sizes { agents, endpoints, members, seconds } => {
-            run_single_threaded("runtrack-scale", sizes::run(agents, endpoints, members, seconds))
-        }
     }
 }
--- a/crates/sim/src/fleet/disk.rs
+++ b/crates/sim/src/fleet/disk.rs
@@ -4,7 +4,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use runtrack_controller::disk::{MemberDisk, Persisting, Record, Rings};
-use runtrack_message::Value;
+use runtrack_message::{PrefixPlacements, Value};
 use runtrack_register::Acceptor;
 use runtrack_registry::LeaveRecord;
 use runtrack_ringstore::Files;
@@ -101,7 +101,8 @@
             Rings::open(self.files.clone(), incarnation).map_err(|error| error.to_string())?;
         self.show(&acceptor);
         let leaves = rings.recovered_leaves().to_vec();
-        let mounted = Mounted { disk: self.clone(), rings: Rc::new(Mutex::new(rings)), leaves };
+        let placements = rings.recovered_placements().clone();
+        let mounted = Mounted { disk: self.clone(), rings: Rc::new(Mutex::new(rings)), leaves, placements };
         Ok((Rc::new(mounted), acceptor))
     }
 
@@ -238,6 +239,7 @@
     disk: Rc<SimDisk>,
     rings: Rc<Mutex<Rings<SimFiles>>>,
     leaves: Vec<LeaveRecord>,
+    placements: PrefixPlacements,
 }
 
 impl MemberDisk for Mounted {
@@ -261,4 +263,8 @@
     fn leaves(&self) -> Vec<LeaveRecord> {
         self.leaves.clone()
     }
+
+    fn placements(&self) -> PrefixPlacements {
+        self.placements.clone()
+    }
 }
