--- a/crates/fleetconfig/src/amend.rs
+++ b/crates/fleetconfig/src/amend.rs
@@ -4,8 +4,9 @@
 //! not know are kept, and the result is checked as a whole.
 
 use crate::check::Findings;
+use crate::error::ConfigError;
 use crate::wire::AmendmentWire;
-use crate::{ConfigError, FleetConfig, MAX_CONFIG};
+use crate::{FleetConfig, MAX_CONFIG};
 use miniserde::json::{self, Array, Object, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/fleetconfig/src/check.rs
+++ b/crates/fleetconfig/src/check.rs
@@ -1,8 +1,9 @@
 //! Checks a parsed configuration and converts it to [`FleetConfig`].
 
+use crate::Finding;
+use crate::error::ConfigError;
 use crate::fleet::{Engine, FleetConfig, Limits, Route, RouteKind, Service, Share};
 use crate::wire::{ConfigWire, LimitsWire, RouteWire, ServiceWire, ShareWire};
-use crate::{ConfigError, Finding};
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/fleetconfig/src/lib.rs
+++ b/crates/fleetconfig/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod amend;
 mod check;
+mod error;
 mod fleet;
 mod node;
 mod read;
@@ -12,9 +13,9 @@
 mod wire;
 
 pub use amend::Amendment;
+pub use error::ConfigError;
 pub use fleet::{Engine, FleetConfig, Limits, Route, RouteKind, Service, Share};
 pub use node::{Bounds, Node, SettingsError, Tolerance};
-pub use read::ConfigError;
 pub use routes::{RouteTable, Routed};
 
 /// Maximum size of a configuration in bytes.
