Read over: placements converted, JSON parsed and a peer's role asked in one place each

Cause: the change wrote each of these two or three times: Placement to and from the wire in the proxy and the controller, the bounded parsing of a configuration in read and twice in amend, the test of a peer's role in the agent and the controller beside Gossip::peers. InFlight's end called on_response_started for a response that never started.

Change: From both ways in message, fleetconfig's parse, Session::has_role, InFlight::clear_pending_prefill; the placement tests share the loss of power. No behaviour changes.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -55,7 +55,7 @@
 
 impl MessageHandler for ReportRelay {
     fn on_connect(&self, gossip: &Rc<Gossip>, session: &Rc<Session>) {
-        if is_proxy(session) {
+        if session.has_role(Role::Proxy) {
             session.send(&Message::Suspects(gossip.reported_suspects().into()));
             self.lacks_placements.set(true);
         }
@@ -70,7 +70,7 @@
                     member.send(&message);
                 }
             }
-            Message::Placements(_) if is_proxy(session) => {
+            Message::Placements(_) if session.has_role(Role::Proxy) => {
                 if let Some(member) = member.filter(|member| member.peer_wire() >= PLACEMENT_WIRE_VERSION) {
                     member.send(&message);
                 }
@@ -87,10 +87,6 @@
     }
 }
 
-fn is_proxy(session: &Session) -> bool {
-    session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Proxy)
-}
-
 /// The controllers that may sum up load reports, the first choice first.
 pub fn backlog_members(controllers: impl IntoIterator<Item = SocketAddrV4>) -> Vec<SocketAddrV4> {
     let key = hash(BACKLOG_KEY);
--- a/crates/controller/src/placements.rs
+++ b/crates/controller/src/placements.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 use weirwharf::EndpointId;
-use weirwharf::fleet::{Placement, PrefixIndex};
+use weirwharf::fleet::PrefixIndex;
 
 /// Least time between two batches.
 const BATCH_INTERVAL: Duration = Duration::from_millis(60);
@@ -71,16 +71,15 @@
     /// An agent reports its proxy's placements, or another controller passes on what agents reported to it.
     pub(crate) fn on_placements(&self, session: &Session, placements: PrefixPlacements) {
         self.learn(&placements);
-        if is_agent(session) {
+        if session.has_role(Role::Agent) {
             self.queue(placements);
         }
     }
 
     fn learn(&self, placements: &PrefixPlacements) {
         let now = self.started_at.elapsed();
-        for PrefixPlacement { prefix, endpoint, part_tokens } in placements.items().iter().copied() {
-            let learned = Placement { prefix, part_tokens, endpoint: EndpointId(endpoint) };
-            self.index.borrow_mut().learn(now, learned);
+        for placement in placements.items().iter().copied() {
+            self.index.borrow_mut().learn(now, placement.into());
         }
         self.changed.set(true);
     }
@@ -101,12 +100,7 @@
     }
 
     fn all(&self) -> Vec<PrefixPlacement> {
-        let wire = |placement: Placement| PrefixPlacement {
-            prefix: placement.prefix,
-            endpoint: placement.endpoint.0,
-            part_tokens: placement.part_tokens,
-        };
-        self.index.borrow().all().into_iter().map(wire).collect()
+        self.index.borrow().all().into_iter().map(PrefixPlacement::from).collect()
     }
 
     /// Sends all placements to an agent or to another controller.
@@ -182,7 +176,3 @@
         }
     }
 }
-
-fn is_agent(session: &Session) -> bool {
-    session.peer.borrow().as_ref().is_some_and(|peer| peer.role == Role::Agent)
-}
--- a/crates/controller/tests/placements.rs
+++ b/crates/controller/tests/placements.rs
@@ -81,6 +81,18 @@
     session.send(&Message::FetchPlacements);
 }
 
+/// What an agent is told that asks after all members have lost power and started again.
+async fn told_after_loss_of_power(world: &mut World) -> Heard {
+    for machine in 0..3 {
+        world.lose_power(machine).await;
+    }
+    (0..3).for_each(|machine| world.start(machine, false));
+    let (late, told) = agent(world, &[1], WIRE_VERSION).await;
+    fetch(&late);
+    sleep(SOON).await;
+    told
+}
+
 #[test]
 fn what_one_agent_reports_reaches_all_and_is_told_whole_by_any_member() {
     run(async {
@@ -107,13 +119,7 @@
         let (reporter, _) = agent(&world, &[0], WIRE_VERSION).await;
         report(&reporter, 1..=500);
         sleep(KEPT).await;
-        for machine in 0..3 {
-            world.lose_power(machine).await;
-        }
-        (0..3).for_each(|machine| world.start(machine, false));
-        let (late, told) = agent(&world, &[1], WIRE_VERSION).await;
-        fetch(&late);
-        sleep(SOON).await;
+        let told = told_after_loss_of_power(&mut world).await;
         assert_eq!(told.prefixes().len(), 500);
         assert_eq!(told.complete.get(), Some(true));
     });
@@ -123,13 +129,7 @@
 fn a_member_that_has_forgotten_them_says_so_until_they_were_reported_again() {
     run(async {
         let mut world = World::with_three_members(3, SETTLE_S).await;
-        for machine in 0..3 {
-            world.lose_power(machine).await;
-        }
-        (0..3).for_each(|machine| world.start(machine, false));
-        let (late, told) = agent(&world, &[1], WIRE_VERSION).await;
-        fetch(&late);
-        sleep(SOON).await;
+        let told = told_after_loss_of_power(&mut world).await;
         assert_eq!(told.complete.get(), Some(false));
         sleep(LONG).await;
         assert_eq!(told.complete.get(), Some(true), "all that are in use were reported meanwhile");
--- a/crates/fleetconfig/src/amend.rs
+++ b/crates/fleetconfig/src/amend.rs
@@ -3,10 +3,11 @@
 //! An amendment is applied to the JSON of the configuration that it builds on, so that fields which this version does
 //! not know are kept, and the result is checked as a whole.
 
+use crate::FleetConfig;
 use crate::check::Findings;
 use crate::error::ConfigError;
+use crate::read::parse;
 use crate::wire::AmendmentWire;
-use crate::{FleetConfig, MAX_CONFIG};
 use miniserde::json::{self, Array, Object, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -32,11 +33,7 @@
 impl Amendment {
     /// Parses the JSON that the operator sends.
     pub fn read(body: &[u8]) -> Result<Self, ConfigError> {
-        if body.len() > MAX_CONFIG {
-            return Err(ConfigError::TooLarge(body.len()));
-        }
-        let text = std::str::from_utf8(body).map_err(|_| ConfigError::Unreadable)?;
-        let wire: AmendmentWire = json::from_str(text).map_err(|_| ConfigError::Unreadable)?;
+        let wire: AmendmentWire = parse(body)?;
         let mut findings = Findings::default();
         if wire.version == 0 {
             findings.add("version", "0 is the version before the first configuration");
@@ -66,8 +63,7 @@
 
     /// Applies the amendment to the JSON of a configuration. The result is a valid configuration.
     pub fn apply(&self, current: &[u8]) -> Result<Vec<u8>, ConfigError> {
-        let text = std::str::from_utf8(current).map_err(|_| ConfigError::Unreadable)?;
-        let mut config: Object = json::from_str(text).map_err(|_| ConfigError::Unreadable)?;
+        let mut config: Object = parse(current)?;
         let mut findings = Findings::default();
         for (list, changes) in &self.lists {
             match config.get_mut(list) {
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -135,9 +135,7 @@
 
     /// Links to peers of this role, oldest first.
     pub fn peers(&self, role: Role) -> Vec<Rc<Session>> {
-        let such =
-            |session: &&Rc<Session>| session.peer.borrow().as_ref().is_some_and(|peer| peer.role == role);
-        self.sessions.borrow().iter().filter(such).cloned().collect()
+        self.sessions.borrow().iter().filter(|session| session.has_role(role)).cloned().collect()
     }
 
     /// Number of live proxies. A controller counts the agents that are linked to it; agents and proxies take the largest
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -57,6 +57,11 @@
         let _ = self.queue.send(payload); // fails only while the link ends
     }
 
+    /// Whether the peer has introduced itself in this role.
+    pub fn has_role(&self, role: Role) -> bool {
+        self.peer.borrow().as_ref().is_some_and(|peer| peer.role == role)
+    }
+
     /// The node name of the peer, once it has introduced itself.
     pub fn peer_name(&self) -> Option<String> {
         self.peer.borrow().as_ref().map(|peer| peer.node.as_string())
--- a/crates/message/src/placement.rs
+++ b/crates/message/src/placement.rs
@@ -2,6 +2,8 @@
 
 use crate::list;
 use deku::prelude::*;
+use weirwharf::EndpointId;
+use weirwharf::fleet::Placement;
 
 /// A prefix of prompts that was sent to an endpoint, which keeps it for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -15,6 +17,26 @@
     pub part_tokens: u32,
 }
 
+impl From<Placement> for PrefixPlacement {
+    fn from(placement: Placement) -> Self {
+        PrefixPlacement {
+            prefix: placement.prefix,
+            endpoint: placement.endpoint.0,
+            part_tokens: placement.part_tokens,
+        }
+    }
+}
+
+impl From<PrefixPlacement> for Placement {
+    fn from(wire: PrefixPlacement) -> Self {
+        Placement {
+            prefix: wire.prefix,
+            part_tokens: wire.part_tokens,
+            endpoint: EndpointId(wire.endpoint),
+        }
+    }
+}
+
 /// Bytes of a [`PrefixPlacement`] on the wire.
 pub const PLACEMENT_BYTES: usize = 20;
 
--- a/crates/proxy/src/in_flight.rs
+++ b/crates/proxy/src/in_flight.rs
@@ -25,6 +25,10 @@
 
     /// The endpoint has started its response.
     pub(crate) fn on_response_started(&mut self) {
+        self.clear_pending_prefill();
+    }
+
+    fn clear_pending_prefill(&mut self) {
         let pending = std::mem::take(&mut self.pending_prefill);
         self.state.router().prefill_finished(self.key, pending);
         self.state.backlog_changed(pending);
@@ -42,7 +46,7 @@
         if let Some(prompt) = self.may_lack_prefixes() {
             self.state.router().prefill_failed(self.key, &prompt);
         }
-        self.on_response_started();
+        self.clear_pending_prefill();
         let now = self.state.now();
         self.state.router().ended(now, self.key, self.outcome);
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 use weirwharf::EndpointId;
-use weirwharf::fleet::{Placement, RetryBudget, Router};
+use weirwharf::fleet::{RetryBudget, Router};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Shortest interval between two load reports to the agent.
@@ -238,12 +238,8 @@
         if placed.is_empty() {
             return;
         }
-        let wire = |placement: Placement| PrefixPlacement {
-            prefix: placement.prefix,
-            endpoint: placement.endpoint.0,
-            part_tokens: placement.part_tokens,
-        };
-        let message = Message::Placements(placed.into_iter().map(wire).collect::<Vec<_>>().into());
+        let placed: Vec<PrefixPlacement> = placed.into_iter().map(PrefixPlacement::from).collect();
+        let message = Message::Placements(placed.into());
         self.gossip.broadcast_since(Role::Agent, PLACEMENT_WIRE_VERSION, &message);
     }
 
@@ -251,9 +247,8 @@
     pub fn take_placements(&self, placements: &PrefixPlacements) {
         let now = self.now();
         let mut router = self.router.borrow_mut();
-        for PrefixPlacement { prefix, endpoint, part_tokens } in placements.items().iter().copied() {
-            let placement = Placement { prefix, part_tokens, endpoint: EndpointId(endpoint) };
-            router.learn_placement(now, placement);
+        for placement in placements.items().iter().copied() {
+            router.learn_placement(now, placement.into());
         }
     }
 
