--- a/crates/controller/src/proposer/read.rs
+++ b/crates/controller/src/proposer/read.rs
@@ -4,6 +4,7 @@
 use crate::proposer::Proposer;
 use crate::proposer::inspections::Replies;
 use crate::proposer::limits::Limits;
+use crate::proposer::rounds::Turn;
 use quick_error::quick_error;
 use runtrack_message::{InspectReply, Value};
 use runtrack_net::mutant;
@@ -49,8 +50,18 @@
     }
 
     /// The newest value by a round, which also commits or supersedes what a minority has accepted.
-    pub(super) async fn read_by_round(&self, limits: Limits) -> Result<Option<Rc<Value>>, ReadError> {
-        match self.rounds(limits, &mut |_| Decision::Read).await {
+    async fn read_by_round(&self, limits: Limits) -> Result<Option<Rc<Value>>, ReadError> {
+        let turn = self.take_turn(limits).await.ok_or(ReadError::Indeterminate)?;
+        self.read_in_turn(turn, limits).await
+    }
+
+    /// The same, where it is the caller's turn.
+    pub(super) async fn read_in_turn(
+        &self,
+        turn: Turn<'_>,
+        limits: Limits,
+    ) -> Result<Option<Rc<Value>>, ReadError> {
+        match self.rounds_in_turn(turn, limits, &mut |_| Decision::Read).await {
             Some(Outcome::Read(_, value) | Outcome::Committed(_, value)) => Ok(Some(value)),
             Some(Outcome::Empty) => Ok(None),
             _ => Err(ReadError::Indeterminate),
--- a/crates/controller/src/proposer/rounds.rs
+++ b/crates/controller/src/proposer/rounds.rs
@@ -5,9 +5,13 @@
 use crate::proposer::{Proposer, Replies};
 use runtrack_message::{Ballot, Message, RegisterReply, RegisterRequest, Role, Value};
 use runtrack_register::{Decision, Outcome, Progress, Round, Send};
+use tokio::sync::MutexGuard;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+/// Held by the operation whose rounds run.
+pub(super) struct Turn<'a>(#[expect(dead_code, reason = "held, not read")] MutexGuard<'a, ()>);
+
 impl Proposer {
     /// A reply to a request of this number came over this session.
     pub fn replied(&self, session: usize, number: u64, reply: RegisterReply) {
@@ -91,7 +95,22 @@
         limits: Limits,
         decide: &mut dyn FnMut(Option<&Value>) -> Decision,
     ) -> Option<Outcome> {
-        let _turn = timeout_at(limits.last_start, self.turn.lock()).await.ok()?;
+        let turn = self.take_turn(limits).await?;
+        self.rounds_in_turn(turn, limits, decide).await
+    }
+
+    /// Waits until no other operation of this process has rounds; nothing where that is too late for a round.
+    pub(super) async fn take_turn(&self, limits: Limits) -> Option<Turn<'_>> {
+        timeout_at(limits.last_start, self.turn.lock()).await.ok().map(Turn)
+    }
+
+    /// Rounds within limits until the outcome of one is certain.
+    pub(super) async fn rounds_in_turn(
+        &self,
+        _turn: Turn<'_>,
+        limits: Limits,
+        decide: &mut dyn FnMut(Option<&Value>) -> Decision,
+    ) -> Option<Outcome> {
         for attempt in 1.. {
             match timeout_at(limits.deadline, self.round(decide)).await.ok()? {
                 Some(Outcome::Preempted(_)) if limits.yields_when_preempted => return None,
--- a/crates/controller/tests/quorum_reads.rs
+++ b/crates/controller/tests/quorum_reads.rs
@@ -23,7 +23,8 @@
 const CHANGES: u64 = 20;
 /// Seeds of the draws in each run, with and without readers.
 const SEEDS: Range<u64> = 0..4;
-/// Seeds of which one shows a change that is preempted beside readers: it takes 117 ms in place of 60.
+/// Seeds of which two show, where members that only catch up are not patient, a change that is preempted and takes 84 or
+/// 117 ms in place of 60: by another member that has just accepted it, and by a round of its own proposer.
 const PREEMPTED_SEEDS: Range<u64> = 8..12;
 /// A pause after each change, in which all hear of it.
 const CHANGE_PAUSE: Duration = Duration::from_millis(50);
@@ -33,9 +34,8 @@
 const READER_PAUSE: Duration = Duration::from_millis(1);
 /// How much longer changes may take on average beside readers at every member.
 const MEAN_ALLOWANCE: Duration = Duration::from_millis(5);
-/// How much longer the longest may take: now and then a change is preempted without readers as well, and waits for a
-/// moment before its next round.
-const LONGEST_ALLOWANCE: Duration = Duration::from_millis(50);
+/// How much longer the longest may take: none is preempted, with readers or without.
+const LONGEST_ALLOWANCE: Duration = Duration::from_millis(5);
 
 /// Three members that all hold version 1 and have nothing left to do.
 async fn three() -> World {
