Controller: a value whose sync failed does not come back after a promise without it

Cause: where a disk takes a value's bytes and fails the sync, the member answers nothing and goes on with the value before.

Change: a ring remembers that its last write failed; before a promise is written what may be left of the value is overwritten, and a disk that refuses that lets nothing be promised.

No further write where no write has failed.

--- a/crates/controller/src/disk/rings.rs
+++ b/crates/controller/src/disk/rings.rs
@@ -3,6 +3,7 @@
 use crate::disk::Record;
 use deku::prelude::*;
 use runtrack_message::{Message, PrefixPlacements, decode};
+use runtrack_net::mutant;
 use runtrack_record_store::{Files, RecordStore, StoreError};
 use runtrack_register::{Acceptor, Recovery, recover};
 use runtrack_registry::{LEAVE_GENERATIONS, LeaveRecord, MAX_LEAVE_RECORD};
@@ -74,9 +75,18 @@
 
     /// Writes a record; once this returns it is there after any loss of power. Where it fails it may be there or not, and the
     /// record before it still is.
+    ///
+    /// A promise goes out with the value that the member stands for. A value whose write failed must not come back after a
+    /// restart then: it would have been accepted under a lower ballot than was promised without it. So what may be left of it
+    /// is overwritten before the promise, and a member whose disk refuses that promises nothing.
     pub fn write(&mut self, record: &Record) -> Result<(), StoreError> {
         match record {
-            Record::Promise(promise) => self.promises.append(&promise.to_bytes()?),
+            Record::Promise(promise) => {
+                if !mutant("failed-value-stays") {
+                    self.values.discard_failed_write()?;
+                }
+                self.promises.append(&promise.to_bytes()?)
+            }
             Record::Value(value) => self.values.append(&value.to_bytes()?),
             Record::Leaves(leaves) => self.leaves[leaves.slot()].append(&leaves.to_bytes()?),
             Record::Placements(placements) => {
--- a/crates/record_store/src/lib.rs
+++ b/crates/record_store/src/lib.rs
@@ -20,7 +20,7 @@
 
 use deku::DekuError;
 use quick_error::quick_error;
-use record::{decode, encode};
+use record::{HEADER, decode, encode};
 use std::collections::BTreeSet;
 use std::io;
 
@@ -82,6 +82,8 @@
     /// Indices of the files whose names this process has synced. An existing file may have been created by a process that
     /// was killed before it synced the name.
     named: BTreeSet<u64>,
+    /// A write has failed since the newest record: its bytes may be in the file, and would count after a restart.
+    has_failed_write: bool,
 }
 
 impl<F: Files> RecordStore<F> {
@@ -104,7 +106,14 @@
         }
         let sequence = newest.as_ref().map_or(0, |(sequence, _)| *sequence);
         Ok((
-            RecordStore { files, name, preallocated, sequence, named: BTreeSet::new() },
+            RecordStore {
+                files,
+                name,
+                preallocated,
+                sequence,
+                named: BTreeSet::new(),
+                has_failed_write: false,
+            },
             newest.map(|(_, record)| record),
         ))
     }
@@ -113,13 +122,15 @@
     ///
     /// # Errors
     /// Where the record is too long, or the write or a sync fails. The newest record before it is unaffected, and the next
-    /// call takes the same file.
+    /// call takes the same file. Until then it is open which of the two counts after a restart: see
+    /// [`discard_failed_write`](Self::discard_failed_write).
     pub fn append(&mut self, record: &[u8]) -> Result<(), StoreError> {
         let sequence = self.sequence + 1;
         let bytes = encode(sequence, record)?;
         let index = sequence % FILES;
         // In multiples, so that a record that is a little longer each time doesn't make its file grow each time.
         let length = bytes.len().next_multiple_of(self.preallocated.max(1));
+        self.has_failed_write = true; // until the record and its name are synced
         self.files.write(&file_name(self.name, index), &bytes, length)?;
         // After the content, so that a name that survives a power failure never leads to a file without its record.
         if !self.named.contains(&index) {
@@ -128,6 +139,21 @@
         }
         // Only now: a write that failed is retried in the same file, and the newest record stays where it is.
         self.sequence = sequence;
+        self.has_failed_write = false;
+        Ok(())
+    }
+
+    /// Overwrites what a write that failed may have left: once this returns, the newest record is the one before it, also
+    /// after a restart. Does nothing where the last write did not fail.
+    ///
+    /// # Errors
+    /// Where the write or the sync fails: it is still open which record counts.
+    pub fn discard_failed_write(&mut self) -> Result<(), StoreError> {
+        if self.has_failed_write {
+            let index = (self.sequence + 1) % FILES;
+            self.files.write(&file_name(self.name, index), &[0; HEADER], self.preallocated)?;
+            self.has_failed_write = false;
+        }
         Ok(())
     }
 }
--- a/crates/record_store/src/record.rs
+++ b/crates/record_store/src/record.rs
@@ -8,7 +8,7 @@
 /// First four bytes of a file with a record: `1RTR`.
 const MAGIC: u32 = 0x52_54_52_31;
 /// Length of a [`Header`] in bytes.
-const HEADER: usize = 24;
+pub(crate) const HEADER: usize = 24;
 
 #[derive(DekuRead, DekuWrite)]
 #[deku(endian = "little")]
--- a/crates/record_store/tests/contract.rs
+++ b/crates/record_store/tests/contract.rs
@@ -214,3 +214,35 @@
     store.append(b"later").expect("the record is written");
     assert_eq!(newest(&files).as_deref(), Some(b"later".as_slice()));
 }
+
+/// The bytes of a record reach the disk, and its sync fails.
+fn append_whose_sync_fails(files: &Memory, store: &mut RecordStore<Memory>, record: &[u8]) {
+    files.tear_next(usize::MAX);
+    assert!(store.append(record).is_err(), "its sync fails");
+}
+
+#[test]
+fn a_record_whose_sync_failed_is_discarded_before_a_restart_finds_it() {
+    let files = Memory::default();
+    let (mut store, _) = RecordStore::open(files.clone(), "value", PREALLOCATED).expect("it opens");
+    store.append(b"before").expect("the record is written");
+    append_whose_sync_fails(&files, &mut store, b"refused");
+    assert_eq!(newest(&files).as_deref(), Some(b"refused".as_slice()), "it would come back");
+    store.discard_failed_write().expect("the disk takes it");
+    assert_eq!(newest(&files).as_deref(), Some(b"before".as_slice()));
+    store.append(b"after").expect("the record is written");
+    store.discard_failed_write().expect("there is nothing to do");
+    assert_eq!(newest(&files).as_deref(), Some(b"after".as_slice()));
+}
+
+#[test]
+fn a_failed_record_that_a_full_disk_keeps_is_discarded_once_there_is_room() {
+    let files = Memory::default();
+    let (mut store, _) = RecordStore::open(files.clone(), "value", PREALLOCATED).expect("it opens");
+    append_whose_sync_fails(&files, &mut store, b"refused");
+    files.set_full(true);
+    assert!(store.discard_failed_write().is_err(), "nothing can be said without it");
+    files.set_full(false);
+    store.discard_failed_write().expect("the disk takes it");
+    assert_eq!(newest(&files), None, "there was none before it");
+}
