Link: agents heed what members name as stalled, and no other core machine

Cause: a core machine that is no member yet has no link to another such one and hears none of its heartbeats.

Change: of controllers only members count, once the members are known.

Measured: link trust, suspects_are_those_that_members_name; mutant suspects-of-non-members found.

--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -170,7 +170,7 @@
     fn update_suspects(&self) {
         let nearer = if self.me.role == Role::Agent { Role::Controller } else { Role::Agent };
         let sessions = self.peers(nearer);
-        let all = agreed_suspects(&sessions);
+        let all = agreed_suspects(&sessions, &self.replica.borrow().members().set);
         if *self.reported_suspects.borrow() == all {
             return;
         }
@@ -273,6 +273,9 @@
             let names: Vec<String> = members.iter().map(|member| member.address().to_string()).collect();
             info!(self.logger, "members.known"; "sequence" => sequence, "members" => names.join(" "));
         }
+        if self.me.role == Role::Agent {
+            self.update_suspects();
+        }
         self.announce();
         self.notify_changed();
         true
--- a/crates/link/src/trust.rs
+++ b/crates/link/src/trust.rs
@@ -2,7 +2,7 @@
 //! others, and then its configuration may be outdated and its missing heartbeats prove nothing.
 
 use crate::session::Session;
-use runtrack_message::Role;
+use runtrack_message::{Member, Role};
 use runtrack_net::mutant;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -32,9 +32,20 @@
     sessions.into_iter().filter(move |session| anyone || is_in_contact(session))
 }
 
-/// Keys of the endpoints that every trusted peer reports as suspect; none where no peer is trusted.
-pub(crate) fn agreed_suspects(sessions: &[Rc<Session>]) -> BTreeSet<u64> {
-    let trusted = sessions.iter().filter(|session| is_in_contact(session) || mutant("suspects-of-anyone"));
+/// Whether a peer is relayed all heartbeats that members receive: any but a controller that is no member. Before members are
+/// known there is no telling.
+fn hears_all_heartbeats(session: &Session, members: &BTreeSet<Member>) -> bool {
+    let Some(controller) = session.dialled_member() else { return true };
+    members.is_empty() || members.contains(&controller) || mutant("suspects-of-non-members")
+}
+
+/// Keys of the endpoints that every trusted peer reports as suspect; none where no peer is trusted. Two core machines that are
+/// no members yet have no link to each other, so what one of them has not heard proves nothing.
+pub(crate) fn agreed_suspects(sessions: &[Rc<Session>], members: &BTreeSet<Member>) -> BTreeSet<u64> {
+    let trusted = sessions
+        .iter()
+        .filter(|session| is_in_contact(session) || mutant("suspects-of-anyone"))
+        .filter(|session| hears_all_heartbeats(session, members));
     let mut reported = trusted.map(|session| session.suspects.borrow().clone());
     let first = reported.next().unwrap_or_default();
     reported.fold(first, |all, next| all.intersection(&next).copied().collect())
--- a/crates/link/tests/support/mod.rs
+++ b/crates/link/tests/support/mod.rs
@@ -149,6 +149,11 @@
 }
 
 impl Controller {
+    /// Where it is dialled.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
     /// The next link that the agent makes; the controller says who it is.
     pub async fn linked(&mut self) -> Link {
         let stream =
--- a/crates/link/tests/trust.rs
+++ b/crates/link/tests/trust.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use runtrack_link::START_WAIT;
-use runtrack_message::{Config, Endpoint, EndpointState, Message};
+use runtrack_message::{Config, Endpoint, EndpointState, Member, Message, StateSummary};
 use runtrack_net::plant;
 use runtrack_registry::key_of;
 use std::time::Duration;
@@ -99,6 +99,30 @@
     check(agent.gossip.reported_suspects().is_empty(), "what it named before it lost contact is old")
 }
 
+/// A controller that is no member has no say, neither alone nor beside members.
+async fn heeds_suspects_of_members_alone() -> Checked {
+    let agent = Agent::start();
+    let (mut first, mut second) = (agent.controller(1), agent.controller(2));
+    let (mut member, mut other) = (first.linked().await, second.linked().await);
+    member.introduce(true, 0).await;
+    other.introduce(true, 0).await;
+    member.say(suspects(&[7, 8])).await;
+    other.say(suspects(&[8, 9])).await;
+    agent.settle().await;
+    check(agent.gossip.reported_suspects() == [8], "before members are known each has a say")?;
+    let members: Vec<Member> = vec![Member::new(first.address(), 0)];
+    let summary = StateSummary { version: 0, sequence: 1, members: members.into(), proxies: 0 };
+    member.say(Message::StateSummary(summary)).await;
+    agent.settle().await;
+    check(
+        agent.gossip.reported_suspects() == [7, 8],
+        "what the other one names or not makes no difference",
+    )?;
+    member.say(Message::MajorityContact(false)).await;
+    agent.settle().await;
+    check(agent.gossip.reported_suspects().is_empty(), "the other one alone names nobody")
+}
+
 /// An agent that stood still takes nothing that waited for it, and makes its links anew.
 async fn takes_nothing_that_came_while_it_stood_still() -> Checked {
     let agent = Agent::start();
@@ -144,6 +168,11 @@
     in_virtual_time(heeds_suspects_of_those_in_contact()).expect("it holds");
 }
 
+#[test]
+fn suspects_are_those_that_members_name() {
+    in_virtual_time(heeds_suspects_of_members_alone()).expect("it holds");
+}
+
 #[test]
 fn an_agent_that_stood_still_takes_nothing_that_waited_for_it() {
     in_virtual_time(takes_nothing_that_came_while_it_stood_still()).expect("it holds");
@@ -156,12 +185,18 @@
     let other_word = in_virtual_time(prefers_one_in_contact());
     plant(Some("suspects-of-anyone"));
     let anyone = in_virtual_time(heeds_suspects_of_those_in_contact());
+    plant(Some("suspects-of-non-members"));
+    let non_members = in_virtual_time(heeds_suspects_of_members_alone());
     plant(Some("link-reads-on-after-standstill"));
     let reads_on = in_virtual_time(takes_nothing_that_came_while_it_stood_still());
     plant(None);
-    for (mutant, found) in
-        [("first word", first_word), ("other word", other_word), ("anyone", anyone), ("reads on", reads_on)]
-    {
+    for (mutant, found) in [
+        ("first word", first_word),
+        ("other word", other_word),
+        ("anyone", anyone),
+        ("non-members", non_members),
+        ("reads on", reads_on),
+    ] {
         println!("{mutant}: {found:?}");
         assert!(found.is_err(), "{mutant} was not found");
     }
