Controller: a member drops requests that their proposer no longer waits for

Cause: over uneven disks a change took a second and more at the worst moments. A member wrote every request that waited for its disk, also the promise of a round whose value was already in the queue behind it, and those of rounds that were over.

Change: a request is dropped when a later one of the same proposer comes (register::is_superseded).

--- a/crates/controller/src/member.rs
+++ b/crates/controller/src/member.rs
@@ -5,7 +5,7 @@
 use crate::request_queue::RequestQueue;
 use runtrack_message::{Ballot, InspectReply, InspectRequest, RegisterReply, RegisterRequest, Value};
 use runtrack_net::mutant;
-use runtrack_register::{Accepted, Acceptor, Durable, inspect};
+use runtrack_register::{Accepted, Acceptor, Durable, inspect, is_superseded};
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -64,8 +64,12 @@
 
     /// Asks this member; a reply comes once it may, or never.
     pub fn ask(&self, request: RegisterRequest, reply: impl FnOnce(RegisterReply) + 'static) {
+        let mut queue = self.queue.borrow_mut();
+        // Each of them would cost a write before the one that is waited for.
+        queue.discard(|earlier| is_superseded(&earlier.request, &request));
         let queued = QueuedRequest { request, reply: Box::new(reply) };
-        self.queue.borrow_mut().push(self.started_at.elapsed(), queued);
+        queue.push(self.started_at.elapsed(), queued);
+        drop(queue);
         self.wake.notify_one();
     }
 
--- a/crates/controller/src/request_queue.rs
+++ b/crates/controller/src/request_queue.rs
@@ -32,6 +32,11 @@
         self.waiting.push_back((now, request));
     }
 
+    /// Drops requests whose replies nobody waits for any more.
+    pub fn discard(&mut self, is_obsolete: impl Fn(&T) -> bool) {
+        self.waiting.retain(|(_, request)| !is_obsolete(request));
+    }
+
     /// The oldest request that somebody still waits for at this time.
     pub fn pop(&mut self, now: Duration) -> Option<T> {
         while let Some((received_at, request)) = self.waiting.pop_front() {
--- a/crates/controller/tests/request_queue.rs
+++ b/crates/controller/tests/request_queue.rs
@@ -31,3 +31,12 @@
     assert_eq!(queue.pop(START + 2 * REQUEST_LIFETIME), None);
     assert!(queue.is_empty());
 }
+
+#[test]
+fn requests_that_are_obsolete_are_dropped_and_the_others_keep_their_order() {
+    let mut queue = RequestQueue::default();
+    (0..6).for_each(|request| queue.push(START, request));
+    queue.discard(|request| request % 2 == 0);
+    let out: Vec<i32> = std::iter::from_fn(|| queue.pop(START)).collect();
+    assert_eq!(out, [1, 3, 5]);
+}
--- a/crates/message/src/register.rs
+++ b/crates/message/src/register.rs
@@ -130,6 +130,15 @@
     },
 }
 
+impl RegisterRequest {
+    /// The ballot of the round that it belongs to.
+    pub fn ballot(&self) -> Ballot {
+        match self {
+            RegisterRequest::Prepare { ballot, .. } | RegisterRequest::Accept { ballot, .. } => *ballot,
+        }
+    }
+}
+
 /// What a member answers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -26,6 +26,13 @@
     Value(Accepted),
 }
 
+/// Whether nobody waits for the reply to an earlier request any more, since its proposer has sent a later one: a proposer has one
+/// round at a time and accepts once a majority has promised.
+pub fn is_superseded(earlier: &RegisterRequest, later: &RegisterRequest) -> bool {
+    let (earlier, later) = (earlier.ballot(), later.ballot());
+    earlier.boot == later.boot && earlier <= later
+}
+
 /// The state of one incarnation of a member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Acceptor {
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -30,7 +30,7 @@
 mod sets;
 mod watermark;
 
-pub use acceptor::{Accepted, Acceptor, Durable};
+pub use acceptor::{Accepted, Acceptor, Durable, is_superseded};
 pub use change::{Decision, finish_membership, initial_value, replace_members};
 pub use digest::{amendment_digest, legacy_request_digest, request_digest};
 pub use membership::{
