--- a/crates/controller/src/components.rs
+++ b/crates/controller/src/components.rs
@@ -18,7 +18,7 @@
 use runtrack_register::{Acceptor, MembershipTimes};
 use std::cell::OnceCell;
 use std::collections::BTreeSet;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use tokio::task::spawn_local;
 
 /// The components of a control member, each with its own state.
@@ -156,20 +156,26 @@
     }
 }
 
-/// Hands messages to the components, once these are made.
+/// Hands messages to the components, once these are made. It does not own them: they own the gossip, which owns the router, and
+/// neither would ever be freed.
 #[derive(Clone, Default)]
-pub(crate) struct MessageRouter(Rc<OnceCell<Rc<Components>>>);
+pub(crate) struct MessageRouter(Rc<OnceCell<Weak<Components>>>);
 
 impl MessageRouter {
     /// From now on messages go to these.
-    pub(crate) fn set(&self, components: Rc<Components>) {
-        let _ = self.0.set(components); // called once, right after the components are made
+    pub(crate) fn set(&self, components: &Rc<Components>) {
+        let _ = self.0.set(Rc::downgrade(components)); // called once, right after the components are made
+    }
+
+    /// The components, for as long as the process runs.
+    fn components(&self) -> Option<Rc<Components>> {
+        self.0.get().and_then(Weak::upgrade)
     }
 }
 
 impl MessageHandler for MessageRouter {
     fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
-        if let Some(components) = self.0.get() {
+        if let Some(components) = self.components() {
             components.note_watermarks(session, &message);
             components.on_message(gossip, session, message);
         }
@@ -177,7 +183,7 @@
 
     fn on_connect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
         let role = session.peer.borrow().as_ref().map(|peer| peer.role);
-        let Some(components) = self.0.get() else { return };
+        let Some(components) = self.components() else { return };
         match role {
             Some(Role::Agent) => {
                 components.contact.on_agent_connect(session);
@@ -192,14 +198,14 @@
     }
 
     fn on_merged(&self, records: &[Endpoint]) {
-        if let Some(components) = self.0.get() {
+        if let Some(components) = self.components() {
             components.leaves.note(records);
             components.placements.forget_gone(records);
         }
     }
 
     fn on_disconnect(&self, _: &Rc<Gossip>, session: &Rc<Session>) {
-        if let Some(components) = self.0.get() {
+        if let Some(components) = self.components() {
             components.backlogs.forget(session);
         }
     }
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -67,7 +67,7 @@
     let router = MessageRouter::default();
     let gossip = Gossip::new_in(environment, hello, node.heartbeat, Box::new(router.clone()));
     let components = Components::new(&gossip, disk, acceptor, node);
-    router.set(components.clone());
+    router.set(&components);
     let listening = listen(gossip.clone(), node.peer).await;
     listening.map_err(|error| ControllerError::ListenPeer(node.peer, error))?;
     let (proposer, endpoints) = (components.proposer.clone(), components.endpoints.clone());
