Controller: ready endpoints are known again right after a loss of all power

Cause: after a loss of all power endpoints were known one by one by their next heartbeat.

Change: members keep the ready endpoints on their disks and tell them where nobody remembers them, behind the leaves of a majority. The check of the disk asks again when a link is up or a member has answered, and what is chosen is read right after it.

--- a/crates/controller/src/components.rs
+++ b/crates/controller/src/components.rs
@@ -4,6 +4,7 @@
 use crate::contact::MajorityContact;
 use crate::disk::Disk;
 use crate::disk_guard::DiskGuard;
+use crate::endpoint_store::EndpointStore;
 use crate::endpoints::Endpoints;
 use crate::leave_sync::LeaveSync;
 use crate::leaves::Leaves;
@@ -36,6 +37,7 @@
     member: Rc<MemberTask>,
     leaves: Rc<Leaves>,
     leave_sync: Rc<LeaveSync>,
+    endpoint_store: Rc<EndpointStore>,
     backlogs: Rc<Backlogs>,
     placements: Rc<PlacementHub>,
 }
@@ -51,7 +53,7 @@
         let placements = PlacementHub::new(gossip.clone(), disk.clone(), node.first_boot);
         let (leaves, recovered) = Leaves::start(disk.clone(), gossip.logger());
         gossip.merge(recovered, None);
-        let member = MemberTask::start(acceptor, disk, gossip.logger().clone());
+        let member = MemberTask::start(acceptor, disk.clone(), gossip.logger().clone());
         let proposer = Proposer::new(gossip.clone(), member.clone(), me, first.clone());
         let contact = MajorityContact::new(
             gossip.clone(),
@@ -69,9 +71,17 @@
             leave_sync.clone(),
             MembershipSettings::new(node, seeds, first, times),
         );
+        let disk_guard = DiskGuard::new(gossip.clone(), proposer.clone(), member.clone(), me, own);
         Rc::new(Components {
+            endpoint_store: EndpointStore::new(
+                gossip.clone(),
+                disk,
+                disk_guard.clone(),
+                leave_sync.clone(),
+                node.heartbeat,
+            ),
             endpoints: Endpoints::new(gossip.clone(), contact.clone(), leaves.clone()),
-            disk_guard: DiskGuard::new(gossip.clone(), proposer.clone(), member.clone(), me, own),
+            disk_guard,
             backlogs: Backlogs::new(gossip.clone(), node.link_mbps),
             placements,
             proposer,
@@ -91,6 +101,7 @@
         spawn_local(self.membership.clone().run());
         spawn_local(self.contact.clone().run());
         spawn_local(self.endpoints.clone().run(node.heartbeat));
+        spawn_local(self.endpoint_store.clone().run());
     }
 
     fn on_message(&self, gossip: &Rc<Gossip>, session: &Rc<Session>, message: Message) {
@@ -191,6 +202,7 @@
             }
             Some(Role::Controller) => {
                 components.contact.probe(session);
+                components.disk_guard.on_connect();
                 components.placements.fetch_from(session);
             }
             Some(Role::Proxy) | None => {}
--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -11,7 +11,7 @@
 pub use rings::Rings;
 pub use thread::DiskThread;
 
-use runtrack_message::PrefixPlacements;
+use runtrack_message::{Endpoint, PrefixPlacements};
 use runtrack_net::mutant;
 use runtrack_register::{Durable, PromiseRecord, ValueRecord};
 use runtrack_registry::LeaveRecord;
@@ -30,6 +30,8 @@
     Leaves(LeaveRecord),
     /// Where prefixes of prompts are. A hint alone: nothing is lost with it but time.
     Placements(PrefixPlacements),
+    /// The endpoints that are ready, as far as this process knows. A hint as well: each says so again with its next heartbeat.
+    Endpoints(Vec<Endpoint>),
 }
 
 /// A write that is under way; it ends once the record is durable, or with the reason why it is not.
@@ -45,6 +47,10 @@
     fn placements(&self) -> PrefixPlacements {
         PrefixPlacements::default()
     }
+    /// The endpoints that were ready when the last process on it wrote them.
+    fn endpoints(&self) -> Vec<Endpoint> {
+        Vec::new()
+    }
 }
 
 /// The member's disk, whatever it is.
--- a/crates/controller/src/disk/rings.rs
+++ b/crates/controller/src/disk/rings.rs
@@ -2,7 +2,7 @@
 
 use crate::disk::Record;
 use deku::prelude::*;
-use runtrack_message::{Message, PrefixPlacements, decode};
+use runtrack_message::{Endpoint, Message, PrefixPlacements, decode};
 use runtrack_net::mutant;
 use runtrack_record_store::{Files, RecordStore, StoreError};
 use runtrack_register::{Acceptor, Recovery, recover};
@@ -35,6 +35,8 @@
 ];
 /// Bytes of a file of placements: some six thousand of them.
 const PLACEMENT_ROOM: usize = 128 << 10;
+/// Bytes of a file of endpoints: some five hundred of them. It grows by as many where there are more.
+const ENDPOINT_ROOM: usize = 32 << 10;
 
 /// The rings of promises, of values and of leaves.
 pub struct Rings<F> {
@@ -42,8 +44,10 @@
     values: RecordStore<F>,
     leaves: Vec<RecordStore<F>>,
     placements: RecordStore<F>,
+    endpoints: RecordStore<F>,
     recovered: Vec<LeaveRecord>,
     recovered_placements: PrefixPlacements,
+    recovered_endpoints: Vec<Endpoint>,
 }
 
 impl<F: Files + Clone> Rings<F> {
@@ -58,9 +62,21 @@
             Recovery::Damaged => Acceptor::new(fastrand::u64(1..)),
         };
         let (leaves, recovered) = open_leaves(&files)?;
-        let (placements, newest) = RecordStore::open(files, "placements", PLACEMENT_ROOM)?;
+        let (placements, newest) = RecordStore::open(files.clone(), "placements", PLACEMENT_ROOM)?;
         let recovered_placements = newest.and_then(|record| read_placements(&record)).unwrap_or_default();
-        Ok((Rings { promises, values, leaves, placements, recovered, recovered_placements }, acceptor))
+        let (endpoints, newest) = RecordStore::open(files, "endpoints", ENDPOINT_ROOM)?;
+        let recovered_endpoints = newest.and_then(|record| read_endpoints(&record)).unwrap_or_default();
+        let rings = Rings {
+            promises,
+            values,
+            leaves,
+            placements,
+            endpoints,
+            recovered,
+            recovered_placements,
+            recovered_endpoints,
+        };
+        Ok((rings, acceptor))
     }
 
     /// The leaves that were there when the rings were opened.
@@ -73,6 +89,11 @@
         &self.recovered_placements
     }
 
+    /// The endpoints that were there when the rings were opened.
+    pub fn recovered_endpoints(&self) -> &[Endpoint] {
+        &self.recovered_endpoints
+    }
+
     /// Writes a record; once this returns it is there after any loss of power. Where it fails it may be there or not, and the
     /// record before it still is.
     ///
@@ -92,6 +113,9 @@
             Record::Placements(placements) => {
                 self.placements.append(&Message::Placements(placements.clone()).to_bytes()?)
             }
+            Record::Endpoints(endpoints) => {
+                self.endpoints.append(&Message::Entries(endpoints.clone().into()).to_bytes()?)
+            }
         }
     }
 }
@@ -104,6 +128,14 @@
     }
 }
 
+/// Endpoints as they are kept: as the message that carries them.
+fn read_endpoints(record: &[u8]) -> Option<Vec<Endpoint>> {
+    match decode(record).ok()? {
+        Message::Entries(endpoints) => Some(endpoints.into_vec()),
+        _ => None,
+    }
+}
+
 /// The rings of leaves, and the newest record of each that can be read.
 fn open_leaves<F: Files + Clone>(files: &F) -> Result<(Vec<RecordStore<F>>, Vec<LeaveRecord>), StoreError> {
     let mut rings = Vec::new();
--- a/crates/controller/src/disk/thread.rs
+++ b/crates/controller/src/disk/thread.rs
@@ -3,7 +3,7 @@
 use crate::disk::{DiskError, MemberDisk, Persisting, Record, Rings, WriteError};
 use crate::new_incarnation;
 use runtrack_fleetconfig::Node;
-use runtrack_message::PrefixPlacements;
+use runtrack_message::{Endpoint, PrefixPlacements};
 use runtrack_record_store::Folder;
 use runtrack_register::Acceptor;
 use runtrack_registry::LeaveRecord;
@@ -27,6 +27,7 @@
     jobs: mpsc::Sender<Job>,
     leaves: Vec<LeaveRecord>,
     placements: PrefixPlacements,
+    endpoints: Vec<Endpoint>,
 }
 
 impl DiskThread {
@@ -37,11 +38,12 @@
             .map_err(|error| DiskError::Open(folder, error))?;
         let leaves = rings.recovered_leaves().to_vec();
         let placements = rings.recovered_placements().clone();
+        let endpoints = rings.recovered_endpoints().to_vec();
         let (jobs, waiting) = mpsc::channel::<Job>();
         let logger = logger.clone();
         let writer = thread::Builder::new().stack_size(STACK);
         writer.spawn(move || write_all(rings, &waiting, &logger)).map_err(DiskError::Thread)?;
-        Ok((DiskThread { jobs, leaves, placements }, acceptor))
+        Ok((DiskThread { jobs, leaves, placements, endpoints }, acceptor))
     }
 }
 
@@ -73,4 +75,8 @@
     fn placements(&self) -> PrefixPlacements {
         self.placements.clone()
     }
+
+    fn endpoints(&self) -> Vec<Endpoint> {
+        self.endpoints.clone()
+    }
 }
--- a/crates/controller/src/disk_guard.rs
+++ b/crates/controller/src/disk_guard.rs
@@ -11,10 +11,11 @@
 use runtrack_net::mutant;
 use runtrack_register::{DiskCheck, DiskVerdict, DurableWatermarks};
 use slog::{info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// Interval at which members that have not answered are asked.
@@ -31,6 +32,10 @@
     started: Instant,
     check: RefCell<DiskCheck>,
     watermarks: RefCell<DurableWatermarks>,
+    /// Whether anybody remembers this member; nothing before the check is over.
+    is_remembered: Cell<Option<bool>>,
+    /// A member has answered, or the check is over.
+    progress: Notify,
 }
 
 impl DiskGuard {
@@ -51,6 +56,8 @@
             started: Instant::now(),
             check: RefCell::new(check),
             watermarks: RefCell::default(),
+            is_remembered: Cell::new(None),
+            progress: Notify::new(),
         })
     }
 
@@ -64,9 +71,15 @@
     pub fn on_watermark_reply(&self, session: &Session, answer: &WatermarkReply) {
         if let Some(from) = controller_of(session).filter(|_| answer.member == self.me) {
             self.check.borrow_mut().on_answer(from, answer.remembered);
+            self.progress.notify_waiters();
         }
     }
 
+    /// A link to a controller is up: it can be asked.
+    pub fn on_connect(&self) {
+        self.progress.notify_waiters();
+    }
+
     /// A member replied to a round of this process.
     pub fn on_register_reply(&self, session: &Session, reply: &RegisterReply) {
         if let Some(from) = controller_of(session) {
@@ -107,7 +120,11 @@
         let mut ticks = interval(QUERY_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => {}
+                () = self.progress.notified() => {}
+            }
             let verdict = self.query();
             match verdict {
                 DiskVerdict::Waiting => continue,
@@ -119,13 +136,27 @@
                 verdict => {
                     let known = verdict != DiskVerdict::Unknown;
                     info!(self.gossip.logger(), "disk.checked"; "known" => known);
+                    self.is_remembered.set(Some(known));
+                    self.progress.notify_waiters();
                     self.member.release();
+                    self.proposer.wake();
                     return std::future::pending().await;
                 }
             }
         }
     }
 
+    /// Waits until the check is over; whether a process that has run for longer remembers this member. Nobody does where all
+    /// members have started together.
+    pub async fn is_remembered(&self) -> bool {
+        loop {
+            if let Some(known) = self.is_remembered.get() {
+                return known;
+            }
+            self.progress.notified().await;
+        }
+    }
+
     /// Asks those who have not answered; what is known so far.
     fn query(&self) -> DiskVerdict {
         let mut check = self.check.borrow_mut();
--- a/crates/controller/src/endpoints.rs
+++ b/crates/controller/src/endpoints.rs
@@ -15,7 +15,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 /// An endpoint that has missed this many heartbeats, while others were heard, counts as stalled.
-const MISSED_HEARTBEATS: u32 = 3;
+pub(crate) const MISSED_HEARTBEATS: u32 = 3;
 
 /// Handles endpoints' calls.
 pub struct Endpoints {
--- a/crates/controller/src/leave_sync.rs
+++ b/crates/controller/src/leave_sync.rs
@@ -1,5 +1,6 @@
-//! Before this process asks to become a member it takes over what the members know of leaves. An acknowledged leave is on
-//! the disks of a majority of them, so whoever has compared with a majority has it, and can stand in for one that is lost.
+//! Before this process asks to become a member, and before it tells of endpoints that it only knows from its disk, it takes
+//! over what the members know of leaves. An acknowledged leave is on the disks of a majority of them, so whoever has compared
+//! with a majority has it, and can stand in for one that is lost.
 //!
 //! Each member is sent the digests of this process's ranges, which it answers with the records that differ, and behind them
 //! on the same link a request to confirm nothing: its confirmation comes after the records.
@@ -78,8 +79,10 @@
     /// Whether the leaves of a majority of each set are on this process's disk.
     pub fn is_complete(&self) -> bool {
         let merged = self.merged.borrow();
-        let has =
-            |member: &Member| merged.get(member).is_some_and(|change| self.leaves.is_durable(*change));
+        let me = self.gossip.me().member;
+        let has = |member: &Member| {
+            *member == me || merged.get(member).is_some_and(|change| self.leaves.is_durable(*change))
+        };
         let complete = self.contact.sets().iter().all(|set| has_majority(set, has));
         complete || mutant("joins-without-leaves")
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! `api` serves HTTP; `components` hands messages of the links on. The register: `member` answers rounds (CASPaxos: Rystsov,
 //! 2018), `proposer` begins them, `membership` and `copies` change the members one at a time, `disk` and `disk_guard` keep
-//! what must not be forgotten. Beside it: `contact` with a majority, `endpoints` with `confirmations` and `leaves`, `backlog`
+//! what must not be forgotten. Beside it: `contact` with a majority, `endpoints` with `confirmations`, `leaves` and `endpoint_store`, `backlog`
 //! and `placements` for the proxies. The guarantees are in `docs/design/control-state.md`.
 
 pub mod api;
@@ -15,6 +15,7 @@
 mod copies;
 pub mod disk;
 mod disk_guard;
+mod endpoint_store;
 mod endpoints;
 mod error;
 mod incarnation;
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -90,6 +90,11 @@
         self.known.borrow().clone()
     }
 
+    /// Something has changed by which this process may find out what is chosen.
+    pub fn wake(&self) {
+        self.wake.notify_one();
+    }
+
     /// Whether a round has come to its end since the start: what was chosen until then is known, or that nothing was.
     pub fn is_informed(&self) -> bool {
         self.informed.get()
--- a/crates/controller/tests/virtual_time/mod.rs
+++ b/crates/controller/tests/virtual_time/mod.rs
@@ -11,7 +11,7 @@
 use runtrack_controller::{ControllerError, new_incarnation, run_in};
 use runtrack_fleetconfig::Node;
 use runtrack_link::{Dials, Environment, Gossip, ProcessEvent};
-use runtrack_message::{Hello, Member, PrefixPlacements, Role, WIRE_VERSION};
+use runtrack_message::{Endpoint, Hello, Member, PrefixPlacements, Role, WIRE_VERSION};
 use runtrack_net::{Came, Connecting, Connection, Listener, Network, plant};
 use runtrack_record_store::Memory;
 use runtrack_registry::LeaveRecord;
@@ -23,7 +23,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::{Pin, pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::{self, Arc};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -165,6 +165,7 @@
 struct MemoryDisk {
     leaves: Vec<LeaveRecord>,
     placements: PrefixPlacements,
+    endpoints: Vec<Endpoint>,
     /// It takes no leaves, and everything else.
     refuses_leaves: Rc<Cell<bool>>,
     /// Writes of leaves so far.
@@ -207,6 +208,10 @@
         self.leaves.clone()
     }
 
+    fn endpoints(&self) -> Vec<Endpoint> {
+        self.endpoints.clone()
+    }
+
     fn placements(&self) -> PrefixPlacements {
         self.placements.clone()
     }
@@ -257,6 +262,8 @@
     thaw: Rc<RefCell<Option<Waker>>>,
     events: Option<UnboundedSender<ProcessEvent>>,
     process: Option<JoinHandle<()>>,
+    /// The disk as the process that was started last has it.
+    mounted: Weak<MemoryDisk>,
 }
 
 /// Machines in virtual time, of which the first three are the seeds.
@@ -293,6 +300,7 @@
             frozen: Rc::default(),
             thaw: Rc::default(),
             events: None,
+            mounted: Weak::new(),
             process: None,
         };
         World {
@@ -365,6 +373,7 @@
         let disk = Rc::new(MemoryDisk {
             leaves: rings.recovered_leaves().to_vec(),
             placements: rings.recovered_placements().clone(),
+            endpoints: rings.recovered_endpoints().to_vec(),
             refuses_leaves: self.machines[machine].refuses_leaves.clone(),
             leave_writes: self.machines[machine].leave_writes.clone(),
             rings: Rc::new(Mutex::new(rings)),
@@ -375,6 +384,7 @@
         });
         let network = Rc::new(Wired { machine, wires: self.wires.clone() });
         let state = &mut self.machines[machine];
+        state.mounted = Rc::downgrade(&disk);
         let environment = Environment { network, logger: state.lines.logger() };
         let (events, received) = unbounded_channel();
         state.events = Some(events);
@@ -393,6 +403,11 @@
         let _ = process.await; // it was aborted
     }
 
+    /// Whether anything of the last process of a machine is still in memory.
+    pub fn is_in_memory(&self, machine: usize) -> bool {
+        self.machines[machine].mounted.strong_count() > 0
+    }
+
     /// A machine loses its power: nobody hears of it, and what was not synced is gone.
     pub async fn lose_power(&mut self, machine: usize) {
         {
--- a/crates/sim/src/fleet/disk.rs
+++ b/crates/sim/src/fleet/disk.rs
@@ -4,7 +4,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use runtrack_controller::disk::{MemberDisk, Persisting, Record, Rings, WriteError};
-use runtrack_message::{PrefixPlacements, Value};
+use runtrack_message::{Endpoint, PrefixPlacements, Value};
 use runtrack_record_store::Files;
 use runtrack_register::Acceptor;
 use runtrack_registry::LeaveRecord;
@@ -102,7 +102,9 @@
         self.show(&acceptor);
         let leaves = rings.recovered_leaves().to_vec();
         let placements = rings.recovered_placements().clone();
-        let mounted = Mounted { disk: self.clone(), rings: Rc::new(Mutex::new(rings)), leaves, placements };
+        let endpoints = rings.recovered_endpoints().to_vec();
+        let rings = Rc::new(Mutex::new(rings));
+        let mounted = Mounted { disk: self.clone(), rings, leaves, placements, endpoints };
         Ok((Rc::new(mounted), acceptor))
     }
 
@@ -120,7 +122,7 @@
     fn show_written(&self, record: &Record) {
         match record {
             Record::Value(record) => (self.watch)(record.incarnation, Some(&record.value)),
-            Record::Promise(_) | Record::Leaves(_) | Record::Placements(_) => {}
+            Record::Promise(_) | Record::Leaves(_) | Record::Placements(_) | Record::Endpoints(_) => {}
         }
     }
 
@@ -240,6 +242,7 @@
     rings: Rc<Mutex<Rings<SimFiles>>>,
     leaves: Vec<LeaveRecord>,
     placements: PrefixPlacements,
+    endpoints: Vec<Endpoint>,
 }
 
 impl MemberDisk for Mounted {
@@ -267,4 +270,8 @@
     fn placements(&self) -> PrefixPlacements {
         self.placements.clone()
     }
+
+    fn endpoints(&self) -> Vec<Endpoint> {
+        self.endpoints.clone()
+    }
 }
