--- a/crates/sim/tests/fleet_oracle_disks.rs
+++ b/crates/sim/tests/fleet_oracle_disks.rs
@@ -171,6 +171,17 @@
     tells_apart(Rule::JoinsWhole, |facts| joins(facts, 1), |facts| joins(facts, 2));
 }
 
+#[test]
+fn a_member_that_is_wiped_before_it_joins_is_found_where_that_could_be_known() {
+    // It holds the newest version, and its disk is empty from this time on.
+    let wiped = |facts: &mut Facts, at: u64| {
+        facts.disk_states.push(state(3, 8_000, 2, 2));
+        facts.disk_states.push(DiskState { incarnation: 0, ..state(3, at, 0, 0) });
+        facts.disk_states.push(change(0, 9_000, 3, &[&[0, 1, 2], &[0, 1, 2, 3]]));
+    };
+    tells_apart(Rule::JoinsWhole, |facts| wiped(facts, 8_300), |facts| wiped(facts, 8_990));
+}
+
 #[test]
 fn a_member_that_is_replaced_though_it_is_well_is_found() {
     let replaced = |facts: &mut Facts| {
