--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -165,7 +165,7 @@
         if !is_member {
             self.request_to_join();
         } else if in_contact && self.is_coordinator(&members) {
-            self.coordinate(members, is_joint).await;
+            self.coordinate(&value).await;
         }
     }
 }
--- a/crates/controller/src/membership/change.rs
+++ b/crates/controller/src/membership/change.rs
@@ -11,13 +11,29 @@
 /// Time-out of a change of the membership.
 const MEMBERSHIP_CHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// What a change was planned on.
+pub(super) struct BasisOfChange {
+    /// The members.
+    pub members: BTreeSet<Member>,
+    /// Nothing had been written.
+    pub is_empty: bool,
+}
+
+impl BasisOfChange {
+    /// Whether a change may be made to this value.
+    fn holds_for(&self, value: &Value) -> bool {
+        members_of(value) == self.members && (!self.is_empty || value.sequence == 0)
+    }
+}
+
 impl Membership {
     /// Carries one change through: the joint sets, then the new one alone. Where the members are others than those that
-    /// it was planned on, nothing is changed; where another change is under way, that is finished.
-    pub(super) async fn change(&self, planned_on: &BTreeSet<Member>, next: &BTreeSet<Member>) {
+    /// it was planned on, nothing is changed; where another change is under way, that is finished. What was planned while
+    /// nothing was written is planned again where a first value has come meanwhile: its copies come first.
+    pub(super) async fn change(&self, planned_on: &BasisOfChange, next: &BTreeSet<Member>) {
         let deadline = Instant::now() + MEMBERSHIP_CHANGE_TIMEOUT;
         let mut begin = |current: Option<&Value>| match current.unwrap_or(&self.initial) {
-            value if is_joint(value) || members_of(value) == *planned_on => replace_members(value, next),
+            value if is_joint(value) || planned_on.holds_for(value) => replace_members(value, next),
             _ => Decision::Read,
         };
         let outcome = self.proposer.decide(deadline, &mut begin).await;
--- a/crates/controller/src/membership/coordinator.rs
+++ b/crates/controller/src/membership/coordinator.rs
@@ -1,10 +1,13 @@
 //! The coordinator, the one member that changes the membership: who it is, what it sees, and what it does.
 
 use crate::membership::Membership;
+use crate::membership::change::BasisOfChange;
 use runtrack_hash_ring::{hash, rendezvous};
-use runtrack_message::{Ballot, Member};
+use runtrack_message::{Ballot, Member, Value};
 use runtrack_net::mutant;
-use runtrack_register::{MembershipPlan, MembershipView, PresentMember, WaitReason, plan_membership};
+use runtrack_register::{
+    MembershipPlan, MembershipView, PresentMember, WaitReason, is_joint, members_of, plan_membership,
+};
 use slog::info;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -57,11 +60,12 @@
     }
 
     /// Makes the change that is due, as the coordinator.
-    pub(super) async fn coordinate(&self, members: BTreeSet<Member>, is_joint: bool) {
-        if is_joint {
-            return self.change(&members, &members).await;
+    pub(super) async fn coordinate(&self, value: &Value) {
+        let basis = BasisOfChange { members: members_of(value), is_empty: value.sequence == 0 };
+        if is_joint(value) {
+            return self.change(&basis, &basis.members).await;
         }
-        let plan = plan_membership(&self.view(members.clone()));
+        let plan = plan_membership(&self.view(basis.members.clone()));
         let waiting = match &plan {
             MembershipPlan::Wait(reason) => Some(*reason),
             MembershipPlan::Keep | MembershipPlan::Change(_) => None,
@@ -72,7 +76,7 @@
         }
         self.waiting.set(waiting);
         if let MembershipPlan::Change(next) = plan {
-            self.change(&members, &next).await;
+            self.change(&basis, &next).await;
         }
     }
 }
--- a/crates/controller/src/membership/leaving.rs
+++ b/crates/controller/src/membership/leaving.rs
@@ -1,6 +1,7 @@
 //! The way out: others that leave, and this process's own end.
 
 use crate::membership::Membership;
+use crate::membership::change::BasisOfChange;
 use runtrack_message::{Member, Message, Role};
 use std::collections::BTreeSet;
 use tokio::time::timeout;
@@ -29,7 +30,7 @@
         self.gossip.broadcast_to(Role::Controller, &Message::Leave(self.me));
         self.on_leave_request(self.me);
         let next: BTreeSet<Member> = members.iter().filter(|member| **member != self.me).copied().collect();
-        self.change(&members, &next).await;
+        self.change(&BasisOfChange { members, is_empty: false }, &next).await;
         self.copies.wait_until_complete().await;
     }
 }
--- a/crates/sim/src/fleet/draw/disks.rs
+++ b/crates/sim/src/fleet/draw/disks.rs
@@ -82,6 +82,18 @@
     script.faults.push(Fault::PowerAll { at: off_at, lasts: off });
 }
 
+/// Takes out lost packets around older copies of disks: members hear of each other's disks by probes every 250 ms, and of one that
+/// is put back nobody may know where these take seconds.
+pub fn keep_links_whole_around_older_disks(script: &mut Script) {
+    let older = script.faults.iter().filter(|fault| matches!(fault, Fault::OlderDisk { .. }));
+    let spans: Vec<(u32, u32)> = older.map(Fault::span).collect();
+    script.faults.retain(|fault| {
+        let (from, lasts) = fault.span();
+        let near = |(at, down): &(u32, u32)| from < at + down + SETTLE && from + lasts + QUIET > *at;
+        !matches!(fault, Fault::Loss { .. }) || !spans.iter().any(near)
+    });
+}
+
 /// Several disks stall or are slow at the same time: nothing is lost, but rounds take longer than callers wait.
 fn several_stall(draws: &mut Draws, script: &mut Script, losses: &mut Losses, at: u32) {
     let lasts = draws.of(300, 3_000);
--- a/crates/sim/src/fleet/draw/mod.rs
+++ b/crates/sim/src/fleet/draw/mod.rs
@@ -89,6 +89,7 @@
         script.faults.retain(|fault| !matches!(fault, Fault::Replace { .. }));
     }
     losses::leave_repairs_time(&mut script);
+    disks::keep_links_whole_around_older_disks(&mut script);
     let last = script.faults.iter().map(|fault| fault.span()).map(|(at, lasts)| at + lasts).max();
     length = length.max(last.unwrap_or(0));
     script.healed_ms = length;
