--- a/crates/rig/src/world/back.rs
+++ b/crates/rig/src/world/back.rs
@@ -7,6 +7,9 @@
 use std::io;
 use tokio::time::{Instant, sleep};
 
+/// Lines of the log of an instance that does not answer, the newest first.
+const LAST_LINES: usize = 3;
+
 impl World {
     /// Starts what does not run, and waits until all is as it should be.
     pub(super) async fn come_back(&self) -> io::Result<()> {
@@ -22,7 +25,11 @@
             for place in 0..self.script.instances as usize {
                 let said = self.get(place, "/cluster").await.unwrap_or_default();
                 newest = newest.max(said["serial"].as_u64().unwrap_or(0));
-                let seen = format!("serial {}, majority {}", said["serial"], said["majority"]);
+                let seen = if said.is_null() {
+                    self.standing(place)
+                } else {
+                    format!("serial {}, majority {}", said["serial"], said["majority"])
+                };
                 waits.insert(
                     format!("i{place} is in touch with a majority"),
                     (said["majority"] == true, seen),
@@ -56,6 +63,16 @@
         Ok(())
     }
 
+    /// How an instance that does not answer stands: whether its process runs, and what it logged last.
+    fn standing(&self, place: usize) -> String {
+        let instance = &mut locked(&self.instances)[place];
+        let runs = instance.process.pid().is_some() && !instance.process.has_ended();
+        let log = instance.process.log();
+        let last: Vec<&str> = log.lines().rev().take(LAST_LINES).collect();
+        let state = if runs { "runs" } else { "has ended" };
+        format!("{} {state} and does not answer; its last lines: {last:?}", instance.name)
+    }
+
     /// Notes what is to be seen at the end.
     pub(super) async fn finish(&self) {
         for place in 0..self.script.instances as usize {
