--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -80,6 +80,8 @@
     drained: Mutex<Vec<usize>>,
     leader: AtomicU32,
     runs: AtomicU64,
+    /// Held while a member is replaced: the next one loses its folder only once the one before has come back.
+    replacing: tokio::sync::Mutex<()>,
     healing: AtomicBool,
     over: AtomicBool,
 }
@@ -181,6 +183,7 @@
             drained: Mutex::default(),
             leader: AtomicU32::new(0),
             runs: AtomicU64::new(0),
+            replacing: tokio::sync::Mutex::default(),
             healing: AtomicBool::new(false),
             over: AtomicBool::new(false),
         });
