Sim: syncs of values that fail

Change: a disk may take the bytes of a value and say that their sync has failed; drawn among the troubles of disks.

--- a/crates/sim/src/fleet/disk.rs
+++ b/crates/sim/src/fleet/disk.rs
@@ -43,6 +43,8 @@
     content: Rc<RefCell<Content>>,
     /// The next write stops after so many bytes.
     torn_after: Rc<Cell<Option<usize>>>,
+    /// Writes reach the files, and are said to have failed.
+    is_failing: Rc<Cell<bool>>,
 }
 
 impl Files for SimFiles {
@@ -58,7 +60,7 @@
         }
         let written = self.torn_after.take().map_or(bytes.len(), |after| after.min(bytes.len()));
         file[..written].copy_from_slice(&bytes[..written]);
-        Ok(())
+        if self.is_failing.get() { Err(io::Error::other("the sync failed")) } else { Ok(()) }
     }
 }
 
@@ -229,7 +231,7 @@
 }
 
 fn of_content(content: Content) -> Option<Acceptor> {
-    recovered(SimFiles { content: Rc::new(RefCell::new(content)), torn_after: Rc::default() })
+    recovered(SimFiles { content: Rc::new(RefCell::new(content)), ..SimFiles::default() })
 }
 
 fn sequence_of(acceptor: &Acceptor) -> u64 {
@@ -256,7 +258,14 @@
             let Some(record) = record.filter(|_| takes) else {
                 return Err(WriteError::Refused("the disk is full"));
             };
-            rings.write(&record)?;
+            let is_value = matches!(record, Record::Value(_));
+            disk.files.is_failing.set(is_value && disk.now(|what| matches!(what, DiskFault::FailingSync)));
+            let written = rings.write(&record);
+            disk.files.is_failing.set(false);
+            if let Err(error) = written {
+                disk.recovered().iter().for_each(|acceptor| disk.show(acceptor));
+                return Err(error.into());
+            }
             disk.show_written(&record);
             disk.copy();
             Ok(())
--- a/crates/sim/src/fleet/script.rs
+++ b/crates/sim/src/fleet/script.rs
@@ -149,6 +149,8 @@
     Stall,
     /// It takes no more bytes.
     Full,
+    /// It takes the bytes of a value, and says that their sync has failed.
+    FailingSync,
 }
 
 /// What goes wrong; `at` and `lasts` in milliseconds.
@@ -218,6 +220,7 @@
             Fault::Disk { what: DiskFault::Slow(_), .. } => "disk_slow",
             Fault::Disk { what: DiskFault::Stall, .. } => "disk_stall",
             Fault::Disk { what: DiskFault::Full, .. } => "disk_full",
+            Fault::Disk { what: DiskFault::FailingSync, .. } => "disk_failing_sync",
             Fault::Wipe { .. } => "wipe",
             Fault::Replace { .. } => "replace",
             Fault::Spare { .. } => "spare",
