Controller: failures of catching up stay in their loop; pending prefill by its name

The count of failed attempts to catch up had moved into the proposer's state though its loop alone uses it, and the controller's reports of pending prefill still said unread. Behaviour is unchanged.

--- a/crates/controller/src/backlog.rs
+++ b/crates/controller/src/backlog.rs
@@ -27,7 +27,7 @@
 
 /// The last report of one proxy's agent.
 struct Report {
-    unread: Vec<PendingPrefill>,
+    pending: Vec<PendingPrefill>,
     received_at: Instant,
 }
 
@@ -49,7 +49,7 @@
 
     /// A proxy's agent reports.
     pub fn on_report(&self, session: &Session, report: Backlog) {
-        let report = Report { unread: report.into_vec(), received_at: Instant::now() };
+        let report = Report { pending: report.into_vec(), received_at: Instant::now() };
         self.reports.borrow_mut().insert(session.key, report);
         self.changed.notify_one();
     }
@@ -65,11 +65,11 @@
         let mut sums: BTreeMap<u64, u32> = BTreeMap::new();
         let mut reports = self.reports.borrow_mut();
         reports.retain(|_, report| {
-            !report.unread.is_empty() && report.received_at.elapsed() < REPORT_LIFETIME
+            !report.pending.is_empty() && report.received_at.elapsed() < REPORT_LIFETIME
         });
-        for unread in reports.values().flat_map(|report| &report.unread) {
-            let sum = sums.entry(unread.endpoint).or_default();
-            *sum = sum.saturating_add(unread.tokens);
+        for pending in reports.values().flat_map(|report| &report.pending) {
+            let sum = sums.entry(pending.endpoint).or_default();
+            *sum = sum.saturating_add(pending.tokens);
         }
         sums.into_iter().map(|(endpoint, tokens)| PendingPrefill { endpoint, tokens }).collect()
     }
--- a/crates/controller/src/proposer.rs
+++ b/crates/controller/src/proposer.rs
@@ -50,8 +50,6 @@
     newest_elsewhere: Cell<Ballot>,
     /// Ballots up to this one were elsewhere before a round of this process ended.
     accounted_for: Cell<Ballot>,
-    /// How often in a row finding out what is chosen has failed.
-    failed_catch_ups: Cell<u32>,
     /// Held by the operation whose rounds run.
     turn: Mutex<()>,
     /// Notified where this process may be behind.
@@ -79,7 +77,6 @@
             inspections: Inspections::new(),
             newest_elsewhere: Cell::default(),
             accounted_for: Cell::default(),
-            failed_catch_ups: Cell::default(),
             turn: Mutex::new(()),
             wake: Notify::new(),
         })
--- a/crates/controller/src/proposer/catch_up.rs
+++ b/crates/controller/src/proposer/catch_up.rs
@@ -24,12 +24,12 @@
     /// A quorum read disturbs nobody. Where it finds an older value, the accepted one is either a change under way, which a
     /// round would only preempt, or what a proposer has left behind, which a round alone commits or supersedes: a round is
     /// taken only where this process is still behind at `round_at`, and once the rounds of its own changes are over.
-    async fn catch_up(&self, accepted: Ballot, round_at: Instant) -> Result<(), ReadError> {
+    async fn catch_up(&self, accepted: Ballot, round_at: Instant, failures: u32) -> Result<(), ReadError> {
         if self.quorum_read().await.is_some() && !self.is_behind(accepted) {
             return Ok(());
         }
         sleep_until(round_at).await;
-        let limits = self.limits_of_catch_up();
+        let limits = self.limits_of_catch_up(failures);
         let turn = self.take_turn(limits).await.ok_or(ReadError::Indeterminate)?;
         if self.informed.get() && !self.is_behind(accepted) {
             return Ok(());
@@ -39,13 +39,14 @@
 
     /// The rounds of others go before those of a member that has just started, within bounds. One that missed something while
     /// it ran would come back to it much later.
-    fn limits_of_catch_up(&self) -> Limits {
-        let yields_when_preempted = !self.informed.get() && self.failed_catch_ups.get() < MAX_YIELDS;
+    fn limits_of_catch_up(&self, failures: u32) -> Limits {
+        let yields_when_preempted = !self.informed.get() && failures < MAX_YIELDS;
         Limits { yields_when_preempted, ..Limits::of_request() }
     }
 
     /// Finds out what is chosen: at the start, and where others or this member's own disk know of more.
     pub async fn run(self: Rc<Self>) {
+        let mut failures = 0;
         loop {
             let delay = at_least_writes(CATCH_UP_DELAY, self.member.write_time());
             let pause = if self.informed.get() { delay } else { START_INTERVAL };
@@ -64,10 +65,10 @@
                     continue;
                 }
             }
-            if self.catch_up(accepted, round_at).await.is_err() {
-                self.failed_catch_ups.set(self.failed_catch_ups.get() + 1);
+            if self.catch_up(accepted, round_at, failures).await.is_err() {
+                failures += 1;
             } else {
-                self.failed_catch_ups.set(0);
+                failures = 0;
                 self.accounted_for.set(elsewhere);
                 info!(self.gossip.logger(), "register.caught_up";
                     "sequence" => self.known.borrow().as_ref().map_or(0, |(_, value)| value.sequence));
