Review: what the scripts share stands once

Need: a second script needs the same record, processes and calls. Change: review/standins/common.rs; the script of case 2 is otherwise as before.

--- a/review/standins/replaced_core.rs
+++ b/review/standins/replaced_core.rs
@@ -7,16 +7,18 @@
 //! Starts the programs of the deploy file as separate processes. Client, endpoints and operator are threads of this
 //! program. TROUBLE=0 does the same without the freeze.
 
-use std::collections::HashMap;
-use std::fs::{self, File};
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+mod common;
+
+use common::{Place, Processes, Record, call, ms, read_message, run, wait_for};
+use std::fs;
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitCode, Stdio};
+use std::path::PathBuf;
+use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// `drainMs`, `convergeMs` and `stretchMaxMs` of the settings.
@@ -36,115 +38,6 @@
 /// Spare time on top of a bound, so that the record is clear.
 const SPARE: Duration = Duration::from_millis(1000);
 
-fn ms(duration: Duration) -> String {
-    format!("{:.3} s", duration.as_secs_f64())
-}
-
-/// What was sent, answered and run.
-struct Record {
-    file: Mutex<File>,
-    started: Instant,
-}
-
-impl Record {
-    fn note(&self, text: &str) {
-        let line = format!("{:>10} {text}\n", ms(self.started.elapsed()));
-        print!("{line}");
-        let _ = self.file.lock().unwrap().write_all(line.as_bytes());
-    }
-}
-
-/// Ends the processes that it holds.
-#[derive(Default)]
-struct Processes(HashMap<String, Child>);
-
-impl Processes {
-    fn start(&mut self, name: &str, program: &str, settings: &Path, log: &Path) -> Result<(), String> {
-        let log = File::create(log).map_err(|error| error.to_string())?;
-        let child = Command::new(format!("target/release/{program}"))
-            .env("RUNTRACK_NODE_FILE", settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .map_err(|error| format!("{program}: {error}"))?;
-        self.0.insert(name.to_owned(), child);
-        Ok(())
-    }
-
-    fn signal(&self, name: &str, signal: &str) {
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(self.0[name].id().to_string()).status();
-    }
-
-    fn ends_within(&mut self, name: &str, time: Duration) -> bool {
-        let until = Instant::now() + time;
-        while Instant::now() < until {
-            if let Ok(Some(_)) = self.0.get_mut(name).unwrap().try_wait() {
-                return true;
-            }
-            sleep(Duration::from_millis(10));
-        }
-        false
-    }
-
-    fn is_running(&mut self, name: &str) -> bool {
-        matches!(self.0.get_mut(name).map(Child::try_wait), Some(Ok(None)))
-    }
-}
-
-impl Drop for Processes {
-    fn drop(&mut self) {
-        for child in self.0.values_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-/// One HTTP/1.1 message: its first line, its headers in lower case, and its body.
-struct Message {
-    line: String,
-    headers: HashMap<String, String>,
-    body: Vec<u8>,
-}
-
-fn read_message(reader: &mut BufReader<TcpStream>) -> std::io::Result<Message> {
-    let mut line = String::new();
-    if reader.read_line(&mut line)? == 0 {
-        return Err(ErrorKind::UnexpectedEof.into());
-    }
-    let mut headers = HashMap::new();
-    loop {
-        let mut header = String::new();
-        if reader.read_line(&mut header)? == 0 {
-            return Err(ErrorKind::UnexpectedEof.into());
-        }
-        match header.trim().split_once(':') {
-            Some((name, value)) => headers.insert(name.to_ascii_lowercase(), value.trim().to_owned()),
-            None => break,
-        };
-    }
-    let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body)?;
-    Ok(Message { line: line.trim().to_owned(), headers, body })
-}
-
-/// Sends a request on a new connection; the status and the body of the answer.
-fn call(to: SocketAddr, head: &str, body: &str, wait: Duration) -> Result<(u16, String), String> {
-    let attempt = || -> std::io::Result<Message> {
-        let mut stream = TcpStream::connect_timeout(&to, wait)?;
-        stream.set_read_timeout(Some(wait))?;
-        stream.set_nodelay(true)?;
-        let length = body.len();
-        stream.write_all(format!("{head}Content-Length: {length}\r\nConnection: close\r\n\r\n{body}").as_bytes())?;
-        read_message(&mut BufReader::new(stream))
-    };
-    let answer = attempt().map_err(|error| error.to_string())?;
-    let status = answer.line.split(' ').nth(1).and_then(|status| status.parse().ok());
-    Ok((status.ok_or("no status")?, String::from_utf8_lossy(&answer.body).into_owned()))
-}
-
 /// An endpoint: answers requests, and sends heartbeats to whoever serves `controller`.
 struct Endpoint {
     id: String,
@@ -231,78 +124,41 @@
     }
 }
 
-/// Addresses and ports of the deployment, and the folder of its files.
-struct Deployment {
-    folder: PathBuf,
-    network: u8,
-    port: u16,
-}
-
-impl Deployment {
-    fn new() -> Result<Self, String> {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
-        let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
-        fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let network = 20 + (now.subsec_nanos() / 1000 % 200) as u8;
-        for step in 0..100 {
-            let port = 20_000 + ((now.subsec_nanos() / 1000) as u16 % 300) * 30 + step * 20 % 9000;
-            let is_free = |ip: [u8; 4]| (port..port + 20).all(|port| TcpListener::bind((std::net::Ipv4Addr::from(ip), port)).is_ok());
-            if is_free([127, 0, 0, 1]) && is_free([127, network, 1, 1]) && is_free([127, network, 2, 1]) {
-                return Ok(Deployment { folder, network, port });
-            }
-        }
-        Err("no free ports".to_owned())
-    }
-
-    fn ip(&self, group: u8, number: u8) -> String {
-        format!("127.{}.{group}.{number}", self.network)
-    }
-
-    fn address(&self, group: u8, number: u8, offset: u16) -> SocketAddr {
-        format!("{}:{}", self.ip(group, number), self.port + offset).parse().unwrap()
-    }
+/// Addresses and settings of the deployment.
+struct Deployment<'a>(&'a Place);
 
+impl Deployment<'_> {
     fn control(&self, number: u8) -> SocketAddr {
-        self.address(1, number, 16)
+        self.0.address(1, number, 16)
     }
 
     fn front(&self) -> SocketAddr {
-        self.address(2, 1, 17)
+        self.0.address(2, 1, 17)
     }
 
     fn ready(&self) -> SocketAddr {
-        self.address(2, 1, 18)
+        self.0.address(2, 1, 18)
     }
 
-    /// Writes a settings file as the platform does.
+    /// Writes the settings file of a process; `own` are the lines of its role.
     fn write_settings(&self, name: &str, ip: &str, seed: SocketAddr, own: &str, first_boot: bool) -> Result<PathBuf, String> {
         let text = format!(
-            "node={name}\nip={ip}\nzone=z1\nregion=r1\nzones.z1=r1\n{own}portRange={},{}\nseeds={seed}\n\
-             firstBoot={first_boot}\nlimits.cpuShare=0.6\nlimits.cores=1\nlimits.memoryMb=256\nlimits.fdLimit=4096\n\
-             limits.linkMbps=1000.0\ndiscovery=self_register\nentry=vip\nbeatPeriodMs=1200\n\
-             contracts=base,drain,config,cost,retry,recover,engine,stream\ntolerance.machines=0\ntolerance.zones=0\n\
-             tolerance.regions=0\nbounds.seedLagS=3\nbounds.reuseDelayS=2\nbounds.contactMs=3000\nbounds.ackMs=4000\n\
-             bounds.settleS=4\nbounds.drainMs=2000\nbounds.graceS=8\nbounds.lossSlackMs=200\nbounds.convergeMs=2000\n\
-             bounds.revertSlackMs=250\nbounds.stretchMaxMs=5000\nbounds.retryRatio=0.2\nbounds.retryWindowS=10\n\
-             bounds.retrySlack=56\nbounds.recoveryS=12\nbounds.pass_ms=120\nbounds.again_s=0\n",
-            self.port,
-            self.port + 15
+            "node={name}\nip={ip}\nzone=z1\nregion=r1\nzones.z1=r1\n{own}seeds={seed}\nfirstBoot={first_boot}\n\
+             tolerance.machines=0\ntolerance.zones=0\ntolerance.regions=0\n{}",
+            self.0.common_settings()
         );
-        let path = self.folder.join(format!("{name}.conf"));
-        let new = self.folder.join(format!("{name}.conf.new"));
-        fs::write(&new, text).and_then(|()| fs::rename(&new, &path)).map_err(|error| error.to_string())?;
-        Ok(path)
+        self.0.write_settings(name, &text)
     }
 
     fn write_core(&self, number: u8, seed: SocketAddr, first_boot: bool) -> Result<PathBuf, String> {
-        let data = self.folder.join(format!("core-{number}-data"));
+        let data = self.0.folder.join(format!("core-{number}-data"));
         fs::create_dir_all(&data).map_err(|error| error.to_string())?;
         let own = format!(
             "role=controller\nmachineClass=core\nserves=controller\nlisten.control={}\ndataDir={}\ncounted=true\nlimits.diskMb=128\n",
             self.control(number),
             data.display()
         );
-        self.write_settings(&format!("core-{number}"), &self.ip(1, number), seed, &own, first_boot)
+        self.write_settings(&format!("core-{number}"), &self.0.ip(1, number), seed, &own, first_boot)
     }
 
     /// The settings files of the two processes of the edge machine.
@@ -313,7 +169,7 @@
             self.front(),
             self.ready()
         );
-        let ip = self.ip(2, 1);
+        let ip = self.0.ip(2, 1);
         Ok((
             self.write_settings("edge-1-agent", &ip, seed, agent, first_boot)?,
             self.write_settings("edge-1-proxy", &ip, seed, &proxy, first_boot)?,
@@ -371,21 +227,11 @@
     matches!(call(ready, head, "", Duration::from_secs(1)), Ok((200, _)))
 }
 
-fn wait_for(what: &str, time: Duration, mut met: impl FnMut() -> bool) -> Result<(), String> {
-    let until = Instant::now() + time;
-    while !met() {
-        if Instant::now() > until {
-            return Err(format!("{what}: not within {}", ms(time)));
-        }
-        sleep(Duration::from_millis(50));
-    }
-    Ok(())
-}
-
 /// Plays the case; whether the rules held.
-fn play(record: &Arc<Record>, deployment: &Deployment, trouble: bool) -> Result<bool, String> {
+fn play(record: &Arc<Record>, place: &Place, trouble: bool) -> Result<bool, String> {
+    let deployment = &Deployment(place);
     let mut processes = Processes::default();
-    let log = |name: &str| deployment.folder.join(format!("{name}.log"));
+    let log = |name: &str| deployment.0.folder.join(format!("{name}.log"));
     let (old, new) = (deployment.control(1), deployment.control(2));
 
     // The first start: one core machine and one edge machine.
@@ -397,7 +243,7 @@
     let controls = Arc::new(Mutex::new(vec![old]));
     let mut endpoints = Vec::new();
     for number in 1..=4 {
-        let address = deployment.address(3, number, 0);
+        let address = deployment.0.address(3, number, 0);
         let listener = TcpListener::bind(address).map_err(|error| format!("{address}: {error}"))?;
         let endpoint = Arc::new(Endpoint {
             id: format!("i-{number}"),
@@ -484,34 +330,5 @@
 }
 
 fn main() -> ExitCode {
-    let Some(path) = std::env::args().nth(1) else { return ExitCode::from(2) };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let Ok(file) = File::create(path) else { return ExitCode::from(2) };
-    let record = Arc::new(Record { file: Mutex::new(file), started: Instant::now() });
-    record.note(if trouble { "with the disruption" } else { "without the disruption (TROUBLE=0)" });
-    let deployment = match Deployment::new() {
-        Ok(deployment) => deployment,
-        Err(problem) => {
-            record.note(&format!("could not run: {problem}"));
-            return ExitCode::from(2);
-        }
-    };
-    let played = play(&record, &deployment, trouble);
-    if std::env::var("KEEP").is_err() {
-        let _ = fs::remove_dir_all(&deployment.folder);
-    }
-    match played {
-        Ok(true) => {
-            record.note("the rules held");
-            ExitCode::SUCCESS
-        }
-        Ok(false) => {
-            record.note("a rule was broken");
-            ExitCode::from(1)
-        }
-        Err(problem) => {
-            record.note(&format!("could not run: {problem}"));
-            ExitCode::from(2)
-        }
-    }
+    run(play)
 }
